--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,5 @@
+export default {
+  files: ['packages/*/dist/test/**/*.test.js'],
+  timeout: '120s',
+  concurrency: 5
+}
--- /dev/null
+++ b/packages/bench/src/benches.ts
@@ -0,0 +1,10 @@
+/**
+ * All experiments, by name. Each loads its code when it runs.
+ */
+import type { Bench } from './bench.js'
+
+type Loader = () => Promise<Bench>
+
+export const BENCHES: Readonly<Record<string, Loader>> = {
+  path: async () => (await import('./path/pathBench.js')).pathBench
+}
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+export * from './bench.js'
+export * from './benches.js'
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+export * from './command.js'
+export * from './commands.js'
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,7 @@
+export * from './attemptLedger.js'
+export * from './fifoQueue.js'
+export * from './outcome.js'
+export * from './random.js'
+export * from './requestQueue.js'
+export * from './router.js'
+export * from './twoChoicesRouter.js'
--- /dev/null
+++ b/packages/daemon/src/agent/agentProcess.ts
@@ -0,0 +1,129 @@
+/**
+ * The agent role: the only door to its endpoint.
+ */
+import { AttemptLedger, FifoQueue } from '@dragonflylever/core'
+import { HttpEndpoint } from '@dragonflylever/platform'
+import type { Endpoint } from '@dragonflylever/platform'
+import { CallerLimit, DISPATCH_PATH } from '@dragonflylever/protocol'
+import type { AgentSettings, Member } from '@dragonflylever/protocol'
+import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
+
+import { Announcer } from '../shared/announcer.js'
+import { ConfigurationHolder } from '../shared/configurationHolder.js'
+import { ControlServer } from '../shared/controlServer.js'
+import { createFleetFacts } from '../shared/fleetFacts.js'
+import type { FleetFacts } from '../shared/fleetFacts.js'
+import { createProcessParts } from '../shared/processParts.js'
+import type { ProcessParts } from '../shared/processParts.js'
+import { DispatchHandler } from './dispatchHandler.js'
+import { SlotRunner } from './slotRunner.js'
+
+const MAX_LEDGER_ENTRIES = 50_000
+/** Longer than any dispatch can be under way. */
+const LEDGER_KEEP_MS = CallerLimit.maxDeadlineMs + 60_000
+
+/** Parts of an agent that tests replace. */
+export interface AgentParts extends ProcessParts {
+  readonly endpoint: Endpoint
+}
+
+export class AgentProcess {
+  readonly board = new Blackboard<FleetFacts>(createFleetFacts())
+  private readonly _settings: AgentSettings
+  private readonly _parts: AgentParts
+  private readonly _lifecycle = new Lifecycle()
+  private _controlAddress = ''
+  private _stopping: Promise<void> | undefined
+
+  private constructor (settings: AgentSettings, parts: AgentParts) {
+    this._settings = settings
+    this._parts = parts
+  }
+
+  /** Starts an agent; rejects when its address can't be had. */
+  static async start (settings: AgentSettings, given: Partial<AgentParts> = {}): Promise<AgentProcess> {
+    const endpoint = given.endpoint ?? new HttpEndpoint({ url: settings.endpoint.url, connections: settings.endpoint.slots })
+    const agent = new AgentProcess(settings, { ...await createProcessParts(settings, given), endpoint })
+    await agent._open()
+    return agent
+  }
+
+  /** Address for other processes, IP:PORT. */
+  get controlAddress (): string {
+    return this._controlAddress
+  }
+
+  /** Leaves gracefully: no request under way is cut off. Every call gets the same promise. */
+  stop (): Promise<void> {
+    this._stopping ??= this._stop()
+    return this._stopping
+  }
+
+  private async _open (): Promise<void> {
+    const { store, peers, logger, metrics, tracer, endpoint, incarnation } = this._parts
+    const log = createPartLogger(logger, 'agent')
+    this._lifecycle.add('tracer', () => tracer.close())
+    this._lifecycle.add('metrics', () => metrics.close())
+    this._lifecycle.add('store', () => store.close())
+    this._lifecycle.add('peers', () => peers.close())
+    this._lifecycle.add('endpoint', () => endpoint.close())
+    const runner = this._createRunner(endpoint)
+    const { clusterKey } = this._settings
+    const control = new ControlServer({ clusterKey, maxConnections: this._settings.endpoint.maxConnections })
+    const handler = new DispatchHandler({ runner, tracer, clusterKey, incarnation, isLeaving: () => this.board.get('isLeaving') })
+    control.add(DISPATCH_PATH, (request, response) => handler.handle(request, response))
+    this._serveWithdrawals(control, runner)
+    this._controlAddress = await control.open(this._settings.listen.control)
+    const holder = new ConfigurationHolder(this.board, createPartLogger(logger, 'config'))
+    const announcer = new Announcer({ peers, holder, targets: this._settings.join, describe: () => this._describe() })
+    this._lifecycle.add('announcer', () => announcer.close())
+    this._lifecycle.add('control server', () => control.close())
+    this._lifecycle.add('requests under way', () => runner.drain())
+    this._lifecycle.add('word of leaving', () => announcer.leave())
+    await announcer.start()
+    log.info({ control: this._controlAddress, endpoint: this._settings.endpoint.url }, 'started')
+  }
+
+  private _createRunner (endpoint: Endpoint): SlotRunner {
+    const { slots, maxConnections } = this._settings.endpoint
+    const queue = new FifoQueue({ maxWaiting: maxConnections, slots })
+    const ledger = new AttemptLedger({ maxEntries: MAX_LEDGER_ENTRIES, keepMs: LEDGER_KEEP_MS })
+    const runner = new SlotRunner({ queue, endpoint, ledger })
+    this._lifecycle.add('slots', () => runner.close())
+    return runner
+  }
+
+  private _serveWithdrawals (control: ControlServer, runner: SlotRunner): void {
+    control.rpc.add('withdraw', ({ attemptId, incarnation }) => {
+      if (incarnation !== this._parts.incarnation) return { outcome: 'cannotVouch' }
+      return { outcome: runner.withdraw(attemptId) }
+    })
+  }
+
+  private async _stop (): Promise<void> {
+    this.board.set('isLeaving', true)
+    const report = await this._lifecycle.close()
+    for (const failure of report.failed) this._parts.logger.error(failure, 'a part did not close')
+  }
+
+  private _describe (): Member {
+    const { endpoint, worker } = this._settings
+    return {
+      id: this._settings.id,
+      role: 'agent',
+      incarnation: this._parts.incarnation,
+      region: this._settings.region,
+      failureDomain: this._settings.failureDomain,
+      address: this._controlAddress,
+      state: this.board.get('isLeaving') ? 'leaving' : 'alive',
+      agent: {
+        rack: this._settings.rack,
+        slots: endpoint.slots,
+        maxConnections: endpoint.maxConnections,
+        cores: worker?.cores ?? 0,
+        memoryGb: worker?.memoryGb ?? 0,
+        accelerators: worker?.accelerators ?? 0
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/agent/dispatchHandler.ts
@@ -0,0 +1,133 @@
+/**
+ * Takes dispatches of entries over HTTP, runs them, and answers with a result that names its attempt.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+
+import { NotRunReason } from '@dragonflylever/core'
+import type { HeaderList } from '@dragonflylever/core'
+import { CallerLimit, DispatchHeader } from '@dragonflylever/protocol'
+import { isSameKey, sendJson } from '@dragonflylever/runtime'
+import type { Tracer } from '@dragonflylever/runtime'
+
+import type { Attempt, RunResult, SlotRunner } from './slotRunner.js'
+
+const SKIPPED_HEADERS = new Set(['host', 'connection', 'content-length', 'transfer-encoding', 'keep-alive'])
+const SKIPPED_ANSWER_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length'])
+
+/** What the handler works with. */
+export interface DispatchHandlerParts {
+  readonly runner: SlotRunner
+  readonly tracer: Tracer
+  readonly clusterKey: string
+  readonly incarnation: string
+  /** True once this agent takes no new work. */
+  readonly isLeaving: () => boolean
+}
+
+export class DispatchHandler {
+  private readonly _parts: DispatchHandlerParts
+
+  constructor (parts: DispatchHandlerParts) {
+    this._parts = parts
+  }
+
+  /** Answers one dispatch. */
+  async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!isSameKey(readHeader(message, DispatchHeader.clusterKey), this._parts.clusterKey)) {
+      sendJson(response, 401, { error: 'the cluster key is missing or wrong' })
+      return
+    }
+    const body = await readWhole(message)
+    if (body === undefined) {
+      response.destroy()
+      return
+    }
+    const attemptId = readHeader(message, DispatchHeader.attemptId) ?? ''
+    const result = await this._run(message, response, attemptId, body)
+    this._write(response, attemptId, result)
+  }
+
+  private async _run (message: IncomingMessage, response: ServerResponse, attemptId: string, body: Buffer): Promise<RunResult> {
+    if (readHeader(message, DispatchHeader.incarnation) !== this._parts.incarnation) return { kind: 'notRun', reason: NotRunReason.refused, retryAfterMs: 0 }
+    if (this._parts.isLeaving()) return { kind: 'notRun', reason: NotRunReason.leaving, retryAfterMs: 0 }
+    const gone = new AbortController()
+    response.on('close', () => { if (!response.writableFinished) gone.abort() })
+    const hop = this._parts.tracer.start('agent.dispatch', readHeader(message, DispatchHeader.traceparent))
+    const result = await this._parts.runner.run(readAttempt(message, attemptId, body, hop.traceparent), gone.signal)
+    hop.set('dfl.result', result.kind)
+    hop.end()
+    return result
+  }
+
+  private _write (response: ServerResponse, attemptId: string, result: RunResult): void {
+    if (response.destroyed) return
+    const headers: string[] = [
+      DispatchHeader.attemptId, attemptId,
+      DispatchHeader.result, result.kind,
+      DispatchHeader.load, `${this._parts.runner.running},${this._parts.runner.waiting}`
+    ]
+    if (result.kind === 'answered') {
+      headers.push(DispatchHeader.status, String(result.answer.status), 'content-length', String(result.answer.body.length))
+      for (const [name, value] of result.answer.headers) if (!SKIPPED_ANSWER_HEADERS.has(name) && !name.startsWith('dfl-')) headers.push(name, value)
+      response.writeHead(200, headers)
+      response.end(result.answer.body)
+      return
+    }
+    headers.push(DispatchHeader.reason, result.reason, 'content-length', '0')
+    if (result.kind === 'notRun') headers.push(DispatchHeader.retryAfterMs, String(Math.round(result.retryAfterMs)))
+    response.writeHead(200, headers)
+    response.end()
+  }
+}
+
+function readHeader (message: IncomingMessage, name: string): string | undefined {
+  const value = message.headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
+
+async function readWhole (message: IncomingMessage): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = []
+  let size = 0
+  try {
+    for await (const chunk of message) {
+      size += (chunk as Buffer).length
+      if (size > CallerLimit.requestBodyBytes) return undefined
+      chunks.push(chunk as Buffer)
+    }
+  } catch {
+    return undefined
+  }
+  return Buffer.concat(chunks, size)
+}
+
+function readAttempt (message: IncomingMessage, attemptId: string, body: Buffer, traceparent: string | undefined): Attempt {
+  const now = performance.now()
+  const headers = listEndpointHeaders(message)
+  return {
+    attemptId,
+    queued: {
+      id: attemptId,
+      className: readHeader(message, DispatchHeader.className) ?? '',
+      organisation: readHeader(message, DispatchHeader.organisation) ?? '',
+      caller: readHeader(message, DispatchHeader.caller) ?? '',
+      arrivedAt: now,
+      deadlineAt: now + Number(readHeader(message, DispatchHeader.remainingMs) ?? 0)
+    },
+    request: {
+      method: readHeader(message, DispatchHeader.method) ?? 'GET',
+      path: readHeader(message, DispatchHeader.path) ?? '/',
+      headers: traceparent === undefined ? headers : [...headers, ['traceparent', traceparent]],
+      body
+    }
+  }
+}
+
+function listEndpointHeaders (message: IncomingMessage): HeaderList {
+  const pairs: Array<readonly [string, string]> = []
+  for (let index = 0; index + 1 < message.rawHeaders.length; index += 2) {
+    const name = (message.rawHeaders[index] ?? '').toLowerCase()
+    if (SKIPPED_HEADERS.has(name) || name.startsWith('dfl-') || name === 'traceparent') continue
+    pairs.push([name, message.rawHeaders[index + 1] ?? ''])
+  }
+  return pairs
+}
--- /dev/null
+++ b/packages/daemon/src/agent/slotRunner.ts
@@ -0,0 +1,157 @@
+/**
+ * The slots of one endpoint: takes attempts, lets them wait, runs at most as many as there are slots,
+ * and vouches for those that never started.
+ */
+import { AttemptLedger, NotRunReason, UnknownReason } from '@dragonflylever/core'
+import type { Answer, QueuedRequest, RequestQueue, WithdrawResult } from '@dragonflylever/core'
+import type { Endpoint, EndpointOutcome, EndpointRequest } from '@dragonflylever/platform'
+
+/** How an attempt ended at this agent. */
+export type RunResult =
+  | { readonly kind: 'answered', readonly answer: Answer }
+  | { readonly kind: 'notRun', readonly reason: NotRunReason, readonly retryAfterMs: number }
+  | { readonly kind: 'unknown', readonly reason: UnknownReason }
+
+/** One attempt as it arrived. */
+export interface Attempt {
+  readonly attemptId: string
+  readonly queued: QueuedRequest
+  readonly request: EndpointRequest
+}
+
+/** What the runner works with. */
+export interface SlotRunnerParts {
+  readonly queue: RequestQueue
+  readonly endpoint: Endpoint
+  readonly ledger: AttemptLedger
+}
+
+interface Waiting {
+  readonly attempt: Attempt
+  readonly signal: AbortSignal
+  readonly resolve: (result: RunResult) => void
+}
+
+const SWEEP_MS = 20
+
+export class SlotRunner {
+  private readonly _parts: SlotRunnerParts
+  private readonly _waiting = new Map<string, Waiting>()
+  private readonly _sweep: NodeJS.Timeout
+  private _running = 0
+  private _idleListeners: Array<() => void> = []
+
+  constructor (parts: SlotRunnerParts) {
+    this._parts = parts
+    this._sweep = setInterval(() => this._expire(), SWEEP_MS)
+  }
+
+  /** Requests in slots. */
+  get running (): number {
+    return this._running
+  }
+
+  /** Requests that wait for a slot. */
+  get waiting (): number {
+    return this._waiting.size
+  }
+
+  /** Runs an attempt to its end. `signal` says that the entry has gone or cancelled. */
+  run (attempt: Attempt, signal: AbortSignal): Promise<RunResult> {
+    const now = performance.now()
+    const accepted = this._parts.ledger.accept(attempt.attemptId, now)
+    if (accepted !== 'accepted') return Promise.resolve(makeNotRun(NotRunReason.refused))
+    const offer = this._parts.queue.offer(attempt.queued, now)
+    if (offer.kind === 'refused') {
+      this._parts.ledger.withdraw(attempt.attemptId, now)
+      return Promise.resolve(makeNotRun(offer.reason, offer.retryAfterMs))
+    }
+    for (const shed of offer.shed) this._drop(shed.id, shed.reason, shed.retryAfterMs)
+    const result = new Promise<RunResult>(resolve => {
+      this._waiting.set(attempt.attemptId, { attempt, signal, resolve })
+    })
+    signal.addEventListener('abort', () => { this.withdraw(attempt.attemptId) }, { once: true })
+    this._pump()
+    return result
+  }
+
+  /** Withdraws an attempt that has not started; it never will. */
+  withdraw (attemptId: string): WithdrawResult {
+    const result = this._parts.ledger.withdraw(attemptId, performance.now())
+    if (result === 'neverStarted' && this._parts.queue.remove(attemptId)) this._resolve(attemptId, makeNotRun(NotRunReason.cancelled))
+    return result
+  }
+
+  /** Resolves when nothing runs or waits. */
+  async drain (): Promise<void> {
+    if (this._isIdle()) return
+    await new Promise<void>(resolve => this._idleListeners.push(resolve))
+  }
+
+  close (): void {
+    clearInterval(this._sweep)
+  }
+
+  private _pump (): void {
+    for (;;) {
+      const now = performance.now()
+      const next = this._parts.queue.take(now)
+      if (next === undefined) return
+      const waiting = this._waiting.get(next.id)
+      if (waiting === undefined || !this._parts.ledger.start(next.id)) throw new Error('invariant: a queued attempt waits and is not withdrawn')
+      this._waiting.delete(next.id)
+      void this._start(waiting, now)
+    }
+  }
+
+  private async _start (waiting: Waiting, startedAt: number): Promise<void> {
+    this._running++
+    const { attempt } = waiting
+    const outcome = await this._parts.endpoint.send(attempt.request, waiting.signal)
+    const now = performance.now()
+    this._running--
+    this._parts.ledger.finish(attempt.attemptId, now)
+    this._parts.queue.finish(attempt.queued, now - startedAt, now)
+    waiting.resolve(convertOutcome(outcome))
+    this._pump()
+    this._notifyIdle()
+  }
+
+  private _expire (): void {
+    for (const request of this._parts.queue.expire(performance.now())) this._drop(request.id, NotRunReason.deadlinePassed, 0)
+  }
+
+  private _drop (attemptId: string, reason: NotRunReason, retryAfterMs: number): void {
+    this._parts.ledger.withdraw(attemptId, performance.now())
+    this._resolve(attemptId, makeNotRun(reason, retryAfterMs))
+  }
+
+  private _resolve (attemptId: string, result: RunResult): void {
+    const waiting = this._waiting.get(attemptId)
+    this._waiting.delete(attemptId)
+    waiting?.resolve(result)
+    this._notifyIdle()
+  }
+
+  private _isIdle (): boolean {
+    return this._running === 0 && this._waiting.size === 0
+  }
+
+  private _notifyIdle (): void {
+    if (!this._isIdle()) return
+    const listeners = this._idleListeners
+    this._idleListeners = []
+    for (const listener of listeners) listener()
+  }
+}
+
+function makeNotRun (reason: NotRunReason, retryAfterMs = 0): RunResult {
+  return { kind: 'notRun', reason, retryAfterMs }
+}
+
+function convertOutcome (outcome: EndpointOutcome): RunResult {
+  if (outcome.kind === 'answered') return outcome
+  if (outcome.kind === 'notSent') return makeNotRun(NotRunReason.noEndpoint)
+  if (outcome.kind === 'tooLarge') return { kind: 'unknown', reason: UnknownReason.answerTooLarge }
+  return { kind: 'unknown', reason: UnknownReason.answerLost }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/callerRequest.ts
@@ -0,0 +1,172 @@
+/**
+ * A caller's request, checked: everything that can be wrong with it is found here, before anything is sent on.
+ */
+import { randomUUID } from 'node:crypto'
+import type { IncomingMessage } from 'node:http'
+
+import { NotRunReason } from '@dragonflylever/core'
+import type { HeaderList } from '@dragonflylever/core'
+import { CALL_PATH_PREFIX, CallerHeader, CallerLimit, parseDuration } from '@dragonflylever/protocol'
+import type { Configuration } from '@dragonflylever/protocol'
+import { isSameKey } from '@dragonflylever/runtime'
+
+/** A request that may be served. Times are milliseconds of the monotonic clock. */
+export interface CallerRequest {
+  readonly requestId: string
+  readonly className: string
+  readonly organisation: string
+  readonly caller: string
+  readonly idempotencyKey: string | undefined
+  readonly isIdempotent: boolean
+  readonly arrivedAt: number
+  readonly deadlineAt: number
+  readonly method: string
+  readonly path: string
+  readonly headers: HeaderList
+  readonly traceparent: string | undefined
+  readonly body: Buffer
+}
+
+/** A refusal: `status` is the HTTP status, `message` says what to do next. */
+export interface Refusal {
+  readonly kind: 'refused'
+  readonly status: number
+  readonly reason: NotRunReason
+  readonly message: string
+}
+
+export type ParsedRequest = { readonly kind: 'valid', readonly request: Omit<CallerRequest, 'body'> } | Refusal
+
+const METHODS = new Set(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'])
+const NAME_PATTERN = /^[a-z][a-z0-9-]*$/
+const PRINTABLE_PATTERN = /^[\x21-\x7e]+$/
+const PATH_PATTERN = /^\/[\x21-\x7e]*$/
+const TRACEPARENT_PATTERN = /^[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}$/
+const HOP_HEADERS = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'expect', 'traceparent', 'authorization', 'idempotency-key'])
+
+/** What the parser needs to know of its process. */
+export interface ParseContext {
+  readonly configuration: Configuration | undefined
+  readonly organisationKeys: Readonly<Record<string, string>> | undefined
+  readonly now: number
+}
+
+/** Checks the head of a caller's request. */
+export function parseCallerRequest (message: IncomingMessage, context: ParseContext): ParsedRequest {
+  const { configuration } = context
+  if (configuration === undefined) return refuse(503, NotRunReason.noConfiguration, 'no configuration is in force yet; try again shortly')
+  const path = parsePath(message.url ?? '')
+  if (typeof path !== 'string') return path
+  if (!METHODS.has(message.method ?? '')) return refuse(405, NotRunReason.badRequest, `method ${message.method} is not served; use one of ${[...METHODS].join(', ')}`)
+  if (message.rawHeaders.length / 2 > CallerLimit.headerFields) return refuse(431, NotRunReason.badRequest, `more than ${CallerLimit.headerFields} header fields`)
+  const className = readName(message, CallerHeader.className)
+  if (typeof className !== 'string') return className
+  const declaration = configuration.declarations.classes[className]
+  if (declaration === undefined) return refuse(400, NotRunReason.badRequest, `class "${className}" is not declared; declared are ${listKeys(configuration.declarations.classes)}`)
+  if (declaration.kind !== 'request') return refuse(400, NotRunReason.badRequest, `class "${className}" is for jobs; submit it at /v1/jobs`)
+  const organisation = readName(message, CallerHeader.organisation)
+  if (typeof organisation !== 'string') return organisation
+  if (!(organisation in configuration.declarations.organisations)) return refuse(400, NotRunReason.badRequest, `organisation "${organisation}" is not declared`)
+  if (!isAllowed(message, organisation, context.organisationKeys)) return refuse(401, NotRunReason.unauthorised, `the key for organisation "${organisation}" is missing or wrong; send it as "authorization: Bearer KEY"`)
+  const caller = readPrintable(message, CallerHeader.caller, CallerLimit.callerLength)
+  if (typeof caller === 'object') return caller
+  const idempotencyKey = readPrintable(message, CallerHeader.idempotencyKey, CallerLimit.idempotencyKeyLength)
+  if (typeof idempotencyKey === 'object') return idempotencyKey
+  const deadlineMs = readDeadline(message, parseDuration(declaration.finishWithin) ?? CallerLimit.defaultDeadlineMs)
+  if (typeof deadlineMs !== 'number') return deadlineMs
+  const request = {
+    requestId: randomUUID(),
+    className,
+    organisation,
+    caller: caller ?? '',
+    idempotencyKey,
+    isIdempotent: declaration.idempotent,
+    arrivedAt: context.now,
+    deadlineAt: context.now + deadlineMs,
+    method: message.method ?? 'GET',
+    path,
+    headers: listForwardedHeaders(message),
+    traceparent: readTraceparent(message)
+  }
+  return { kind: 'valid', request }
+}
+
+/** Builds a refusal. */
+export function refuse (status: number, reason: NotRunReason, message: string): Refusal {
+  return { kind: 'refused', status, reason, message }
+}
+
+function parsePath (url: string): string | Refusal {
+  if (url.length > CallerLimit.pathLength) return refuse(414, NotRunReason.badRequest, `the path is longer than ${CallerLimit.pathLength} characters`)
+  const rest = url.slice(CALL_PATH_PREFIX.length)
+  const isCall = url.startsWith(CALL_PATH_PREFIX) && PATH_PATTERN.test(rest)
+  if (!isCall) return refuse(404, NotRunReason.badRequest, `paths start with ${CALL_PATH_PREFIX}/`)
+  const segments = (rest.split('?')[0] ?? '').split('/')
+  if (segments.some(isDotSegment)) return refuse(400, NotRunReason.badRequest, 'the path holds a "." or ".." segment')
+  return rest
+}
+
+function isDotSegment (segment: string): boolean {
+  const plain = segment.replace(/%2e/gi, '.')
+  return plain === '.' || plain === '..'
+}
+
+function readSingle (message: IncomingMessage, name: string): string | undefined | Refusal {
+  const values = message.headersDistinct[name] ?? []
+  if (values.length > 1) return refuse(400, NotRunReason.badRequest, `header ${name} is given ${values.length} times; give it once`)
+  return values[0]
+}
+
+function readName (message: IncomingMessage, name: string): string | Refusal {
+  const value = readSingle(message, name)
+  if (typeof value === 'object') return value
+  if (value === undefined || value === '') return refuse(400, NotRunReason.badRequest, `header ${name} is missing`)
+  const isName = value.length <= CallerLimit.nameLength && NAME_PATTERN.test(value)
+  if (!isName) return refuse(400, NotRunReason.badRequest, `header ${name} must be lower-case letters, digits and hyphens, at most ${CallerLimit.nameLength}`)
+  return value
+}
+
+function readPrintable (message: IncomingMessage, name: string, maxLength: number): string | undefined | Refusal {
+  const value = readSingle(message, name)
+  if (value === undefined || typeof value === 'object') return value
+  const isValid = value.length <= maxLength && PRINTABLE_PATTERN.test(value)
+  if (!isValid) return refuse(400, NotRunReason.badRequest, `header ${name} must be 1 to ${maxLength} printable ASCII characters without spaces`)
+  return value
+}
+
+function readDeadline (message: IncomingMessage, targetMs: number): number | Refusal {
+  const value = readSingle(message, CallerHeader.deadlineMs)
+  if (typeof value === 'object') return value
+  if (value === undefined) return Math.min(targetMs, CallerLimit.maxDeadlineMs)
+  const deadlineMs = /^\d{1,9}$/.test(value) ? Number(value) : NaN
+  const isValid = deadlineMs >= CallerLimit.minDeadlineMs && deadlineMs <= CallerLimit.maxDeadlineMs
+  if (!isValid) return refuse(400, NotRunReason.badRequest, `header ${CallerHeader.deadlineMs} must be a whole number of milliseconds from ${CallerLimit.minDeadlineMs} to ${CallerLimit.maxDeadlineMs}`)
+  return deadlineMs
+}
+
+function isAllowed (message: IncomingMessage, organisation: string, keys: Readonly<Record<string, string>> | undefined): boolean {
+  if (keys === undefined) return true
+  const expected = keys[organisation]
+  const presented = /^Bearer (.+)$/.exec(message.headers.authorization ?? '')?.[1]
+  return expected !== undefined && isSameKey(presented, expected)
+}
+
+function readTraceparent (message: IncomingMessage): string | undefined {
+  const value = message.headers[CallerHeader.traceparent]
+  return typeof value === 'string' && TRACEPARENT_PATTERN.test(value) ? value : undefined
+}
+
+function listForwardedHeaders (message: IncomingMessage): HeaderList {
+  const dropped = new Set((message.headers.connection ?? '').toLowerCase().split(',').map(name => name.trim()))
+  const pairs: Array<readonly [string, string]> = []
+  for (let index = 0; index + 1 < message.rawHeaders.length; index += 2) {
+    const name = (message.rawHeaders[index] ?? '').toLowerCase()
+    if (HOP_HEADERS.has(name) || dropped.has(name) || name.startsWith('dfl-')) continue
+    pairs.push([name, message.rawHeaders[index + 1] ?? ''])
+  }
+  return pairs
+}
+
+function listKeys (record: object): string {
+  return Object.keys(record).join(', ')
+}
--- /dev/null
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -0,0 +1,219 @@
+/**
+ * Carries a request to an agent and back: waits for room, picks an agent, sends one attempt, and decides
+ * from how it ended whether another attempt is allowed.
+ */
+import { randomUUID } from 'node:crypto'
+
+import { NotRunReason, UnknownReason, makeAnswered, makeNotRun, makeUnknown } from '@dragonflylever/core'
+import type { Outcome, QueuedRequest, RequestQueue, Router } from '@dragonflylever/core'
+import type { PeerRpc } from '@dragonflylever/protocol'
+
+import type { AgentTarget, AttemptResult, AttemptSender } from './agentLink.js'
+import type { AgentTable } from './agentTable.js'
+import type { CallerRequest } from './callerRequest.js'
+
+const SWEEP_MS = 20
+const WITHDRAW_TIMEOUT_MS = 500
+const WITHDRAW_RETRY_MS = 100
+const NO_AGENT_RETRY_AFTER_MS = 1_000
+const MAX_ATTEMPTS = 5
+
+/** What the dispatcher works with. */
+export interface DispatcherParts {
+  readonly queue: RequestQueue
+  readonly router: Router
+  readonly agents: AgentTable
+  readonly sender: AttemptSender
+  readonly peers: PeerRpc
+}
+
+type Turn = { readonly kind: 'go', readonly target: AgentTarget } | { readonly kind: 'end', readonly outcome: Outcome }
+
+interface Waiting {
+  readonly request: CallerRequest
+  readonly tried: ReadonlySet<string>
+  readonly resolve: (turn: Turn) => void
+}
+
+interface InFlight {
+  readonly target: AgentTarget
+  readonly deadlineAt: number
+  readonly abort: AbortController
+}
+
+export class Dispatcher {
+  private readonly _parts: DispatcherParts
+  private readonly _waiting = new Map<string, Waiting>()
+  private readonly _inFlight = new Map<string, InFlight>()
+  private readonly _sweep: NodeJS.Timeout
+
+  constructor (parts: DispatcherParts) {
+    this._parts = parts
+    this._sweep = setInterval(() => this._expire(), SWEEP_MS)
+  }
+
+  /** Requests under way, waiting ones included. */
+  get size (): number {
+    return this._waiting.size + this._inFlight.size
+  }
+
+  /** Runs one request to its outcome. `signal` says that the caller has gone. */
+  async run (request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
+    const tried = new Set<string>()
+    for (let attempt = 1; ; attempt++) {
+      const turn = await this._waitForTurn(request, tried, signal)
+      if (turn.kind === 'end') return turn.outcome
+      const outcome = await this._attempt(request, turn.target, attempt, signal)
+      if (outcome !== undefined) return outcome
+      tried.add(turn.target.agentId)
+    }
+  }
+
+  /** Looks for requests that may start now; called after each change of the agents. */
+  notify (): void {
+    this._pump()
+  }
+
+  /** Gives up attempts at incarnations that are gone. */
+  drop (incarnations: readonly string[]): void {
+    const gone = new Set(incarnations)
+    for (const flight of this._inFlight.values()) if (gone.has(flight.target.incarnation)) flight.abort.abort()
+  }
+
+  close (): void {
+    clearInterval(this._sweep)
+  }
+
+  private _waitForTurn (request: CallerRequest, tried: ReadonlySet<string>, signal: AbortSignal): Promise<Turn> {
+    const now = performance.now()
+    if (signal.aborted) return Promise.resolve({ kind: 'end', outcome: makeCancelled() })
+    const offer = this._parts.queue.offer(makeQueued(request), now)
+    if (offer.kind === 'refused') {
+      return Promise.resolve({ kind: 'end', outcome: makeNotRun(offer.reason, 'the request was refused before it was sent', offer.retryAfterMs) })
+    }
+    for (const shed of offer.shed) this._end(shed.id, makeNotRun(shed.reason, 'more urgent work took the place', shed.retryAfterMs))
+    const turn = new Promise<Turn>(resolve => {
+      const onAbort = (): void => {
+        if (this._parts.queue.remove(request.requestId)) this._end(request.requestId, makeCancelled())
+      }
+      signal.addEventListener('abort', onAbort, { once: true })
+      const resolveTurn = (value: Turn): void => {
+        signal.removeEventListener('abort', onAbort)
+        resolve(value)
+      }
+      this._waiting.set(request.requestId, { request, tried, resolve: resolveTurn })
+    })
+    this._pump()
+    return turn
+  }
+
+  private _pump (): void {
+    while (this._parts.agents.hasRoom()) {
+      const next = this._parts.queue.take(performance.now())
+      if (next === undefined) return
+      this._start(next)
+    }
+  }
+
+  private _start (next: QueuedRequest): void {
+    const waiting = this._waiting.get(next.id)
+    if (waiting === undefined) throw new Error('invariant: a queued request waits')
+    const candidates = this._parts.agents.list()
+    const routed = { ...next, tried: waiting.tried, bodyBytes: waiting.request.body.length }
+    const now = performance.now()
+    const pick = this._parts.router.pick(routed, candidates, now) ?? this._parts.router.pick({ ...routed, tried: new Set() }, candidates, now)
+    const target = pick === undefined ? undefined : this._parts.agents.getTarget(pick.agentId)
+    this._parts.queue.finish(next, 0, now)
+    this._waiting.delete(next.id)
+    if (target === undefined) {
+      waiting.resolve({ kind: 'end', outcome: makeNotRun(NotRunReason.noEndpoint, 'no endpoint takes the request now', NO_AGENT_RETRY_AFTER_MS) })
+      return
+    }
+    this._parts.agents.start(target.agentId)
+    waiting.resolve({ kind: 'go', target })
+  }
+
+  private async _attempt (request: CallerRequest, target: AgentTarget, attempt: number, signal: AbortSignal): Promise<Outcome | undefined> {
+    const attemptId = randomUUID()
+    const result = await this._send(request, target, attemptId, signal)
+    const isLast = attempt >= MAX_ATTEMPTS || performance.now() >= request.deadlineAt
+    if (result.kind === 'answered') return makeAnswered(result.answer)
+    if (result.kind === 'notSent') return isLast ? makeNotRun(NotRunReason.noEndpoint, result.message, NO_AGENT_RETRY_AFTER_MS) : undefined
+    if (result.kind === 'notRun') return isLast || signal.aborted ? makeNotRun(result.reason, 'the agent refused the request', result.retryAfterMs) : undefined
+    return this._settle(request, target, attemptId, result, isLast, signal)
+  }
+
+  private async _settle (request: CallerRequest, target: AgentTarget, attemptId: string, result: { kind: 'lost' } | { kind: 'unknown', reason: UnknownReason }, isLast: boolean, signal: AbortSignal): Promise<Outcome | undefined> {
+    const reason = result.kind === 'unknown' ? result.reason : UnknownReason.answerLost
+    if (signal.aborted) {
+      void this._withdraw(request, target, attemptId)
+      return makeUnknown(reason, 'the caller went before the answer came')
+    }
+    if (request.isIdempotent && !isLast) return undefined
+    if (result.kind === 'unknown') return makeUnknown(reason, 'the endpoint was reached and no whole answer came back')
+    const isProven = await this._withdraw(request, target, attemptId)
+    if (!isProven) return makeUnknown(reason, 'the request may have run; the agent did not say')
+    return isLast ? makeNotRun(NotRunReason.deadlinePassed, 'the request was withdrawn before it started') : undefined
+  }
+
+  private async _send (request: CallerRequest, target: AgentTarget, attemptId: string, signal: AbortSignal): Promise<AttemptResult> {
+    const startedAt = performance.now()
+    const abort = new AbortController()
+    const onAbort = (): void => abort.abort()
+    signal.addEventListener('abort', onAbort, { once: true })
+    this._inFlight.set(attemptId, { target, deadlineAt: request.deadlineAt, abort })
+    const result = await this._parts.sender.send(target, request, attemptId, abort.signal)
+    signal.removeEventListener('abort', onAbort)
+    this._inFlight.delete(attemptId)
+    this._parts.agents.finish(target, 'load' in result ? result.load : undefined)
+    this._report(request, target, result, startedAt)
+    this._pump()
+    return result
+  }
+
+  private _report (request: CallerRequest, target: AgentTarget, result: AttemptResult, startedAt: number): void {
+    const now = performance.now()
+    const isFailure = result.kind === 'answered' && result.answer.status >= 500
+    const kind = isFailure ? 'failedFast' : result.kind === 'answered' ? 'answered' : result.kind === 'notRun' ? 'refused' : 'lost'
+    this._parts.router.report({ agentId: target.agentId, className: request.className, kind, latencyMs: now - startedAt }, now)
+  }
+
+  /** Asks the agent to promise that the attempt never started; false when there is no such promise before the deadline. */
+  private async _withdraw (request: CallerRequest, target: AgentTarget, attemptId: string): Promise<boolean> {
+    do {
+      const outcome = await this._parts.peers.call(target.address, 'withdraw', { attemptId, incarnation: target.incarnation }, WITHDRAW_TIMEOUT_MS)
+      if (outcome.kind === 'ok') return outcome.value.outcome === 'neverStarted'
+      await new Promise(resolve => setTimeout(resolve, WITHDRAW_RETRY_MS))
+    } while (performance.now() < request.deadlineAt)
+    return false
+  }
+
+  private _expire (): void {
+    const now = performance.now()
+    for (const request of this._parts.queue.expire(now)) {
+      this._end(request.id, makeNotRun(NotRunReason.deadlinePassed, 'the deadline passed before the request could be sent'))
+    }
+    for (const flight of this._inFlight.values()) if (flight.deadlineAt <= now) flight.abort.abort()
+  }
+
+  private _end (requestId: string, outcome: Outcome): void {
+    const waiting = this._waiting.get(requestId)
+    this._waiting.delete(requestId)
+    waiting?.resolve({ kind: 'end', outcome })
+  }
+}
+
+function makeQueued (request: CallerRequest): QueuedRequest {
+  return {
+    id: request.requestId,
+    className: request.className,
+    organisation: request.organisation,
+    caller: request.caller,
+    arrivedAt: request.arrivedAt,
+    deadlineAt: request.deadlineAt
+  }
+}
+
+function makeCancelled (): Outcome {
+  return makeNotRun(NotRunReason.cancelled, 'the caller went before the request was sent')
+}
--- /dev/null
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -0,0 +1,154 @@
+/**
+ * The entry role: takes callers' requests and carries them to agents.
+ */
+import { FifoQueue, TwoChoicesRouter } from '@dragonflylever/core'
+import type { EntrySettings, Member } from '@dragonflylever/protocol'
+import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
+
+import { Announcer } from '../shared/announcer.js'
+import { ConfigurationHolder } from '../shared/configurationHolder.js'
+import { ConfigurationWatcher } from '../shared/configurationWatcher.js'
+import { ControlServer } from '../shared/controlServer.js'
+import { createFleetFacts } from '../shared/fleetFacts.js'
+import type { FleetFacts } from '../shared/fleetFacts.js'
+import { MemberDirectory } from '../shared/memberDirectory.js'
+import { createProcessParts } from '../shared/processParts.js'
+import type { ProcessParts } from '../shared/processParts.js'
+import { AgentLink } from './agentLink.js'
+import { AgentTable, computeConnectionShare } from './agentTable.js'
+import { CallerServer } from './callerServer.js'
+import { Dispatcher } from './dispatcher.js'
+import { DirectService } from './requestService.js'
+
+const MAX_WAITING = 4_096
+const MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+const DEFAULT_AGENT_CONNECTIONS = 60
+/** Time in which the balancer notices that this entry leaves, in milliseconds. */
+const LEAVE_GRACE_MS = 1_500
+
+export class EntryProcess {
+  readonly board = new Blackboard<FleetFacts>(createFleetFacts())
+  private readonly _settings: EntrySettings
+  private readonly _parts: ProcessParts
+  private readonly _lifecycle = new Lifecycle()
+  private _callerAddress = ''
+  private _controlAddress = ''
+  private _stopping: Promise<void> | undefined
+
+  private constructor (settings: EntrySettings, parts: ProcessParts) {
+    this._settings = settings
+    this._parts = parts
+  }
+
+  /** Starts an entry; rejects when an address can't be had. */
+  static async start (settings: EntrySettings, given: Partial<ProcessParts> = {}): Promise<EntryProcess> {
+    const entry = new EntryProcess(settings, await createProcessParts(settings, given))
+    await entry._open()
+    return entry
+  }
+
+  /** Address for callers, IP:PORT. */
+  get callerAddress (): string {
+    return this._callerAddress
+  }
+
+  /** Address for other processes, IP:PORT. */
+  get controlAddress (): string {
+    return this._controlAddress
+  }
+
+  /** Leaves gracefully: no request under way is cut off. Every call gets the same promise. */
+  stop (): Promise<void> {
+    this._stopping ??= this._stop()
+    return this._stopping
+  }
+
+  private async _open (): Promise<void> {
+    const { store, peers, logger, metrics, tracer, random } = this._parts
+    const log = createPartLogger(logger, 'entry')
+    this._lifecycle.add('tracer', () => tracer.close())
+    this._lifecycle.add('metrics', () => metrics.close())
+    this._lifecycle.add('store', () => store.close())
+    this._lifecycle.add('peers', () => peers.close())
+    const holder = new ConfigurationHolder(this.board, createPartLogger(logger, 'config'))
+    const directory = new MemberDirectory(this.board, createPartLogger(logger, 'members'))
+    this._lifecycle.add('directory', () => directory.close())
+    const dispatcher = this._createDispatcher(random)
+    const server = new CallerServer({
+      board: this.board,
+      service: new DirectService(dispatcher),
+      metrics,
+      tracer,
+      organisationKeys: this._settings.organisationKeys,
+      maxBufferedBytes: MAX_BUFFERED_BYTES
+    })
+    const control = this._createControl(directory)
+    this._controlAddress = await control.open(this._settings.listen.control)
+    this._lifecycle.add('control server', () => control.close())
+    const watcher = new ConfigurationWatcher(store, this._settings.store.prefix, holder)
+    this._lifecycle.add('configuration watcher', () => watcher.close())
+    await watcher.start()
+    const announcer = new Announcer({ peers, holder, targets: this._settings.join, describe: () => this._describe() })
+    this._lifecycle.add('announcer', () => announcer.close())
+    directory.note(this._describe())
+    await announcer.start()
+    this._callerAddress = await server.open(this._settings.listen.callers)
+    this._lifecycle.add('caller server', () => server.close())
+    log.info({ callers: this._callerAddress, control: this._controlAddress }, 'started')
+  }
+
+  private _createDispatcher (random: ProcessParts['random']): Dispatcher {
+    const agents = new AgentTable()
+    const sender = new AgentLink({
+      entryId: this._settings.id,
+      clusterKey: this._settings.clusterKey,
+      connectionLimit: computeConnectionShare(DEFAULT_AGENT_CONNECTIONS, 1)
+    })
+    const queue = new FifoQueue({ maxWaiting: MAX_WAITING, slots: Infinity })
+    const router = new TwoChoicesRouter({ region: this._settings.region, random })
+    const dispatcher = new Dispatcher({ queue, router, agents, sender, peers: this._parts.peers })
+    this.board.subscribe('members', () => {
+      dispatcher.drop(agents.update(this.board.get('members')))
+      sender.setConnectionLimit(computeConnectionShare(DEFAULT_AGENT_CONNECTIONS, agents.entries))
+      dispatcher.notify()
+    })
+    this._lifecycle.add('agent links', () => sender.close())
+    this._lifecycle.add('dispatcher', () => dispatcher.close())
+    return dispatcher
+  }
+
+  private _createControl (directory: MemberDirectory): ControlServer {
+    const control = new ControlServer({ clusterKey: this._settings.clusterKey })
+    control.rpc.add('heartbeat', params => {
+      directory.note(params.member)
+      directory.note(this._describe())
+      const configuration = this.board.get('configuration')
+      const isNewer = configuration !== undefined && configuration.revision > params.revision
+      return isNewer ? { configuration } : {}
+    })
+    control.rpc.add('leave', params => {
+      directory.leave(params.member)
+      return {}
+    })
+    return control
+  }
+
+  private async _stop (): Promise<void> {
+    this.board.set('isLeaving', true)
+    await new Promise(resolve => setTimeout(resolve, LEAVE_GRACE_MS))
+    const report = await this._lifecycle.close()
+    for (const failure of report.failed) this._parts.logger.error(failure, 'a part did not close')
+  }
+
+  private _describe (): Member {
+    return {
+      id: this._settings.id,
+      role: 'entry',
+      incarnation: this._parts.incarnation,
+      region: this._settings.region,
+      failureDomain: this._settings.failureDomain,
+      address: this._controlAddress,
+      state: this.board.get('isLeaving') ? 'leaving' : 'alive'
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/shared/configurationHolder.ts
@@ -0,0 +1,46 @@
+/**
+ * Takes configurations in force: only a higher revision replaces the present one.
+ */
+import { declarationsSchema } from '@dragonflylever/protocol'
+import type { Configuration } from '@dragonflylever/protocol'
+import type { Blackboard, Logger } from '@dragonflylever/runtime'
+
+import type { FleetFacts } from './fleetFacts.js'
+
+/** A configuration as it came over the wire. */
+export interface ConfigurationEnvelope {
+  readonly revision: number
+  readonly declarations?: unknown
+  readonly acceptedAt: number
+  readonly nonce: string
+  readonly acceptedBy: string
+}
+
+export class ConfigurationHolder {
+  private readonly _board: Blackboard<FleetFacts>
+  private readonly _logger: Logger
+
+  constructor (board: Blackboard<FleetFacts>, logger: Logger) {
+    this._board = board
+    this._logger = logger
+  }
+
+  /** Revision in force; 0 when there is none. */
+  get revision (): number {
+    return this._board.get('configuration')?.revision ?? 0
+  }
+
+  /** Takes a configuration when it is newer and valid; true when it is now in force. */
+  offer (envelope: ConfigurationEnvelope): boolean {
+    if (envelope.revision <= this.revision) return false
+    const checked = declarationsSchema.safeParse(envelope.declarations)
+    if (!checked.success) {
+      this._logger.error({ revision: envelope.revision }, 'revision refused: its declarations do not match the schema')
+      return false
+    }
+    const configuration: Configuration = { ...envelope, declarations: checked.data }
+    this._board.set('configuration', configuration)
+    this._logger.info({ revision: envelope.revision }, 'revision in force')
+    return true
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/shared/processParts.ts
@@ -0,0 +1,39 @@
+/**
+ * What every process is made of. Tests and benches pass their own parts; the binary builds them from settings.
+ */
+import { randomInt, randomUUID } from 'node:crypto'
+
+import { SeededRandom } from '@dragonflylever/core'
+import type { Random } from '@dragonflylever/core'
+import { EtcdStore } from '@dragonflylever/platform'
+import type { Store } from '@dragonflylever/platform'
+import type { PeerRpc, Settings } from '@dragonflylever/protocol'
+import { RpcClient, createLogger, createMetrics, createTracer } from '@dragonflylever/runtime'
+import type { Logger, Metrics, Tracer } from '@dragonflylever/runtime'
+
+const MAX_SEED = 0x7fff_ffff
+
+/** Outside dependencies of a process, each behind an interface. */
+export interface ProcessParts {
+  readonly store: Store
+  readonly peers: PeerRpc
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly tracer: Tracer
+  readonly random: Random
+  /** Unique per start of the process. */
+  readonly incarnation: string
+}
+
+/** Builds the parts that the settings ask for; `given` parts are taken as they are. */
+export async function createProcessParts (settings: Settings, given: Partial<ProcessParts> = {}): Promise<ProcessParts> {
+  return {
+    store: given.store ?? new EtcdStore({ urls: settings.store.urls }),
+    peers: given.peers ?? new RpcClient(settings.clusterKey),
+    logger: given.logger ?? createLogger({ level: settings.logLevel, processId: settings.id }),
+    metrics: given.metrics ?? await createMetrics(settings.metrics, settings.id),
+    tracer: given.tracer ?? await createTracer(settings.tracing, settings.id),
+    random: given.random ?? new SeededRandom(randomInt(MAX_SEED)),
+    incarnation: given.incarnation ?? randomUUID()
+  }
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,5 @@
+export * from './endpoint.js'
+export * from './etcdMessages.js'
+export * from './etcdStore.js'
+export * from './httpEndpoint.js'
+export * from './store.js'
--- /dev/null
+++ b/packages/protocol/src/callerHeaders.ts
@@ -0,0 +1,63 @@
+/**
+ * Names and bounds of the header fields between callers, entries and agents.
+ */
+
+/** Header fields that a caller sets or reads. */
+export const CallerHeader = {
+  className: 'dfl-class',
+  organisation: 'dfl-organisation',
+  caller: 'dfl-caller',
+  deadlineMs: 'dfl-deadline-ms',
+  idempotencyKey: 'idempotency-key',
+  organisationKey: 'authorization',
+  requestId: 'dfl-request-id',
+  outcome: 'dfl-outcome',
+  reason: 'dfl-reason',
+  replayed: 'dfl-replayed',
+  traceparent: 'traceparent'
+} as const
+
+/** Header fields between an entry and an agent. */
+export const DispatchHeader = {
+  clusterKey: 'dfl-cluster-key',
+  entryId: 'dfl-entry',
+  requestId: 'dfl-request-id',
+  attemptId: 'dfl-attempt',
+  incarnation: 'dfl-incarnation',
+  className: 'dfl-class',
+  organisation: 'dfl-organisation',
+  caller: 'dfl-caller',
+  remainingMs: 'dfl-remaining-ms',
+  method: 'dfl-method',
+  path: 'dfl-path',
+  result: 'dfl-result',
+  reason: 'dfl-reason',
+  status: 'dfl-status',
+  load: 'dfl-load',
+  retryAfterMs: 'dfl-retry-after-ms',
+  traceparent: 'traceparent'
+} as const
+
+/** Bounds on what a caller may send. */
+export const CallerLimit = {
+  nameLength: 64,
+  callerLength: 128,
+  idempotencyKeyLength: 255,
+  pathLength: 2_048,
+  minDeadlineMs: 1,
+  maxDeadlineMs: 600_000,
+  defaultDeadlineMs: 30_000,
+  requestBodyBytes: 4 * 1024 * 1024,
+  answerBodyBytes: 8 * 1024 * 1024,
+  headerBytes: 16 * 1024,
+  headerFields: 64
+} as const
+
+/** Path prefix of requests to endpoints; the rest of the path goes to the endpoint. */
+export const CALL_PATH_PREFIX = '/v1/call'
+
+/** Path of a dispatch at an agent. */
+export const DISPATCH_PATH = '/dispatch'
+
+/** Path of JSON-RPC calls between processes. */
+export const RPC_PATH = '/rpc'
--- /dev/null
+++ b/packages/protocol/src/declarations.ts
@@ -0,0 +1,63 @@
+/**
+ * What operators declare: classes of work with targets, organisations with guarantees. Schema and types.
+ */
+import { z } from 'zod'
+
+const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/
+const DURATION_PATTERN = /^(\d+)(ms|s|m|h)$/
+const MS_PER_UNIT = { ms: 1, s: 1_000, m: 60_000, h: 3_600_000 } as const
+
+/** Converts a duration such as `2s` or `30m` to milliseconds; undefined when it is none. */
+export function parseDuration (text: string): number | undefined {
+  const match = DURATION_PATTERN.exec(text)
+  if (match === null) return undefined
+  return Number(match[1]) * MS_PER_UNIT[match[2] as keyof typeof MS_PER_UNIT]
+}
+
+const name = z.string().regex(NAME_PATTERN, 'expected lower-case letters, digits and hyphens, starting with a letter, at most 63')
+const duration = z.string().regex(DURATION_PATTERN, 'expected a duration such as "200ms", "2s", "30m" or "4h"')
+
+/** How close the accelerators of a shape must be. */
+export const Adjacency = { worker: 'worker', rack: 'rack', failureDomain: 'failureDomain' } as const
+export type Adjacency = typeof Adjacency[keyof typeof Adjacency]
+
+const guaranteedShapeSchema = z.strictObject({
+  accelerators: z.number().int().min(1).max(512),
+  adjacency: z.enum(Adjacency),
+  count: z.number().int().min(1).max(1_024).default(1)
+})
+
+const classSchema = z.strictObject({
+  kind: z.enum(['request', 'job']),
+  startWithin: duration.optional(),
+  finishWithin: duration,
+  idempotent: z.boolean().default(false)
+})
+
+const organisationSchema = z.strictObject({
+  guaranteedSlots: z.number().int().min(0).max(100_000).default(0),
+  guaranteedShapes: z.array(guaranteedShapeSchema).max(64).default([])
+})
+
+export const declarationsSchema = z.strictObject({
+  classes: z.record(name, classSchema),
+  organisations: z.record(name, organisationSchema)
+})
+
+export type Declarations = z.infer<typeof declarationsSchema>
+export type ClassDeclaration = z.infer<typeof classSchema>
+export type OrganisationDeclaration = z.infer<typeof organisationSchema>
+export type GuaranteedShape = z.infer<typeof guaranteedShapeSchema>
+
+/** The accepted configuration as the store and all processes hold it. */
+export interface Configuration {
+  /** Grows by one with each accepted document. */
+  readonly revision: number
+  readonly declarations: Declarations
+  /** Wall time of acceptance in milliseconds since the epoch, for people only. */
+  readonly acceptedAt: number
+  /** Unique per attempt to accept, so that a lost answer can be settled. */
+  readonly nonce: string
+  /** Who had it accepted, free text. */
+  readonly acceptedBy: string
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,7 @@
+export * from './callerHeaders.js'
+export * from './declarations.js'
+export * from './jsonDocument.js'
+export * from './members.js'
+export * from './rpcMessages.js'
+export * from './settings.js'
+export * from './peerRpc.js'
--- /dev/null
+++ b/packages/runtime/src/rpcServer.ts
@@ -0,0 +1,75 @@
+/**
+ * Serves JSON-RPC calls of other processes over HTTP POST.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+
+import { RpcMethods, DispatchHeader } from '@dragonflylever/protocol'
+import type { RpcHandler, RpcMethodName, RpcParams, RpcRegistry } from '@dragonflylever/protocol'
+import { JSONRPCErrorException, JSONRPCServer, isJSONRPCRequest } from 'json-rpc-2.0'
+
+import { isSameKey } from './clusterKey.js'
+
+const MAX_BODY_BYTES = 2 * 1024 * 1024
+const INVALID_PARAMS = -32602
+
+export class RpcServer implements RpcRegistry {
+  private readonly _server = new JSONRPCServer({ errorListener: () => {} })
+  private readonly _clusterKey: string
+
+  constructor (clusterKey: string) {
+    this._clusterKey = clusterKey
+  }
+
+  add<M extends RpcMethodName> (method: M, handler: RpcHandler<M>): void {
+    this._server.addMethod(method, async (params: unknown) => {
+      const checked = RpcMethods[method].params.safeParse(params)
+      if (!checked.success) throw new JSONRPCErrorException(`bad parameters of ${method}: ${checked.error.issues[0]?.message}`, INVALID_PARAMS)
+      return handler(checked.data as RpcParams<M>)
+    })
+  }
+
+  /** Answers one HTTP request. */
+  async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!isSameKey(request.headers[DispatchHeader.clusterKey]?.toString(), this._clusterKey)) {
+      sendJson(response, 401, { error: 'the cluster key is missing or wrong' })
+      return
+    }
+    const body = await readBody(request)
+    if (body === undefined) {
+      sendJson(response, 413, { error: `a call is at most ${MAX_BODY_BYTES} bytes` })
+      return
+    }
+    const call = parseJson(body)
+    if (!isJSONRPCRequest(call)) {
+      sendJson(response, 400, { error: 'expected a JSON-RPC 2.0 request' })
+      return
+    }
+    sendJson(response, 200, await this._server.receive(call))
+  }
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+async function readBody (request: IncomingMessage): Promise<string | undefined> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of request) {
+    size += (chunk as Buffer).length
+    if (size > MAX_BODY_BYTES) return undefined
+    chunks.push(chunk as Buffer)
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
+
+/** Writes a JSON answer. */
+export function sendJson (response: ServerResponse, status: number, value: unknown): void {
+  const body = Buffer.from(JSON.stringify(value))
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': body.length })
+  response.end(body)
+}
--- /dev/null
+++ b/packages/standins/src/httpStandIn.ts
@@ -0,0 +1,36 @@
+/**
+ * What the stand-ins on sockets share.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+const LOOPBACK = '127.0.0.1'
+
+/** Listens on a loopback port; returns the URL. */
+export async function listen (server: Server, port: number): Promise<string> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, LOOPBACK, resolve)
+  })
+  return `http://${LOOPBACK}:${(server.address() as AddressInfo).port}`
+}
+
+/** Reads a body to its end; rejects when the sender breaks off. */
+export async function readBody (request: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = []
+  for await (const chunk of request) chunks.push(chunk as Buffer)
+  return Buffer.concat(chunks)
+}
+
+/** Reads a JSON body; an empty object when there is none. */
+export async function readJson (request: IncomingMessage): Promise<unknown> {
+  const text = (await readBody(request)).toString('utf8')
+  return text === '' ? {} : JSON.parse(text)
+}
+
+/** Writes a JSON answer. */
+export function sendJson (response: ServerResponse, status: number, value: unknown): void {
+  const body = Buffer.from(JSON.stringify(value))
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': body.length })
+  response.end(body)
+}
--- /dev/null
+++ b/packages/standins/src/memoryStore.ts
@@ -0,0 +1,118 @@
+/**
+ * The key-value stand-in within the process: the `Store` interface straight over an engine, with faults.
+ * Several may share one engine, as several processes share one store.
+ */
+import { StoreHealth } from '@dragonflylever/platform'
+import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, Unavailable, Watch, WatchEvent, WatchListener } from '@dragonflylever/platform'
+
+import { StoreEngine } from './storeEngine.js'
+import { createCallCounts, createStoreFaults } from './storeFaults.js'
+import type { StoreCallCounts, StoreFaults } from './storeFaults.js'
+
+const DOWN: Unavailable = { kind: 'unavailable', message: 'the store is down' }
+const LOST: Ambiguous = { kind: 'ambiguous', message: 'the answer was lost' }
+
+/** What the stores of several processes share. */
+export interface MemoryStoreOptions {
+  readonly engine?: StoreEngine
+  readonly faults?: StoreFaults
+  readonly counts?: StoreCallCounts
+}
+
+export class MemoryStore implements Store {
+  readonly engine: StoreEngine
+  readonly faults: StoreFaults
+  readonly counts: StoreCallCounts
+  private readonly _watches = new Set<Watch>()
+
+  constructor (options: MemoryStoreOptions = {}) {
+    this.engine = options.engine ?? new StoreEngine()
+    this.faults = options.faults ?? createStoreFaults()
+    this.counts = options.counts ?? createCallCounts()
+  }
+
+  get health (): StoreHealth {
+    return this.faults.isDown ? StoreHealth.down : StoreHealth.up
+  }
+
+  async get (key: string): Promise<GetOutcome> {
+    this.counts.reads++
+    await this._wait()
+    if (this.faults.isDown) return DOWN
+    return { kind: 'ok', value: this.engine.get(key), storeRevision: this.engine.revision }
+  }
+
+  async list (prefix: string): Promise<ListOutcome> {
+    this.counts.reads++
+    await this._wait()
+    if (this.faults.isDown) return DOWN
+    return { kind: 'ok', values: this.engine.list(prefix), storeRevision: this.engine.revision }
+  }
+
+  async put (request: PutRequest): Promise<PutOutcome> {
+    return this._write(() => this.engine.put(request))
+  }
+
+  async putMany (requests: readonly PutRequest[]): Promise<PutManyOutcome> {
+    return this._write(() => ({ kind: 'ok', results: requests.map(request => this.engine.put(request)) }))
+  }
+
+  async remove (key: string, expect: Expectation): Promise<RemoveOutcome> {
+    return this._write(() => this.engine.remove(key, expect))
+  }
+
+  async grantLease (ttlMs: number): Promise<LeaseOutcome> {
+    return this._callLease(() => ({ kind: 'ok', leaseId: this.engine.grantLease(ttlMs), ttlMs }))
+  }
+
+  async renewLease (leaseId: string): Promise<LeaseOutcome> {
+    return this._callLease(() => {
+      const ttlMs = this.engine.renewLease(leaseId)
+      return ttlMs === undefined ? { kind: 'expired' } : { kind: 'ok', leaseId, ttlMs }
+    })
+  }
+
+  async revokeLease (leaseId: string): Promise<LeaseOutcome> {
+    return this._callLease(() => this.engine.revokeLease(leaseId) ? { kind: 'ok', leaseId, ttlMs: 0 } : { kind: 'expired' })
+  }
+
+  watch (prefix: string, fromRevision: number, listener: WatchListener): Watch {
+    this.counts.watches++
+    const send = (events: readonly WatchEvent[]): void => {
+      if (!this.faults.isDown && !this.faults.skipWatchEvents && events.length > 0) listener.onEvents(events)
+    }
+    const stop = this.engine.subscribe(event => {
+      const key = event.kind === 'put' ? event.value.key : event.key
+      if (key.startsWith(prefix)) queueMicrotask(() => send([event]))
+    })
+    queueMicrotask(() => this.faults.isDown ? listener.onEnd('the store is down') : send(this.engine.readHistory(prefix, fromRevision)))
+    const watch = { close: () => { stop(); this._watches.delete(watch) } }
+    this._watches.add(watch)
+    return watch
+  }
+
+  async close (): Promise<void> {
+    for (const watch of this._watches) watch.close()
+  }
+
+  private async _write<T> (decide: () => T): Promise<T | Unavailable | Ambiguous> {
+    this.counts.writes++
+    await this._wait()
+    if (this.faults.isDown) return DOWN
+    const result = decide()
+    if (this.faults.loseAnswers <= 0) return result
+    this.faults.loseAnswers--
+    return LOST
+  }
+
+  private async _callLease (decide: () => LeaseOutcome): Promise<LeaseOutcome> {
+    this.counts.leases++
+    await this._wait()
+    return this.faults.isDown ? DOWN : decide()
+  }
+
+  private async _wait (): Promise<void> {
+    if (this.faults.delayMs <= 0) return
+    await new Promise(resolve => setTimeout(resolve, this.faults.delayMs))
+  }
+}
--- /dev/null
+++ b/packages/standins/src/processFleet.ts
@@ -0,0 +1,86 @@
+/**
+ * A fleet of separate processes on loopback with the platform's stand-ins, for tests and benches.
+ */
+import { createSampleDeclarations, createAgentSettings, createEntrySettings, encodeFirstConfiguration } from './sampleFleet.js'
+import { DaemonProcess } from './processHarness.js'
+import { EndpointStandIn } from './endpointStandIn.js'
+import { StoreStandIn } from './storeStandIn.js'
+
+const CONFIGURATION_KEY = 'dragonflylever/config/current'
+
+/** How many processes, and the daemon's compiled main module. */
+export interface ProcessFleetOptions {
+  readonly binary: string
+  readonly entries: number
+  readonly agents: number
+}
+
+/** An agent with its endpoint. */
+export interface FleetAgent {
+  readonly id: string
+  daemon: DaemonProcess
+  readonly endpoint: EndpointStandIn
+}
+
+export class ProcessFleet {
+  readonly store: StoreStandIn
+  readonly entries: DaemonProcess[] = []
+  readonly agents: FleetAgent[] = []
+  private readonly _binary: string
+
+  private constructor (store: StoreStandIn, binary: string) {
+    this.store = store
+    this._binary = binary
+  }
+
+  /** Starts stand-ins, entries and agents. */
+  static async start (options: ProcessFleetOptions): Promise<ProcessFleet> {
+    const store = await StoreStandIn.open()
+    store.engine.put({ key: CONFIGURATION_KEY, value: encodeFirstConfiguration(createSampleDeclarations()), expect: { kind: 'any' } })
+    const fleet = new ProcessFleet(store, options.binary)
+    for (let index = 1; index <= options.entries; index++) await fleet.addEntry(`entry-${index}`)
+    for (let index = 1; index <= options.agents; index++) await fleet.addAgent(`agent-${index}`)
+    return fleet
+  }
+
+  /** URL for callers of an entry. */
+  getCallerUrl (index = 0): string {
+    return `http://${this.entries[index]?.addresses.callers}`
+  }
+
+  /** Starts one more entry. */
+  async addEntry (id: string): Promise<DaemonProcess> {
+    const entry = await DaemonProcess.start(this._binary, createEntrySettings({ id, storeUrl: this.store.url, join: this._listJoin() }))
+    this.entries.push(entry)
+    return entry
+  }
+
+  /** Starts one more agent with an endpoint of its own. */
+  async addAgent (id: string): Promise<FleetAgent> {
+    const endpoint = await EndpointStandIn.open()
+    const agent = { id, endpoint, daemon: await this._startAgent(id, endpoint) }
+    this.agents.push(agent)
+    return agent
+  }
+
+  /** Starts an agent's process anew at the same endpoint. */
+  async restartAgent (agent: FleetAgent): Promise<void> {
+    agent.daemon = await this._startAgent(agent.id, agent.endpoint)
+  }
+
+  /** Ends all processes and closes the stand-ins. */
+  async close (): Promise<void> {
+    await Promise.all([...this.entries, ...this.agents.map(agent => agent.daemon)].map(daemon => daemon.kill()))
+    await Promise.all(this.agents.map(agent => agent.endpoint.close()))
+    await this.store.close()
+  }
+
+  private async _startAgent (id: string, endpoint: EndpointStandIn): Promise<DaemonProcess> {
+    const settings = createAgentSettings({ id, storeUrl: this.store.url, endpointUrl: endpoint.url, join: this._listJoin() })
+    return DaemonProcess.start(this._binary, settings)
+  }
+
+  private _listJoin (): string[] {
+    return this.entries.filter(entry => entry.isRunning).map(entry => entry.addresses.control)
+  }
+}
--- /dev/null
+++ b/packages/standins/src/sampleFleet.ts
@@ -0,0 +1,72 @@
+/**
+ * Settings and declarations for fleets on loopback, for the demo, tests and benches.
+ */
+import type { AgentSettings, Declarations, EntrySettings } from '@dragonflylever/protocol'
+
+const CLUSTER_KEY = 'loopback-cluster-key'
+const ANY_PORT = '127.0.0.1:0'
+
+/** What varies between the processes of a sample fleet. */
+export interface SampleProcess {
+  readonly id: string
+  readonly region?: string
+  readonly failureDomain?: string
+  readonly storeUrl: string
+  readonly join?: readonly string[]
+  readonly logLevel?: 'info' | 'silent'
+}
+
+/** Creates the settings of an entry on free ports. */
+export function createEntrySettings (options: SampleProcess): EntrySettings {
+  return {
+    role: 'entry',
+    ...createCommon(options),
+    listen: { callers: ANY_PORT, control: ANY_PORT, operators: ANY_PORT }
+  }
+}
+
+/** Creates the settings of an agent on a free port. */
+export function createAgentSettings (options: SampleProcess & { readonly endpointUrl: string, readonly rack?: string, readonly slots?: number }): AgentSettings {
+  return {
+    role: 'agent',
+    ...createCommon(options),
+    listen: { control: ANY_PORT },
+    rack: options.rack ?? 'rack-1',
+    endpoint: { url: options.endpointUrl, slots: options.slots ?? 8, maxConnections: 60 }
+  }
+}
+
+/** Creates declarations with one class of each kind and four organisations, two of them with guarantees. */
+export function createSampleDeclarations (): Declarations {
+  return {
+    classes: {
+      'care-match': { kind: 'request', startWithin: '2s', finishWithin: '5s', idempotent: true },
+      'allergen-check': { kind: 'request', startWithin: '2s', finishWithin: '10s', idempotent: true },
+      reconciliation: { kind: 'request', finishWithin: '60s', idempotent: false },
+      'recipe-run': { kind: 'job', finishWithin: '4h', idempotent: false }
+    },
+    organisations: {
+      'kelp-works': { guaranteedSlots: 16, guaranteedShapes: [{ accelerators: 8, adjacency: 'worker', count: 1 }] },
+      canteens: { guaranteedSlots: 8, guaranteedShapes: [] },
+      guild: { guaranteedSlots: 0, guaranteedShapes: [] },
+      'branch-north': { guaranteedSlots: 0, guaranteedShapes: [] }
+    }
+  }
+}
+
+/** Returns an accepted configuration of revision 1 as the store holds it. */
+export function encodeFirstConfiguration (declarations: Declarations): string {
+  return JSON.stringify({ revision: 1, declarations, acceptedAt: 0, nonce: 'first', acceptedBy: 'sample' })
+}
+
+function createCommon (options: SampleProcess): Omit<EntrySettings, 'role' | 'listen' | 'organisationKeys'> {
+  return {
+    id: options.id,
+    region: options.region ?? 'morava',
+    failureDomain: options.failureDomain ?? 'jihlava',
+    store: { urls: [options.storeUrl], prefix: 'dragonflylever' },
+    join: [...options.join ?? []],
+    clusterKey: CLUSTER_KEY,
+    logLevel: options.logLevel ?? 'info'
+  }
+}
--- /dev/null
+++ b/packages/standins/src/storeEngine.ts
@@ -0,0 +1,150 @@
+/**
+ * State of the key-value stand-in: revisions, conditional writes, leases, watches. In memory, no I/O.
+ */
+import { encodeBytes } from '@dragonflylever/platform'
+import type { Expectation, PutRequest, PutResult, StoredValue, WatchEvent } from '@dragonflylever/platform'
+
+interface Lease {
+  readonly ttlMs: number
+  readonly keys: Set<string>
+  expiresAt: number
+}
+
+interface Row extends StoredValue {
+  readonly leaseId: string | undefined
+}
+
+/** Called with each change, in order of revision. */
+export type EngineListener = (event: WatchEvent) => void
+
+export class StoreEngine {
+  private readonly _rows = new Map<string, Row>()
+  private readonly _leases = new Map<string, Lease>()
+  private readonly _history: WatchEvent[] = []
+  private readonly _listeners = new Set<EngineListener>()
+  private _revision = 1
+  private _nextLease = 1
+
+  /** Revision of the last change. */
+  get revision (): number {
+    return this._revision
+  }
+
+  /** Number of keys held. */
+  get size (): number {
+    return this._rows.size
+  }
+
+  get (key: string): StoredValue | undefined {
+    this.expire()
+    return this._rows.get(key)
+  }
+
+  list (prefix: string): StoredValue[] {
+    this.expire()
+    const rows = [...this._rows.values()].filter(row => row.key.startsWith(prefix))
+    return rows.sort((a, b) => encodeBytes(a.key) < encodeBytes(b.key) ? -1 : 1)
+  }
+
+  /** Decides one conditional write. */
+  put (request: PutRequest): PutResult {
+    this.expire()
+    const current = this._rows.get(request.key)
+    if (!isMet(request.expect, current)) return { kind: 'conflict', current }
+    if (request.leaseId !== undefined && !this._leases.has(request.leaseId)) return { kind: 'conflict', current }
+    this._write(request, current)
+    return { kind: 'ok', modRevision: this._revision }
+  }
+
+  /** Decides one conditional removal. */
+  remove (key: string, expect: Expectation): PutResult {
+    this.expire()
+    const current = this._rows.get(key)
+    if (!isMet(expect, current)) return { kind: 'conflict', current }
+    if (current !== undefined) this._delete(key)
+    return { kind: 'ok', modRevision: this._revision }
+  }
+
+  hasLease (leaseId: string): boolean {
+    this.expire()
+    return this._leases.has(leaseId)
+  }
+
+  grantLease (ttlMs: number): string {
+    const leaseId = String(this._nextLease++)
+    this._leases.set(leaseId, { ttlMs, keys: new Set(), expiresAt: performance.now() + ttlMs })
+    return leaseId
+  }
+
+  /** Renews a lease; returns its time to live, or undefined when it is gone. */
+  renewLease (leaseId: string): number | undefined {
+    this.expire()
+    const lease = this._leases.get(leaseId)
+    if (lease === undefined) return undefined
+    lease.expiresAt = performance.now() + lease.ttlMs
+    return lease.ttlMs
+  }
+
+  /** Ends a lease and removes its keys; false when it is gone already. */
+  revokeLease (leaseId: string): boolean {
+    const lease = this._leases.get(leaseId)
+    if (lease === undefined) return false
+    this._leases.delete(leaseId)
+    for (const key of lease.keys) this._delete(key)
+    return true
+  }
+
+  /** Ends the leases that have run out. */
+  expire (): void {
+    const now = performance.now()
+    for (const [leaseId, lease] of this._leases) {
+      if (lease.expiresAt <= now) this.revokeLease(leaseId)
+    }
+  }
+
+  /** Returns the changes of a prefix from a revision on. */
+  readHistory (prefix: string, fromRevision: number): WatchEvent[] {
+    return this._history.filter(event => getKey(event).startsWith(prefix) && getRevision(event) >= fromRevision)
+  }
+
+  /** Calls `listener` with each change to come; the returned function ends that. */
+  subscribe (listener: EngineListener): () => void {
+    this._listeners.add(listener)
+    return () => { this._listeners.delete(listener) }
+  }
+
+  private _write (request: PutRequest, current: Row | undefined): void {
+    this._revision++
+    if (current?.leaseId !== undefined) this._leases.get(current.leaseId)?.keys.delete(request.key)
+    if (request.leaseId !== undefined) this._leases.get(request.leaseId)?.keys.add(request.key)
+    const createRevision = current?.createRevision ?? this._revision
+    const row = { key: request.key, value: request.value, modRevision: this._revision, createRevision, leaseId: request.leaseId }
+    this._rows.set(request.key, row)
+    this._notify({ kind: 'put', value: row })
+  }
+
+  private _delete (key: string): void {
+    if (!this._rows.delete(key)) return
+    this._revision++
+    this._notify({ kind: 'removed', key, modRevision: this._revision })
+  }
+
+  private _notify (event: WatchEvent): void {
+    this._history.push(event)
+    for (const listener of this._listeners) listener(event)
+  }
+}
+
+function isMet (expect: Expectation, current: StoredValue | undefined): boolean {
+  if (expect.kind === 'any') return true
+  if (expect.kind === 'absent') return current === undefined
+  return current?.modRevision === expect.modRevision
+}
+
+function getKey (event: WatchEvent): string {
+  return event.kind === 'put' ? event.value.key : event.key
+}
+
+function getRevision (event: WatchEvent): number {
+  return event.kind === 'put' ? event.value.modRevision : event.modRevision
+}
