Put a budget and a circuit before the store, add duties under leases

The store client sends no call over its token bucket or against an open circuit, times calls out and counts them by kind. A conditional write whose answer was lost is settled by its nonce. A duty's epoch is the store revision that created its key, so no second key is needed.

--- /dev/null
+++ b/packages/daemon/src/duties/dutyHolder.ts
@@ -0,0 +1,157 @@
+/**
+ * Holds one duty under a store lease. The epoch is the store revision at which the duty's key was created, so each
+ * take-over has a higher one. The lease counts from before the call that granted or renewed it, less a margin, on this
+ * process's monotonic clock; `epoch` is undefined as soon as that time is over, also right after a pause of the process.
+ */
+import { randomUUID } from 'node:crypto'
+
+import { putSettled } from '@dragonflylever/platform'
+import type { Store, StoredValue } from '@dragonflylever/platform'
+import type { Logger } from '@dragonflylever/runtime'
+
+/** Time to live of a duty's lease in milliseconds. */
+export const DUTY_TTL_MS = 5_000
+const MARGIN_MS = 1_000
+const RENEW_INTERVAL_MS = 1_500
+
+/** Who holds a duty, as the store has it. */
+export interface DutyRecord {
+  readonly holder: string
+  readonly address: string
+  readonly nonce: string
+}
+
+/** A duty as this process last saw it in the store. */
+export interface DutyView {
+  readonly duty: string
+  readonly holder: string
+  readonly address: string
+  readonly epoch: number
+}
+
+export interface DutyHolderOptions {
+  readonly store: Store
+  readonly prefix: string
+  readonly duty: string
+  readonly holder: string
+  /** Returns this process's control address. */
+  readonly getAddress: () => string
+  readonly logger: Logger
+  /** Called when the duty is lost; not after `release`. */
+  readonly onLost: () => void
+}
+
+/** Outcome of an attempt to take a duty. */
+export type TakeOutcome =
+  | { readonly kind: 'held', readonly epoch: number }
+  | { readonly kind: 'other', readonly view: DutyView }
+  | { readonly kind: 'unavailable', readonly message: string }
+
+/** Returns the store key of a duty. */
+export function getDutyKey (prefix: string, duty: string): string {
+  return `${prefix}/duties/${duty}`
+}
+
+/** Decodes a duty's key. */
+export function decodeDuty (duty: string, stored: StoredValue): DutyView {
+  const record = JSON.parse(stored.value) as DutyRecord
+  return { duty, holder: record.holder, address: record.address, epoch: stored.createRevision }
+}
+
+export class DutyHolder {
+  private readonly _options: DutyHolderOptions
+  private readonly _key: string
+  private _epoch: number | undefined
+  private _leaseId: string | undefined
+  private _validUntil = 0
+  private _renewal: NodeJS.Timeout | undefined
+  private _taking: Promise<TakeOutcome> | undefined
+  private _isRenewing = false
+  private _isClosed = false
+
+  constructor (options: DutyHolderOptions) {
+    this._options = options
+    this._key = getDutyKey(options.prefix, options.duty)
+  }
+
+  /** Epoch under which this process may act at this moment; undefined when it may not. */
+  get epoch (): number | undefined {
+    if (this._epoch !== undefined && performance.now() >= this._validUntil) this._lose('its lease ran out here')
+    return this._epoch
+  }
+
+  /** Takes the duty when nobody holds it: one read when somebody does, three calls when nobody does. */
+  take (): Promise<TakeOutcome> {
+    this._taking ??= this._take().finally(() => { this._taking = undefined })
+    return this._taking
+  }
+
+  /** Gives the duty up so that another can take it at once. */
+  async release (): Promise<void> {
+    this._isClosed = true
+    await this._taking
+    const leaseId = this._leaseId
+    this._clear()
+    if (leaseId !== undefined) await this._options.store.revokeLease(leaseId)
+  }
+
+  private async _take (): Promise<TakeOutcome> {
+    const held = this.epoch
+    if (held !== undefined) return { kind: 'held', epoch: held }
+    const { store, duty } = this._options
+    const found = await store.get(this._key)
+    if (found.kind !== 'ok') return found
+    if (found.value !== undefined) return { kind: 'other', view: decodeDuty(duty, found.value) }
+    const startedAt = performance.now()
+    const lease = await store.grantLease(DUTY_TTL_MS)
+    if (lease.kind !== 'ok') return { kind: 'unavailable', message: lease.kind === 'expired' ? 'the lease ran out' : lease.message }
+    return this._claim(lease.leaseId, startedAt + lease.ttlMs - MARGIN_MS)
+  }
+
+  private async _claim (leaseId: string, validUntil: number): Promise<TakeOutcome> {
+    const { store, duty, holder, getAddress } = this._options
+    const record: DutyRecord = { holder, address: getAddress(), nonce: randomUUID() }
+    const value = JSON.stringify(record)
+    const put = await putSettled(store, { key: this._key, value, expect: { kind: 'absent' }, leaseId }, stored => stored.value === value)
+    if (put.kind === 'ok' && !this._isClosed && performance.now() < validUntil) {
+      this._hold(leaseId, put.modRevision, validUntil)
+      return { kind: 'held', epoch: put.modRevision }
+    }
+    await store.revokeLease(leaseId)
+    if (put.kind === 'conflict' && put.current !== undefined) return { kind: 'other', view: decodeDuty(duty, put.current) }
+    return { kind: 'unavailable', message: 'the duty could not be taken' }
+  }
+
+  private _hold (leaseId: string, epoch: number, validUntil: number): void {
+    this._leaseId = leaseId
+    this._epoch = epoch
+    this._validUntil = validUntil
+    this._renewal = setInterval(() => { void this._renew() }, RENEW_INTERVAL_MS)
+    this._options.logger.info({ duty: this._options.duty, epoch }, 'duty taken')
+  }
+
+  private async _renew (): Promise<void> {
+    const leaseId = this._leaseId
+    if (this.epoch === undefined || leaseId === undefined || this._isRenewing) return
+    const startedAt = performance.now()
+    this._isRenewing = true
+    const outcome = await this._options.store.renewLease(leaseId)
+    this._isRenewing = false
+    if (this._leaseId !== leaseId || this.epoch === undefined) return
+    if (outcome.kind === 'ok') this._validUntil = Math.max(this._validUntil, startedAt + outcome.ttlMs - MARGIN_MS)
+    if (outcome.kind === 'expired') this._lose('the store ended its lease')
+  }
+
+  private _lose (reason: string): void {
+    const epoch = this._epoch
+    this._clear()
+    this._options.logger.warn({ duty: this._options.duty, epoch, reason }, 'duty lost')
+    this._options.onLost()
+  }
+
+  private _clear (): void {
+    clearInterval(this._renewal)
+    this._epoch = undefined
+    this._leaseId = undefined
+  }
+}
--- a/packages/daemon/src/shared/processParts.ts
+++ b/packages/daemon/src/shared/processParts.ts
@@ -5,7 +5,7 @@
 
 import { SeededRandom } from '@dragonflylever/core'
 import type { Random } from '@dragonflylever/core'
-import { EtcdStore } from '@dragonflylever/platform'
+import { EtcdStore, StoreClient } from '@dragonflylever/platform'
 import type { Store } from '@dragonflylever/platform'
 import type { PeerRpc, Settings } from '@dragonflylever/protocol'
 import { RpcClient, createLogger, createMetrics, createTracer } from '@dragonflylever/runtime'
@@ -27,13 +27,14 @@
 
 /** Builds the parts that the settings ask for; `given` parts are taken as they are. */
 export async function createProcessParts (settings: Settings, given: Partial<ProcessParts> = {}): Promise<ProcessParts> {
+  const random = given.random ?? new SeededRandom(randomInt(MAX_SEED))
   return {
-    store: given.store ?? new EtcdStore({ urls: settings.store.urls }),
+    store: given.store ?? new StoreClient({ store: new EtcdStore({ urls: settings.store.urls }), random }),
     peers: given.peers ?? new RpcClient(settings.clusterKey),
     logger: given.logger ?? createLogger({ level: settings.logLevel, processId: settings.id }),
     metrics: given.metrics ?? await createMetrics(settings.metrics, settings.id),
     tracer: given.tracer ?? await createTracer(settings.tracing, settings.id),
-    random: given.random ?? new SeededRandom(randomInt(MAX_SEED)),
+    random,
     incarnation: given.incarnation ?? randomUUID()
   }
 }
--- /dev/null
+++ b/packages/daemon/test/duties/dutyHolder.test.ts
@@ -0,0 +1,111 @@
+/**
+ * Duties under leases: exclusive, with growing epochs, through outages, lost answers and pauses.
+ */
+import { EpochFence, SeededRandom } from '@dragonflylever/core'
+import { DutyHolder } from '@dragonflylever/daemon'
+import { StoreClient } from '@dragonflylever/platform'
+import { createLogger } from '@dragonflylever/runtime'
+import { MemoryStore, StoreEngine } from '@dragonflylever/standins'
+import FakeTimers from '@sinonjs/fake-timers'
+import test from 'ava'
+import fc from 'fast-check'
+
+const HOLDERS = 3
+const LOGGER = createLogger({ level: 'silent', processId: 'test' })
+
+interface Candidate {
+  readonly memory: MemoryStore
+  duty: DutyHolder
+}
+
+function createDuty (memory: MemoryStore, holder: string): DutyHolder {
+  const store = new StoreClient({ store: memory, random: new SeededRandom(1), callTimeoutMs: 3_000, ratePerS: 1_000 })
+  return new DutyHolder({ store, prefix: 'p', duty: 'registrar/a', holder, getAddress: () => holder, logger: LOGGER, onLost: () => {} })
+}
+
+function createCandidates (engine: StoreEngine): Candidate[] {
+  return Array.from({ length: HOLDERS }, (_, index) => {
+    const memory = new MemoryStore({ engine })
+    return { memory, duty: createDuty(memory, `p${index}`) }
+  })
+}
+
+const who = fc.integer({ min: 0, max: HOLDERS - 1 })
+const step = fc.oneof(
+  fc.record({ kind: fc.constant('advance' as const), ms: fc.integer({ min: 1, max: 4_000 }) }),
+  fc.record({ kind: fc.constant('take' as const), who }),
+  fc.record({ kind: fc.constant('delay' as const), who, ms: fc.constantFrom(0, 500, 2_500) }),
+  fc.record({ kind: fc.constant('answerDelay' as const), who, ms: fc.constantFrom(0, 500, 2_500) }),
+  fc.record({ kind: fc.constant('down' as const), who, isDown: fc.boolean() }),
+  fc.record({ kind: fc.constant('loseAnswer' as const), who }),
+  fc.record({ kind: fc.constant('release' as const), who })
+)
+
+test.serial('at most one process may act under a duty at any moment, and epochs grow with each take-over', async t => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
+  t.teardown(() => clock.uninstall())
+  await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 20, maxLength: 80 }), async steps => {
+    const engine = new StoreEngine()
+    const candidates = createCandidates(engine)
+    const fence = new EpochFence()
+    let isSound = true
+    const check = (): void => {
+      const epochs = candidates.map(candidate => candidate.duty.epoch).filter(epoch => epoch !== undefined)
+      isSound &&= epochs.length <= 1 && epochs.every(epoch => fence.accept('registrar/a', epoch))
+    }
+    for (const one of steps) {
+      const candidate = candidates[one.kind === 'advance' ? 0 : one.who] as Candidate
+      if (one.kind === 'take') void candidate.duty.take()
+      if (one.kind === 'delay') candidate.memory.faults.delayMs = one.ms
+      if (one.kind === 'answerDelay') candidate.memory.faults.answerDelayMs = one.ms
+      if (one.kind === 'down') candidate.memory.faults.isDown = one.isDown
+      if (one.kind === 'loseAnswer') candidate.memory.faults.loseAnswers++
+      if (one.kind === 'release') {
+        void candidate.duty.release()
+        candidate.duty = createDuty(candidate.memory, `p${one.who}`)
+      }
+      const end = performance.now() + (one.kind === 'advance' ? one.ms : 1)
+      while (performance.now() < end) {
+        await clock.tickAsync(Math.min(100, end - performance.now()))
+        check()
+        if (one.kind === 'advance') for (const { duty } of candidates) void duty.take()
+      }
+    }
+    for (const { duty, memory } of candidates) {
+      Object.assign(memory.faults, { isDown: false, delayMs: 0, answerDelayMs: 0 })
+      void duty.release()
+    }
+    await clock.tickAsync(20_000)
+    return isSound
+  }), { seed: 4, numRuns: 300 })
+  t.pass()
+})
+
+test.serial('a holder resumed after a pause longer than its lease may not act, before any timer of its runs', async t => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
+  t.teardown(() => clock.uninstall())
+  const engine = new StoreEngine()
+  const [first, second] = createCandidates(engine)
+  if (first === undefined || second === undefined) return t.fail('no candidates')
+  const taken = await first.duty.take()
+  t.is(taken.kind, 'held')
+  clock.jump(30_000)
+  t.is(first.duty.epoch, undefined)
+  const next = await second.duty.take()
+  t.true(next.kind === 'held' && taken.kind === 'held' && next.epoch > taken.epoch)
+  t.is((await first.duty.take()).kind, 'other')
+})
+
+test.serial('a renewal whose answer comes late counts from before the call', async t => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
+  t.teardown(() => clock.uninstall())
+  const [first, second] = createCandidates(new StoreEngine())
+  if (first === undefined || second === undefined) return t.fail('no candidates')
+  await first.duty.take()
+  first.memory.faults.answerDelayMs = 2_500
+  await clock.tickAsync(1_600)
+  first.memory.faults.isDown = true
+  await clock.tickAsync(5_000)
+  t.is((await second.duty.take()).kind, 'held')
+  t.is(first.duty.epoch, undefined)
+})
--- /dev/null
+++ b/packages/platform/src/circuit.ts
@@ -0,0 +1,59 @@
+/**
+ * Circuit towards the store: opens after failures, lets one probe through after a jittered, growing pause.
+ */
+import type { Random } from '@dragonflylever/core'
+
+import { StoreHealth } from './store.js'
+
+const FAILURES_TO_OPEN = 2
+const FIRST_PAUSE_MS = 250
+const MAX_PAUSE_MS = 4_000
+/** A call that takes longer makes the store count as slow, in milliseconds. */
+const SLOW_MS = 250
+
+export class Circuit {
+  private readonly _random: Random
+  private _failures = 0
+  private _pauseMs = FIRST_PAUSE_MS
+  private _closedUntil = 0
+  private _isProbing = false
+  private _health: StoreHealth = StoreHealth.up
+
+  constructor (random: Random) {
+    this._random = random
+  }
+
+  get health (): StoreHealth {
+    return this._health
+  }
+
+  /** True when a call may go out now; while the circuit is open that is the one probe. */
+  begin (now: number): boolean {
+    if (this._failures < FAILURES_TO_OPEN) return true
+    if (now < this._closedUntil || this._isProbing) return false
+    this._isProbing = true
+    return true
+  }
+
+  /** Gives a permission back: the call was not sent after all. */
+  release (): void {
+    this._isProbing = false
+  }
+
+  /** Notes a call that the store answered. */
+  finish (elapsedMs: number): void {
+    this._failures = 0
+    this._pauseMs = FIRST_PAUSE_MS
+    this._isProbing = false
+    this._health = elapsedMs > SLOW_MS ? StoreHealth.slow : StoreHealth.up
+  }
+
+  /** Notes a call without an answer. */
+  fail (now: number): void {
+    this._failures++
+    this._isProbing = false
+    this._closedUntil = now + this._pauseMs * (0.5 + this._random.sample())
+    this._pauseMs = Math.min(MAX_PAUSE_MS, this._pauseMs * 2)
+    if (this._failures >= FAILURES_TO_OPEN) this._health = StoreHealth.down
+  }
+}
--- /dev/null
+++ b/packages/platform/src/settledPut.ts
@@ -0,0 +1,23 @@
+/**
+ * A conditional write that is settled when its answer was lost. The value carries a nonce of its writer, so that reading it
+ * back tells whether the write took effect; repeating the write under the same expectation can't make it take effect twice.
+ */
+import type { Ambiguous, PutOutcome, PutRequest, Store, StoredValue } from './store.js'
+
+const ATTEMPTS = 6
+const FIRST_PAUSE_MS = 100
+
+/** Writes; `isMine` tells the writer's own value from others by its nonce. `expect` must not be `any`. */
+export async function putSettled (store: Store, request: PutRequest, isMine: (stored: StoredValue) => boolean): Promise<PutOutcome> {
+  if (request.expect.kind === 'any') throw new Error('invariant: an unconditional write cannot be settled')
+  let last: Ambiguous | undefined
+  for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
+    const outcome = await store.put(request)
+    if (outcome.kind === 'conflict' && outcome.current !== undefined && isMine(outcome.current)) return { kind: 'ok', modRevision: outcome.current.modRevision }
+    if (outcome.kind === 'ambiguous') last = outcome
+    else if (outcome.kind === 'ok' || last === undefined) return outcome
+    else if (outcome.kind === 'conflict') return outcome
+    await new Promise(resolve => setTimeout(resolve, FIRST_PAUSE_MS * 2 ** attempt))
+  }
+  return last ?? { kind: 'unavailable', message: 'the store did not answer' }
+}
--- /dev/null
+++ b/packages/platform/src/storeClient.ts
@@ -0,0 +1,151 @@
+/**
+ * The store as the processes use it: a call budget, timeouts and a circuit around an adapter, calls counted by kind.
+ * A call over the budget or against an open circuit is not sent, so its outcome is `unavailable` for writes as well.
+ */
+import type { Random } from '@dragonflylever/core'
+
+import { Circuit } from './circuit.js'
+import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, StoreHealth, Unavailable, Watch, WatchListener } from './store.js'
+import { TokenBucket } from './tokenBucket.js'
+
+const DEFAULT_RATE_PER_S = 10
+const DEFAULT_BURST = 40
+const DEFAULT_TIMEOUT_MS = 1_500
+
+/** Calls sent so far by kind, watches open now, and calls held back by the budget or the circuit. */
+export interface StoreUsage {
+  readonly reads: number
+  readonly writes: number
+  readonly leases: number
+  readonly watchesOpened: number
+  readonly openWatches: number
+  readonly overBudget: number
+  readonly heldByCircuit: number
+}
+
+export interface StoreClientOptions {
+  readonly store: Store
+  readonly random: Random
+  /** Calls per second that this process may make on average. */
+  readonly ratePerS?: number
+  /** Calls that it may make at once. */
+  readonly burst?: number
+  readonly callTimeoutMs?: number
+}
+
+type Kind = 'reads' | 'writes' | 'leases'
+
+export class StoreClient implements Store {
+  private readonly _store: Store
+  private readonly _bucket: TokenBucket
+  private readonly _circuit: Circuit
+  private readonly _timeoutMs: number
+  private readonly _usage = { reads: 0, writes: 0, leases: 0, watchesOpened: 0, openWatches: 0, overBudget: 0, heldByCircuit: 0 }
+
+  constructor (options: StoreClientOptions) {
+    const rate = { ratePerS: options.ratePerS ?? DEFAULT_RATE_PER_S, burst: options.burst ?? DEFAULT_BURST }
+    this._store = options.store
+    this._bucket = new TokenBucket(rate, performance.now())
+    this._circuit = new Circuit(options.random)
+    this._timeoutMs = options.callTimeoutMs ?? DEFAULT_TIMEOUT_MS
+  }
+
+  get health (): StoreHealth {
+    return this._circuit.health
+  }
+
+  get usage (): StoreUsage {
+    return { ...this._usage }
+  }
+
+  get (key: string): Promise<GetOutcome> {
+    return this._read(() => this._store.get(key))
+  }
+
+  list (prefix: string): Promise<ListOutcome> {
+    return this._read(() => this._store.list(prefix))
+  }
+
+  put (request: PutRequest): Promise<PutOutcome> {
+    return this._call<PutOutcome>('writes', () => this._store.put(request))
+  }
+
+  putMany (requests: readonly PutRequest[]): Promise<PutManyOutcome> {
+    return this._call<PutManyOutcome>('writes', () => this._store.putMany(requests))
+  }
+
+  remove (key: string, expect: Expectation): Promise<RemoveOutcome> {
+    return this._call<RemoveOutcome>('writes', () => this._store.remove(key, expect))
+  }
+
+  grantLease (ttlMs: number): Promise<LeaseOutcome> {
+    return this._call<LeaseOutcome>('leases', () => this._store.grantLease(ttlMs))
+  }
+
+  renewLease (leaseId: string): Promise<LeaseOutcome> {
+    return this._call<LeaseOutcome>('leases', () => this._store.renewLease(leaseId))
+  }
+
+  revokeLease (leaseId: string): Promise<LeaseOutcome> {
+    return this._call<LeaseOutcome>('leases', () => this._store.revokeLease(leaseId))
+  }
+
+  watch (prefix: string, fromRevision: number, listener: WatchListener): Watch {
+    this._usage.watchesOpened++
+    this._usage.openWatches++
+    let isOpen = true
+    const end = (): void => {
+      if (isOpen) this._usage.openWatches--
+      isOpen = false
+    }
+    const onEnd = (message: string): void => {
+      end()
+      listener.onEnd(message)
+    }
+    const watch = this._store.watch(prefix, fromRevision, { onEvents: events => listener.onEvents(events), onEnd })
+    return { close: () => { end(); watch.close() } }
+  }
+
+  close (): Promise<void> {
+    return this._store.close()
+  }
+
+  private async _read<T extends { kind: string }> (call: () => Promise<T | Unavailable>): Promise<T | Unavailable> {
+    const outcome = await this._call('reads', call)
+    return outcome.kind === 'ambiguous' ? { kind: 'unavailable', message: (outcome as Ambiguous).message } : outcome as T | Unavailable
+  }
+
+  private async _call<T extends { kind: string }> (kind: Kind, call: () => Promise<T>): Promise<T | Unavailable | Ambiguous> {
+    const held = this._refuse()
+    if (held !== undefined) return held
+    this._usage[kind]++
+    const startedAt = performance.now()
+    const outcome = await this._wait(call())
+    const now = performance.now()
+    if (outcome.kind === 'unavailable' || outcome.kind === 'ambiguous') this._circuit.fail(now)
+    else this._circuit.finish(now - startedAt)
+    return outcome
+  }
+
+  private _refuse (): Unavailable | undefined {
+    const now = performance.now()
+    if (!this._circuit.begin(now)) {
+      this._usage.heldByCircuit++
+      return { kind: 'unavailable', message: 'the store has not answered lately; not sent' }
+    }
+    if (this._bucket.take(now)) return undefined
+    this._circuit.release()
+    this._usage.overBudget++
+    return { kind: 'unavailable', message: 'over the call budget of this process; not sent' }
+  }
+
+  private async _wait<T> (call: Promise<T>): Promise<T | Ambiguous> {
+    let timer: NodeJS.Timeout | undefined
+    const timeout = new Promise<Ambiguous>(resolve => {
+      timer = setTimeout(() => resolve({ kind: 'ambiguous', message: `the store gave no answer within ${this._timeoutMs} ms` }), this._timeoutMs)
+    })
+    const outcome = await Promise.race([call, timeout])
+    clearTimeout(timer)
+    return outcome
+  }
+}
--- /dev/null
+++ b/packages/platform/src/tokenBucket.ts
@@ -0,0 +1,33 @@
+/**
+ * A token bucket over the monotonic clock: a steady rate with a bounded burst.
+ */
+
+/** Rate in tokens per second and the largest number that can be saved up. */
+export interface TokenBucketOptions {
+  readonly ratePerS: number
+  readonly burst: number
+}
+
+const MS_PER_S = 1_000
+
+export class TokenBucket {
+  private readonly _options: TokenBucketOptions
+  private _tokens: number
+  private _updatedAt: number
+
+  constructor (options: TokenBucketOptions, now: number) {
+    this._options = options
+    this._tokens = options.burst
+    this._updatedAt = now
+  }
+
+  /** Takes one token; false when there is none. */
+  take (now: number): boolean {
+    const gained = Math.max(0, now - this._updatedAt) / MS_PER_S * this._options.ratePerS
+    this._tokens = Math.min(this._options.burst, this._tokens + gained)
+    this._updatedAt = now
+    if (this._tokens < 1) return false
+    this._tokens--
+    return true
+  }
+}
--- a/packages/standins/src/memoryStore.ts
+++ b/packages/standins/src/memoryStore.ts
@@ -37,14 +37,14 @@
 
   async get (key: string): Promise<GetOutcome> {
     this.counts.reads++
-    await this._wait()
+    await this._wait(this.faults.delayMs)
     if (this.faults.isDown) return DOWN
     return { kind: 'ok', value: this.engine.get(key), storeRevision: this.engine.revision }
   }
 
   async list (prefix: string): Promise<ListOutcome> {
     this.counts.reads++
-    await this._wait()
+    await this._wait(this.faults.delayMs)
     if (this.faults.isDown) return DOWN
     return { kind: 'ok', values: this.engine.list(prefix), storeRevision: this.engine.revision }
   }
@@ -97,22 +97,26 @@
 
   private async _write<T> (decide: () => T): Promise<T | Unavailable | Ambiguous> {
     this.counts.writes++
-    await this._wait()
+    return this._decide(decide)
+  }
+
+  private _callLease (decide: () => LeaseOutcome): Promise<LeaseOutcome> {
+    this.counts.leases++
+    return this._decide(decide)
+  }
+
+  private async _decide<T> (decide: () => T): Promise<T | Unavailable | Ambiguous> {
+    await this._wait(this.faults.delayMs)
     if (this.faults.isDown) return DOWN
     const result = decide()
+    await this._wait(this.faults.answerDelayMs)
     if (this.faults.loseAnswers <= 0) return result
     this.faults.loseAnswers--
     return LOST
   }
 
-  private async _callLease (decide: () => LeaseOutcome): Promise<LeaseOutcome> {
-    this.counts.leases++
-    await this._wait()
-    return this.faults.isDown ? DOWN : decide()
-  }
-
-  private async _wait (): Promise<void> {
-    if (this.faults.delayMs <= 0) return
-    await new Promise(resolve => setTimeout(resolve, this.faults.delayMs))
+  private async _wait (ms: number): Promise<void> {
+    if (ms <= 0) return
+    await new Promise(resolve => setTimeout(resolve, ms))
   }
 }
--- a/packages/standins/src/storeFaults.ts
+++ b/packages/standins/src/storeFaults.ts
@@ -6,8 +6,10 @@
 export interface StoreFaults {
   /** Takes no call at all. */
   isDown: boolean
-  /** Milliseconds that each call waits. */
+  /** Milliseconds that each call waits before it takes effect. */
   delayMs: number
+  /** Milliseconds that each answer waits after the call has taken effect. */
+  answerDelayMs: number
   /** Number of writes to come that take effect and whose answer is lost. */
   loseAnswers: number
   /** Watches bring nothing while set; the changes are skipped, not kept. */
@@ -16,7 +18,7 @@
 
 /** Creates the state without faults. */
 export function createStoreFaults (): StoreFaults {
-  return { isDown: false, delayMs: 0, loseAnswers: 0, skipWatchEvents: false }
+  return { isDown: false, delayMs: 0, answerDelayMs: 0, loseAnswers: 0, skipWatchEvents: false }
 }
 
 /** Calls by kind since the start; a watch counts once when it opens. */
--- /dev/null
+++ b/packages/standins/test/storeClient.test.ts
@@ -0,0 +1,58 @@
+/**
+ * The store client: budget, circuit, timeouts, settled writes.
+ */
+import { SeededRandom } from '@dragonflylever/core'
+import { StoreClient, StoreHealth, putSettled } from '@dragonflylever/platform'
+import { MemoryStore } from '@dragonflylever/standins'
+import FakeTimers from '@sinonjs/fake-timers'
+import test from 'ava'
+
+function createClient (rate = 10, burst = 40): { memory: MemoryStore, client: StoreClient } {
+  const memory = new MemoryStore()
+  return { memory, client: new StoreClient({ store: memory, random: new SeededRandom(1), ratePerS: rate, burst, callTimeoutMs: 1_000 }) }
+}
+
+test.serial('calls over the budget are not sent and say so', async t => {
+  const { memory, client } = createClient(10, 3)
+  for (let index = 0; index < 10; index++) await client.get('k')
+  t.is(memory.counts.reads, 3)
+  t.is(client.usage.overBudget, 7)
+})
+
+test.serial('an outage opens the circuit, few probes go out, and the first answer closes it', async t => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
+  t.teardown(() => clock.uninstall())
+  const { memory, client } = createClient()
+  memory.faults.isDown = true
+  for (let index = 0; index < 600; index++) {
+    await client.get('k')
+    await clock.tickAsync(100)
+  }
+  t.is(client.health, StoreHealth.down)
+  t.true(memory.counts.reads < 40, `sent ${memory.counts.reads}`)
+  memory.faults.isDown = false
+  await clock.tickAsync(8_000)
+  t.is((await client.get('k')).kind, 'ok')
+  t.is(client.health, StoreHealth.up)
+})
+
+test.serial('a write without an answer in time is ambiguous, a read unavailable', async t => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
+  t.teardown(() => clock.uninstall())
+  const { memory, client } = createClient()
+  memory.faults.delayMs = 5_000
+  const write = client.put({ key: 'k', value: 'v', expect: { kind: 'absent' } })
+  const read = client.get('k')
+  await clock.tickAsync(1_000)
+  t.is((await write).kind, 'ambiguous')
+  t.is((await read).kind, 'unavailable')
+})
+
+test.serial('a write whose answer was lost is settled by its nonce and took effect once', async t => {
+  const { memory, client } = createClient()
+  memory.faults.loseAnswers = 1
+  const before = memory.engine.revision
+  const outcome = await putSettled(client, { key: 'k', value: 'nonce-1', expect: { kind: 'absent' } }, stored => stored.value === 'nonce-1')
+  t.deepEqual(outcome, { kind: 'ok', modRevision: before + 1 })
+  t.is(memory.engine.revision, before + 1)
+})
