Read bodies by events and measure the path with endpoints in processes of their own

The profile of an entry under load showed async iteration of bodies and a load generator that shared its loop with four endpoints. Bodies are read by one shared reader (it replaces three copies); the bench starts endpoints as processes.

--- a/packages/bench/src/path/pathBench.ts
+++ b/packages/bench/src/path/pathBench.ts
@@ -1,23 +1,18 @@
 /**
  * What the two hops cost: latency against a direct call, rate of one entry process, memory.
  */
-import { readFileSync } from 'node:fs'
-import { fileURLToPath } from 'node:url'
-
-import { EndpointStandIn, ProcessFleet } from '@dragonflylever/standins'
 import { build } from 'hdr-histogram-js'
 import { Pool } from 'undici'
 
 import type { Bench, BenchOptions } from '../bench.js'
+import { readCpuSeconds, readResidentMb } from '../processStats.js'
+import { PathFleet } from './pathFleet.js'
 
-const BINARY = fileURLToPath(import.meta.resolve('@dragonflylever/daemon/main'))
 const HEADERS = { 'dfl-class': 'care-match', 'dfl-organisation': 'guild', 'dfl-caller': 'bench' }
 const AGENTS = 4
 const CONNECTIONS = 24
 const BODY = 'x'.repeat(256)
 const US_PER_MS = 1_000
-const CLOCK_TICKS_PER_S = 100
-const KB_PER_MB = 1_024
 
 interface LoadResult {
   readonly p50Ms: number
@@ -55,29 +50,16 @@
   if (delay > 1) await new Promise(resolve => setTimeout(resolve, delay))
 }
 
-/** Returns the resident memory of a process in MB. */
-export function readResidentMb (pid: number): number {
-  const match = /VmRSS:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))
-  return Math.round(Number(match?.[1] ?? 0) / KB_PER_MB * 10) / 10
-}
-
-/** Returns the processor seconds a process has used. */
-export function readCpuSeconds (pid: number): number {
-  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? []
-  return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_S
-}
-
 async function runBench (options: BenchOptions): Promise<object> {
   const scale = options.isQuick ? 0.1 : 1
-  const direct = await EndpointStandIn.open()
-  const fleet = await ProcessFleet.start({ binary: BINARY, entries: 1, agents: AGENTS })
-  const entryPid = fleet.entries[0]?.pid ?? 0
-  const agentPid = fleet.agents[0]?.daemon.pid ?? 0
+  const fleet = await PathFleet.start(AGENTS)
+  const entryPid = fleet.entry.pid
+  const agentPid = fleet.agent.pid
   try {
-    const url = fleet.getCallerUrl()
+    const url = fleet.callerUrl
     const atRest = { entryMb: readResidentMb(entryPid), agentMb: readResidentMb(agentPid) }
     options.note('warming up')
-    await runLoad(direct.url, '/v1/call/x', 5_000 * scale, CONNECTIONS)
+    await runLoad(fleet.directUrl, '/v1/call/x', 5_000 * scale, CONNECTIONS)
     await runLoad(url, '/v1/call/x', 20_000 * scale, CONNECTIONS)
     options.note('full load')
     const cpuBefore = readCpuSeconds(entryPid)
@@ -86,7 +68,7 @@
     const halfRate = Math.round(full.requestsPerS / 2)
     options.note('half load')
     const half = await runLoad(url, '/v1/call/x', 15_000 * scale, CONNECTIONS, halfRate)
-    const base = await runLoad(direct.url, '/v1/call/x', 15_000 * scale, CONNECTIONS, halfRate)
+    const base = await runLoad(fleet.directUrl, '/v1/call/x', 15_000 * scale, CONNECTIONS, halfRate)
     options.note('memory')
     const memory = await measureGrowth(url, entryPid, agentPid, 100_000 * scale)
     const inFlight = await measureInFlight(url, entryPid)
@@ -97,7 +79,6 @@
     }
   } finally {
     await fleet.close()
-    await direct.close()
   }
 }
 
--- a/packages/daemon/src/agent/dispatchHandler.ts
+++ b/packages/daemon/src/agent/dispatchHandler.ts
@@ -6,7 +6,7 @@
 import { NotRunReason } from '@dragonflylever/core'
 import type { HeaderList } from '@dragonflylever/core'
 import { CallerLimit, DispatchHeader } from '@dragonflylever/protocol'
-import { isSameKey, sendJson } from '@dragonflylever/runtime'
+import { isSameKey, readWhole, sendJson } from '@dragonflylever/runtime'
 import type { Tracer } from '@dragonflylever/runtime'
 
 import type { Attempt, RunResult, SlotRunner } from './slotRunner.js'
@@ -37,13 +37,13 @@
       sendJson(response, 401, { error: 'the cluster key is missing or wrong' })
       return
     }
-    const body = await readWhole(message)
-    if (body === undefined) {
+    const read = await readWhole(message, { maxBytes: CallerLimit.requestBodyBytes })
+    if (read.kind !== 'whole') {
       response.destroy()
       return
     }
     const attemptId = readHeader(message, DispatchHeader.attemptId) ?? ''
-    const result = await this._run(message, response, attemptId, body)
+    const result = await this._run(message, response, attemptId, read.body)
     this._write(response, attemptId, result)
   }
 
@@ -85,21 +85,6 @@
   return Array.isArray(value) ? value[0] : value
 }
 
-async function readWhole (message: IncomingMessage): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = []
-  let size = 0
-  try {
-    for await (const chunk of message) {
-      size += (chunk as Buffer).length
-      if (size > CallerLimit.requestBodyBytes) return undefined
-      chunks.push(chunk as Buffer)
-    }
-  } catch {
-    return undefined
-  }
-  return Buffer.concat(chunks, size)
-}
-
 function readAttempt (message: IncomingMessage, attemptId: string, body: Buffer, traceparent: string | undefined): Attempt {
   const now = performance.now()
   const headers = listEndpointHeaders(message)
--- a/packages/daemon/src/entry/callerServer.ts
+++ b/packages/daemon/src/entry/callerServer.ts
@@ -6,8 +6,8 @@
 
 import { NotRunReason } from '@dragonflylever/core'
 import { CallerLimit } from '@dragonflylever/protocol'
-import type { Blackboard, Metrics, Tracer } from '@dragonflylever/runtime'
-import { closeServer, openServer, sendJson } from '@dragonflylever/runtime'
+import type { Blackboard, Metrics, Tracer, WholeBody } from '@dragonflylever/runtime'
+import { closeServer, openServer, readWhole, sendJson } from '@dragonflylever/runtime'
 
 import type { FleetFacts } from '../shared/fleetFacts.js'
 import { writeOutcome, writeRefusal } from './callerAnswer.js'
@@ -32,7 +32,7 @@
   readonly maxBufferedBytes: number
 }
 
-type BodyResult = { readonly kind: 'whole', readonly body: Buffer } | { readonly kind: 'broken' } | Refusal
+type BodyResult = Exclude<WholeBody, { kind: 'tooLarge' }> | Refusal
 
 export class CallerServer {
   private readonly _parts: CallerServerParts
@@ -126,32 +126,25 @@
   private async _readBody (message: IncomingMessage): Promise<BodyResult> {
     const declared = Number(message.headers['content-length'] ?? 0)
     if (declared > CallerLimit.requestBodyBytes) return makeTooLarge()
-    const chunks: Buffer[] = []
-    let size = 0
-    try {
-      for await (const chunk of message) {
-        size += (chunk as Buffer).length
-        this._bufferedBytes += (chunk as Buffer).length
-        const refusal = size > CallerLimit.requestBodyBytes ? makeTooLarge() : this._checkBudget()
-        if (refusal !== undefined) {
-          this._bufferedBytes -= size
-          return refusal
-        }
-        chunks.push(chunk as Buffer)
-      }
-    } catch {
-      this._bufferedBytes -= size
-      return { kind: 'broken' }
+    let held = 0
+    const onBytes = (bytes: number): boolean => {
+      held += bytes
+      this._bufferedBytes += bytes
+      return this._bufferedBytes <= this._parts.maxBufferedBytes
     }
-    return { kind: 'whole', body: chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks, size) }
-  }
-
-  private _checkBudget (): Refusal | undefined {
-    if (this._bufferedBytes <= this._parts.maxBufferedBytes) return undefined
-    return refuse(503, NotRunReason.overloaded, 'this entry holds as many request bodies as it may; try again shortly')
+    const read = await readWhole(message, { maxBytes: CallerLimit.requestBodyBytes, onBytes })
+    if (read.kind === 'whole') return read
+    const isOverBudget = this._bufferedBytes > this._parts.maxBufferedBytes
+    this._bufferedBytes -= held
+    if (read.kind === 'broken') return read
+    return isOverBudget ? makeOverBudget() : makeTooLarge()
   }
 }
 
 function makeTooLarge (): Refusal {
   return refuse(413, NotRunReason.tooLarge, `the body is larger than ${CallerLimit.requestBodyBytes} bytes`)
 }
+
+function makeOverBudget (): Refusal {
+  return refuse(503, NotRunReason.overloaded, 'this entry holds as many request bodies as it may; try again shortly')
+}
--- a/packages/runtime/src/rpcServer.ts
+++ b/packages/runtime/src/rpcServer.ts
@@ -8,6 +8,7 @@
 import { JSONRPCErrorException, JSONRPCServer, isJSONRPCRequest } from 'json-rpc-2.0'
 
 import { isSameKey } from './clusterKey.js'
+import { readWhole } from './readWhole.js'
 
 const MAX_BODY_BYTES = 2 * 1024 * 1024
 const INVALID_PARAMS = -32602
@@ -34,12 +35,13 @@
       sendJson(response, 401, { error: 'the cluster key is missing or wrong' })
       return
     }
-    const body = await readBody(request)
-    if (body === undefined) {
+    const read = await readWhole(request, { maxBytes: MAX_BODY_BYTES })
+    if (read.kind === 'broken') return
+    if (read.kind === 'tooLarge') {
       sendJson(response, 413, { error: `a call is at most ${MAX_BODY_BYTES} bytes` })
       return
     }
-    const call = parseJson(body)
+    const call = parseJson(read.body.toString('utf8'))
     if (!isJSONRPCRequest(call)) {
       sendJson(response, 400, { error: 'expected a JSON-RPC 2.0 request' })
       return
@@ -56,17 +58,6 @@
   }
 }
 
-async function readBody (request: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of request) {
-    size += (chunk as Buffer).length
-    if (size > MAX_BODY_BYTES) return undefined
-    chunks.push(chunk as Buffer)
-  }
-  return Buffer.concat(chunks).toString('utf8')
-}
-
 /** Writes a JSON answer. */
 export function sendJson (response: ServerResponse, status: number, value: unknown): void {
   const body = Buffer.from(JSON.stringify(value))
