Add the worker interface and its stand-in

Tasks under leases, prepared apart from started so that a gang can be held at a barrier. The stand-in records each run and fails, hangs, ignores stops, checkpoints slowly, loses answers or lets leases lapse on demand.

--- /dev/null
+++ b/packages/platform/src/httpWorker.ts
@@ -0,0 +1,81 @@
+/**
+ * Worker over HTTP: one JSON call for each order.
+ */
+import { Pool } from 'undici'
+
+import type { TaskOrder, TaskReport, Worker, WorkerOutcome } from './worker.js'
+
+const CALL_TIMEOUT_MS = 2_000
+const CHECKPOINT_TIMEOUT_MS = 120_000
+const CONNECTIONS = 2
+const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** Paths of the worker's calls; each takes and gives a JSON object by POST. */
+export const WorkerPath = {
+  prepare: '/v1/tasks/prepare',
+  start: '/v1/tasks/start',
+  renew: '/v1/tasks/renew',
+  checkpoint: '/v1/tasks/checkpoint',
+  throttle: '/v1/tasks/throttle',
+  stop: '/v1/tasks/stop',
+  list: '/v1/tasks/list'
+} as const
+
+export class HttpWorker implements Worker {
+  private readonly _pool: Pool
+
+  constructor (url: string) {
+    this._pool = new Pool(url, { connections: CONNECTIONS, pipelining: 1, headersTimeout: 0 })
+  }
+
+  prepare (order: TaskOrder): Promise<WorkerOutcome> {
+    return this._call(WorkerPath.prepare, order)
+  }
+
+  start (taskId: string): Promise<WorkerOutcome> {
+    return this._call(WorkerPath.start, { taskId })
+  }
+
+  renew (taskId: string): Promise<WorkerOutcome> {
+    return this._call(WorkerPath.renew, { taskId })
+  }
+
+  checkpoint (taskId: string): Promise<WorkerOutcome<{ checkpoint: string }>> {
+    return this._call(WorkerPath.checkpoint, { taskId }, CHECKPOINT_TIMEOUT_MS)
+  }
+
+  throttle (taskId: string, share: number): Promise<WorkerOutcome> {
+    return this._call(WorkerPath.throttle, { taskId, share })
+  }
+
+  stop (taskId: string): Promise<WorkerOutcome> {
+    return this._call(WorkerPath.stop, { taskId })
+  }
+
+  list (): Promise<WorkerOutcome<{ tasks: TaskReport[] }>> {
+    return this._call(WorkerPath.list, {})
+  }
+
+  async close (): Promise<void> {
+    await this._pool.destroy()
+  }
+
+  private async _call<T> (path: string, body: object, timeoutMs = CALL_TIMEOUT_MS): Promise<WorkerOutcome<T>> {
+    try {
+      const response = await this._pool.request({
+        method: 'POST',
+        path,
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(body),
+        signal: AbortSignal.timeout(timeoutMs)
+      })
+      const answer = await response.body.json() as object
+      if (response.statusCode === 200) return { kind: 'ok', ...answer as T }
+      if (response.statusCode < 500) return { kind: 'refused', message: String((answer as { message?: string }).message) }
+      return { kind: 'lost', message: `the worker answered ${response.statusCode}` }
+    } catch (error) {
+      const { code, message } = error as { code?: string, message?: string }
+      return { kind: NOT_SENT_CODES.has(code ?? '') ? 'refused' : 'lost', message: `worker call ${path}: ${message ?? String(error)}` }
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/memoryWorker.ts
@@ -0,0 +1,59 @@
+/**
+ * The worker stand-in within the process: the `Worker` interface straight over an engine, with faults.
+ */
+import type { TaskOrder, TaskReport, TaskShape, Worker, WorkerOutcome } from '@dragonflylever/platform'
+
+import { WorkerEngine } from './workerEngine.js'
+
+const DEFAULT_CAPACITY: TaskShape = { accelerators: 8, cores: 130, memoryGb: 500 }
+
+export class MemoryWorker implements Worker {
+  readonly engine: WorkerEngine
+  /** True while no order arrives. */
+  isDown = false
+
+  constructor (capacity: TaskShape = DEFAULT_CAPACITY) {
+    this.engine = new WorkerEngine(capacity)
+  }
+
+  prepare (order: TaskOrder): Promise<WorkerOutcome> {
+    return this._perform(() => this.engine.prepare(order))
+  }
+
+  start (taskId: string): Promise<WorkerOutcome> {
+    return this._perform(() => this.engine.start(taskId))
+  }
+
+  renew (taskId: string): Promise<WorkerOutcome> {
+    return this._perform(() => this.engine.renew(taskId))
+  }
+
+  async checkpoint (taskId: string): Promise<WorkerOutcome<{ checkpoint: string }>> {
+    const { checkpointMs } = this.engine.faults
+    if (checkpointMs > 0) await new Promise(resolve => setTimeout(resolve, checkpointMs))
+    return this._perform(() => this.engine.checkpoint(taskId))
+  }
+
+  throttle (taskId: string, share: number): Promise<WorkerOutcome> {
+    return this._perform(() => this.engine.throttle(taskId, share))
+  }
+
+  stop (taskId: string): Promise<WorkerOutcome> {
+    return this._perform(() => this.engine.stop(taskId))
+  }
+
+  list (): Promise<WorkerOutcome<{ tasks: readonly TaskReport[] }>> {
+    return this._perform(() => ({ kind: 'ok', tasks: this.engine.list() }))
+  }
+
+  async close (): Promise<void> {}
+
+  private async _perform<T> (order: () => WorkerOutcome<T>): Promise<WorkerOutcome<T>> {
+    await Promise.resolve()
+    if (this.isDown) return { kind: 'lost', message: 'the worker does not answer' }
+    const outcome = order()
+    if (this.engine.faults.loseAnswers <= 0) return outcome
+    this.engine.faults.loseAnswers--
+    return { kind: 'lost', message: 'the answer was lost' }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/workerEngine.ts
@@ -0,0 +1,194 @@
+/**
+ * State of the worker stand-in: resources, tasks under leases, faults, and a record of what ran. In memory, no I/O.
+ */
+import { TaskState } from '@dragonflylever/platform'
+import type { TaskOrder, TaskReport, TaskShape, WorkerOutcome } from '@dragonflylever/platform'
+
+/** What the worker does wrong now. */
+export interface WorkerFaults {
+  /** Fails each task shortly after its start. */
+  failsEverything: boolean
+  /** Tasks never end by themselves. */
+  hangs: boolean
+  /** Answers a stop and goes on running. */
+  ignoresStop: boolean
+  /** Time a checkpoint takes, in milliseconds. */
+  checkpointMs: number
+  /** Number of orders to come that take effect and whose answer is lost. */
+  loseAnswers: number
+}
+
+/** One run of a task, as recorded. */
+export interface TaskRun {
+  readonly taskId: string
+  readonly jobId: string
+  readonly incarnation: number
+  readonly startedAt: number
+  endedAt: number | undefined
+}
+
+interface Task {
+  readonly order: TaskOrder
+  state: TaskState
+  ranMs: number
+  countedAt: number
+  speed: number
+  checkpoint: string
+  message: string
+  leaseEndsAt: number
+  run: TaskRun | undefined
+}
+
+const FAIL_AFTER_MS = 20
+const DEFAULT_RUN_MS = 1_000
+
+export class WorkerEngine {
+  readonly faults: WorkerFaults = { failsEverything: false, hangs: false, ignoresStop: false, checkpointMs: 0, loseAnswers: 0 }
+  /** Every run that was started, in order. */
+  readonly runs: TaskRun[] = []
+  private readonly _capacity: TaskShape
+  private readonly _tasks = new Map<string, Task>()
+
+  constructor (capacity: TaskShape) {
+    this._capacity = capacity
+  }
+
+  /** Resources held now. */
+  get used (): TaskShape {
+    const held = [...this._tasks.values()].filter(task => isHolding(task.state)).map(task => task.order.shape)
+    return held.reduce(addShapes, { accelerators: 0, cores: 0, memoryGb: 0 })
+  }
+
+  prepare (order: TaskOrder): WorkerOutcome {
+    this.advance()
+    if (this._tasks.has(order.taskId)) return { kind: 'ok' }
+    if (!isWithin(addShapes(this.used, order.shape), this._capacity)) return { kind: 'refused', message: 'the worker has no room for the task' }
+    const now = performance.now()
+    this._tasks.set(order.taskId, {
+      order,
+      state: TaskState.prepared,
+      ranMs: 0,
+      countedAt: now,
+      speed: 1,
+      checkpoint: order.checkpoint,
+      message: '',
+      leaseEndsAt: now + order.leaseMs,
+      run: undefined
+    })
+    return { kind: 'ok' }
+  }
+
+  start (taskId: string): WorkerOutcome {
+    this.advance()
+    const task = this._tasks.get(taskId)
+    if (task === undefined) return makeUnknownTask(taskId)
+    if (task.state === TaskState.running) return { kind: 'ok' }
+    if (task.state !== TaskState.prepared) return { kind: 'refused', message: `task ${taskId} is ${task.state}` }
+    task.state = TaskState.running
+    task.countedAt = performance.now()
+    task.run = { taskId, jobId: task.order.jobId, incarnation: task.order.incarnation, startedAt: task.countedAt, endedAt: undefined }
+    this.runs.push(task.run)
+    return { kind: 'ok' }
+  }
+
+  renew (taskId: string): WorkerOutcome {
+    this.advance()
+    const task = this._tasks.get(taskId)
+    if (task === undefined || !isHolding(task.state)) return makeUnknownTask(taskId)
+    task.leaseEndsAt = performance.now() + task.order.leaseMs
+    return { kind: 'ok' }
+  }
+
+  /** Notes a checkpoint of the work done so far. */
+  checkpoint (taskId: string): WorkerOutcome<{ checkpoint: string }> {
+    this.advance()
+    const task = this._tasks.get(taskId)
+    if (task === undefined || task.state !== TaskState.running) return makeUnknownTask(taskId)
+    task.checkpoint = String(readDoneMs(task))
+    return { kind: 'ok', checkpoint: task.checkpoint }
+  }
+
+  throttle (taskId: string, share: number): WorkerOutcome {
+    this.advance()
+    const task = this._tasks.get(taskId)
+    if (task === undefined) return makeUnknownTask(taskId)
+    task.speed = share
+    return { kind: 'ok' }
+  }
+
+  stop (taskId: string): WorkerOutcome {
+    this.advance()
+    const task = this._tasks.get(taskId)
+    if (task !== undefined && isHolding(task.state) && !this.faults.ignoresStop) this._end(task, TaskState.stopped, 'stopped')
+    return { kind: 'ok' }
+  }
+
+  list (): TaskReport[] {
+    this.advance()
+    return [...this._tasks.values()].map(task => ({
+      taskId: task.order.taskId,
+      jobId: task.order.jobId,
+      incarnation: task.order.incarnation,
+      state: task.state,
+      ranMs: task.ranMs,
+      checkpoint: task.checkpoint,
+      message: task.message
+    }))
+  }
+
+  /** Brings all tasks to the present: runs them on, ends those that are through or whose lease has lapsed. */
+  advance (): void {
+    const now = performance.now()
+    for (const task of this._tasks.values()) {
+      if (!isHolding(task.state)) continue
+      this._count(task, now)
+      if (task.leaseEndsAt <= now) this._end(task, TaskState.expired, 'the lease lapsed')
+      else if (task.state === TaskState.running) this._advanceRunning(task)
+    }
+  }
+
+  private _count (task: Task, now: number): void {
+    if (task.state === TaskState.running) task.ranMs += (now - task.countedAt) * task.speed
+    task.countedAt = now
+  }
+
+  private _advanceRunning (task: Task): void {
+    if (this.faults.failsEverything && task.ranMs >= FAIL_AFTER_MS) this._end(task, TaskState.failed, 'the worker fails everything')
+    else if (!this.faults.hangs && readDoneMs(task) >= readRunMs(task.order)) this._end(task, TaskState.done, 'done')
+  }
+
+  private _end (task: Task, state: TaskState, message: string): void {
+    task.state = state
+    task.message = message
+    if (task.run !== undefined) task.run.endedAt = performance.now()
+  }
+}
+
+function readRunMs (order: TaskOrder): number {
+  try {
+    const { runMs } = JSON.parse(order.payload) as { runMs?: number }
+    return runMs ?? DEFAULT_RUN_MS
+  } catch {
+    return DEFAULT_RUN_MS
+  }
+}
+
+function readDoneMs (task: Task): number {
+  return Number(task.order.checkpoint === '' ? 0 : task.order.checkpoint) + task.ranMs
+}
+
+function isHolding (state: TaskState): boolean {
+  return state === TaskState.prepared || state === TaskState.running
+}
+
+function addShapes (a: TaskShape, b: TaskShape): TaskShape {
+  return { accelerators: a.accelerators + b.accelerators, cores: a.cores + b.cores, memoryGb: a.memoryGb + b.memoryGb }
+}
+
+function isWithin (used: TaskShape, capacity: TaskShape): boolean {
+  return used.accelerators <= capacity.accelerators && used.cores <= capacity.cores && used.memoryGb <= capacity.memoryGb
+}
+
+function makeUnknownTask (taskId: string): { kind: 'refused', message: string } {
+  return { kind: 'refused', message: `the worker has no live task ${taskId}` }
+}
