--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,5 +1,6 @@
 export * from './callerHeaders.js'
 export * from './declarations.js'
+export * from './gangMessages.js'
 export * from './jsonDocument.js'
 export * from './members.js'
 export * from './rpcMessages.js'
--- a/packages/protocol/src/rpcMessages.ts
+++ b/packages/protocol/src/rpcMessages.ts
@@ -3,6 +3,7 @@
  */
 import { z } from 'zod'
 
+import { GangMethods } from './gangMessages.js'
 import { memberSchema } from './members.js'
 
 const configurationEnvelope = z.object({
@@ -15,6 +16,7 @@
 
 /** Every RPC method by name. */
 export const RpcMethods = {
+  ...GangMethods,
   /** A process tells of itself; the answer brings configuration that is newer than the sender's. */
   heartbeat: {
     params: z.object({ member: memberSchema, revision: z.number().int() }),
