Claim idempotency keys in the store before non-idempotent requests are sent

Cause: a repeat with the same idempotency key through another entry ran a second time; nothing outside one entry remembered keys. Also, an idempotent request whose earlier attempt was lost could end as notRun when a later attempt was refused, and a duplicate dispatch was answered notRun while the first may run.

What: ClaimService claims by compare-and-swap under an hourly store lease before dispatch; ClaimWriter commits claims and ends in groups, one store call in flight; a lost store answer is settled by the nonce that the repeated condition brings back. Retries that may multiply load come out of a token bucket (RetryBudget). A lost attempt takes the proof away from every later notRun of the same request. Withdrawing ends early once the agent runs anew.

Ruled out: joining a running request of the same entry (polling covers it and also other entries); renewing leases (claims would live for ever).

--- a/packages/daemon/src/agent/slotRunner.ts
+++ b/packages/daemon/src/agent/slotRunner.ts
@@ -60,6 +60,8 @@
   run (attempt: Attempt, signal: AbortSignal): Promise<RunResult> {
     const now = performance.now()
     const accepted = this._parts.ledger.accept(attempt.attemptId, now)
+    // A duplicate says nothing of the first arrival, which may run.
+    if (accepted === 'duplicate') return Promise.resolve({ kind: 'unknown', reason: UnknownReason.answerLost })
     if (accepted !== 'accepted') return Promise.resolve(makeNotRun(NotRunReason.refused))
     const offer = this._parts.queue.offer(attempt.queued, now)
     if (offer.kind === 'refused') {
--- /dev/null
+++ b/packages/daemon/src/entry/claimLease.ts
@@ -0,0 +1,41 @@
+/**
+ * The store lease under which an entry writes claims. A new one is taken each hour and none is renewed,
+ * so that claims end by themselves and the store's state stays bounded.
+ */
+import type { Store } from '@dragonflylever/platform'
+
+const MS_PER_HOUR = 3_600_000
+/** Time to live of a lease, in milliseconds: a claim lives at least a day. */
+export const CLAIM_LEASE_TTL_MS = 25 * MS_PER_HOUR
+/** How long a lease takes new claims, in milliseconds. */
+export const CLAIM_LEASE_USE_MS = MS_PER_HOUR
+
+interface Held {
+  readonly leaseId: string
+  readonly usableUntil: number
+}
+
+export class ClaimLease {
+  private readonly _store: Store
+  private _held: Held | undefined
+
+  constructor (store: Store) {
+    this._store = store
+  }
+
+  /** Returns the id of a lease that is valid now, taking a new one when needed; undefined when the store gives none. */
+  async hold (): Promise<string | undefined> {
+    const now = performance.now()
+    if (this._held !== undefined && now < this._held.usableUntil) return this._held.leaseId
+    this._held = undefined
+    const outcome = await this._store.grantLease(CLAIM_LEASE_TTL_MS)
+    if (outcome.kind !== 'ok') return undefined
+    this._held = { leaseId: outcome.leaseId, usableUntil: now + CLAIM_LEASE_USE_MS }
+    return outcome.leaseId
+  }
+
+  /** Gives the lease up for new claims, as when the store may not know it; it is not revoked, since claims hang on it. */
+  drop (): void {
+    this._held = undefined
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/claimService.ts
@@ -0,0 +1,181 @@
+/**
+ * At most one run per idempotency key: a non-idempotent request with a key is sent on only under a durable claim,
+ * which holds over entries, restarts and repeats hours later.
+ */
+import { createHash, randomUUID } from 'node:crypto'
+
+import { ClaimState, NotRunReason, UnknownReason, decideClaim, decodeClaim, encodeClaim, makeAnswered, makeNotRun, makeUnknown, selectKeptAnswer } from '@dragonflylever/core'
+import type { Answer, ClaimRecord, Outcome } from '@dragonflylever/core'
+import type { Expectation, Store, StoredValue } from '@dragonflylever/platform'
+
+import type { CallerRequest } from './callerRequest.js'
+import type { ClaimWriteResult, ClaimWriter } from './claimWriter.js'
+import type { RequestService } from './requestService.js'
+
+const STORE_RETRY_AFTER_MS = 2_000
+/** How long a claim that may have been written is still looked for after its deadline, in milliseconds. */
+const SETTLE_MS = 60_000
+/** How long the end of a request is offered to the store, in milliseconds. */
+const RECORD_MS = 600_000
+const DRAIN_MS = 10_000
+/** Waits before each look at a claim whose request has not ended, in milliseconds. */
+const POLL_DELAYS_MS = [100, 200, 400, 800, 1_600]
+
+/** What the service works with. */
+export interface ClaimServiceParts {
+  readonly store: Store
+  readonly writer: ClaimWriter
+  readonly inner: RequestService
+  /** Prefix of all keys of the system. */
+  readonly prefix: string
+}
+
+interface Claim {
+  readonly key: string
+  readonly record: ClaimRecord
+  readonly modRevision: number
+}
+
+type ClaimResult = { readonly kind: 'held', readonly claim: Claim } | { readonly kind: 'end', readonly outcome: Outcome }
+
+export class ClaimService implements RequestService {
+  private readonly _parts: ClaimServiceParts
+  private readonly _records = new Set<Promise<void>>()
+
+  constructor (parts: ClaimServiceParts) {
+    this._parts = parts
+  }
+
+  async serve (request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
+    if (request.isIdempotent || request.idempotencyKey === undefined) return this._parts.inner.serve(request, signal)
+    const result = await this._claim(request, request.idempotencyKey, signal)
+    if (result.kind === 'end') return result.outcome
+    const outcome = await this._parts.inner.serve(request, signal)
+    this._record(result.claim, outcome)
+    return outcome
+  }
+
+  /** Waits until the ends of all requests are written, at most ten seconds. */
+  async drain (): Promise<void> {
+    const limit = performance.now() + DRAIN_MS
+    let timer: NodeJS.Timeout | undefined
+    const timeout = new Promise<void>(resolve => { timer = setTimeout(resolve, DRAIN_MS) })
+    while (this._records.size > 0 && performance.now() < limit) await Promise.race([Promise.all(this._records), timeout])
+    clearTimeout(timer)
+  }
+
+  private async _claim (request: CallerRequest, idempotencyKey: string, signal: AbortSignal): Promise<ClaimResult> {
+    const key = makeClaimKey(this._parts.prefix, request, idempotencyKey)
+    const digest = computeDigest(request)
+    let expect: Expectation = { kind: 'absent' }
+    for (;;) {
+      const record: ClaimRecord = { requestId: request.requestId, nonce: randomUUID(), digest, state: ClaimState.claimed }
+      const written = await this._write(key, record, expect, request, signal)
+      if (written.kind === 'ok') return { kind: 'held', claim: { key, record, modRevision: written.modRevision } }
+      if (written.kind !== 'conflict') return makeEnd(describeFailure(written, signal))
+      if (written.current === undefined) {
+        expect = { kind: 'absent' }
+        continue
+      }
+      const found = await this._resolveConflict(key, written.current, digest, request, signal)
+      if (found.kind === 'end') return found
+      expect = found.expect
+    }
+  }
+
+  /** Writes a claim within the request's deadline; a claim that comes through too late is released. */
+  private async _write (key: string, record: ClaimRecord, expect: Expectation, request: CallerRequest, signal: AbortSignal): Promise<ClaimWriteResult> {
+    const stop = new AbortController()
+    const write = { key, value: encodeClaim(record), nonce: record.nonce, expect, giveUpAt: request.deadlineAt + SETTLE_MS, signal: stop.signal }
+    const written = this._parts.writer.submit(write)
+    const limit = waitUntil(request.deadlineAt, signal)
+    const first = await Promise.race([written, limit.reached])
+    limit.clear()
+    if (first !== undefined) return first
+    stop.abort()
+    void written.then(late => {
+      if (late.kind === 'ok') this._writeEnd({ key, record, modRevision: late.modRevision }, ClaimState.released)
+    })
+    return { kind: 'unavailable', isAmbiguous: true }
+  }
+
+  /** Looks at the claim of an earlier request: its end decides; without an end it is looked at again for a while. */
+  private async _resolveConflict (key: string, first: StoredValue, digest: string, request: CallerRequest, signal: AbortSignal): Promise<{ kind: 'claim', expect: Expectation } | { kind: 'end', outcome: Outcome }> {
+    let current: StoredValue = first
+    for (const delayMs of [0, ...POLL_DELAYS_MS]) {
+      if (delayMs > 0) {
+        const limit = waitUntil(Math.min(request.deadlineAt, performance.now() + delayMs), signal)
+        await limit.reached
+        if (signal.aborted || performance.now() >= request.deadlineAt) break
+        const read = await this._parts.store.get(key)
+        if (read.kind !== 'ok') continue
+        if (read.value === undefined) return { kind: 'claim', expect: { kind: 'absent' } }
+        current = read.value
+      }
+      const decision = decideClaim(decodeClaim(current.value), digest)
+      if (decision.kind === 'reclaim') return { kind: 'claim', expect: { kind: 'revision', modRevision: current.modRevision } }
+      if (decision.kind === 'replay') return makeEnd(makeAnswered(decision.answer, true))
+      if (decision.kind === 'notKept') return makeEnd(makeUnknown(UnknownReason.answerNotKept, 'the request with this key was answered before; its answer was too large to keep'))
+      if (decision.kind === 'keyReused') return makeEnd(makeNotRun(NotRunReason.keyReused, 'this idempotency key belongs to a request with another method, path or body; use a new key'))
+    }
+    return makeEnd(makeUnknown(UnknownReason.alreadyClaimed, 'an earlier request with this key may have run or may still run; repeat with the same key to learn its end'))
+  }
+
+  private _record (claim: Claim, outcome: Outcome): void {
+    if (outcome.kind === 'answered') this._writeEnd(claim, ClaimState.answered, selectKeptAnswer(outcome.answer))
+    if (outcome.kind === 'notRun') this._writeEnd(claim, ClaimState.released)
+  }
+
+  private _writeEnd (claim: Claim, state: ClaimState, answer?: Answer): void {
+    const { requestId, digest } = claim.record
+    const record: ClaimRecord = { requestId, digest, nonce: randomUUID(), state, ...(answer === undefined ? {} : { answer }) }
+    const write = {
+      key: claim.key,
+      value: encodeClaim(record),
+      nonce: record.nonce,
+      expect: { kind: 'revision', modRevision: claim.modRevision } as const,
+      giveUpAt: performance.now() + RECORD_MS
+    }
+    const saved = this._parts.writer.submit(write).then(() => { this._records.delete(saved) })
+    this._records.add(saved)
+  }
+}
+
+/** Returns the store key of an idempotency key; callers of one organisation don't share keys. */
+export function makeClaimKey (prefix: string, request: CallerRequest, idempotencyKey: string): string {
+  const hash = createHash('sha256').update(`${request.caller}\n${idempotencyKey}`).digest('base64url')
+  return `${prefix}/claims/${request.organisation}/${hash}`
+}
+
+function computeDigest (request: CallerRequest): string {
+  return createHash('sha256').update(`${request.method} ${request.path}\n`).update(request.body).digest('base64url')
+}
+
+function describeFailure (written: ClaimWriteResult, signal: AbortSignal): Outcome {
+  if (signal.aborted) return makeNotRun(NotRunReason.cancelled, 'the caller went before the request was sent')
+  if (written.kind === 'overloaded') return makeNotRun(NotRunReason.overloaded, 'too many requests wait for a claim on their idempotency key', STORE_RETRY_AFTER_MS)
+  return makeNotRun(NotRunReason.storeUnavailable, 'the idempotency key could not be claimed within the deadline; repeat with the same key', STORE_RETRY_AFTER_MS)
+}
+
+function makeEnd (outcome: Outcome): { kind: 'end', outcome: Outcome } {
+  return { kind: 'end', outcome }
+}
+
+/** Resolves at a time of the monotonic clock or when the signal aborts, whichever is first. */
+function waitUntil (at: number, signal: AbortSignal): { reached: Promise<undefined>, clear: () => void } {
+  let clear = (): void => {}
+  const reached = new Promise<undefined>(resolve => {
+    const onEnd = (): void => {
+      clear()
+      resolve(undefined)
+    }
+    const timer = setTimeout(onEnd, Math.max(0, at - performance.now()))
+    clear = () => {
+      clearTimeout(timer)
+      signal.removeEventListener('abort', onEnd)
+    }
+    signal.addEventListener('abort', onEnd, { once: true })
+    if (signal.aborted) onEnd()
+  })
+  return { reached, clear }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/claimWriter.ts
@@ -0,0 +1,178 @@
+/**
+ * Group commit of conditional claim writes: writes that come together go to the store in one call,
+ * one call is in flight at most, and calls keep a least distance.
+ */
+import type { Random } from '@dragonflylever/core'
+import { MAX_PUTS_PER_CALL } from '@dragonflylever/platform'
+import type { Expectation, PutRequest, PutResult, Store, StoredValue } from '@dragonflylever/platform'
+
+import type { ClaimLease } from './claimLease.js'
+
+const MIN_INTERVAL_MS = 10
+const MAX_BATCH_BYTES = 512 * 1024
+const MAX_PENDING = 8_192
+const FIRST_BACKOFF_MS = 50
+const MAX_BACKOFF_MS = 2_000
+
+/** One conditional write. `nonce` stands in `value` and in no other write's value. */
+export interface ClaimWrite {
+  readonly key: string
+  readonly value: string
+  readonly nonce: string
+  readonly expect: Expectation
+  /** When to stop trying, monotonic clock in milliseconds. */
+  readonly giveUpAt: number
+  /** Aborted when nobody wants the write any more; one that may have taken effect is still settled. */
+  readonly signal?: AbortSignal
+}
+
+/** `unavailable`: given up; the write may have had an effect only if `isAmbiguous`. */
+export type ClaimWriteResult =
+  | { readonly kind: 'ok', readonly modRevision: number }
+  | { readonly kind: 'conflict', readonly current: StoredValue | undefined }
+  | { readonly kind: 'unavailable', readonly isAmbiguous: boolean }
+  | { readonly kind: 'overloaded' }
+
+/** What the writer works with. */
+export interface ClaimWriterParts {
+  readonly store: Store
+  readonly lease: ClaimLease
+  readonly random: Random
+  /** Least milliseconds between the starts of two calls; 10 when absent. */
+  readonly minIntervalMs?: number
+  /** Most writes in one call; the store's bound when absent. */
+  readonly maxBatch?: number
+}
+
+interface Pending {
+  readonly write: ClaimWrite
+  readonly resolve: (result: ClaimWriteResult) => void
+  isAmbiguous: boolean
+}
+
+export class ClaimWriter {
+  private readonly _parts: ClaimWriterParts
+  private _pending: Pending[] = []
+  private _lastCallAt = -Infinity
+  private _failures = 0
+  private _loop: Promise<void> | undefined
+
+  constructor (parts: ClaimWriterParts) {
+    this._parts = parts
+  }
+
+  /** Number of writes that the store has not decided yet. */
+  get size (): number {
+    return this._pending.length
+  }
+
+  /** Writes once the condition is decided; never rejects. */
+  submit (write: ClaimWrite): Promise<ClaimWriteResult> {
+    if (this._pending.length >= MAX_PENDING) return Promise.resolve({ kind: 'overloaded' })
+    const result = new Promise<ClaimWriteResult>(resolve => this._pending.push({ write, resolve, isAmbiguous: false }))
+    this._loop ??= this._run()
+    return result
+  }
+
+  /** Waits until every write is decided or given up. */
+  async drain (): Promise<void> {
+    while (this._loop !== undefined) await this._loop
+  }
+
+  private async _run (): Promise<void> {
+    // Lets the writes of the same turn of the event loop join the first batch.
+    await Promise.resolve()
+    while (this._pending.length > 0) {
+      await this._waitForTurn()
+      this._dropUnwanted()
+      const batch = this._takeBatch()
+      if (batch.length > 0) await this._commit(batch)
+    }
+    this._loop = undefined
+  }
+
+  private async _waitForTurn (): Promise<void> {
+    const interval = this._parts.minIntervalMs ?? MIN_INTERVAL_MS
+    const delay = Math.max(this._lastCallAt + interval - performance.now(), this._computeBackoff())
+    if (delay > 0) await new Promise(resolve => setTimeout(resolve, delay))
+  }
+
+  private _computeBackoff (): number {
+    if (this._failures === 0) return 0
+    const bound = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (this._failures - 1))
+    return bound * (0.5 + this._parts.random.sample() / 2)
+  }
+
+  private _dropUnwanted (): void {
+    const now = performance.now()
+    const kept: Pending[] = []
+    for (const pending of this._pending) {
+      const isCancelled = pending.write.signal?.aborted === true && !pending.isAmbiguous
+      if (isCancelled || pending.write.giveUpAt <= now) pending.resolve({ kind: 'unavailable', isAmbiguous: pending.isAmbiguous })
+      else kept.push(pending)
+    }
+    this._pending = kept
+  }
+
+  /** Takes writes in order; two writes of one key never share a call, which a transaction would refuse. */
+  private _takeBatch (): Pending[] {
+    const batch = new Map<string, Pending>()
+    const rest: Pending[] = []
+    let bytes = 0
+    for (const pending of this._pending) {
+      const { key, value } = pending.write
+      const isFull = batch.size >= (this._parts.maxBatch ?? MAX_PUTS_PER_CALL) || (batch.size > 0 && bytes + value.length > MAX_BATCH_BYTES)
+      if (isFull || batch.has(key)) {
+        rest.push(pending)
+        continue
+      }
+      batch.set(key, pending)
+      bytes += value.length
+    }
+    this._pending = rest
+    return [...batch.values()]
+  }
+
+  private async _commit (batch: readonly Pending[]): Promise<void> {
+    this._lastCallAt = performance.now()
+    const leaseId = await this._parts.lease.hold()
+    if (leaseId === undefined) return this._retryLater(batch)
+    const outcome = await this._parts.store.putMany(batch.map(pending => makePut(pending.write, leaseId)))
+    if (outcome.kind === 'ok') {
+      this._failures = 0
+      for (const [index, result] of outcome.results.entries()) this._settle(batch[index], result)
+      return
+    }
+    if (outcome.kind === 'ambiguous') for (const pending of batch) pending.isAmbiguous = true
+    else this._parts.lease.drop()
+    this._retryLater(batch)
+  }
+
+  private _retryLater (batch: readonly Pending[]): void {
+    this._failures++
+    this._pending.unshift(...batch)
+  }
+
+  /**
+   * A write whose answer was lost is offered again under its first condition: it can't take effect twice, and
+   * the conflict brings the value back, whose nonce tells whose it is.
+   */
+  private _settle (pending: Pending | undefined, result: PutResult): void {
+    if (pending === undefined) throw new Error('invariant: the store answers each write of a call')
+    if (result.kind === 'ok') return pending.resolve({ kind: 'ok', modRevision: result.modRevision })
+    const { current } = result
+    if (current !== undefined && isOwn(current, pending.write)) return pending.resolve({ kind: 'ok', modRevision: current.modRevision })
+    const isLeaseGone = current === undefined && pending.write.expect.kind === 'absent'
+    if (!isLeaseGone) return pending.resolve({ kind: 'conflict', current })
+    this._parts.lease.drop()
+    this._retryLater([pending])
+  }
+}
+
+function makePut (write: ClaimWrite, leaseId: string): PutRequest {
+  return { key: write.key, value: write.value, expect: write.expect, leaseId }
+}
+
+function isOwn (current: StoredValue, write: ClaimWrite): boolean {
+  return current.value === write.value && current.value.includes(write.nonce)
+}
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -4,7 +4,7 @@
  */
 import { randomUUID } from 'node:crypto'
 
-import { NotRunReason, UnknownReason, makeAnswered, makeNotRun, makeUnknown } from '@dragonflylever/core'
+import { NotRunReason, RetryBudget, UnknownReason, makeAnswered, makeNotRun, makeUnknown } from '@dragonflylever/core'
 import type { Outcome, QueuedRequest, RequestQueue, Router } from '@dragonflylever/core'
 import type { PeerRpc } from '@dragonflylever/protocol'
 
@@ -17,6 +17,11 @@
 const WITHDRAW_RETRY_MS = 100
 const NO_AGENT_RETRY_AFTER_MS = 1_000
 const MAX_ATTEMPTS = 5
+const RETRIES_PER_REQUEST = 0.1
+const MAX_SAVED_RETRIES = 100
+
+/** Refusals by an agent that is going or has been replaced; the next agent costs the fleet no more than this one. */
+const FREE_RETRY_REASONS = new Set<NotRunReason>([NotRunReason.leaving, NotRunReason.refused, NotRunReason.noEndpoint])
 
 /** What the dispatcher works with. */
 export interface DispatcherParts {
@@ -29,6 +34,12 @@
 
 type Turn = { readonly kind: 'go', readonly target: AgentTarget } | { readonly kind: 'end', readonly outcome: Outcome }
 
+/** How an attempt ended for the request: with its outcome, or with leave for another attempt. */
+type AttemptEnding = { readonly kind: 'end', readonly outcome: Outcome } | { readonly kind: 'retry', readonly mayHaveRun: boolean }
+
+const RETRY: AttemptEnding = { kind: 'retry', mayHaveRun: false }
+const RETRY_UNPROVEN: AttemptEnding = { kind: 'retry', mayHaveRun: true }
+
 interface Waiting {
   readonly request: CallerRequest
   readonly tried: ReadonlySet<string>
@@ -45,6 +56,7 @@
   private readonly _parts: DispatcherParts
   private readonly _waiting = new Map<string, Waiting>()
   private readonly _inFlight = new Map<string, InFlight>()
+  private readonly _retries = new RetryBudget({ retriesPerRequest: RETRIES_PER_REQUEST, maxSaved: MAX_SAVED_RETRIES })
   private readonly _sweep: NodeJS.Timeout
 
   constructor (parts: DispatcherParts) {
@@ -59,12 +71,15 @@
 
   /** Runs one request to its outcome. `signal` says that the caller has gone. */
   async run (request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
+    this._retries.note()
     const tried = new Set<string>()
+    let mayHaveRun = false
     for (let attempt = 1; ; attempt++) {
       const turn = await this._waitForTurn(request, tried, signal)
-      if (turn.kind === 'end') return turn.outcome
-      const outcome = await this._attempt(request, turn.target, attempt, signal)
-      if (outcome !== undefined) return outcome
+      if (turn.kind === 'end') return withdrawProof(turn.outcome, mayHaveRun)
+      const ending = await this._attempt(request, turn.target, attempt, signal)
+      if (ending.kind === 'end') return withdrawProof(ending.outcome, mayHaveRun)
+      mayHaveRun ||= ending.mayHaveRun
       tried.add(turn.target.agentId)
     }
   }
@@ -133,27 +148,30 @@
     waiting.resolve({ kind: 'go', target })
   }
 
-  private async _attempt (request: CallerRequest, target: AgentTarget, attempt: number, signal: AbortSignal): Promise<Outcome | undefined> {
+  private async _attempt (request: CallerRequest, target: AgentTarget, attempt: number, signal: AbortSignal): Promise<AttemptEnding> {
     const attemptId = randomUUID()
     const result = await this._send(request, target, attemptId, signal)
     const isLast = attempt >= MAX_ATTEMPTS || performance.now() >= request.deadlineAt
-    if (result.kind === 'answered') return makeAnswered(result.answer)
-    if (result.kind === 'notSent') return isLast ? makeNotRun(NotRunReason.noEndpoint, result.message, NO_AGENT_RETRY_AFTER_MS) : undefined
-    if (result.kind === 'notRun') return isLast || signal.aborted ? makeNotRun(result.reason, 'the agent refused the request', result.retryAfterMs) : undefined
+    if (result.kind === 'answered') return makeEnd(makeAnswered(result.answer))
+    if (result.kind === 'notSent') return isLast ? makeEnd(makeNotRun(NotRunReason.noEndpoint, result.message, NO_AGENT_RETRY_AFTER_MS)) : RETRY
+    if (result.kind === 'notRun') {
+      const mayRetry = !isLast && !signal.aborted && (FREE_RETRY_REASONS.has(result.reason) || this._retries.take())
+      return mayRetry ? RETRY : makeEnd(makeNotRun(result.reason, 'the agent refused the request', result.retryAfterMs))
+    }
     return this._settle(request, target, attemptId, result, isLast, signal)
   }
 
-  private async _settle (request: CallerRequest, target: AgentTarget, attemptId: string, result: { kind: 'lost' } | { kind: 'unknown', reason: UnknownReason }, isLast: boolean, signal: AbortSignal): Promise<Outcome | undefined> {
-    const reason = result.kind === 'unknown' ? result.reason : UnknownReason.answerLost
-    if (signal.aborted) {
-      void this._withdraw(request, target, attemptId)
-      return makeUnknown(reason, 'the caller went before the answer came')
-    }
-    if (request.isIdempotent && !isLast) return undefined
-    if (result.kind === 'unknown') return makeUnknown(reason, 'the endpoint was reached and no whole answer came back')
+  /** Decides after an attempt that may have run: another one if the request is idempotent, else only on proof that it did not run. */
+  private async _settle (request: CallerRequest, target: AgentTarget, attemptId: string, result: { kind: 'lost' } | { kind: 'unknown', reason: UnknownReason }, isLast: boolean, signal: AbortSignal): Promise<AttemptEnding> {
+    const reason = chooseReason(request, result)
+    const mayRetry = request.isIdempotent && !isLast && !signal.aborted && reason !== UnknownReason.answerTooLarge
+    if (mayRetry && this._retries.take()) return RETRY_UNPROVEN
+    if (result.kind === 'unknown') return makeEnd(makeUnknown(reason, 'the endpoint was reached and no whole answer came back'))
     const isProven = await this._withdraw(request, target, attemptId)
-    if (!isProven) return makeUnknown(reason, 'the request may have run; the agent did not say')
-    return isLast ? makeNotRun(NotRunReason.deadlinePassed, 'the request was withdrawn before it started') : undefined
+    if (!isProven) return makeEnd(makeUnknown(reason, 'the request may have run; the agent did not say'))
+    if (signal.aborted) return makeEnd(makeCancelled())
+    const mayGoOn = !request.isIdempotent && !isLast
+    return mayGoOn ? RETRY : makeEnd(makeNotRun(NotRunReason.deadlinePassed, 'the request was withdrawn before it started', NO_AGENT_RETRY_AFTER_MS))
   }
 
   private async _send (request: CallerRequest, target: AgentTarget, attemptId: string, signal: AbortSignal): Promise<AttemptResult> {
@@ -183,11 +201,18 @@
     do {
       const outcome = await this._parts.peers.call(target.address, 'withdraw', { attemptId, incarnation: target.incarnation }, WITHDRAW_TIMEOUT_MS)
       if (outcome.kind === 'ok') return outcome.value.outcome === 'neverStarted'
+      if (this._isReplaced(target)) return false
       await new Promise(resolve => setTimeout(resolve, WITHDRAW_RETRY_MS))
     } while (performance.now() < request.deadlineAt)
     return false
   }
 
+  /** True when the agent runs anew: nobody is left to vouch for attempts at the earlier incarnation. */
+  private _isReplaced (target: AgentTarget): boolean {
+    const present = this._parts.agents.getTarget(target.agentId)
+    return present !== undefined && present.incarnation !== target.incarnation
+  }
+
   private _expire (): void {
     const now = performance.now()
     for (const request of this._parts.queue.expire(now)) {
@@ -217,3 +242,18 @@
 function makeCancelled (): Outcome {
   return makeNotRun(NotRunReason.cancelled, 'the caller went before the request was sent')
 }
+
+function chooseReason (request: CallerRequest, result: { kind: 'lost' } | { kind: 'unknown', reason: UnknownReason }): UnknownReason {
+  if (performance.now() >= request.deadlineAt) return UnknownReason.deadlinePassed
+  return result.kind === 'unknown' ? result.reason : UnknownReason.answerLost
+}
+
+function makeEnd (outcome: Outcome): AttemptEnding {
+  return { kind: 'end', outcome }
+}
+
+/** An earlier attempt that may have run takes away the proof that the request did not. */
+function withdrawProof (outcome: Outcome, mayHaveRun: boolean): Outcome {
+  if (outcome.kind !== 'notRun' || !mayHaveRun) return outcome
+  return makeUnknown(UnknownReason.answerLost, `an earlier attempt may have run; the last one ended with: ${outcome.reason}`)
+}
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -17,6 +17,9 @@
 import { AgentLink } from './agentLink.js'
 import { AgentTable, computeConnectionShare } from './agentTable.js'
 import { CallerServer } from './callerServer.js'
+import { ClaimLease } from './claimLease.js'
+import { ClaimService } from './claimService.js'
+import { ClaimWriter } from './claimWriter.js'
 import { Dispatcher } from './dispatcher.js'
 import { DirectService } from './requestService.js'
 
@@ -76,7 +79,7 @@
     const dispatcher = this._createDispatcher(random)
     const server = new CallerServer({
       board: this.board,
-      service: new DirectService(dispatcher),
+      service: this._createService(dispatcher),
       metrics,
       tracer,
       organisationKeys: this._settings.organisationKeys,
@@ -117,6 +120,14 @@
     return dispatcher
   }
 
+  private _createService (dispatcher: Dispatcher): ClaimService {
+    const { store, random } = this._parts
+    const writer = new ClaimWriter({ store, random, lease: new ClaimLease(store) })
+    const service = new ClaimService({ store, writer, inner: new DirectService(dispatcher), prefix: this._settings.store.prefix })
+    this._lifecycle.add('claims', () => service.drain())
+    return service
+  }
+
   private _createControl (directory: MemberDirectory): ControlServer {
     const control = new ControlServer({ clusterKey: this._settings.clusterKey })
     control.rpc.add('heartbeat', params => {
