--- /dev/null
+++ b/packages/daemon/test/properties/simulatedAgent.ts
@@ -0,0 +1,142 @@
+/**
+ * An agent in memory for property tests: a real slot runner behind messages that can be cut, delayed, frozen or doubled.
+ */
+import { createHash } from 'node:crypto'
+
+import { AttemptLedger, FifoQueue, NotRunReason } from '@dragonflylever/core'
+import type { Endpoint, EndpointOutcome, EndpointRequest } from '@dragonflylever/platform'
+import type { Member } from '@dragonflylever/protocol'
+
+import { SlotRunner } from '../../src/index.js'
+import type { AgentTarget, AttemptResult, CallerRequest } from '../../src/index.js'
+
+/** What happens to one dispatch between entry and agent. */
+export const SendFaults = ['none', 'notSent', 'cutBefore', 'cutDuring', 'loseAnswer', 'late', 'duplicate'] as const
+export type SendFault = typeof SendFaults[number]
+
+/** What happens to one execution at the endpoint. */
+export const RunFaults = ['none', 'cutBefore', 'cutAfter', 'hang'] as const
+export type RunFault = typeof RunFaults[number]
+
+const HOP_MS = 1
+const LATE_MS = 400
+const CUT_MS = 60
+const SLOTS = 2
+const LOST: AttemptResult = { kind: 'lost', message: 'cut' }
+
+/** Returns the value of a header of a request. */
+export function readOwnHeader (request: { headers: EndpointRequest['headers'] }, name: string): string {
+  return request.headers.find(([key]) => key === name)?.[1] ?? ''
+}
+
+/** Returns the answer body that belongs to a request body. */
+export function computeAnswer (body: Buffer): string {
+  return createHash('sha256').update(body).digest('hex')
+}
+
+export function waitFor (ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms))
+}
+
+export class SimulatedAgent implements Endpoint {
+  /** Work ids in the order of their starts, over all incarnations. */
+  readonly executions: string[] = []
+  private readonly _index: number
+  private readonly _nextRunFault: () => RunFault
+  private _incarnation = 1
+  private _runner = this._createRunner()
+  private _frozenUntil = 0
+  private _connections = new Set<AbortController>()
+
+  constructor (index: number, nextRunFault: () => RunFault) {
+    this._index = index
+    this._nextRunFault = nextRunFault
+  }
+
+  get member (): Member {
+    return {
+      id: `agent-${this._index}`,
+      role: 'agent',
+      incarnation: `agent-${this._index}#${this._incarnation}`,
+      region: 'morava',
+      failureDomain: 'jihlava',
+      address: `10.0.0.${this._index}:1`,
+      state: 'alive',
+      agent: { rack: 'rack-1', slots: SLOTS, maxConnections: 60, cores: 1, memoryGb: 1, accelerators: 0 }
+    }
+  }
+
+  /** Holds every message and every answer of the endpoint back for a while. */
+  pause (ms: number): void {
+    this._frozenUntil = performance.now() + ms
+  }
+
+  /** Kills the agent and starts it anew; its endpoint goes on. */
+  restart (): void {
+    const { _connections: cut } = this
+    this._connections = new Set()
+    this._runner.close()
+    this._incarnation++
+    this._runner = this._createRunner()
+    for (const connection of cut) connection.abort()
+  }
+
+  /** Takes a dispatch as `AttemptSender` does. */
+  async take (target: AgentTarget, request: CallerRequest, attemptId: string, signal: AbortSignal, fault: SendFault): Promise<AttemptResult> {
+    if (fault === 'notSent') return { kind: 'notSent', message: 'refused' }
+    if (fault === 'cutBefore') return LOST
+    const connection = new AbortController()
+    signal.addEventListener('abort', () => connection.abort(), { once: true })
+    const cut = new Promise<AttemptResult>(resolve => connection.signal.addEventListener('abort', () => resolve(LOST), { once: true }))
+    if (fault === 'cutDuring') setTimeout(() => connection.abort(), CUT_MS)
+    // A message in a socket's buffer outlives the connection.
+    if (fault === 'late') setTimeout(() => connection.abort(), HOP_MS)
+    const answer = this._receive(target, request, attemptId, connection, fault === 'late' ? LATE_MS : HOP_MS)
+    const second = fault === 'duplicate' ? this._receive(target, request, attemptId, connection, HOP_MS) : answer
+    const result = await Promise.race([answer, second, cut])
+    return fault === 'loseAnswer' ? LOST : result
+  }
+
+  /** Takes a withdrawal. */
+  async withdraw (attemptId: string, incarnation: string): Promise<'neverStarted' | 'started' | 'cannotVouch'> {
+    await this._passOn(HOP_MS)
+    return incarnation === this.member.incarnation ? this._runner.withdraw(attemptId) : 'cannotVouch'
+  }
+
+  async send (request: EndpointRequest, signal: AbortSignal): Promise<EndpointOutcome> {
+    const incarnation = this._incarnation
+    const fault = this._nextRunFault()
+    if (fault === 'cutBefore') return { kind: 'lost', message: 'cut' }
+    this.executions.push(readOwnHeader(request, 'x-work-id'))
+    const aborted = new Promise<void>(resolve => signal.addEventListener('abort', () => resolve(), { once: true }))
+    await Promise.race([aborted, fault === 'hang' ? aborted : waitFor(Number(readOwnHeader(request, 'x-run-ms')))])
+    await this._passOn(0)
+    if (signal.aborted || fault === 'cutAfter' || incarnation !== this._incarnation) return { kind: 'lost', message: 'cut' }
+    return { kind: 'answered', answer: { status: 200, headers: [], body: Buffer.from(computeAnswer(request.body)) } }
+  }
+
+  async close (): Promise<void> {
+    this._runner.close()
+  }
+
+  private async _receive (target: AgentTarget, request: CallerRequest, attemptId: string, connection: AbortController, delayMs: number): Promise<AttemptResult> {
+    await this._passOn(delayMs)
+    const load = { running: this._runner.running, waiting: this._runner.waiting }
+    if (target.incarnation !== this.member.incarnation) return { kind: 'notRun', reason: NotRunReason.refused, retryAfterMs: 0, load }
+    this._connections.add(connection)
+    const queued = { id: attemptId, className: request.className, organisation: request.organisation, caller: '', arrivedAt: performance.now(), deadlineAt: request.deadlineAt }
+    const attempt = { attemptId, queued, request: { method: request.method, path: request.path, headers: request.headers, body: request.body } }
+    const result = await this._runner.run(attempt, connection.signal)
+    await this._passOn(HOP_MS)
+    return { ...result, load }
+  }
+
+  private async _passOn (ms: number): Promise<void> {
+    await waitFor(ms)
+    while (performance.now() < this._frozenUntil) await waitFor(this._frozenUntil - performance.now())
+  }
+
+  private _createRunner (): SlotRunner {
+    return new SlotRunner({ queue: new FifoQueue({ maxWaiting: 60, slots: SLOTS }), endpoint: this, ledger: new AttemptLedger({ maxEntries: 1_000, keepMs: 600_000 }) })
+  }
+}
--- /dev/null
+++ b/packages/daemon/test/properties/simulatedEntry.ts
@@ -0,0 +1,110 @@
+/**
+ * An entry in memory for property tests: claims and dispatcher as in the process, messages and store through a gate
+ * that shuts when the entry dies.
+ */
+import { FifoQueue, SeededRandom, TwoChoicesRouter } from '@dragonflylever/core'
+import type { Outcome } from '@dragonflylever/core'
+import type { Store } from '@dragonflylever/platform'
+import type { PeerRpc } from '@dragonflylever/protocol'
+
+import { AgentTable, ClaimLease, ClaimService, ClaimWriter, DirectService, Dispatcher } from '../../src/index.js'
+import type { AttemptSender, CallerRequest } from '../../src/index.js'
+import type { SendFault, SimulatedAgent } from './simulatedAgent.js'
+
+const FOREVER = new Promise<never>(() => {})
+
+export interface SimulatedEntryParts {
+  readonly agents: readonly SimulatedAgent[]
+  readonly store: Store
+  readonly nextSendFault: () => SendFault
+  readonly seed: number
+}
+
+export class SimulatedEntry {
+  private readonly _parts: SimulatedEntryParts
+  private readonly _table = new AgentTable()
+  private readonly _dispatcher: Dispatcher
+  private readonly _service: ClaimService
+  private readonly _death = new AbortController()
+
+  constructor (parts: SimulatedEntryParts) {
+    this._parts = parts
+    const random = new SeededRandom(parts.seed)
+    const store = this._makeStore()
+    const queue = new FifoQueue({ maxWaiting: 100, slots: Infinity })
+    this._dispatcher = new Dispatcher({ queue, router: new TwoChoicesRouter({ region: 'morava', random }), agents: this._table, sender: this._createSender(), peers: this._createPeers() })
+    const writer = new ClaimWriter({ store, random, lease: new ClaimLease(store) })
+    this._service = new ClaimService({ store, writer, inner: new DirectService(this._dispatcher), prefix: 'test' })
+    this.update()
+  }
+
+  get isDead (): boolean {
+    return this._death.signal.aborted
+  }
+
+  /** Serves a request; never ends once the entry is dead. */
+  async serve (request: CallerRequest, signal: AbortSignal): Promise<Outcome> {
+    const outcome = await this._service.serve(request, signal)
+    return this.isDead ? FOREVER : outcome
+  }
+
+  /** Takes over the agents as they are now. */
+  update (): void {
+    const members = this._parts.agents.map(agent => [agent.member.id, { member: agent.member, lastSeenAt: performance.now() }] as const)
+    this._dispatcher.drop(this._table.update(new Map(members)))
+    this._dispatcher.notify()
+  }
+
+  /** Kills the entry: its connections break and nothing it does reaches anybody. */
+  kill (): void {
+    this._death.abort()
+    this._dispatcher.close()
+  }
+
+  private _createSender (): AttemptSender {
+    return {
+      send: async (target, request, attemptId, signal) => {
+        if (this.isDead) return FOREVER
+        const agent = this._findAgent(target.address)
+        const result = await agent.take(target, request, attemptId, AbortSignal.any([signal, this._death.signal]), this._parts.nextSendFault())
+        return this.isDead ? FOREVER : result
+      },
+      setConnectionLimit: () => {},
+      close: async () => {}
+    }
+  }
+
+  private _createPeers (): PeerRpc {
+    return {
+      call: async (address, _method, params, timeoutMs) => {
+        if (this.isDead) return FOREVER
+        const { attemptId, incarnation } = params as { attemptId: string, incarnation: string }
+        const timeout = new Promise<undefined>(resolve => setTimeout(() => resolve(undefined), timeoutMs))
+        const outcome = await Promise.race([this._findAgent(address).withdraw(attemptId, incarnation), timeout])
+        return outcome === undefined ? { kind: 'failed', message: 'no answer' } : { kind: 'ok', value: { outcome } as never }
+      },
+      close: async () => {}
+    }
+  }
+
+  private _findAgent (address: string): SimulatedAgent {
+    const agent = this._parts.agents.find(agent => agent.member.address === address)
+    if (agent === undefined) throw new Error(`invariant: no agent at ${address}`)
+    return agent
+  }
+
+  /** The store as a dead process sees it: no call goes out and no answer comes back. */
+  private _makeStore (): Store {
+    return new Proxy(this._parts.store, {
+      get: (store, name) => {
+        const member: unknown = Reflect.get(store, name)
+        if (typeof member !== 'function') return member
+        return async (...args: unknown[]) => {
+          if (this.isDead) return FOREVER
+          const result: unknown = await member.apply(store, args)
+          return this.isDead ? FOREVER : result
+        }
+      }
+    })
+  }
+}
