Accept configuration at an entry's operators' port

Adds the operators' server (config, history, status), the acceptance by one compare-and-swap with a nonce, the check of guarantees against the announced fleet, and the member's revision in force.

--- a/packages/daemon/src/agent/agentProcess.ts
+++ b/packages/daemon/src/agent/agentProcess.ts
@@ -116,6 +116,7 @@
       failureDomain: this._settings.failureDomain,
       address: this._controlAddress,
       state: this.board.get('isLeaving') ? 'leaving' : 'alive',
+      revision: this.board.get('configuration')?.revision ?? 0,
       agent: {
         rack: this._settings.rack,
         slots: endpoint.slots,
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -5,6 +5,7 @@
 import type { EntrySettings, Member } from '@dragonflylever/protocol'
 import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
 
+import { createOperatorServer } from '../operators/createOperatorServer.js'
 import { Announcer } from '../shared/announcer.js'
 import { ConfigurationHolder } from '../shared/configurationHolder.js'
 import { ConfigurationWatcher } from '../shared/configurationWatcher.js'
@@ -33,6 +34,7 @@
   private readonly _lifecycle = new Lifecycle()
   private _callerAddress = ''
   private _controlAddress = ''
+  private _operatorAddress = ''
   private _stopping: Promise<void> | undefined
 
   private constructor (settings: EntrySettings, parts: ProcessParts) {
@@ -57,6 +59,11 @@
     return this._controlAddress
   }
 
+  /** Address for operators, IP:PORT. */
+  get operatorAddress (): string {
+    return this._operatorAddress
+  }
+
   /** Leaves gracefully: no request under way is cut off. Every call gets the same promise. */
   stop (): Promise<void> {
     this._stopping ??= this._stop()
@@ -92,9 +99,12 @@
     this._lifecycle.add('announcer', () => announcer.close())
     directory.note(this._describe())
     await announcer.start()
+    const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder, logger })
+    this._operatorAddress = await operators.open(this._settings.listen.operators)
+    this._lifecycle.add('operator server', () => operators.close())
     this._callerAddress = await server.open(this._settings.listen.callers)
     this._lifecycle.add('caller server', () => server.close())
-    log.info({ callers: this._callerAddress, control: this._controlAddress }, 'started')
+    log.info({ callers: this._callerAddress, control: this._controlAddress, operators: this._operatorAddress }, 'started')
   }
 
   private _createDispatcher (random: ProcessParts['random']): Dispatcher {
@@ -148,7 +158,8 @@
       region: this._settings.region,
       failureDomain: this._settings.failureDomain,
       address: this._controlAddress,
-      state: this.board.get('isLeaving') ? 'leaving' : 'alive'
+      state: this.board.get('isLeaving') ? 'leaving' : 'alive',
+      revision: this.board.get('configuration')?.revision ?? 0
     }
   }
 }
--- /dev/null
+++ b/packages/daemon/src/operators/acceptance.ts
@@ -0,0 +1,161 @@
+/**
+ * Accepts declarations: checks them, then puts them in force by one compare-and-swap in the store.
+ * Accepted means durable. Of operators who race, exactly one is accepted; the others learn what changed.
+ */
+import { setTimeout as delay } from 'node:timers/promises'
+
+import type { WorkerCapacity } from '@dragonflylever/core'
+import { MAX_CONFIGURATION_BYTES, MAX_HISTORY, acceptableDeclarationsSchema, compareDeclarations, makeFaultAt, parseDocument } from '@dragonflylever/protocol'
+import type { ApplyOutcome, ApplyRequest, Declarations, Fault } from '@dragonflylever/protocol'
+import type { Expectation, PutOutcome, Store, StoredValue } from '@dragonflylever/platform'
+import type { Logger } from '@dragonflylever/runtime'
+
+import type { ConfigurationHolder } from '../shared/configurationHolder.js'
+import { getConfigurationKey } from '../shared/configurationWatcher.js'
+import { decodeRecord, findAccepted, getHistoryKey, isIndexedSince, makeRecord } from './configurationRecord.js'
+import type { ConfigurationRecord } from './configurationRecord.js'
+import { checkGuarantees } from './fleetCheck.js'
+
+const MAX_TRIES = 5
+const FIRST_WAIT_MS = 100
+
+/** What acceptance works with. */
+export interface AcceptanceParts {
+  readonly store: Store
+  readonly prefix: string
+  readonly holder: ConfigurationHolder
+  readonly logger: Logger
+  /** Returns the workers announced now. */
+  readonly listWorkers: () => readonly WorkerCapacity[]
+}
+
+/** The record in the store before the attempt. */
+interface Base {
+  readonly expect: Expectation
+  readonly stored: StoredValue | undefined
+  readonly record: ConfigurationRecord | undefined
+}
+
+export class Acceptance {
+  private readonly _parts: AcceptanceParts
+  private readonly _key: string
+
+  constructor (parts: AcceptanceParts) {
+    this._parts = parts
+    this._key = getConfigurationKey(parts.prefix)
+  }
+
+  /** Puts a document in force or says why not. Never rejects. */
+  async apply (request: ApplyRequest): Promise<ApplyOutcome> {
+    const parsed = parseDocument(request.document, acceptableDeclarationsSchema)
+    if (parsed.kind === 'invalid') return { kind: 'refused', faults: [...parsed.faults] }
+    const read = await this._parts.store.get(this._key)
+    if (read.kind !== 'ok') return makeUnavailable(request, read.message)
+    const base = makeBase(read.value)
+    const settled = await this._settle(request, base.record, request.isRepeat)
+    if (settled !== undefined) return settled
+    const faults = this._checkFleet(request, parsed.value)
+    if (faults.length > 0) return request.isRepeat ? makeUnsettled('the fleet can no longer hold the guarantees, and an earlier attempt may still take effect') : { kind: 'refused', faults }
+    return this._replace(request, parsed.value, base)
+  }
+
+  private _checkFleet (request: ApplyRequest, declarations: Declarations): Fault[] {
+    const workers = this._parts.listWorkers()
+    if (workers.length > 0) {
+      return checkGuarantees(declarations, workers).map(fault => makeFaultAt(request.document, fault.path, fault.found, fault.expected))
+    }
+    if (request.allowUnknownFleet) return []
+    return [makeFaultAt(request.document, ['organisations'], 'no worker announced to check the guarantees against', 'announced workers, or the flag --allow-unknown-fleet')]
+  }
+
+  private async _replace (request: ApplyRequest, declarations: Declarations, base: Base): Promise<ApplyOutcome> {
+    const record = makeRecord(request, declarations, base.record, Date.now())
+    const value = JSON.stringify(record)
+    if (Buffer.byteLength(value) > MAX_CONFIGURATION_BYTES) {
+      return { kind: 'refused', faults: [makeFaultAt(request.document, [], `${Buffer.byteLength(value)} bytes`, `at most ${MAX_CONFIGURATION_BYTES} bytes with its history`)] }
+    }
+    if (!await this._recordHistory(base)) return makeUnavailable(request, 'the revision in force could not be kept in the history')
+    const outcome = await this._commit(request, value, base)
+    if (outcome.kind === 'accepted') this._finish(record, outcome.revision)
+    return outcome
+  }
+
+  /** Copies the record in force to its place in the history before it is replaced; a copy too many does no harm. */
+  private async _recordHistory (base: Base): Promise<boolean> {
+    if (base.stored === undefined || base.record === undefined) return true
+    const key = getHistoryKey(this._parts.prefix, base.record.revision)
+    for (let attempt = 1; attempt <= MAX_TRIES; attempt++) {
+      const outcome = await this._parts.store.put({ key, value: base.stored.value, expect: { kind: 'absent' } })
+      if (outcome.kind === 'ok' || outcome.kind === 'conflict') return true
+      if (outcome.kind === 'unavailable') return false
+    }
+    return false
+  }
+
+  /** Writes until the store has said how it ended. The same write again is harmless: it expects the same revision. */
+  private async _commit (request: ApplyRequest, value: string, base: Base): Promise<ApplyOutcome> {
+    let mayHaveLanded = request.isRepeat
+    for (let attempt = 1; attempt <= MAX_TRIES; attempt++) {
+      const put = await this._parts.store.put({ key: this._key, value, expect: base.expect })
+      const settled = await this._settleWrite(request, put, mayHaveLanded)
+      if (settled !== undefined) return settled
+      if (put.kind === 'unavailable' && !mayHaveLanded) return { kind: 'storeUnavailable', message: put.message }
+      mayHaveLanded = true
+      await delay(FIRST_WAIT_MS * 2 ** (attempt - 1))
+      const read = await this._parts.store.get(this._key)
+      const found = read.kind === 'ok' && read.value !== undefined ? await this._settle(request, decodeRecord(read.value), mayHaveLanded) : undefined
+      if (found !== undefined) return found
+    }
+    return makeUnsettled('the store did not say whether the write took effect')
+  }
+
+  private async _settleWrite (request: ApplyRequest, put: PutOutcome, mayHaveLanded: boolean): Promise<ApplyOutcome | undefined> {
+    if (put.kind === 'ok') return this._makeAccepted(request.expect + 1)
+    if (put.kind !== 'conflict') return undefined
+    const record = put.current === undefined ? undefined : decodeRecord(put.current)
+    return await this._settle(request, record, mayHaveLanded) ?? makeUnsettled('the configuration in the store was changed by other means')
+  }
+
+  /** Settles by the record in the store; undefined while that is the expected revision. */
+  private async _settle (request: ApplyRequest, record: ConfigurationRecord | undefined, mayHaveLanded: boolean): Promise<ApplyOutcome | undefined> {
+    const acceptedAs = record === undefined ? undefined : findAccepted(record, request.nonce)
+    if (acceptedAs !== undefined) return this._makeAccepted(acceptedAs)
+    if ((record?.revision ?? 0) === request.expect) return undefined
+    if (record !== undefined && !isIndexedSince(record, request.expect) && mayHaveLanded) {
+      return makeUnsettled('the history no longer reaches back to the expected revision')
+    }
+    return this._makeStale(request, record)
+  }
+
+  private _makeAccepted (revision: number): ApplyOutcome {
+    return { kind: 'accepted', revision, isFleetChecked: this._parts.listWorkers().length > 0 }
+  }
+
+  private async _makeStale (request: ApplyRequest, record: ConfigurationRecord | undefined): Promise<ApplyOutcome> {
+    const since = record?.history.filter(entry => entry.revision > request.expect) ?? []
+    const stale = { kind: 'stale' as const, currentRevision: record?.revision ?? 0, since }
+    const read = await this._parts.store.get(getHistoryKey(this._parts.prefix, request.expect))
+    if (read.kind !== 'ok' || read.value === undefined || record === undefined) return stale
+    return { ...stale, changes: compareDeclarations(decodeRecord(read.value).declarations, record.declarations) }
+  }
+
+  private _finish (record: ConfigurationRecord, revision: number): void {
+    if (record.revision === revision) this._parts.holder.offer(record)
+    this._parts.logger.info({ revision, by: record.acceptedBy }, 'revision accepted')
+    const outdated = getHistoryKey(this._parts.prefix, revision - MAX_HISTORY)
+    if (revision > MAX_HISTORY) void this._parts.store.remove(outdated, { kind: 'any' })
+  }
+}
+
+function makeBase (stored: StoredValue | undefined): Base {
+  if (stored === undefined) return { expect: { kind: 'absent' }, stored, record: undefined }
+  return { expect: { kind: 'revision', modRevision: stored.modRevision }, stored, record: decodeRecord(stored) }
+}
+
+function makeUnavailable (request: ApplyRequest, message: string): ApplyOutcome {
+  return request.isRepeat ? makeUnsettled(message) : { kind: 'storeUnavailable', message }
+}
+
+function makeUnsettled (message: string): ApplyOutcome {
+  return { kind: 'unsettled', message }
+}
--- /dev/null
+++ b/packages/daemon/src/operators/createOperatorServer.ts
@@ -0,0 +1,38 @@
+/**
+ * Puts the operators' port of an entry together.
+ */
+import type { EntrySettings } from '@dragonflylever/protocol'
+import type { Store } from '@dragonflylever/platform'
+import type { Blackboard, Logger } from '@dragonflylever/runtime'
+import { createPartLogger } from '@dragonflylever/runtime'
+
+import type { ConfigurationHolder } from '../shared/configurationHolder.js'
+import type { FleetFacts } from '../shared/fleetFacts.js'
+import { BoardStatusSource } from '../shared/statusSource.js'
+import { Acceptance } from './acceptance.js'
+import { listWorkers } from './fleetCheck.js'
+import { HistoryReader } from './historyReader.js'
+import { OperatorServer } from './operatorServer.js'
+
+/** What an entry gives to its operators' port. */
+export interface OperatorServerContext {
+  readonly settings: EntrySettings
+  readonly board: Blackboard<FleetFacts>
+  readonly store: Store
+  readonly holder: ConfigurationHolder
+  readonly logger: Logger
+}
+
+/** Creates the operators' server of an entry. */
+export function createOperatorServer (context: OperatorServerContext): OperatorServer {
+  const { settings, board, store, holder } = context
+  const { prefix } = settings.store
+  const logger = createPartLogger(context.logger, 'operators')
+  return new OperatorServer({
+    board,
+    acceptance: new Acceptance({ store, prefix, holder, logger, listWorkers: () => listWorkers(board.get('members')) }),
+    history: new HistoryReader(store, prefix),
+    status: new BoardStatusSource({ processId: settings.id, board, store }),
+    operatorsKey: settings.operatorsKey
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/operators/historyReader.ts
@@ -0,0 +1,42 @@
+/**
+ * Reads accepted revisions back from the store.
+ */
+import type { HistoryEntry } from '@dragonflylever/protocol'
+import type { Store, Unavailable } from '@dragonflylever/platform'
+
+import { getConfigurationKey } from '../shared/configurationWatcher.js'
+import { decodeRecord, getHistoryKey } from './configurationRecord.js'
+import type { ConfigurationRecord } from './configurationRecord.js'
+
+export type HistoryOutcome = { readonly kind: 'ok', readonly entries: readonly HistoryEntry[] } | Unavailable
+export type RevisionOutcome = { readonly kind: 'ok', readonly record: ConfigurationRecord | undefined } | Unavailable
+
+export class HistoryReader {
+  private readonly _store: Store
+  private readonly _prefix: string
+
+  constructor (store: Store, prefix: string) {
+    this._store = store
+    this._prefix = prefix
+  }
+
+  /** Lists the latest accepted revisions, newest first. */
+  async list (): Promise<HistoryOutcome> {
+    const current = await this._read(getConfigurationKey(this._prefix))
+    if (current.kind !== 'ok') return current
+    return { kind: 'ok', entries: current.record?.history ?? [] }
+  }
+
+  /** Returns one accepted revision; undefined when it isn't kept. */
+  async get (revision: number): Promise<RevisionOutcome> {
+    const current = await this._read(getConfigurationKey(this._prefix))
+    if (current.kind !== 'ok' || current.record?.revision === revision) return current
+    return this._read(getHistoryKey(this._prefix, revision))
+  }
+
+  private async _read (key: string): Promise<RevisionOutcome> {
+    const read = await this._store.get(key)
+    if (read.kind !== 'ok') return read
+    return { kind: 'ok', record: read.value === undefined ? undefined : decodeRecord(read.value) }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -0,0 +1,146 @@
+/**
+ * The operators' HTTP server of an entry: configuration, its history, and status. Apart from the callers' port.
+ */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+
+import { MAX_DOCUMENT_BYTES, OperatorPath, applyRequestSchema } from '@dragonflylever/protocol'
+import type { ApplyOutcome } from '@dragonflylever/protocol'
+import type { Blackboard } from '@dragonflylever/runtime'
+import { closeServer, isSameKey, openServer, sendJson } from '@dragonflylever/runtime'
+
+import type { FleetFacts } from '../shared/fleetFacts.js'
+import type { StatusSource } from '../shared/statusSource.js'
+import type { Acceptance } from './acceptance.js'
+import type { HistoryReader } from './historyReader.js'
+
+/** Room for the JSON escapes of the largest document. */
+const MAX_BODY_BYTES = 2 * MAX_DOCUMENT_BYTES
+const MAX_HEADER_BYTES = 8 * 1024
+const REQUEST_TIMEOUT_MS = 10_000
+const MAX_CONNECTIONS = 64
+
+const OUTCOME_STATUS: Readonly<Record<ApplyOutcome['kind'], number>> = { accepted: 200, stale: 409, refused: 422, storeUnavailable: 503, unsettled: 504 }
+
+/** What the server works with. */
+export interface OperatorServerParts {
+  readonly board: Blackboard<FleetFacts>
+  readonly acceptance: Acceptance
+  readonly history: HistoryReader
+  readonly status: StatusSource
+  /** Undefined refuses every call. */
+  readonly operatorsKey: string | undefined
+}
+
+export class OperatorServer {
+  private readonly _parts: OperatorServerParts
+  private readonly _server: Server
+
+  constructor (parts: OperatorServerParts) {
+    this._parts = parts
+    const options = { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: REQUEST_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS, connectionsCheckingInterval: 1_000 }
+    this._server = createServer(options, (request, response) => { void this._handle(request, response) })
+    this._server.maxConnections = MAX_CONNECTIONS
+  }
+
+  /** Starts listening; returns the address in use. */
+  open (address: string): Promise<string> {
+    return openServer(this._server, address)
+  }
+
+  close (): Promise<void> {
+    return closeServer(this._server)
+  }
+
+  private async _handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    request.on('error', () => {})
+    response.on('error', () => {})
+    try {
+      if (this._isRefused(request, response)) return
+      await this._route(request, response)
+    } catch {
+      response.destroy()
+    }
+  }
+
+  private _isRefused (request: IncomingMessage, response: ServerResponse): boolean {
+    const { operatorsKey } = this._parts
+    if (operatorsKey === undefined) {
+      sendError(response, 403, 'this entry has no operatorsKey in its settings; set one to use the operators\' port')
+      return true
+    }
+    const presented = /^Bearer (.+)$/.exec(request.headers.authorization ?? '')?.[1]
+    if (isSameKey(presented, operatorsKey)) return false
+    sendError(response, 401, 'the operators\' key is missing or wrong; send it as "authorization: Bearer KEY"')
+    return true
+  }
+
+  private async _route (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://operators')
+    const route = `${request.method} ${url.pathname}`
+    if (route === `GET ${OperatorPath.configuration}`) return this._sendConfiguration(response)
+    if (route === `POST ${OperatorPath.configuration}`) return this._apply(request, response)
+    if (route === `GET ${OperatorPath.history}`) return this._sendHistory(url.searchParams.get('revision'), response)
+    if (route === `GET ${OperatorPath.status}`) return sendJson(response, 200, this._parts.status.read())
+    sendError(response, 404, `no such path: ${request.method} ${url.pathname}`)
+  }
+
+  private _sendConfiguration (response: ServerResponse): void {
+    const configuration = this._parts.board.get('configuration')
+    if (configuration === undefined) return sendJson(response, 200, { revision: 0 })
+    const { revision, declarations, acceptedAt, acceptedBy } = configuration
+    sendJson(response, 200, { revision, declarations, acceptedAt, acceptedBy })
+  }
+
+  private async _sendHistory (revision: string | null, response: ServerResponse): Promise<void> {
+    if (revision !== null) return this._sendRevision(revision, response)
+    const outcome = await this._parts.history.list()
+    if (outcome.kind !== 'ok') return sendError(response, 503, `the store can't be read: ${outcome.message}`)
+    sendJson(response, 200, { entries: outcome.entries })
+  }
+
+  private async _sendRevision (text: string, response: ServerResponse): Promise<void> {
+    if (!/^\d{1,9}$/.test(text)) return sendError(response, 400, 'revision must be a whole number')
+    const outcome = await this._parts.history.get(Number(text))
+    if (outcome.kind !== 'ok') return sendError(response, 503, `the store can't be read: ${outcome.message}`)
+    if (outcome.record === undefined) return sendError(response, 404, `revision ${text} isn't kept; see the history for those that are`)
+    const { revision, declarations, acceptedAt, acceptedBy } = outcome.record
+    sendJson(response, 200, { revision, declarations, acceptedAt, acceptedBy })
+  }
+
+  private async _apply (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(request)
+    if (body === undefined) return sendError(response, 413, `the body is larger than ${MAX_BODY_BYTES} bytes`)
+    const checked = applyRequestSchema.safeParse(parseJson(body))
+    if (!checked.success) {
+      const issue = checked.error.issues[0]
+      return sendError(response, 400, `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'bad request'}`)
+    }
+    const outcome = await this._parts.acceptance.apply(checked.data)
+    sendJson(response, OUTCOME_STATUS[outcome.kind], outcome)
+  }
+}
+
+function sendError (response: ServerResponse, status: number, error: string): void {
+  response.setHeader('connection', 'close')
+  sendJson(response, status, { error })
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+async function readBody (request: IncomingMessage): Promise<string | undefined> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of request) {
+    size += (chunk as Buffer).length
+    if (size > MAX_BODY_BYTES) return undefined
+    chunks.push(chunk as Buffer)
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
--- a/packages/daemon/src/shared/configurationHolder.ts
+++ b/packages/daemon/src/shared/configurationHolder.ts
@@ -38,7 +38,8 @@
       this._logger.error({ revision: envelope.revision }, 'revision refused: its declarations do not match the schema')
       return false
     }
-    const configuration: Configuration = { ...envelope, declarations: checked.data }
+    const { revision, acceptedAt, nonce, acceptedBy } = envelope
+    const configuration: Configuration = { revision, declarations: checked.data, acceptedAt, nonce, acceptedBy }
     this._board.set('configuration', configuration)
     this._logger.info({ revision: envelope.revision }, 'revision in force')
     return true
--- a/packages/protocol/src/declarations.ts
+++ b/packages/protocol/src/declarations.ts
@@ -44,6 +44,18 @@
   organisations: z.record(name, organisationSchema)
 })
 
+/** The schema with what must hold between keys; a document is accepted only when it meets this one. */
+export const acceptableDeclarationsSchema = declarationsSchema.superRefine((declarations, context) => {
+  for (const [className, declared] of Object.entries(declarations.classes)) {
+    const startMs = declared.startWithin === undefined ? 0 : parseDuration(declared.startWithin) ?? 0
+    const finishMs = parseDuration(declared.finishWithin) ?? 0
+    if (finishMs === 0) context.addIssue({ code: 'custom', path: ['classes', className, 'finishWithin'], message: 'expected a duration above zero' })
+    if (startMs > finishMs) context.addIssue({ code: 'custom', path: ['classes', className, 'startWithin'], message: `expected at most finishWithin, ${declared.finishWithin}` })
+  }
+  if (Object.keys(declarations.classes).length === 0) context.addIssue({ code: 'custom', path: ['classes'], message: 'expected at least one class' })
+  if (Object.keys(declarations.organisations).length === 0) context.addIssue({ code: 'custom', path: ['organisations'], message: 'expected at least one organisation' })
+})
+
 export type Declarations = z.infer<typeof declarationsSchema>
 export type ClassDeclaration = z.infer<typeof classSchema>
 export type OrganisationDeclaration = z.infer<typeof organisationSchema>
--- a/packages/protocol/src/jsonDocument.ts
+++ b/packages/protocol/src/jsonDocument.ts
@@ -5,6 +5,8 @@
 import type { Node, ParseError } from 'jsonc-parser'
 import type { z } from 'zod'
 
+import { listKeysAt } from './schemaKeys.js'
+
 /** One fault of a document; line and column count from 1. */
 export interface Fault {
   readonly line: number
@@ -29,7 +31,14 @@
   if (duplicates.length > 0) return { kind: 'invalid', faults: duplicates }
   const result = schema.safeParse(getNodeValue(root))
   if (result.success) return { kind: 'valid', value: result.data }
-  return { kind: 'invalid', faults: result.error.issues.flatMap(issue => describeIssue(text, root, issue)) }
+  return { kind: 'invalid', faults: result.error.issues.flatMap(issue => describeIssue(text, root, schema, issue)) }
+}
+
+/** Makes a fault at a path of a document that could be parsed. */
+export function makeFaultAt (text: string, path: readonly PropertyKey[], found: string, expected: string): Fault {
+  const root = parseTree(text, [], { allowTrailingComma: true })
+  if (root === undefined) return { line: 1, column: 1, path: formatPath(path), found, expected }
+  return makeFault(text, root, path, found, expected)
 }
 
 /** Formats a fault as one line. */
@@ -50,9 +59,13 @@
   }))
 }
 
-function describeIssue (text: string, root: Node, issue: z.core.$ZodIssue): Fault[] {
+function describeIssue (text: string, root: Node, schema: z.core.$ZodType, issue: z.core.$ZodIssue): Fault[] {
   if (issue.code === 'unrecognized_keys') {
-    return issue.keys.map(key => makeFault(text, root, [...issue.path, key], 'an unknown key', 'only the keys of the reference'))
+    const expected = `one of ${listKeysAt(schema, issue.path).join(', ')}`
+    return issue.keys.map(key => makeFault(text, root, [...issue.path, key], 'an unknown key', expected))
+  }
+  if (issue.code === 'invalid_key') {
+    return [makeFault(text, root, issue.path, 'a bad name', formatExpected(issue.issues[0]?.message ?? issue.message))]
   }
   const node = findNode(root, issue.path)
   const found = node === undefined ? 'nothing' : formatFound(text.slice(node.offset, node.offset + node.length))
--- a/packages/protocol/src/members.ts
+++ b/packages/protocol/src/members.ts
@@ -22,6 +22,8 @@
   /** Control address, IP:PORT. */
   address: z.string(),
   state: z.enum(['alive', 'leaving']),
+  /** Configuration revision in force there. */
+  revision: z.number().int().optional(),
   agent: agentFactsSchema.optional()
 })
 
--- /dev/null
+++ b/packages/protocol/src/schemaKeys.ts
@@ -0,0 +1,29 @@
+/**
+ * Walks the schemas of documents: the keys that each object may hold.
+ */
+import { z } from 'zod'
+
+/** A key of a document, as a path in which `*` stands for any name or index. */
+export type SchemaPath = readonly string[]
+
+/** Lists the paths of all keys of a schema. */
+export function listSchemaPaths (schema: z.core.$ZodType): SchemaPath[] {
+  return listChildren(schema).flatMap(([key, child]) => [[key], ...listSchemaPaths(child).map(path => [key, ...path])])
+}
+
+/** Lists the keys that the object at a path may hold. */
+export function listKeysAt (schema: z.core.$ZodType, path: readonly PropertyKey[]): string[] {
+  const [first, ...rest] = path
+  if (first === undefined) return [...new Set(listChildren(schema).map(([key]) => key))]
+  const children = listChildren(schema).filter(([key]) => key === '*' || key === String(first))
+  return [...new Set(children.flatMap(([, child]) => listKeysAt(child, rest)))]
+}
+
+function listChildren (schema: z.core.$ZodType): Array<[string, z.core.$ZodType]> {
+  if (schema instanceof z.ZodObject) return Object.entries(schema.shape) as Array<[string, z.core.$ZodType]>
+  if (schema instanceof z.ZodRecord) return [['*', schema.valueType]]
+  if (schema instanceof z.ZodArray) return [['*', schema.element]]
+  if (schema instanceof z.ZodOptional || schema instanceof z.ZodDefault) return listChildren(schema.def.innerType)
+  if (schema instanceof z.ZodUnion) return schema.options.flatMap(option => listChildren(option))
+  return []
+}
--- a/packages/protocol/src/settings.ts
+++ b/packages/protocol/src/settings.ts
@@ -27,6 +27,8 @@
   role: z.literal('entry'),
   ...common,
   listen: z.strictObject({ callers: address, control: address, operators: address }),
+  /** Opens the operators' port to `authorization: Bearer KEY`; without it that port refuses every call. */
+  operatorsKey: z.string().min(16).max(256).optional(),
   /** Keys of organisations; when present a caller proves its organisation with `authorization: Bearer KEY`. */
   organisationKeys: z.record(z.string(), z.string().min(16)).optional()
 })
--- a/packages/standins/src/sampleFleet.ts
+++ b/packages/standins/src/sampleFleet.ts
@@ -4,6 +4,8 @@
 import type { AgentSettings, Declarations, EntrySettings } from '@dragonflylever/protocol'
 
 const CLUSTER_KEY = 'loopback-cluster-key'
+/** Operators' key of the sample fleets. */
+export const OPERATORS_KEY = 'loopback-operators-key'
 const ANY_PORT = '127.0.0.1:0'
 
 /** What varies between the processes of a sample fleet. */
@@ -21,7 +23,8 @@
   return {
     role: 'entry',
     ...createCommon(options),
-    listen: { callers: ANY_PORT, control: ANY_PORT, operators: ANY_PORT }
+    listen: { callers: ANY_PORT, control: ANY_PORT, operators: ANY_PORT },
+    operatorsKey: OPERATORS_KEY
   }
 }
 
@@ -59,7 +62,7 @@
   return JSON.stringify({ revision: 1, declarations, acceptedAt: 0, nonce: 'first', acceptedBy: 'sample' })
 }
 
-function createCommon (options: SampleProcess): Omit<EntrySettings, 'role' | 'listen' | 'organisationKeys'> {
+function createCommon (options: SampleProcess): Omit<EntrySettings, 'role' | 'listen' | 'organisationKeys' | 'operatorsKey'> {
   return {
     id: options.id,
     region: options.region ?? 'morava',
