--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -2,15 +2,33 @@
  * All commands. Each loads its code when it runs.
  */
 import type { Command } from './command.js'
+import { applyCommand } from './commands/apply.js'
+import { diffCommand } from './commands/diff.js'
+import { historyCommand } from './commands/history.js'
+import { standinsCommand } from './commands/standins.js'
+import { statusCommand } from './commands/status.js'
+import { validateCommand } from './commands/validate.js'
+import { createFlagCommand } from './flagCommand.js'
 
-const demoCommand: Command = {
+const demoCommand = createFlagCommand({
   name: 'demo',
   usage: 'demo',
   help: 'run the main job on stand-ins, within this process',
-  async run (_args, output) {
+  flags: {},
+  minArguments: 0,
+  maxArguments: 0,
+  async execute (_flags, output) {
     const { runDemo } = await import('./demo/runDemo.js')
     return runDemo(output.out)
   }
-}
+})
 
-export const COMMANDS: readonly Command[] = [demoCommand]
+export const COMMANDS: readonly Command[] = [
+  demoCommand,
+  validateCommand,
+  diffCommand,
+  applyCommand,
+  historyCommand,
+  statusCommand,
+  standinsCommand
+]
--- /dev/null
+++ b/packages/cli/src/commands/apply.ts
@@ -0,0 +1,85 @@
+/**
+ * `dragonflylever apply FILE --expect REVISION`: puts declarations in force.
+ */
+import { randomUUID } from 'node:crypto'
+import { userInfo } from 'node:os'
+
+import { acceptableDeclarationsSchema, formatChange, formatFault } from '@dragonflylever/protocol'
+import type { ApplyOutcome } from '@dragonflylever/protocol'
+
+import type { CommandOutput } from '../command.js'
+import { ExitCode, createFlagCommand, getText } from '../flagCommand.js'
+import { OPERATOR_FLAGS, readTarget } from '../operators/operatorFlags.js'
+import { readDocument } from '../readDocument.js'
+
+const REVISION_PATTERN = /^\d{1,9}$/
+
+const FLAGS = {
+  expect: { type: 'string', help: 'revision that the document follows; 0 when there is none yet' },
+  by: { type: 'string', help: 'who applies, for the history; the user name when absent' },
+  nonce: { type: 'string', help: 'settles an earlier attempt that ended without an answer' },
+  'allow-unknown-fleet': { type: 'boolean', help: 'accept without a check of guarantees while no worker is announced' },
+  ...OPERATOR_FLAGS
+} as const
+
+export const applyCommand = createFlagCommand({
+  name: 'apply',
+  usage: 'apply FILE --expect REVISION',
+  help: 'put declarations in force',
+  flags: FLAGS,
+  minArguments: 1,
+  maxArguments: 1,
+  async execute (flags, output) {
+    const [file = ''] = flags.positionals
+    const expect = getText(flags, 'expect') ?? ''
+    if (!REVISION_PATTERN.test(expect)) {
+      output.err(`apply: --expect: found ${expect === '' ? 'nothing' : expect}, expected the revision in force, a whole number; see "dragonflylever history"`)
+      return ExitCode.badInput
+    }
+    const document = readDocument(file, acceptableDeclarationsSchema, output)
+    const target = document === undefined ? undefined : readTarget(flags, output)
+    if (document === undefined || target === undefined) return ExitCode.badInput
+    const { OperatorClient } = await import('../operators/operatorClient.js')
+    const { applyDocument } = await import('../operators/applyDocument.js')
+    const client = new OperatorClient(target)
+    const given = getText(flags, 'nonce')
+    const nonce = given ?? randomUUID()
+    const result = await applyDocument(message => client.apply(message), {
+      document: document.text,
+      expect: Number(expect),
+      by: getText(flags, 'by') ?? userInfo().username,
+      nonce,
+      allowUnknownFleet: flags.values['allow-unknown-fleet'] === true,
+      isRepeat: given !== undefined
+    })
+    if (result.kind === 'ok') return printOutcome(file, nonce, result.value, output)
+    output.err(`apply: ${result.message}`)
+    output.err(result.isSent ? formatUnsettled(nonce) : 'the document was not accepted')
+    return ExitCode.failed
+  }
+})
+
+/** Prints an outcome; returns the exit code. */
+function printOutcome (file: string, nonce: string, outcome: ApplyOutcome, output: CommandOutput): number {
+  if (outcome.kind === 'accepted') {
+    output.out(`accepted as revision ${outcome.revision}${outcome.isFleetChecked ? '' : '; no worker was announced, so the guarantees were not checked'}`)
+    return ExitCode.ok
+  }
+  if (outcome.kind === 'refused') {
+    for (const fault of outcome.faults) output.err(formatFault(file, fault))
+    return ExitCode.badInput
+  }
+  if (outcome.kind === 'stale') printStale(outcome, output)
+  else output.err(outcome.kind === 'storeUnavailable' ? `not accepted: the store is unavailable (${outcome.message}); apply again later` : `${outcome.message}; ${formatUnsettled(nonce)}`)
+  return ExitCode.failed
+}
+
+function printStale (outcome: Extract<ApplyOutcome, { kind: 'stale' }>, output: CommandOutput): void {
+  output.err(`not accepted: revision ${outcome.currentRevision} is in force; merge what changed and apply with --expect ${outcome.currentRevision}`)
+  for (const entry of outcome.since) output.err(`revision ${entry.revision} by ${entry.acceptedBy} at ${new Date(entry.acceptedAt).toISOString()}`)
+  for (const change of outcome.changes ?? []) output.err(formatChange(change))
+}
+
+function formatUnsettled (nonce: string): string {
+  return `whether it was accepted is not known; run the same command with --nonce ${nonce} to find out`
+}
--- /dev/null
+++ b/packages/cli/src/commands/history.ts
@@ -0,0 +1,36 @@
+/**
+ * `dragonflylever history`: the accepted revisions, or one of them whole.
+ */
+import { ExitCode, createFlagCommand, getText } from '../flagCommand.js'
+import { OPERATOR_FLAGS, readTarget } from '../operators/operatorFlags.js'
+
+const FLAGS = {
+  revision: { type: 'string', help: 'print the declarations of this revision' },
+  json: { type: 'boolean', help: 'print JSON' },
+  ...OPERATOR_FLAGS
+} as const
+
+export const historyCommand = createFlagCommand({
+  name: 'history',
+  usage: 'history [--revision REVISION] [--json]',
+  help: 'list the accepted revisions, newest first',
+  flags: FLAGS,
+  minArguments: 0,
+  maxArguments: 0,
+  async execute (flags, output) {
+    const target = readTarget(flags, output)
+    if (target === undefined) return ExitCode.badInput
+    const { OperatorClient } = await import('../operators/operatorClient.js')
+    const client = new OperatorClient(target)
+    const revision = getText(flags, 'revision')
+    const result = revision === undefined ? await client.readHistory() : await client.readRevision(revision)
+    if (result.kind === 'failed') {
+      output.err(`history: ${result.message}`)
+      return ExitCode.failed
+    }
+    if (!('entries' in result.value)) output.out(JSON.stringify(result.value.declarations, null, 2))
+    else if (flags.values.json === true) output.out(JSON.stringify(result.value.entries, null, 2))
+    else for (const entry of result.value.entries) output.out(`${entry.revision}  ${new Date(entry.acceptedAt).toISOString()}  ${entry.acceptedBy}`)
+    return ExitCode.ok
+  }
+})
--- /dev/null
+++ b/packages/cli/src/commands/status.ts
@@ -0,0 +1,48 @@
+/**
+ * `dragonflylever status`: what an entry knows of the fleet, without the store.
+ */
+import type { FleetStatus } from '@dragonflylever/protocol'
+
+import { ExitCode, createFlagCommand } from '../flagCommand.js'
+import { OPERATOR_FLAGS, readTarget } from '../operators/operatorFlags.js'
+
+const FLAGS = { json: { type: 'boolean', help: 'print JSON' }, ...OPERATOR_FLAGS } as const
+
+export const statusCommand = createFlagCommand({
+  name: 'status',
+  usage: 'status [--json]',
+  help: 'show revision in force, members, duties and the store, as one entry sees them',
+  flags: FLAGS,
+  minArguments: 0,
+  maxArguments: 0,
+  async execute (flags, output) {
+    const target = readTarget(flags, output)
+    if (target === undefined) return ExitCode.badInput
+    const { OperatorClient } = await import('../operators/operatorClient.js')
+    const result = await new OperatorClient(target).readStatus()
+    if (result.kind === 'failed') {
+      output.err(`status: ${result.message}`)
+      return ExitCode.failed
+    }
+    if (flags.values.json === true) output.out(JSON.stringify(result.value, null, 2))
+    else for (const line of formatStatus(result.value)) output.out(line)
+    return ExitCode.ok
+  }
+})
+
+function formatStatus (status: FleetStatus): string[] {
+  const behind = status.processes.filter(process => process.isBehind).map(process => process.id)
+  const budget = status.store.budgetUsed === undefined ? '' : `, ${Math.round(status.store.budgetUsed * 100)}% of its call budget used`
+  const head = [
+    `as ${status.entry} sees it: revision ${status.revision}, ${status.processes.length} processes, store ${status.store.health}${budget}`,
+    behind.length === 0 ? 'no process is behind' : `behind: ${behind.join(', ')}`
+  ]
+  const duties = status.duties.map(duty => `duty ${duty.name}: ${duty.holder}, epoch ${duty.epoch}`)
+  const rows = status.processes.map(one => [one.id, one.role, one.state, one.region, one.failureDomain, one.address, `revision ${one.revision ?? 'unknown'}`, `heard ${one.silentMs} ms ago`])
+  return [...head, ...duties, ...formatRows(rows)]
+}
+
+function formatRows (rows: ReadonlyArray<readonly string[]>): string[] {
+  const widths = (rows[0] ?? []).map((_, column) => Math.max(...rows.map(row => row[column]?.length ?? 0)))
+  return rows.map(row => row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join('  ').trimEnd())
+}
--- /dev/null
+++ b/packages/cli/src/operators/operatorClient.ts
@@ -0,0 +1,83 @@
+/**
+ * Calls the operators' port of an entry.
+ */
+import { OperatorPath, applyOutcomeSchema, configurationAnswerSchema, fleetStatusSchema, historyAnswerSchema } from '@dragonflylever/protocol'
+import type { ApplyOutcome, ApplyRequest, ConfigurationAnswer, FleetStatus, HistoryEntry } from '@dragonflylever/protocol'
+import { request } from 'undici'
+
+import type { OperatorTarget } from './operatorFlags.js'
+
+/** Result of a call; `isSent` is false when nothing has reached the entry. */
+export type CallResult<T> =
+  | { readonly kind: 'ok', readonly value: T }
+  | { readonly kind: 'failed', readonly message: string, readonly isSent: boolean }
+
+interface AnswerSchema<T> {
+  safeParse (value: unknown): { success: true, data: T } | { success: false }
+}
+
+const TIMEOUT_MS = 15_000
+const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+const REFUSED_STATUSES = new Set([400, 401, 403, 404, 413])
+
+export class OperatorClient {
+  private readonly _target: OperatorTarget
+
+  constructor (target: OperatorTarget) {
+    this._target = target
+  }
+
+  readConfiguration (): Promise<CallResult<ConfigurationAnswer>> {
+    return this._call('GET', OperatorPath.configuration, configurationAnswerSchema)
+  }
+
+  /** Reads one accepted revision. */
+  readRevision (revision: string): Promise<CallResult<ConfigurationAnswer>> {
+    return this._call('GET', `${OperatorPath.history}?revision=${encodeURIComponent(revision)}`, configurationAnswerSchema)
+  }
+
+  readHistory (): Promise<CallResult<{ entries: HistoryEntry[] }>> {
+    return this._call('GET', OperatorPath.history, historyAnswerSchema)
+  }
+
+  readStatus (): Promise<CallResult<FleetStatus>> {
+    return this._call('GET', OperatorPath.status, fleetStatusSchema)
+  }
+
+  /** Sends a document once. */
+  apply (message: ApplyRequest): Promise<CallResult<ApplyOutcome>> {
+    return this._call('POST', OperatorPath.configuration, applyOutcomeSchema, message)
+  }
+
+  private async _call<T> (method: 'GET' | 'POST', path: string, schema: AnswerSchema<T>, body?: object): Promise<CallResult<T>> {
+    const { url, key } = this._target
+    try {
+      const response = await request(`${url}${path}`, {
+        method,
+        headers: { authorization: `Bearer ${key}`, 'content-type': 'application/json' },
+        body: body === undefined ? null : JSON.stringify(body),
+        signal: AbortSignal.timeout(TIMEOUT_MS)
+      })
+      return parseAnswer(response.statusCode, await response.body.text(), schema)
+    } catch (error) {
+      const { code, message } = error as { code?: string, message: string }
+      return { kind: 'failed', message: `${method} ${url}${path}: ${message}`, isSent: !NOT_SENT_CODES.has(code ?? '') }
+    }
+  }
+}
+
+function parseAnswer<T> (status: number, text: string, schema: AnswerSchema<T>): CallResult<T> {
+  const value = parseJson(text)
+  const checked = schema.safeParse(value)
+  if (checked.success) return { kind: 'ok', value: checked.data }
+  const message = (value as { error?: unknown } | undefined)?.error ?? 'the answer has an unknown form'
+  return { kind: 'failed', message: `${status}: ${String(message)}`, isSent: !REFUSED_STATUSES.has(status) }
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- a/packages/daemon/src/operators/acceptance.ts
+++ b/packages/daemon/src/operators/acceptance.ts
@@ -2,8 +2,6 @@
  * Accepts declarations: checks them, then puts them in force by one compare-and-swap in the store.
  * Accepted means durable. Of operators who race, exactly one is accepted; the others learn what changed.
  */
-import { setTimeout as delay } from 'node:timers/promises'
-
 import type { WorkerCapacity } from '@dragonflylever/core'
 import { MAX_CONFIGURATION_BYTES, MAX_HISTORY, acceptableDeclarationsSchema, compareDeclarations, makeFaultAt, parseDocument } from '@dragonflylever/protocol'
 import type { ApplyOutcome, ApplyRequest, Declarations, Fault } from '@dragonflylever/protocol'
@@ -101,7 +99,7 @@
       if (settled !== undefined) return settled
       if (put.kind === 'unavailable' && !mayHaveLanded) return { kind: 'storeUnavailable', message: put.message }
       mayHaveLanded = true
-      await delay(FIRST_WAIT_MS * 2 ** (attempt - 1))
+      await waitMs(FIRST_WAIT_MS * 2 ** (attempt - 1))
       const read = await this._parts.store.get(this._key)
       const found = read.kind === 'ok' && read.value !== undefined ? await this._settle(request, decodeRecord(read.value), mayHaveLanded) : undefined
       if (found !== undefined) return found
@@ -159,3 +157,7 @@
 function makeUnsettled (message: string): ApplyOutcome {
   return { kind: 'unsettled', message }
 }
+
+async function waitMs (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
