--- /dev/null
+++ b/packages/core/src/gangs/fleetModel.ts
@@ -0,0 +1,113 @@
+/**
+ * Capacity of a fleet in three dimensions, with its racks and failure domains. Workers are numbered by their index.
+ */
+import type { Resources, WorkerFacts } from './jobTypes.js'
+import { WorkerState } from './jobTypes.js'
+
+/** Numbers of the workers of one rack or failure domain. */
+export interface WorkerGroup {
+  readonly id: string
+  readonly workers: readonly number[]
+}
+
+/** A gang's need, without who asks for it. */
+export interface GangNeed {
+  readonly tasks: number
+  readonly shape: Resources
+}
+
+/** Amounts per worker; a task is held and released in all three dimensions at once. */
+export class CapacityTable {
+  readonly accelerators: Float64Array
+  readonly cores: Float64Array
+  readonly memoryGb: Float64Array
+
+  constructor (size: number) {
+    this.accelerators = new Float64Array(size)
+    this.cores = new Float64Array(size)
+    this.memoryGb = new Float64Array(size)
+  }
+
+  /** Adds amounts to a worker's row; a negative factor takes them off. */
+  add (worker: number, amounts: Resources, factor: number): void {
+    this.accelerators[worker] = (this.accelerators[worker] ?? 0) + amounts.accelerators * factor
+    this.cores[worker] = (this.cores[worker] ?? 0) + amounts.cores * factor
+    this.memoryGb[worker] = (this.memoryGb[worker] ?? 0) + amounts.memoryGb * factor
+  }
+
+  /** Returns how many tasks of a shape fit in a worker's row. */
+  countFits (worker: number, shape: Resources): number {
+    return Math.max(0, Math.min(
+      countIn(this.accelerators[worker] ?? 0, shape.accelerators),
+      countIn(this.cores[worker] ?? 0, shape.cores),
+      countIn(this.memoryGb[worker] ?? 0, shape.memoryGb)
+    ))
+  }
+}
+
+function countIn (amount: number, part: number): number {
+  return part <= 0 ? Infinity : Math.floor(amount / part)
+}
+
+export class FleetModel {
+  readonly workers: readonly WorkerFacts[]
+  readonly racks: readonly WorkerGroup[]
+  readonly failureDomains: readonly WorkerGroup[]
+  /** Number of a worker's rack, by the worker's number. */
+  readonly rackOf: Int32Array
+  /** Number of a worker's failure domain, by the worker's number. */
+  readonly failureDomainOf: Int32Array
+  /** What each ready worker has free; zero for the others. May fall below zero while a reclaim is under way. */
+  readonly free: CapacityTable
+  private readonly _indexes = new Map<string, number>()
+
+  constructor (workers: readonly WorkerFacts[]) {
+    this.workers = workers
+    this.free = new CapacityTable(workers.length)
+    this.rackOf = new Int32Array(workers.length)
+    this.failureDomainOf = new Int32Array(workers.length)
+    workers.forEach((worker, index) => {
+      this._indexes.set(worker.id, index)
+      if (worker.state === WorkerState.ready) this.free.add(index, worker, 1)
+    })
+    this.racks = collectGroups(workers, worker => `${worker.failureDomain}/${worker.rack}`, this.rackOf)
+    this.failureDomains = collectGroups(workers, worker => worker.failureDomain, this.failureDomainOf)
+  }
+
+  /** Returns the number of a worker; undefined when the fleet does not have it. */
+  getIndex (workerId: string): number | undefined {
+    return this._indexes.get(workerId)
+  }
+
+  /** Returns whether a worker may get tasks. */
+  isReady (worker: number): boolean {
+    return this.workers[worker]?.state === WorkerState.ready
+  }
+
+  /** Returns the numbers of the known workers of a placement. */
+  listIndexes (placement: readonly string[]): number[] {
+    return placement.map(id => this._indexes.get(id)).filter(index => index !== undefined)
+  }
+
+  /** Takes a gang's place from what is free. */
+  hold (places: readonly number[], shape: Resources): void {
+    for (const worker of places) this.free.add(worker, shape, -1)
+  }
+
+  /** Gives a gang's place back. */
+  release (places: readonly number[], shape: Resources): void {
+    for (const worker of places) this.free.add(worker, shape, 1)
+  }
+}
+
+function collectGroups (workers: readonly WorkerFacts[], getId: (worker: WorkerFacts) => string, groupOf: Int32Array): WorkerGroup[] {
+  const groups = new Map<string, { id: string, index: number, workers: number[] }>()
+  workers.forEach((worker, index) => {
+    const id = getId(worker)
+    const group = groups.get(id) ?? { id, index: groups.size, workers: [] }
+    groups.set(id, group)
+    group.workers.push(index)
+    groupOf[index] = group.index
+  })
+  return [...groups.values()]
+}
--- /dev/null
+++ b/packages/core/src/gangs/gangPlanner.ts
@@ -0,0 +1,47 @@
+/**
+ * Decides which gangs start, where, and who makes room. Guaranteed shapes go first, then finish targets;
+ * a large gang that does not fit gets a reservation, which later jobs must not delay.
+ */
+import type { BlameLedger } from './blameLedger.js'
+import type { PlanAction, Planner, PlanSnapshot } from './jobTypes.js'
+import { PlanRound } from './planRound.js'
+import type { Reservation } from './reservationBook.js'
+import type { RunTimeEstimator } from './runTimeEstimator.js'
+
+/** Parts and bounds of the planner. */
+export interface GangPlannerOptions {
+  readonly runTimes: RunTimeEstimator
+  readonly blame: BlameLedger
+  /** Share of the fleet's accelerators that reservations may drain at once; one reservation is always allowed. */
+  readonly maxReservedShare?: number
+  /** Accelerators from which on a gang gets a reservation. */
+  readonly minReservedAccelerators?: number
+  /** Most waiting jobs that one pass looks at. */
+  readonly maxLooks?: number
+}
+
+const MAX_RESERVED_SHARE = 0.3
+const MIN_RESERVED_ACCELERATORS = 4
+const MAX_LOOKS = 256
+export class GangPlanner implements Planner {
+  private readonly _options: Required<GangPlannerOptions>
+  private readonly _reservations = new Map<string, Reservation>()
+
+  constructor (options: GangPlannerOptions) {
+    this._options = {
+      maxReservedShare: MAX_RESERVED_SHARE,
+      minReservedAccelerators: MIN_RESERVED_ACCELERATORS,
+      maxLooks: MAX_LOOKS,
+      ...options
+    }
+  }
+
+  /** Reservations in force after the last pass. */
+  listReservations (): Reservation[] {
+    return [...this._reservations.values()]
+  }
+
+  schedule (snapshot: PlanSnapshot, now: number): PlanAction[] {
+    return new PlanRound(snapshot, now, this._options, this._reservations).run()
+  }
+}
--- /dev/null
+++ b/packages/core/src/gangs/guaranteeLedger.ts
@@ -0,0 +1,128 @@
+/**
+ * Which guaranteed shapes are in use, and whether all the others could still be freed.
+ * A cell is one accelerator with its share of its worker's cores and memory.
+ */
+import { CapacityTable } from './fleetModel.js'
+import type { FleetModel } from './fleetModel.js'
+import { GangAdjacency } from './jobTypes.js'
+import type { Guarantee, Resources } from './jobTypes.js'
+import { CellPacker } from './cellPacker.js'
+
+/** One guaranteed shape and the part of it that its organisation uses. */
+export interface ShapeInstance {
+  readonly key: string
+  readonly guarantee: Guarantee
+  /** Cells in use, by worker number. */
+  readonly used: Map<number, number>
+}
+
+/** Returns the cells that a task takes on a worker: its largest share over the dimensions. */
+export function computeCells (worker: Resources, shape: Resources): number {
+  const perCore = worker.cores / worker.accelerators
+  const perMemory = worker.memoryGb / worker.accelerators
+  return Math.max(shape.accelerators, Math.ceil(shape.cores / perCore), Math.ceil(shape.memoryGb / perMemory))
+}
+
+/** Returns an amount of cells in the dimensions of a worker. */
+export function convertCells (worker: Resources, cells: number): Resources {
+  const share = cells / worker.accelerators
+  return { accelerators: cells, cores: worker.cores * share, memoryGb: worker.memoryGb * share }
+}
+
+export class GuaranteeLedger {
+  /** What no reclaim can free, per worker. */
+  readonly firm: CapacityTable
+  private readonly _fleet: FleetModel
+  private readonly _instances = new Map<string, ShapeInstance>()
+  private readonly _byOrganisation = new Map<string, ShapeInstance[]>()
+
+  constructor (fleet: FleetModel, guarantees: readonly Guarantee[]) {
+    this._fleet = fleet
+    this.firm = new CapacityTable(fleet.workers.length)
+    guarantees.forEach((guarantee, index) => {
+      for (let copy = 0; copy < guarantee.count; copy++) this._addInstance(`${guarantee.organisation}/${index}/${copy}`, guarantee)
+    })
+  }
+
+  get instances (): Iterable<ShapeInstance> {
+    return this._instances.values()
+  }
+
+  /** Returns the shapes of an organisation, smallest first. */
+  listInstances (organisation: string): readonly ShapeInstance[] {
+    return this._byOrganisation.get(organisation) ?? []
+  }
+
+  /** Returns whether every key names a shape that still is guaranteed. */
+  hasInstances (keys: readonly string[]): boolean {
+    return keys.length > 0 && keys.every(key => this._instances.has(key))
+  }
+
+  /** Marks a gang's place as one that can't be reclaimed; a negative factor undoes it. */
+  addFirm (places: readonly number[], shape: Resources, factor = 1): void {
+    for (const worker of places) this.firm.add(worker, shape, factor)
+  }
+
+  /** Charges a gang to guaranteed shapes, one key for all tasks or one a task; a negative factor undoes it. */
+  addCovered (places: readonly number[], shape: Resources, keys: readonly string[], factor = 1): void {
+    places.forEach((worker, task) => {
+      const facts = this._fleet.workers[worker]
+      const instance = this._instances.get(keys.length === 1 ? keys[0] ?? '' : keys[task] ?? '')
+      if (facts === undefined || instance === undefined) return
+      const cells = computeCells(facts, shape)
+      this.firm.add(worker, convertCells(facts, cells), factor)
+      const used = (instance.used.get(worker) ?? 0) + cells * factor
+      if (used > 0) instance.used.set(worker, used)
+      else instance.used.delete(worker)
+    })
+  }
+
+  /** Returns the amounts per worker that are free or could be freed. */
+  computeFreeable (): CapacityTable {
+    const table = new CapacityTable(this._fleet.workers.length)
+    this._fleet.workers.forEach((facts, worker) => {
+      if (!this._fleet.isReady(worker)) return
+      table.add(worker, facts, 1)
+      table.accelerators[worker] = (table.accelerators[worker] ?? 0) - (this.firm.accelerators[worker] ?? 0)
+      table.cores[worker] = (table.cores[worker] ?? 0) - (this.firm.cores[worker] ?? 0)
+      table.memoryGb[worker] = (table.memoryGb[worker] ?? 0) - (this.firm.memoryGb[worker] ?? 0)
+    })
+    return table
+  }
+
+  /** Returns the guaranteed cells that could not be freed now; zero when each guaranteed shape can be had back. */
+  computeShortfall (): number {
+    const packer = new CellPacker(this._fleet, this.computeFreeable())
+    const open: ShapeInstance[] = []
+    let shortfall = 0
+    for (const instance of this._instances.values()) {
+      if (instance.used.size > 0) shortfall += packer.takeBound(instance)
+      else open.push(instance)
+    }
+    open.sort(compareInstances)
+    for (const instance of open) shortfall += packer.takeAnywhere(instance.guarantee)
+    return shortfall
+  }
+
+  private _addInstance (key: string, guarantee: Guarantee): void {
+    const instance: ShapeInstance = { key, guarantee, used: new Map() }
+    this._instances.set(key, instance)
+    const known = this._byOrganisation.get(guarantee.organisation)
+    if (known === undefined) this._byOrganisation.set(guarantee.organisation, [instance])
+    else known.push(instance)
+  }
+}
+
+/** Shapes of a whole failure domain go last, since any whole workers there do; the larger of the others first. */
+function compareInstances (a: ShapeInstance, b: ShapeInstance): number {
+  const isWideA = Number(a.guarantee.adjacency === GangAdjacency.failureDomain)
+  const isWideB = Number(b.guarantee.adjacency === GangAdjacency.failureDomain)
+  return isWideA - isWideB || b.guarantee.accelerators - a.guarantee.accelerators
+}
+
+/** Returns the cells of a shape that are in use. */
+export function countUsedCells (instance: ShapeInstance): number {
+  let used = 0
+  for (const cells of instance.used.values()) used += cells
+  return used
+}
--- a/packages/core/src/gangs/jobTypes.ts
+++ b/packages/core/src/gangs/jobTypes.ts
@@ -104,6 +104,8 @@
   readonly checkpointMs: number
   /** True from the moment that a checkpoint or stop was ordered. */
   readonly isLeaving: boolean
+  /** Keys of the guaranteed shapes that the job uses, one for the gang or one a task; empty for a job that borrows. */
+  readonly coveredBy: readonly string[]
 }
 
 /** How capacity is taken back; each loses more work than the one before. */
@@ -112,7 +114,7 @@
 
 /** What a planner decides. The gang state machine carries it out. */
 export type PlanAction =
-  | { readonly kind: 'start', readonly jobId: string, readonly placement: Placement }
+  | { readonly kind: 'start', readonly jobId: string, readonly placement: Placement, readonly coveredBy: readonly string[] }
   | { readonly kind: 'reserve', readonly jobId: string, readonly workers: readonly string[], readonly expectedStartAt: number }
   | { readonly kind: 'reclaim', readonly jobId: string, readonly how: ReclaimMethod, readonly forJob: string }
   | { readonly kind: 'fail', readonly jobId: string, readonly reason: JobFailure, readonly message: string }
@@ -128,5 +130,5 @@
 
 /** Decides on placement, reclaim and failure of jobs; pure, so that any holder of the planner's duty decides alike. */
 export interface Planner {
-  plan (snapshot: PlanSnapshot, now: number): PlanAction[]
+  schedule (snapshot: PlanSnapshot, now: number): PlanAction[]
 }
--- /dev/null
+++ b/packages/core/src/gangs/reservationBook.ts
@@ -0,0 +1,75 @@
+/**
+ * Reservations of large gangs: workers that drain until the gang fits, and may be used meanwhile only by what ends before.
+ */
+import { CapacityTable } from './fleetModel.js'
+import type { FleetModel, WorkerGroup } from './fleetModel.js'
+import { GangAdjacency } from './jobTypes.js'
+import type { JobSpec, RunningJob } from './jobTypes.js'
+import { findPlacementIn, listGroups } from './placementSearch.js'
+
+/** A draining place. */
+export interface Reservation {
+  readonly jobId: string
+  readonly workers: readonly string[]
+  readonly expectedStartAt: number
+}
+
+/** A running gang with the time that it is expected to end. */
+export interface ExpectedEnd {
+  readonly job: RunningJob
+  readonly places: readonly number[]
+  readonly endAt: number
+}
+
+/** Returns the place that is expected to be free first, with that time; undefined when none will be. */
+export function findEarliest (fleet: FleetModel, spec: JobSpec, ends: readonly ExpectedEnd[], isAllowed: (worker: number) => boolean, now: number): { places: number[], startAt: number } | undefined {
+  let best: { places: number[], startAt: number } | undefined
+  for (const group of listSearchGroups(fleet, spec)) {
+    const found = findEarliestInGroup(fleet, spec, group, ends, isAllowed, now)
+    if (found !== undefined && (best === undefined || found.startAt < best.startAt)) best = found
+  }
+  return best
+}
+
+/** Gangs on one worker look at whole racks at once, to look at fewer groups. */
+function listSearchGroups (fleet: FleetModel, spec: JobSpec): readonly WorkerGroup[] {
+  return listGroups(fleet, spec.adjacency === GangAdjacency.worker ? GangAdjacency.rack : spec.adjacency)
+}
+
+function findEarliestInGroup (fleet: FleetModel, spec: JobSpec, group: WorkerGroup, ends: readonly ExpectedEnd[], isAllowed: (worker: number) => boolean, now: number): { places: number[], startAt: number } | undefined {
+  const members = new Set(group.workers.filter(isAllowed))
+  const capacity = readRows(fleet, group)
+  let fits = 0
+  for (const worker of members) fits += capacity.countFits(worker, spec.shape)
+  let startAt = now
+  const tryPlace = (): number[] | undefined => fits < spec.tasks
+    ? undefined
+    : findPlacementIn(fleet, group, { ...spec, capacity, isAllowed: worker => members.has(worker) })
+  let places = tryPlace()
+  if (places !== undefined) return { places, startAt }
+  for (const end of ends) {
+    let isChanged = false
+    for (const worker of end.places) {
+      if (!members.has(worker)) continue
+      const before = capacity.countFits(worker, spec.shape)
+      capacity.add(worker, end.job.spec.shape, 1)
+      fits += capacity.countFits(worker, spec.shape) - before
+      isChanged = true
+    }
+    if (!isChanged) continue
+    startAt = Math.max(now, end.endAt)
+    places = tryPlace()
+    if (places !== undefined) return { places, startAt }
+  }
+  return undefined
+}
+
+function readRows (fleet: FleetModel, group: WorkerGroup): CapacityTable {
+  const copy = new CapacityTable(fleet.workers.length)
+  for (const worker of group.workers) {
+    copy.accelerators[worker] = fleet.free.accelerators[worker] ?? 0
+    copy.cores[worker] = fleet.free.cores[worker] ?? 0
+    copy.memoryGb[worker] = fleet.free.memoryGb[worker] ?? 0
+  }
+  return copy
+}
--- /dev/null
+++ b/packages/core/src/gangs/victimChoice.ts
@@ -0,0 +1,24 @@
+/**
+ * What a reclaim would cost: the work that each running gang would lose, and the cheapest way to take its place back.
+ */
+import { ReclaimMethod } from './jobTypes.js'
+import type { RunningJob } from './jobTypes.js'
+
+/** A running gang that may be reclaimed, with worker numbers in place of names. */
+export interface Victim {
+  readonly job: RunningJob
+  readonly places: readonly number[]
+  /** Accelerator milliseconds lost. */
+  readonly lossMs: number
+  readonly how: ReclaimMethod
+}
+
+/** Returns how a gang would be reclaimed within a time, and what is lost; undefined when it can't be. */
+export function chooseMethod (job: RunningJob, places: readonly number[], withinMs: number, now: number): Victim {
+  const size = job.spec.tasks * Math.max(1, job.spec.shape.accelerators)
+  if (job.isLeaving) return { job, places, lossMs: 0, how: ReclaimMethod.checkpoint }
+  if (job.spec.isCheckpointable && job.checkpointMs <= withinMs) {
+    return { job, places, lossMs: size * job.checkpointMs, how: ReclaimMethod.checkpoint }
+  }
+  return { job, places, lossMs: size * (now - job.savedAt), how: ReclaimMethod.stop }
+}
