Add a fair queue with guarantees, targets and admission by predicted finish

A first-come queue lets a flood of one class take every slot. FairQueue serves organisations below their guarantee first, then classes below their equal share, then whoever has used least slot time (start-time fair queueing over class, organisation, caller). Requests that can't start or finish in time are refused early; a full queue drops from the caller with the most waiting; slots are held back for classes with a start target only when the running work won't free enough of them in time.

Tried and dropped: predicting with evenly freed slots only. Nine requests on eight slots with a deadline of 150 ms were all admitted and one missed; deadlines are now checked with whole rounds of runs.

--- /dev/null
+++ b/packages/core/src/fairness/offender.ts
@@ -0,0 +1,35 @@
+/**
+ * Who gives up a request when the queue is full: the class, organisation and caller with the most waiting.
+ */
+import type { CallerQueue, ClassNode, QueueItem, RequestGroup } from './queueNodes.js'
+import type { QueueTree } from './queueTree.js'
+
+/** Finds the request to drop. Among equals the request that came last goes. */
+export function findLargestOffender (tree: QueueTree, added: QueueItem): QueueItem {
+  const own = added.callerQueue
+  const classNode = findLargest<ClassNode>(tree.classes.values(), countWaitingOfNode, own.group.classNode)
+  const group = findLargest<RequestGroup>(classNode.level.active, countWaitingOfNode, classNode === own.group.classNode ? own.group : undefined)
+  const callerQueue = findLargest<CallerQueue>(group.level.active, countWaitingOfCaller, group === own.group ? own : undefined)
+  if (callerQueue === own) return added
+  const victim = callerQueue.items.last
+  if (victim === undefined) throw new Error('invariant: the largest caller has a waiting request')
+  return victim
+}
+
+/** Returns the member with the highest count; `preferred` wins a tie. */
+function findLargest<T> (members: Iterable<T>, count: (member: T) => number, preferred: T | undefined): T {
+  let best = preferred
+  for (const member of members) {
+    if (best === undefined || count(member) > count(best)) best = member
+  }
+  if (best === undefined) throw new Error('invariant: a full queue has members')
+  return best
+}
+
+function countWaitingOfNode (node: { readonly waiting: number }): number {
+  return node.waiting
+}
+
+function countWaitingOfCaller (queue: CallerQueue): number {
+  return queue.items.size
+}
--- /dev/null
+++ b/packages/core/src/fairness/queueTree.ts
@@ -0,0 +1,138 @@
+/**
+ * The hierarchy of classes, organisations and callers with its bookkeeping. It knows no policy of its own:
+ * it counts, charges slot time, and keeps every dimension bounded by the declarations.
+ */
+import type { QueuedRequest } from '../requestQueue.js'
+import { findCallerQueue } from './callerQueues.js'
+import { createClassNode, createGroup, createOrganisationNode } from './queueNodes.js'
+import type { CallerQueue, ClassNode, OrganisationNode, QueueItem, RequestGroup } from './queueNodes.js'
+import type { ClassTargets, RequestPolicy } from './requestPolicy.js'
+import { ShareLevel } from './shareLevel.js'
+
+/** Name under which requests of undeclared classes or organisations are held together. */
+export const UNDECLARED = ''
+const UNDECLARED_TARGETS: ClassTargets = { startWithinMs: undefined, finishWithinMs: 60_000 }
+const RATE_FADE_MS = 5_000
+
+export class QueueTree {
+  private readonly _classes = new Map<string, ClassNode>()
+  private readonly _organisations = new Map<string, OrganisationNode>()
+  /** The level of the classes. */
+  readonly level = new ShareLevel<ClassNode>()
+  waiting = 0
+  running = 0
+
+  /** Classes, undeclared ones as one. */
+  get classes (): ReadonlyMap<string, ClassNode> {
+    return this._classes
+  }
+
+  /** Organisations, undeclared ones as one. */
+  get organisations (): ReadonlyMap<string, OrganisationNode> {
+    return this._organisations
+  }
+
+  /** Takes declarations over; what waits or runs stays. `share` is the part of each guarantee applied here. */
+  update (policy: RequestPolicy, share: number): void {
+    this._dropUnused(policy)
+    for (const [name, targets] of [...policy.classes, [UNDECLARED, UNDECLARED_TARGETS] as const]) this._updateClass(name, targets)
+    for (const [name, slots] of [...policy.guarantees, [UNDECLARED, 0] as const]) {
+      const node = this._organisations.get(name) ?? createOrganisationNode(name)
+      node.guaranteedSlots = slots * share
+      this._organisations.set(name, node)
+    }
+  }
+
+  /** Finds or creates the group of a request. */
+  findGroup (className: string, organisation: string): RequestGroup {
+    const classNode = this._classes.get(className) ?? this._classes.get(UNDECLARED)
+    const organisationNode = this._organisations.get(organisation) ?? this._organisations.get(UNDECLARED)
+    if (classNode === undefined || organisationNode === undefined) throw new Error('invariant: a policy is set before requests come')
+    const known = organisationNode.groups.get(classNode.name)
+    if (known !== undefined) return known
+    const created = createGroup(classNode, organisationNode)
+    organisationNode.groups.set(classNode.name, created)
+    return created
+  }
+
+  /** Notes an arrival, admitted or not. */
+  noteArrival (classNode: ClassNode, now: number): void {
+    const fade = Math.exp(-Math.max(0, now - classNode.arrivedAt) / RATE_FADE_MS)
+    classNode.arrivalRate = classNode.arrivalRate * fade + 1 / RATE_FADE_MS
+    classNode.arrivedAt = now
+  }
+
+  /** Adds a waiting request. */
+  add (request: QueuedRequest, group: RequestGroup): QueueItem {
+    const callerQueue = findCallerQueue(group, request.caller)
+    const dueAt = Math.min(request.deadlineAt, request.arrivedAt + group.classNode.targets.finishWithinMs)
+    const item: QueueItem = { request, dueAt, callerQueue }
+    callerQueue.items.add(item)
+    this._countWaiting(group, 1)
+    group.level.enter(callerQueue)
+    group.classNode.level.enter(group)
+    this.level.enter(group.classNode)
+    return item
+  }
+
+  /** Removes a waiting request. */
+  remove (item: QueueItem): void {
+    const { callerQueue } = item
+    const { group } = callerQueue
+    if (!callerQueue.items.remove(item)) throw new Error('invariant: a waiting request is in the queue of its caller')
+    this._countWaiting(group, -1)
+    if (callerQueue.items.size === 0) group.level.leave(callerQueue)
+    if (group.waiting === 0) group.classNode.level.leave(group)
+    if (group.classNode.waiting === 0) this.level.leave(group.classNode)
+  }
+
+  /** Counts a request as running and charges the slot time it is expected to use. */
+  start (callerQueue: CallerQueue, costMs: number): void {
+    const { group } = callerQueue
+    group.level.start(callerQueue, costMs)
+    group.classNode.level.start(group, costMs)
+    this.level.start(group.classNode, costMs)
+    this._countRunning(callerQueue, 1)
+  }
+
+  /** Ends a running request and corrects what was charged for it. */
+  finish (callerQueue: CallerQueue, correctionMs: number): void {
+    callerQueue.virtualMs += correctionMs
+    callerQueue.group.virtualMs += correctionMs
+    callerQueue.group.classNode.virtualMs += correctionMs
+    this._countRunning(callerQueue, -1)
+  }
+
+  private _countWaiting (group: RequestGroup, change: number): void {
+    group.waiting += change
+    group.classNode.waiting += change
+    group.organisationNode.waiting += change
+    this.waiting += change
+  }
+
+  private _countRunning (callerQueue: CallerQueue, change: number): void {
+    const { group } = callerQueue
+    callerQueue.running += change
+    group.running += change
+    group.classNode.running += change
+    group.organisationNode.running += change
+    this.running += change
+  }
+
+  private _updateClass (name: string, targets: ClassTargets): void {
+    const known = this._classes.get(name)
+    if (known === undefined) this._classes.set(name, createClassNode(name, targets))
+    else known.targets = targets
+  }
+
+  private _dropUnused (policy: RequestPolicy): void {
+    for (const node of this._classes.values()) {
+      if (policy.classes.has(node.name) || node.waiting + node.running > 0) continue
+      this._classes.delete(node.name)
+      for (const organisation of this._organisations.values()) organisation.groups.delete(node.name)
+    }
+    for (const node of this._organisations.values()) {
+      if (!policy.guarantees.has(node.name) && node.waiting + node.running === 0) this._organisations.delete(node.name)
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/fairness/shareEstimate.ts
@@ -0,0 +1,40 @@
+/**
+ * Slots that a group gets while everyone who waits now goes on waiting: max-min over classes, then over
+ * the organisations of the class, never below the organisation's guarantee.
+ */
+import type { ClassNode, RequestGroup } from './queueNodes.js'
+import type { QueueTree } from './queueTree.js'
+
+const MIN_SHARE_SLOTS = 0.01
+
+/** Returns the slots of a class. */
+export function estimateClassShare (tree: QueueTree, node: ClassNode, slots: number): number {
+  let backlogged = 1
+  let usedByOthers = 0
+  for (const other of tree.classes.values()) {
+    if (other === node) continue
+    if (other.waiting > 0) backlogged++
+    else usedByOthers += other.running
+  }
+  return Math.max(slots / (tree.classes.size - 1 || 1), (slots - usedByOthers) / backlogged)
+}
+
+/** Returns the slots of a group. */
+export function estimateGroupShare (tree: QueueTree, group: RequestGroup, slots: number): number {
+  const { classNode, organisationNode } = group
+  const classShare = estimateClassShare(tree, classNode, slots)
+  const isActive = classNode.level.active.has(group)
+  const backlogged = classNode.level.active.size + (isActive ? 0 : 1)
+  let usedByBacklogged = 0
+  for (const other of classNode.level.active) usedByBacklogged += other.running
+  const usedByOthers = Math.max(0, classNode.running - usedByBacklogged - (isActive ? 0 : group.running))
+  const fairShare = (classShare - usedByOthers) / backlogged
+  return Math.max(MIN_SHARE_SLOTS, fairShare, estimateGuarantee(organisationNode.guaranteedSlots, group))
+}
+
+/** Returns the part of an organisation's guarantee that one of its groups gets. */
+function estimateGuarantee (guaranteedSlots: number, group: RequestGroup): number {
+  let contenders = 1
+  for (const other of group.organisationNode.groups.values()) if (other !== group && other.waiting > 0) contenders++
+  return guaranteedSlots / contenders
+}
