--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -3,10 +3,14 @@
  */
 import type { Command } from './command.js'
 import { applyCommand } from './commands/apply.js'
+import { cancelCommand } from './commands/cancel.js'
 import { diffCommand } from './commands/diff.js'
+import { explainJobCommand } from './commands/explainJob.js'
 import { historyCommand } from './commands/history.js'
+import { jobsCommand } from './commands/jobs.js'
 import { standinsCommand } from './commands/standins.js'
 import { statusCommand } from './commands/status.js'
+import { submitCommand } from './commands/submit.js'
 import { validateCommand } from './commands/validate.js'
 import { createFlagCommand } from './flagCommand.js'
 
@@ -30,5 +34,9 @@
   applyCommand,
   historyCommand,
   statusCommand,
+  submitCommand,
+  jobsCommand,
+  explainJobCommand,
+  cancelCommand,
   standinsCommand
 ]
--- /dev/null
+++ b/packages/cli/src/commands/cancel.ts
@@ -0,0 +1,21 @@
+/**
+ * `dragonflylever cancel JOB`: asks for the cancellation of a job.
+ */
+import { ExitCode, createFlagCommand, getText } from '../flagCommand.js'
+import { JOB_FLAGS, createJobClient } from '../jobs/jobFlags.js'
+import { formatJob, printCall } from '../jobs/printJob.js'
+
+export const cancelCommand = createFlagCommand({
+  name: 'cancel',
+  usage: 'cancel JOB --url URL --organisation NAME',
+  help: 'cancel a job; asking again changes nothing',
+  flags: JOB_FLAGS,
+  minArguments: 1,
+  maxArguments: 1,
+  async execute (flags, output) {
+    const client = createJobClient(flags, getText(flags, 'organisation'), output)
+    if (client === undefined) return ExitCode.badInput
+    const [jobId = ''] = flags.positionals
+    return printCall('cancel', await client.cancel(jobId), flags, output, formatJob)
+  }
+})
--- /dev/null
+++ b/packages/cli/src/jobs/jobFlags.ts
@@ -0,0 +1,35 @@
+/**
+ * Flags of the commands that call an entry's port for callers.
+ */
+import type { ParsedFlags } from '@dragonflylever/runtime/flags'
+
+import type { CommandOutput } from '../command.js'
+import { getText } from '../flagCommand.js'
+import { readText } from '../readDocument.js'
+import { JobClient } from './jobClient.js'
+
+export const JOB_FLAGS = {
+  url: { type: 'string', help: "callers' port of an entry, http://IP:PORT" },
+  organisation: { type: 'string', help: 'organisation to act for' },
+  'key-file': { type: 'string', help: "file that holds the organisation's key, where the deployment gives keys" },
+  json: { type: 'boolean', help: 'print JSON' }
+} as const
+
+const URL_PATTERN = /^http:\/\/[^/]+$/
+
+/** Creates the client that the flags name; undefined, and a line of error, when they don't tell. */
+export function createJobClient (flags: ParsedFlags, organisation: string | undefined, output: CommandOutput): JobClient | undefined {
+  const url = getText(flags, 'url')?.replace(/\/$/, '')
+  if (url === undefined || !URL_PATTERN.test(url)) {
+    output.err(`--url: found ${url ?? 'nothing'}, expected the callers' port of an entry, http://IP:PORT`)
+    return undefined
+  }
+  if (organisation === undefined) {
+    output.err('--organisation NAME is missing')
+    return undefined
+  }
+  const keyFile = getText(flags, 'key-file')
+  const key = keyFile === undefined ? undefined : readText(keyFile, output)?.trim()
+  if (keyFile !== undefined && key === undefined) return undefined
+  return new JobClient({ url, organisation, key })
+}
--- /dev/null
+++ b/packages/cli/src/jobs/printJob.ts
@@ -0,0 +1,26 @@
+/**
+ * Prints answers about jobs.
+ */
+import type { JobView } from '@dragonflylever/protocol'
+import type { ParsedFlags } from '@dragonflylever/runtime/flags'
+
+import type { CommandOutput } from '../command.js'
+import { ExitCode } from '../flagCommand.js'
+import type { JobCall } from './jobClient.js'
+
+/** Prints a call's answer; returns the exit code. */
+export function printCall<T> (name: string, call: JobCall<T>, flags: ParsedFlags, output: CommandOutput, format: (value: T) => string): number {
+  if (call.kind === 'ok') {
+    output.out(flags.values.json === true ? JSON.stringify(call.value, null, 2) : format(call.value))
+    return ExitCode.ok
+  }
+  output.err(`${name}: ${call.message}`)
+  return call.kind === 'refused' ? ExitCode.badInput : ExitCode.failed
+}
+
+/** Formats a job as one line. */
+export function formatJob (job: JobView): string {
+  const place = job.workers.length === 0 ? '' : `  on ${job.workers.join(', ')}`
+  const message = job.message === '' ? '' : `  (${job.message})`
+  return `${job.id}  ${job.state}  ${job.class}  ${job.tasks} tasks  key ${job.key}${place}${message}`
+}
--- /dev/null
+++ b/packages/daemon/src/jobs/jobApi.ts
@@ -0,0 +1,140 @@
+/**
+ * The calls for jobs at an entry's port for callers: submit, list, show, explain, cancel.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+
+import type { JobSpec } from '@dragonflylever/core'
+import { CallerHeader, JOBS_PATH, MAX_JOB_BYTES, jobRequestSchema, parseDocument, parseDuration } from '@dragonflylever/protocol'
+import type { Configuration, JobExplanation, JobRequest } from '@dragonflylever/protocol'
+import { readWhole, sendJson } from '@dragonflylever/runtime'
+
+import type { JobDirectory } from './jobDirectory.js'
+import { computeJobId, describeJob, hasEnded } from './jobRecord.js'
+import type { JobRecord } from './jobRecord.js'
+
+const RETRY_AFTER_S = 2
+
+/** What the calls work with. */
+export interface JobApiParts {
+  readonly directory: JobDirectory
+  readonly getConfiguration: () => Configuration | undefined
+  /** True when the message may act for the organisation. */
+  readonly isAllowed: (message: IncomingMessage, organisation: string) => boolean
+  /** Asks the planner; undefined when it can't be reached. */
+  readonly explain: (jobId: string) => Promise<{ readonly reasons: readonly string[], readonly expectedStartAt: number | undefined } | undefined>
+}
+
+export class JobApi {
+  private readonly _parts: JobApiParts
+
+  constructor (parts: JobApiParts) {
+    this._parts = parts
+  }
+
+  /** Answers one call; the path starts with `/v1/jobs`. */
+  async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const [path = ''] = (message.url ?? '').split('?')
+    const [jobId = '', action = '', ...rest] = path.slice(JOBS_PATH.length + 1).split('/')
+    const route = `${message.method} ${jobId === '' ? '' : ':id'}${action === '' ? '' : `/${action}`}`
+    const organisation = message.headers[CallerHeader.organisation]
+    if (typeof organisation !== 'string' || rest.length > 0) return sendError(response, 400, 'badRequest', `header ${CallerHeader.organisation} is missing, or the path is too long`)
+    if (!this._parts.isAllowed(message, organisation)) return sendError(response, 401, 'unauthorised', `the key for organisation "${organisation}" is missing or wrong`)
+    if (route === 'POST ') return this._submit(message, response, organisation)
+    if (route === 'GET ') return this._list(response, organisation)
+    if (route === 'GET :id') return this._useJob(response, organisation, jobId, async record => sendJson(response, 200, describeJob(record)))
+    if (route === 'GET :id/explain') return this._useJob(response, organisation, jobId, record => this._explain(response, record))
+    if (route === 'POST :id/cancel') return this._useJob(response, organisation, jobId, record => this._cancel(response, record))
+    sendError(response, 404, 'badRequest', `no such call: ${message.method} ${path}; see docs/jobs.md`)
+  }
+
+  private async _submit (message: IncomingMessage, response: ServerResponse, organisation: string): Promise<void> {
+    const read = await readWhole(message, { maxBytes: MAX_JOB_BYTES })
+    if (read.kind === 'broken') return
+    if (read.kind === 'tooLarge') return sendError(response, 413, 'tooLarge', `a job is at most ${MAX_JOB_BYTES} bytes`)
+    const parsed = parseDocument(read.body.toString('utf8'), jobRequestSchema)
+    if (parsed.kind === 'invalid') {
+      const faults = parsed.faults.map(fault => `${fault.path}: found ${fault.found}, expected ${fault.expected}`)
+      return sendError(response, 400, 'badRequest', faults.join('; '))
+    }
+    const record = makeRecord(parsed.value, organisation, this._parts.getConfiguration())
+    if (typeof record === 'string') return sendError(response, 400, 'badRequest', record)
+    const outcome = await this._parts.directory.submit(record)
+    if (outcome.kind === 'accepted') return sendJson(response, 202, describeJob(outcome.record))
+    if (outcome.kind === 'repeated') return sendJson(response, 200, describeJob(outcome.record))
+    if (outcome.kind === 'keyReused') return sendError(response, 422, 'keyReused', `key "${parsed.value.key}" was used for another job`)
+    if (outcome.kind === 'unsettled') return sendJson(response, 502, { outcome: 'unknown', reason: 'answerLost', message: outcome.message })
+    sendError(response, 503, 'storeUnavailable', `the job was not accepted: ${outcome.message}`)
+  }
+
+  private async _list (response: ServerResponse, organisation: string): Promise<void> {
+    const outcome = await this._parts.directory.list(organisation)
+    if (outcome.kind !== 'listed') return sendError(response, 503, 'storeUnavailable', outcome.message)
+    const jobs = outcome.records.map(describeJob).sort((a, b) => b.submittedAt - a.submittedAt)
+    sendJson(response, 200, { jobs })
+  }
+
+  private async _useJob (response: ServerResponse, organisation: string, jobId: string, act: (record: JobRecord) => Promise<void>): Promise<void> {
+    const outcome = await this._parts.directory.find(jobId)
+    if (outcome.kind === 'unavailable') return sendError(response, 503, 'storeUnavailable', outcome.message)
+    const isOwn = outcome.kind === 'found' && outcome.record.spec.organisation === organisation
+    if (!isOwn) return sendError(response, 404, 'badRequest', `organisation "${organisation}" has no job ${jobId}`)
+    await act(outcome.record)
+  }
+
+  private async _explain (response: ServerResponse, record: JobRecord): Promise<void> {
+    const job = describeJob(record)
+    const told = hasEnded(record) ? { reasons: [`the job is ${record.state.kind}`], expectedStartAt: undefined } : await this._parts.explain(record.spec.id)
+    const reasons = told?.reasons ?? ['the planner can\'t be reached now; the job keeps its place']
+    const explanation: JobExplanation = { job, reasons: record.message === '' ? reasons : [...reasons, record.message], expectedStartAt: told?.expectedStartAt }
+    sendJson(response, 200, explanation)
+  }
+
+  private async _cancel (response: ServerResponse, record: JobRecord): Promise<void> {
+    if (hasEnded(record)) return sendJson(response, 200, describeJob(record))
+    const outcome = await this._parts.directory.cancel(record.spec.id)
+    if (outcome.kind === 'unavailable') return sendError(response, 503, 'storeUnavailable', outcome.message)
+    sendJson(response, 202, { ...describeJob(record), message: 'cancellation asked for' })
+  }
+}
+
+/** Builds the record of a submission; a string is the reason why it is refused. */
+function makeRecord (request: JobRequest, organisation: string, configuration: Configuration | undefined): JobRecord | string {
+  if (configuration === undefined) return 'no configuration is in force yet; try again shortly'
+  if (request.organisation !== organisation) return `the job names organisation "${request.organisation}", the header "${organisation}"`
+  const { classes, organisations } = configuration.declarations
+  const declaration = classes[request.class]
+  if (declaration === undefined || declaration.kind !== 'job') return `class "${request.class}" is not declared for jobs`
+  if (organisations[organisation] === undefined) return `organisation "${organisation}" is not declared`
+  return {
+    spec: makeSpec(request, parseDuration(declaration.finishWithin) ?? 0),
+    payload: JSON.stringify(request.payload ?? {}),
+    submittedAt: Date.now(),
+    state: { kind: 'queued', incarnation: 0 },
+    attempts: 0,
+    doneMs: 0,
+    checkpoints: {},
+    coveredBy: [],
+    message: ''
+  }
+}
+
+function makeSpec (request: JobRequest, finishWithinMs: number): JobSpec {
+  const { accelerators, cores, memoryGb } = request.shape
+  return {
+    id: computeJobId(request.organisation, request.key),
+    idempotencyKey: request.key,
+    className: request.class,
+    organisation: request.organisation,
+    tasks: request.tasks,
+    shape: { accelerators, cores, memoryGb },
+    adjacency: request.adjacency,
+    declaredRunMs: parseDuration(request.runFor) ?? 0,
+    finishWithinMs,
+    isCheckpointable: request.checkpointable
+  }
+}
+
+function sendError (response: ServerResponse, status: number, reason: string, message: string): void {
+  if (status === 503) response.setHeader('retry-after', RETRY_AFTER_S)
+  sendJson(response, status, { outcome: 'notRun', reason, message })
+}
--- /dev/null
+++ b/packages/daemon/src/jobs/jobDirectory.ts
@@ -0,0 +1,80 @@
+/**
+ * Entries' access to jobs in the store: accepted means durable.
+ */
+import type { Store } from '@dragonflylever/platform'
+
+import { getCancelKey, getJobsPrefix, getRecordKey } from './jobRecord.js'
+import type { JobRecord } from './jobRecord.js'
+
+/** `repeated`: the key was used before for the same job. `keyReused`: for another one. */
+export type SubmitOutcome =
+  | { readonly kind: 'accepted', readonly record: JobRecord }
+  | { readonly kind: 'repeated', readonly record: JobRecord }
+  | { readonly kind: 'keyReused', readonly record: JobRecord }
+  | { readonly kind: 'unavailable', readonly message: string }
+  | { readonly kind: 'unsettled', readonly message: string }
+
+export type FindOutcome =
+  | { readonly kind: 'found', readonly record: JobRecord }
+  | { readonly kind: 'missing' }
+  | { readonly kind: 'unavailable', readonly message: string }
+
+const SETTLE_TRIES = 5
+const SETTLE_WAIT_MS = 200
+
+export class JobDirectory {
+  private readonly _store: Store
+  private readonly _prefix: string
+
+  constructor (store: Store, prefix: string) {
+    this._store = store
+    this._prefix = prefix
+  }
+
+  /** Creates a job unless its key was used before. */
+  async submit (record: JobRecord): Promise<SubmitOutcome> {
+    const key = getRecordKey(this._prefix, record.spec.id)
+    const outcome = await this._store.put({ key, value: JSON.stringify(record), expect: { kind: 'absent' } })
+    if (outcome.kind === 'ok') return { kind: 'accepted', record }
+    if (outcome.kind === 'unavailable') return outcome
+    if (outcome.kind === 'conflict' && outcome.current !== undefined) return compareRecords(record, JSON.parse(outcome.current.value) as JobRecord)
+    return this._settle(record)
+  }
+
+  /** Finds one job. */
+  async find (jobId: string): Promise<FindOutcome> {
+    const outcome = await this._store.get(getRecordKey(this._prefix, jobId))
+    if (outcome.kind !== 'ok') return outcome
+    return outcome.value === undefined ? { kind: 'missing' } : { kind: 'found', record: JSON.parse(outcome.value.value) as JobRecord }
+  }
+
+  /** Lists the jobs of an organisation. */
+  async list (organisation: string): Promise<{ readonly kind: 'listed', readonly records: readonly JobRecord[] } | { readonly kind: 'unavailable', readonly message: string }> {
+    const outcome = await this._store.list(getJobsPrefix(this._prefix))
+    if (outcome.kind !== 'ok') return outcome
+    const records = outcome.values.filter(value => value.key.endsWith('/record')).map(value => JSON.parse(value.value) as JobRecord)
+    return { kind: 'listed', records: records.filter(record => record.spec.organisation === organisation) }
+  }
+
+  /** Asks for the cancellation of a job; asking again changes nothing. */
+  async cancel (jobId: string): Promise<{ readonly kind: 'asked' } | { readonly kind: 'unavailable', readonly message: string }> {
+    const outcome = await this._store.put({ key: getCancelKey(this._prefix, jobId), value: '{}', expect: { kind: 'absent' } })
+    if (outcome.kind === 'ok' || outcome.kind === 'conflict') return { kind: 'asked' }
+    return { kind: 'unavailable', message: outcome.message }
+  }
+
+  private async _settle (record: JobRecord): Promise<SubmitOutcome> {
+    for (let attempt = 0; attempt < SETTLE_TRIES; attempt++) {
+      const found = await this.find(record.spec.id)
+      if (found.kind === 'found') return compareRecords(record, found.record)
+      if (found.kind === 'missing') return { kind: 'unavailable', message: 'the job was not stored' }
+      await new Promise(resolve => setTimeout(resolve, SETTLE_WAIT_MS))
+    }
+    return { kind: 'unsettled', message: 'the store did not say whether the job was stored; submit it again with the same key' }
+  }
+}
+
+function compareRecords (wanted: JobRecord, stored: JobRecord): SubmitOutcome {
+  const isSame = JSON.stringify(wanted.spec) === JSON.stringify(stored.spec) && wanted.payload === stored.payload
+  return { kind: isSame ? 'repeated' : 'keyReused', record: stored }
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,6 +1,7 @@
 export * from './callerHeaders.js'
 export * from './declarations.js'
 export * from './gangMessages.js'
+export * from './jobs.js'
 export * from './jsonDocument.js'
 export * from './members.js'
 export * from './rpcMessages.js'
