Check settings beyond their types and name each fault in one line

Impossible octets and ports, addresses used twice, an operators' key equal to the cluster key; keys are not quoted in faults; an unknown key names the keys of that place. The daemon loads only the code of its role.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -6,10 +6,8 @@
 
 import { formatFault, parseDocument, settingsSchema } from '@dragonflylever/protocol'
 import type { Settings } from '@dragonflylever/protocol'
-import { formatFlags, parseFlags } from '@dragonflylever/runtime'
+import { formatFlags, parseFlags } from '@dragonflylever/runtime/flags'
 
-import { AgentProcess } from './agent/agentProcess.js'
-import { EntryProcess } from './entry/entryProcess.js'
 import { VERSION } from './version.js'
 
 const ExitCode = { ok: 0, failed: 1, badInput: 2 } as const
@@ -39,8 +37,14 @@
   return undefined
 }
 
+/** Starts the process; loads only the code of its role. */
 async function startProcess (settings: Settings): Promise<{ stop (): Promise<void> }> {
-  return settings.role === 'entry' ? EntryProcess.start(settings) : AgentProcess.start(settings)
+  if (settings.role === 'entry') {
+    const { EntryProcess } = await import('./entry/entryProcess.js')
+    return EntryProcess.start(settings)
+  }
+  const { AgentProcess } = await import('./agent/agentProcess.js')
+  return AgentProcess.start(settings)
 }
 
 async function run (settings: Settings): Promise<number> {
--- a/packages/protocol/src/jsonDocument.ts
+++ b/packages/protocol/src/jsonDocument.ts
@@ -5,7 +5,7 @@
 import type { Node, ParseError } from 'jsonc-parser'
 import type { z } from 'zod'
 
-import { listKeysAt } from './schemaKeys.js'
+import { listKeysAt, selectSchema } from './schemaKeys.js'
 
 /** One fault of a document; line and column count from 1. */
 export interface Fault {
@@ -54,24 +54,29 @@
   return errors.map(error => ({
     ...getPosition(text, error.offset),
     path: '(syntax)',
-    found: formatFound(text.slice(error.offset, error.offset + Math.max(1, error.length))),
+    found: formatFound(text.slice(error.offset, error.offset + Math.max(1, error.length))).trim() || 'the end of the file',
     expected: `valid JSON with comments (${printParseErrorCode(error.error)})`
   }))
 }
 
 function describeIssue (text: string, root: Node, schema: z.core.$ZodType, issue: z.core.$ZodIssue): Fault[] {
   if (issue.code === 'unrecognized_keys') {
-    const expected = `one of ${listKeysAt(schema, issue.path).join(', ')}`
+    const expected = `one of ${listKeysAt(selectSchema(schema, getNodeValue(root)), issue.path).join(', ')}`
     return issue.keys.map(key => makeFault(text, root, [...issue.path, key], 'an unknown key', expected))
   }
   if (issue.code === 'invalid_key') {
     return [makeFault(text, root, issue.path, 'a bad name', formatExpected(issue.issues[0]?.message ?? issue.message))]
   }
   const node = findNode(root, issue.path)
-  const found = node === undefined ? 'nothing' : formatFound(text.slice(node.offset, node.offset + node.length))
+  const found = node === undefined ? 'nothing' : isSecret(issue.path) ? 'a value not shown' : formatFound(text.slice(node.offset, node.offset + node.length))
   return [makeFault(text, root, issue.path, found, formatExpected(issue.message))]
 }
 
+/** True of paths whose values are keys; faults don't quote them. */
+function isSecret (path: readonly PropertyKey[]): boolean {
+  return path.some(part => /key(s)?$/i.test(String(part)))
+}
+
 function makeFault (text: string, root: Node, path: readonly PropertyKey[], found: string, expected: string): Fault {
   const node = findNode(root, path) ?? findNode(root, path.slice(0, -1)) ?? root
   const key = node.parent?.type === 'property' ? node.parent : node
@@ -87,7 +92,8 @@
 }
 
 function formatExpected (message: string): string {
-  return message.replace(/^Invalid input: /, '').replace(/^expected /, '').replace(/, received .*$/, '')
+  const plain = message.replace(/^(Invalid input|Too small|Too big): /, '').replace(/, received .*$/, '')
+  return plain.replace(/^Invalid discriminator value\. Expected /, 'one of ').replace(/^(Invalid option: )?expected /, '')
 }
 
 function formatFound (text: string): string {
--- a/packages/protocol/src/schemaKeys.ts
+++ b/packages/protocol/src/schemaKeys.ts
@@ -19,6 +19,15 @@
   return [...new Set(children.flatMap(([, child]) => listKeysAt(child, rest)))]
 }
 
+/** Returns the option of a discriminated union that a document asks for, or the schema itself. */
+export function selectSchema (schema: z.core.$ZodType, value: unknown): z.core.$ZodType {
+  if (!(schema instanceof z.ZodDiscriminatedUnion) || typeof value !== 'object' || value === null) return schema
+  const { discriminator } = schema.def
+  const wanted = (value as Record<string, unknown>)[discriminator]
+  const options = schema.options.filter(option => option instanceof z.ZodObject && option.shape[discriminator]?.safeParse(wanted).success === true)
+  return options[0] ?? schema
+}
+
 function listChildren (schema: z.core.$ZodType): Array<[string, z.core.$ZodType]> {
   if (schema instanceof z.ZodObject) return Object.entries(schema.shape) as Array<[string, z.core.$ZodType]>
   if (schema instanceof z.ZodRecord) return [['*', schema.valueType]]
--- a/packages/protocol/src/settings.ts
+++ b/packages/protocol/src/settings.ts
@@ -1,11 +1,29 @@
 /**
  * Settings of one process: schema and types. The file is JSON with comments.
  */
+import { isIP } from 'node:net'
+
 import { z } from 'zod'
 
 const id = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, 'expected letters, digits, dots, hyphens and underscores, at most 64')
-const address = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'expected IP:PORT, for instance "10.0.0.7:7700"')
-const url = z.string().regex(/^https?:\/\/(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/, 'expected http://IP:PORT')
+const MAX_PORT = 65_535
+const ADDRESS_HINT = 'expected IP:PORT with a port up to 65535, for instance "10.0.0.7:7700"'
+const URL_HINT = 'expected http://IP:PORT with a port from 1 to 65535'
+const URL_PATTERN = /^https?:\/\/([^/]+)$/
+
+/** Checks `IP:PORT`; an IPv6 number stands in brackets. */
+function isAddress (text: string, minPort: number): boolean {
+  const match = /^(?:\[([0-9a-fA-F:.]+)\]|([0-9.]+)):(\d{1,5})$/.exec(text)
+  if (match === null) return false
+  const port = Number(match[3])
+  const family = isIP(match[1] ?? match[2] ?? '')
+  return family === (match[1] === undefined ? 4 : 6) && port >= minPort && port <= MAX_PORT
+}
+
+/** An address to listen at; port 0 takes a free one. */
+const listenAddress = z.string().refine(text => isAddress(text, 0), ADDRESS_HINT)
+const address = z.string().refine(text => isAddress(text, 1), ADDRESS_HINT)
+const url = z.string().refine(text => isAddress(URL_PATTERN.exec(text)?.[1] ?? '', 1), URL_HINT)
 const logLevel = z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info')
 
 const common = {
@@ -26,17 +44,24 @@
 export const entrySettingsSchema = z.strictObject({
   role: z.literal('entry'),
   ...common,
-  listen: z.strictObject({ callers: address, control: address, operators: address }),
+  listen: z.strictObject({ callers: listenAddress, control: listenAddress, operators: listenAddress }),
   /** Opens the operators' port to `authorization: Bearer KEY`; without it that port refuses every call. */
   operatorsKey: z.string().min(16).max(256).optional(),
   /** Keys of organisations; when present a caller proves its organisation with `authorization: Bearer KEY`. */
-  organisationKeys: z.record(z.string(), z.string().min(16)).optional()
+  organisationKeys: z.record(z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'expected the name of an organisation'), z.string().min(16)).optional()
+}).superRefine((settings, context) => {
+  const seen = new Set<string>()
+  for (const [name, value] of Object.entries(settings.listen)) {
+    if (seen.has(value) && !value.endsWith(':0')) context.addIssue({ code: 'custom', path: ['listen', name], message: 'expected an address of its own' })
+    seen.add(value)
+  }
+  if (settings.operatorsKey === settings.clusterKey) context.addIssue({ code: 'custom', path: ['operatorsKey'], message: 'expected a key other than clusterKey' })
 })
 
 export const agentSettingsSchema = z.strictObject({
   role: z.literal('agent'),
   ...common,
-  listen: z.strictObject({ control: address }),
+  listen: z.strictObject({ control: listenAddress }),
   rack: id,
   endpoint: z.strictObject({
     url,
