--- a/packages/protocol/test/settings.test.ts
+++ b/packages/protocol/test/settings.test.ts
@@ -36,8 +36,7 @@
   test(`settings with ${title} are refused, one line a fault`, t => {
     const result = parseDocument(text, settingsSchema)
     const lines = result.kind === 'invalid' ? result.faults.map(fault => formatFault('FILE', fault)) : []
-    t.is(lines.length, expected.length, lines.join('
-'))
+    t.is(lines.length, expected.length, lines.join('\n'))
     for (const [index, pattern] of expected.entries()) t.regex(lines[index] ?? '', pattern)
   })
 }
