--- a/packages/cli/src/commands/standins.ts
+++ b/packages/cli/src/commands/standins.ts
@@ -5,8 +5,11 @@
 
 const MAX_PORT = 65_535
 const MAX_ENDPOINTS = 64
+const WORKER_PORT_OFFSET = 100
 const DEFAULT_ENDPOINTS = '10'
 
+const MAX_BASE_PORT = MAX_PORT - WORKER_PORT_OFFSET - MAX_ENDPOINTS
+
 const FLAGS = {
   port: { type: 'string', help: 'port of the store; the endpoints take the next ones' },
   endpoints: { type: 'string', help: `number of endpoints; ${DEFAULT_ENDPOINTS} when absent` }
@@ -15,26 +18,28 @@
 export const standinsCommand = createFlagCommand({
   name: 'standins',
   usage: 'standins --port PORT [--endpoints COUNT]',
-  help: 'serve a store and endpoints on loopback until SIGTERM, for trials',
+  help: 'serve a store, endpoints and workers on loopback until SIGTERM, for trials',
   flags: FLAGS,
   minArguments: 0,
   maxArguments: 0,
   async execute (flags, output) {
     const port = parseNumber(getText(flags, 'port') ?? '')
     const count = parseNumber(getText(flags, 'endpoints') ?? DEFAULT_ENDPOINTS)
-    if (port === undefined || count === undefined || count > MAX_ENDPOINTS || port + count > MAX_PORT) {
-      output.err(`standins: expected --port from 1 to ${MAX_PORT - MAX_ENDPOINTS} and --endpoints from 1 to ${MAX_ENDPOINTS}`)
+    if (port === undefined || count === undefined || count > MAX_ENDPOINTS || port > MAX_BASE_PORT) {
+      output.err(`standins: expected --port from 1 to ${MAX_BASE_PORT} and --endpoints from 1 to ${MAX_ENDPOINTS}`)
       return ExitCode.badInput
     }
-    const { EndpointStandIn, StoreStandIn } = await import('@dragonflylever/standins')
+    const { EndpointStandIn, StoreStandIn, WorkerStandIn } = await import('@dragonflylever/standins')
     const store = await StoreStandIn.open(port)
     output.out(`store at ${store.url}`)
-    const endpoints = []
-    for (let index = 1; index <= count; index++) endpoints.push(await EndpointStandIn.open(port + index))
-    output.out(`endpoints at ${endpoints.map(endpoint => endpoint.url).join(' ')}`)
+    const opened: Array<{ url: string, close (): Promise<void> }> = []
+    for (let index = 1; index <= count; index++) {
+      opened.push(await EndpointStandIn.open(port + index), await WorkerStandIn.open(port + WORKER_PORT_OFFSET + index))
+    }
+    output.out(`endpoints and workers at ${opened.map(one => one.url).join(' ')}`)
     output.out('ready')
     await waitForSignal()
-    await Promise.all(endpoints.map(endpoint => endpoint.close()))
+    await Promise.all(opened.map(one => one.close()))
     await store.close()
     return ExitCode.ok
   }
--- /dev/null
+++ b/packages/cli/test/processes/running.test.ts
@@ -0,0 +1,103 @@
+/**
+ * The samples as separate processes, as docs/running.md starts them; ports are moved so that runs don't meet.
+ */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { mkdtempSync, readFileSync, readdirSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+import { request } from 'undici'
+
+const CLI = fileURLToPath(new URL('../../src/main.js', import.meta.url))
+const DAEMON = fileURLToPath(new URL('../../../../daemon/dist/src/main.js', import.meta.url))
+const SAMPLES = fileURLToPath(new URL('../../../../../examples/crisp-works/', import.meta.url))
+const SAMPLE_PORT = 7100
+const PORTS_IN_USE = 400
+const WAIT_MS = 30_000
+
+interface Output {
+  readonly code: number | null
+  readonly text: string
+}
+
+async function findPort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise(resolve => server.close(resolve))
+  return port < 65_535 - PORTS_IN_USE ? port : port - PORTS_IN_USE
+}
+
+/** Copies the samples with their ports moved; returns the folder. */
+function writeSamples (t: ExecutionContext, port: number): string {
+  const folder = mkdtempSync(join(tmpdir(), 'dragonflylever-'))
+  t.teardown(() => rmSync(folder, { recursive: true }))
+  for (const file of readdirSync(SAMPLES)) {
+    const text = readFileSync(`${SAMPLES}${file}`, 'utf8')
+    writeFileSync(join(folder, file), text.replace(/127\.0\.0\.1:(\d+)/g, (_, old: string) => `127.0.0.1:${Number(old) - SAMPLE_PORT + port}`))
+  }
+  return folder
+}
+
+/** Starts a process and waits until its output matches. */
+async function startProcess (t: ExecutionContext, args: readonly string[], isReady: RegExp): Promise<ChildProcess> {
+  const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] })
+  t.teardown(async () => {
+    if (child.exitCode !== null || child.signalCode !== null) return
+    const ended = new Promise(resolve => child.once('close', resolve))
+    child.kill('SIGKILL')
+    await ended
+  })
+  await new Promise<void>((resolve, reject) => {
+    let text = ''
+    const read = (chunk: Buffer): void => {
+      text += String(chunk)
+      if (isReady.test(text)) resolve()
+    }
+    child.stdout.on('data', read)
+    child.stderr.on('data', read)
+    child.once('close', () => reject(new Error(`ended early: ${text}`)))
+  })
+  return child
+}
+
+async function runCli (...args: string[]): Promise<Output> {
+  const child = spawn(process.execPath, [CLI, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  let text = ''
+  child.stdout.on('data', chunk => { text += String(chunk) })
+  child.stderr.on('data', chunk => { text += String(chunk) })
+  return new Promise(resolve => child.once('close', code => resolve({ code, text })))
+}
+
+test('stand-ins, an entry and an agent run from the samples, take the declarations and answer a call', async t => {
+  t.timeout(WAIT_MS * 3)
+  const port = await findPort()
+  const folder = writeSamples(t, port)
+  const standins = await startProcess(t, [CLI, 'standins', '--port', String(port)], /ready/)
+  await startProcess(t, [DAEMON, '--settings', join(folder, 'entry-jihlava.jsonc')], /started/)
+  await startProcess(t, [DAEMON, '--settings', join(folder, 'agent-jihlava-1.jsonc')], /started/)
+  const profile = join(folder, 'profile.jsonc')
+  const refused = await runCli('apply', join(folder, 'declarations.jsonc'), '--expect', '0', '--profile', profile)
+  t.is(refused.code, 2)
+  t.regex(refused.text, /guaranteedSlots that sum to 52, expected at most 8/)
+  const small = join(folder, 'small.jsonc')
+  writeFileSync(small, readFileSync(join(folder, 'declarations.jsonc'), 'utf8').replace(/"guaranteed(Slots|Shapes)": (\d+|\[[^\]]*\]),?/g, ''))
+  const applied = await runCli('apply', small, '--expect', '0', '--profile', profile)
+  t.deepEqual(applied, { code: 0, text: 'accepted as revision 1\n' })
+  const headers = { 'dfl-class': 'allergen-check', 'dfl-organisation': 'care-homes' }
+  const answer = await request(`http://127.0.0.1:${port + 201}/v1/call/check`, { method: 'POST', headers, body: '{"blend":"sesame"}' })
+  t.is(answer.statusCode, 200)
+  await answer.body.dump()
+  const status = await runCli('status', '--profile', profile)
+  t.regex(status.text, /^as entry-jihlava sees it: revision 1/)
+  t.regex(status.text, /agent-jihlava-1 +agent +alive +morava +jihlava/)
+  const ended = new Promise(resolve => standins.once('close', resolve))
+  standins.kill('SIGTERM')
+  t.is(await ended, 0)
+})
