--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -5,6 +5,7 @@
 import type { EntrySettings, Member } from '@dragonflylever/protocol'
 import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
 
+import { createOperatorServer } from '../operators/createOperatorServer.js'
 import { Announcer } from '../shared/announcer.js'
 import { ConfigurationHolder } from '../shared/configurationHolder.js'
 import { ConfigurationWatcher } from '../shared/configurationWatcher.js'
@@ -17,6 +18,9 @@
 import { AgentLink } from './agentLink.js'
 import { AgentTable, computeConnectionShare } from './agentTable.js'
 import { CallerServer } from './callerServer.js'
+import { ClaimLease } from './claimLease.js'
+import { ClaimService } from './claimService.js'
+import { ClaimWriter } from './claimWriter.js'
 import { Dispatcher } from './dispatcher.js'
 import { DirectService } from './requestService.js'
 
@@ -33,6 +37,7 @@
   private readonly _lifecycle = new Lifecycle()
   private _callerAddress = ''
   private _controlAddress = ''
+  private _operatorAddress = ''
   private _stopping: Promise<void> | undefined
 
   private constructor (settings: EntrySettings, parts: ProcessParts) {
@@ -57,6 +62,11 @@
     return this._controlAddress
   }
 
+  /** Address for operators, IP:PORT. */
+  get operatorAddress (): string {
+    return this._operatorAddress
+  }
+
   /** Leaves gracefully: no request under way is cut off. Every call gets the same promise. */
   stop (): Promise<void> {
     this._stopping ??= this._stop()
@@ -76,7 +86,7 @@
     const dispatcher = this._createDispatcher(random)
     const server = new CallerServer({
       board: this.board,
-      service: new DirectService(dispatcher),
+      service: this._createService(dispatcher),
       metrics,
       tracer,
       organisationKeys: this._settings.organisationKeys,
@@ -92,9 +102,12 @@
     this._lifecycle.add('announcer', () => announcer.close())
     directory.note(this._describe())
     await announcer.start()
+    const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder, logger })
+    this._operatorAddress = await operators.open(this._settings.listen.operators)
+    this._lifecycle.add('operator server', () => operators.close())
     this._callerAddress = await server.open(this._settings.listen.callers)
     this._lifecycle.add('caller server', () => server.close())
-    log.info({ callers: this._callerAddress, control: this._controlAddress }, 'started')
+    log.info({ callers: this._callerAddress, control: this._controlAddress, operators: this._operatorAddress }, 'started')
   }
 
   private _createDispatcher (random: ProcessParts['random']): Dispatcher {
@@ -117,6 +130,14 @@
     return dispatcher
   }
 
+  private _createService (dispatcher: Dispatcher): ClaimService {
+    const { store, random } = this._parts
+    const writer = new ClaimWriter({ store, random, lease: new ClaimLease(store) })
+    const service = new ClaimService({ store, writer, inner: new DirectService(dispatcher), prefix: this._settings.store.prefix })
+    this._lifecycle.add('claims', () => service.drain())
+    return service
+  }
+
   private _createControl (directory: MemberDirectory): ControlServer {
     const control = new ControlServer({ clusterKey: this._settings.clusterKey })
     control.rpc.add('heartbeat', params => {
@@ -148,7 +169,8 @@
       region: this._settings.region,
       failureDomain: this._settings.failureDomain,
       address: this._controlAddress,
-      state: this.board.get('isLeaving') ? 'leaving' : 'alive'
+      state: this.board.get('isLeaving') ? 'leaving' : 'alive',
+      revision: this.board.get('configuration')?.revision ?? 0
     }
   }
 }
