Use the fair queue and the fleet router in entries and agents

Agents hear of the fleet's slots with the heartbeat and apply their part of each guarantee. EntryProcess.describeQueue() gives the read-out; gauges go out by class and organisation every 10 s.

--- a/packages/daemon/src/agent/agentProcess.ts
+++ b/packages/daemon/src/agent/agentProcess.ts
@@ -1,7 +1,7 @@
 /**
  * The agent role: the only door to its endpoint.
  */
-import { AttemptLedger, FifoQueue } from '@dragonflylever/core'
+import { AttemptLedger, FairQueue } from '@dragonflylever/core'
 import { HttpEndpoint } from '@dragonflylever/platform'
 import type { Endpoint } from '@dragonflylever/platform'
 import { CallerLimit, DISPATCH_PATH } from '@dragonflylever/protocol'
@@ -15,6 +15,7 @@
 import type { FleetFacts } from '../shared/fleetFacts.js'
 import { createProcessParts } from '../shared/processParts.js'
 import type { ProcessParts } from '../shared/processParts.js'
+import { syncPolicy } from '../shared/requestPolicy.js'
 import { DispatchHandler } from './dispatchHandler.js'
 import { SlotRunner } from './slotRunner.js'
 
@@ -75,7 +76,7 @@
     this._serveWithdrawals(control, runner)
     this._controlAddress = await control.open(this._settings.listen.control)
     const holder = new ConfigurationHolder(this.board, createPartLogger(logger, 'config'))
-    const announcer = new Announcer({ peers, holder, targets: this._settings.join, describe: () => this._describe() })
+    const announcer = new Announcer({ peers, holder, targets: this._settings.join, describe: () => this._describe(), noteFleetSlots: slots => this.board.set('fleetSlots', slots) })
     this._lifecycle.add('announcer', () => announcer.close())
     this._lifecycle.add('control server', () => control.close())
     this._lifecycle.add('requests under way', () => runner.drain())
@@ -86,7 +87,9 @@
 
   private _createRunner (endpoint: Endpoint): SlotRunner {
     const { slots, maxConnections } = this._settings.endpoint
-    const queue = new FifoQueue({ maxWaiting: maxConnections, slots })
+    const queue = new FairQueue({ maxWaiting: maxConnections, slots, fleetSlots: slots })
+    syncPolicy(this.board, queue)
+    this.board.subscribe('fleetSlots', () => queue.setCapacity({ slots, fleetSlots: this.board.get('fleetSlots') }))
     const ledger = new AttemptLedger({ maxEntries: MAX_LEDGER_ENTRIES, keepMs: LEDGER_KEEP_MS })
     const runner = new SlotRunner({ queue, endpoint, ledger })
     this._lifecycle.add('slots', () => runner.close())
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -138,9 +138,9 @@
     const now = performance.now()
     const pick = this._parts.router.pick(routed, candidates, now) ?? this._parts.router.pick({ ...routed, tried: new Set() }, candidates, now)
     const target = pick === undefined ? undefined : this._parts.agents.getTarget(pick.agentId)
-    this._parts.queue.finish(next, 0, now)
     this._waiting.delete(next.id)
     if (target === undefined) {
+      this._parts.queue.finish(next, 0, now)
       waiting.resolve({ kind: 'end', outcome: makeNotRun(NotRunReason.noEndpoint, 'no endpoint takes the request now', NO_AGENT_RETRY_AFTER_MS) })
       return
     }
@@ -185,6 +185,8 @@
     this._inFlight.delete(attemptId)
     this._parts.agents.finish(target, 'load' in result ? result.load : undefined)
     this._report(request, target, result, startedAt)
+    const now = performance.now()
+    this._parts.queue.finish(makeQueued(request), result.kind === 'answered' ? now - startedAt : 0, now)
     this._pump()
     return result
   }
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -1,8 +1,8 @@
 /**
  * The entry role: takes callers' requests and carries them to agents.
  */
-import { FifoQueue, TwoChoicesRouter } from '@dragonflylever/core'
-import type { EntrySettings, Member } from '@dragonflylever/protocol'
+import { FairQueue, FleetRouter, computeEntryCapacity } from '@dragonflylever/core'
+import type { EntrySettings, Member, QueueReport } from '@dragonflylever/protocol'
 import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
 
 import { createOperatorServer } from '../operators/createOperatorServer.js'
@@ -10,11 +10,13 @@
 import { ConfigurationHolder } from '../shared/configurationHolder.js'
 import { ConfigurationWatcher } from '../shared/configurationWatcher.js'
 import { ControlServer } from '../shared/controlServer.js'
-import { createFleetFacts } from '../shared/fleetFacts.js'
+import { createFleetFacts, sumSlots } from '../shared/fleetFacts.js'
 import type { FleetFacts } from '../shared/fleetFacts.js'
 import { MemberDirectory } from '../shared/memberDirectory.js'
 import { createProcessParts } from '../shared/processParts.js'
 import type { ProcessParts } from '../shared/processParts.js'
+import { QueueMetrics } from '../shared/queueMetrics.js'
+import { syncPolicy } from '../shared/requestPolicy.js'
 import { AgentLink } from './agentLink.js'
 import { AgentTable, computeConnectionShare } from './agentTable.js'
 import { CallerServer } from './callerServer.js'
@@ -25,6 +27,8 @@
 import { DirectService } from './requestService.js'
 
 const MAX_WAITING = 4_096
+/** Bytes a second that one entry may send over the region link. */
+const LINK_BYTES_PER_SECOND = 250_000
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 const DEFAULT_AGENT_CONNECTIONS = 60
 /** Time in which the balancer notices that this entry leaves, in milliseconds. */
@@ -35,6 +39,7 @@
   private readonly _settings: EntrySettings
   private readonly _parts: ProcessParts
   private readonly _lifecycle = new Lifecycle()
+  private readonly _queue = new FairQueue({ maxWaiting: MAX_WAITING, slots: 0, fleetSlots: 1 })
   private _callerAddress = ''
   private _controlAddress = ''
   private _operatorAddress = ''
@@ -67,6 +72,11 @@
     return this._operatorAddress
   }
 
+  /** Returns what waits and runs here and why, by class and organisation. */
+  describeQueue (): QueueReport {
+    return this._queue.describe()
+  }
+
   /** Leaves gracefully: no request under way is cut off. Every call gets the same promise. */
   stop (): Promise<void> {
     this._stopping ??= this._stop()
@@ -117,12 +127,16 @@
       clusterKey: this._settings.clusterKey,
       connectionLimit: computeConnectionShare(DEFAULT_AGENT_CONNECTIONS, 1)
     })
-    const queue = new FifoQueue({ maxWaiting: MAX_WAITING, slots: Infinity })
-    const router = new TwoChoicesRouter({ region: this._settings.region, random })
+    const queue = this._queue
+    syncPolicy(this.board, queue)
+    const queueMetrics = new QueueMetrics({ metrics: this._parts.metrics, describe: () => queue.describe() })
+    this._lifecycle.add('queue metrics', () => queueMetrics.close())
+    const router = new FleetRouter({ region: this._settings.region, random, linkBytesPerSecond: LINK_BYTES_PER_SECOND })
     const dispatcher = new Dispatcher({ queue, router, agents, sender, peers: this._parts.peers })
     this.board.subscribe('members', () => {
       dispatcher.drop(agents.update(this.board.get('members')))
       sender.setConnectionLimit(computeConnectionShare(DEFAULT_AGENT_CONNECTIONS, agents.entries))
+      queue.setCapacity(computeEntryCapacity(agents.list(), agents.entries))
       dispatcher.notify()
     })
     this._lifecycle.add('agent links', () => sender.close())
@@ -145,7 +159,8 @@
       directory.note(this._describe())
       const configuration = this.board.get('configuration')
       const isNewer = configuration !== undefined && configuration.revision > params.revision
-      return isNewer ? { configuration } : {}
+      const fleetSlots = sumSlots(this.board.get('members'))
+      return isNewer ? { configuration, fleetSlots } : { fleetSlots }
     })
     control.rpc.add('leave', params => {
       directory.leave(params.member)
--- a/packages/daemon/src/shared/announcer.ts
+++ b/packages/daemon/src/shared/announcer.ts
@@ -16,6 +16,8 @@
   readonly targets: readonly string[]
   /** Returns this process's member record as it is now. */
   readonly describe: () => Member
+  /** Hears of the slots of the whole fleet. */
+  readonly noteFleetSlots?: (slots: number) => void
 }
 
 export class Announcer {
@@ -51,6 +53,7 @@
   private async _tell (target: string): Promise<void> {
     const params = { member: this._parts.describe(), revision: this._parts.holder.revision }
     const outcome = await this._parts.peers.call(target, 'heartbeat', params, TIMEOUT_MS)
+    if (outcome.kind === 'ok' && outcome.value.fleetSlots !== undefined) this._parts.noteFleetSlots?.(outcome.value.fleetSlots)
     if (outcome.kind === 'ok' && outcome.value.configuration !== undefined) this._parts.holder.offer(outcome.value.configuration)
   }
 }
--- a/packages/daemon/src/shared/fleetFacts.ts
+++ b/packages/daemon/src/shared/fleetFacts.ts
@@ -14,11 +14,20 @@
   configuration: Configuration | undefined
   /** Members by id; leaving and dead ones are not in it. */
   members: ReadonlyMap<string, MemberView>
+  /** Slots of all agents, as an entry last told; 0 before that. */
+  fleetSlots: number
   /** True once this process takes no new work. */
   isLeaving: boolean
 }
 
 /** Creates the facts of a process that has just started. */
 export function createFleetFacts (): FleetFacts {
-  return { configuration: undefined, members: new Map(), isLeaving: false }
+  return { configuration: undefined, members: new Map(), fleetSlots: 0, isLeaving: false }
+}
+
+/** Sums the slots of the agents that take work. */
+export function sumSlots (members: ReadonlyMap<string, MemberView>): number {
+  let slots = 0
+  for (const { member } of members.values()) if (member.state === 'alive') slots += member.agent?.slots ?? 0
+  return slots
 }
--- /dev/null
+++ b/packages/daemon/src/shared/queueMetrics.ts
@@ -0,0 +1,39 @@
+/**
+ * Gauges of a queue by class and organisation, sent at a steady interval.
+ */
+import type { QueueReport } from '@dragonflylever/core'
+import type { Metrics } from '@dragonflylever/runtime'
+
+const INTERVAL_MS = 10_000
+
+/** What the reporter works with. */
+export interface QueueMetricsParts {
+  readonly metrics: Metrics
+  readonly describe: () => QueueReport
+}
+
+export class QueueMetrics {
+  private readonly _parts: QueueMetricsParts
+  private readonly _timer: NodeJS.Timeout
+
+  constructor (parts: QueueMetricsParts) {
+    this._parts = parts
+    this._timer = setInterval(() => this._report(), INTERVAL_MS)
+  }
+
+  close (): void {
+    clearInterval(this._timer)
+  }
+
+  private _report (): void {
+    const { metrics, describe } = this._parts
+    for (const group of describe().groups) {
+      const tags = { class: group.className, organisation: group.organisation }
+      metrics.gauge('queue_waiting', group.waiting, tags)
+      metrics.gauge('queue_running', group.running, tags)
+      metrics.gauge('queue_share_slots', group.shareSlots, tags)
+      metrics.gauge('queue_expected_wait_ms', group.expectedWaitMs, tags)
+      metrics.gauge('queue_shed', group.shed, tags)
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/test/queuePolicy.test.ts
@@ -0,0 +1,25 @@
+import { FairQueue } from '@dragonflylever/core'
+import { createSampleDeclarations } from '@dragonflylever/standins'
+import { Blackboard } from '@dragonflylever/runtime'
+import test from 'ava'
+
+import { createFleetFacts } from '../src/shared/fleetFacts.js'
+import { createRequestPolicy, syncPolicy } from '../src/shared/requestPolicy.js'
+
+test('the policy holds targets in milliseconds and leaves classes of jobs out', t => {
+  const policy = createRequestPolicy(createSampleDeclarations())
+  t.deepEqual(policy.classes.get('care-match'), { startWithinMs: 2_000, finishWithinMs: 5_000 })
+  t.deepEqual(policy.classes.get('reconciliation'), { startWithinMs: undefined, finishWithinMs: 60_000 })
+  t.false(policy.classes.has('recipe-run'))
+  t.is(policy.guarantees.get('kelp-works'), 16)
+})
+
+test('a queue follows each configuration that comes into force', t => {
+  const board = new Blackboard(createFleetFacts())
+  const queue = new FairQueue({ maxWaiting: 10, slots: 40, fleetSlots: 80 })
+  syncPolicy(board, queue)
+  const declarations = createSampleDeclarations()
+  board.set('configuration', { revision: 1, declarations, acceptedAt: 0, nonce: 'one', acceptedBy: 'test' })
+  queue.offer({ id: 'a', className: 'care-match', organisation: 'canteens', caller: 'x', arrivedAt: 0, deadlineAt: 1_000 }, 0)
+  t.is(queue.describe().groups.find(group => group.organisation === 'canteens')?.guaranteedSlots, 4)
+})
--- a/packages/protocol/src/rpcMessages.ts
+++ b/packages/protocol/src/rpcMessages.ts
@@ -20,7 +20,7 @@
   /** A process tells of itself; the answer brings configuration that is newer than the sender's. */
   heartbeat: {
     params: z.object({ member: memberSchema, revision: z.number().int() }),
-    result: z.object({ configuration: configurationEnvelope.optional() })
+    result: z.object({ configuration: configurationEnvelope.optional(), fleetSlots: z.number().int().optional() })
   },
   /** A process says that it takes no new work. */
   leave: {
