--- a/packages/core/src/gangs/blameLedger.ts
+++ b/packages/core/src/gangs/blameLedger.ts
@@ -19,6 +19,12 @@
 const HOUR_MS = 3_600_000
 const DEFAULTS: BlameLedgerOptions = { jobsPerWorker: 2, workersPerJob: 3, quarantineMs: HOUR_MS / 4, maxQuarantineMs: 24 * HOUR_MS, maxJobs: 4_096 }
 
+/** A quarantine that began. */
+export interface QuarantineNotice {
+  readonly workerId: string
+  readonly until: number
+}
+
 interface WorkerBlame {
   readonly jobs: Set<string>
   quarantines: number
@@ -29,6 +35,7 @@
   private readonly _options: BlameLedgerOptions
   private readonly _workers = new Map<string, WorkerBlame>()
   private readonly _jobs = new Map<string, Set<string>>()
+  private _begun: QuarantineNotice[] = []
 
   constructor (options: Partial<BlameLedgerOptions> = {}) {
     this._options = { ...DEFAULTS, ...options }
@@ -55,6 +62,13 @@
     for (const workerId of workerIds) this._workers.delete(workerId)
   }
 
+  /** Returns the quarantines that began since the last call. */
+  takeBegun (): QuarantineNotice[] {
+    const begun = this._begun
+    this._begun = []
+    return begun
+  }
+
   /** Returns whether a worker is kept from new work. After the quarantine, one more failure renews it. */
   isQuarantined (workerId: string, now: number): boolean {
     return (this._workers.get(workerId)?.until ?? -Infinity) > now
@@ -85,6 +99,7 @@
     worker.quarantines++
     worker.jobs.clear()
     worker.until = now + lengthMs
+    this._begun.push({ workerId, until: worker.until })
     return worker.until
   }
 }
--- a/packages/core/src/gangs/gangPlanner.ts
+++ b/packages/core/src/gangs/gangPlanner.ts
@@ -3,6 +3,7 @@
  * a large gang that does not fit gets a reservation, which later jobs must not delay.
  */
 import type { BlameLedger } from './blameLedger.js'
+import { WorkerState } from './jobTypes.js'
 import type { PlanAction, Planner, PlanSnapshot } from './jobTypes.js'
 import { PlanRound } from './planRound.js'
 import type { Reservation } from './reservationBook.js'
@@ -23,6 +24,7 @@
 const MAX_RESERVED_SHARE = 0.3
 const MIN_RESERVED_ACCELERATORS = 4
 const MAX_LOOKS = 256
+
 export class GangPlanner implements Planner {
   private readonly _options: Required<GangPlannerOptions>
   private readonly _reservations = new Map<string, Reservation>()
@@ -42,6 +44,9 @@
   }
 
   schedule (snapshot: PlanSnapshot, now: number): PlanAction[] {
-    return new PlanRound(snapshot, now, this._options, this._reservations).run()
+    const { blame } = this._options
+    const workers = snapshot.workers.map(worker => blame.isQuarantined(worker.id, now) ? { ...worker, state: WorkerState.quarantined } : worker)
+    const notices = blame.takeBegun().map(notice => ({ kind: 'quarantine', ...notice } as const))
+    return [...notices, ...new PlanRound({ ...snapshot, workers }, now, this._options, this._reservations).run()]
   }
 }
--- a/packages/core/src/gangs/guaranteeLedger.ts
+++ b/packages/core/src/gangs/guaranteeLedger.ts
@@ -8,6 +8,8 @@
 import type { Guarantee, Resources } from './jobTypes.js'
 import { CellPacker } from './cellPacker.js'
 
+const ROUNDING = 1e-9
+
 /** One guaranteed shape and the part of it that its organisation uses. */
 export interface ShapeInstance {
   readonly key: string
@@ -42,6 +44,7 @@
     guarantees.forEach((guarantee, index) => {
       for (let copy = 0; copy < guarantee.count; copy++) this._addInstance(`${guarantee.organisation}/${index}/${copy}`, guarantee)
     })
+    for (const instances of this._byOrganisation.values()) instances.sort((a, b) => a.guarantee.accelerators - b.guarantee.accelerators)
   }
 
   get instances (): Iterable<ShapeInstance> {
@@ -90,6 +93,17 @@
     return table
   }
 
+  /** Returns whether what can't be reclaimed, cells in use counted whole, fits in each of the workers. */
+  isWithinCapacity (places: readonly number[]): boolean {
+    return places.every(worker => {
+      const facts = this._fleet.workers[worker]
+      return facts !== undefined &&
+        (this.firm.accelerators[worker] ?? 0) <= facts.accelerators &&
+        (this.firm.cores[worker] ?? 0) <= facts.cores + ROUNDING &&
+        (this.firm.memoryGb[worker] ?? 0) <= facts.memoryGb + ROUNDING
+    })
+  }
+
   /** Returns the guaranteed cells that could not be freed now; zero when each guaranteed shape can be had back. */
   computeShortfall (): number {
     const packer = new CellPacker(this._fleet, this.computeFreeable())
--- a/packages/core/src/gangs/planPass.ts
+++ b/packages/core/src/gangs/planPass.ts
@@ -171,7 +171,7 @@
   private _tryFirm (places: readonly number[], spec: JobSpec): boolean {
     const before = this._getShortfall()
     this.ledger.addFirm(places, spec.shape)
-    const after = this.ledger.computeShortfall()
+    const after = this.ledger.isWithinCapacity(places) ? this.ledger.computeShortfall() : Infinity
     if (after <= before) {
       this._shortfall = after
       return true
@@ -184,7 +184,7 @@
     if (!this._isWithinInstances(places, spec, cover)) return false
     const before = this._getShortfall()
     this.ledger.addCovered(places, spec.shape, cover.keys)
-    const after = this.ledger.computeShortfall()
+    const after = this.ledger.isWithinCapacity(places) ? this.ledger.computeShortfall() : Infinity
     if (after <= before) {
       this._shortfall = after
       return true
