--- a/packages/cli/src/demo/demoFleet.ts
+++ b/packages/cli/src/demo/demoFleet.ts
@@ -3,7 +3,7 @@
  */
 import { AgentProcess, EntryProcess, getConfigurationKey } from '@dragonflylever/daemon'
 import { Lifecycle, createLogger } from '@dragonflylever/runtime'
-import { EndpointStandIn, StoreStandIn, createAgentSettings, createEntrySettings, createSampleDeclarations, encodeFirstConfiguration } from '@dragonflylever/standins'
+import { EndpointStandIn, StoreStandIn, WorkerStandIn, createAgentSettings, createEntrySettings, createSampleDeclarations, encodeFirstConfiguration } from '@dragonflylever/standins'
 
 /** Places of the demo's agents. */
 const PLACES = [
@@ -14,6 +14,7 @@
 
 export class DemoFleet {
   readonly endpoints: EndpointStandIn[] = []
+  readonly workers: WorkerStandIn[] = []
   private readonly _lifecycle = new Lifecycle()
   private readonly _logger = createLogger({ level: 'warn', processId: 'demo' })
   private _callerUrl = ''
@@ -50,7 +51,10 @@
     const endpoint = await EndpointStandIn.open()
     this.endpoints.push(endpoint)
     this._lifecycle.add(`endpoint of ${place.id}`, () => endpoint.close())
-    const settings = createAgentSettings({ ...place, storeUrl, endpointUrl: endpoint.url, join: [entryAddress] })
+    const worker = await WorkerStandIn.open()
+    this.workers.push(worker)
+    this._lifecycle.add(`worker of ${place.id}`, () => worker.close())
+    const settings = createAgentSettings({ ...place, storeUrl, endpointUrl: endpoint.url, workerUrl: worker.url, join: [entryAddress] })
     const agent = await AgentProcess.start(settings, { logger: this._logger })
     this._lifecycle.add(place.id, () => agent.stop())
   }
--- a/packages/daemon/src/agent/agentProcess.ts
+++ b/packages/daemon/src/agent/agentProcess.ts
@@ -2,8 +2,8 @@
  * The agent role: the only door to its endpoint.
  */
 import { AttemptLedger, FairQueue } from '@dragonflylever/core'
-import { HttpEndpoint } from '@dragonflylever/platform'
-import type { Endpoint } from '@dragonflylever/platform'
+import { HttpEndpoint, HttpWorker } from '@dragonflylever/platform'
+import type { Endpoint, Worker } from '@dragonflylever/platform'
 import { CallerLimit, DISPATCH_PATH } from '@dragonflylever/protocol'
 import type { AgentSettings, Member } from '@dragonflylever/protocol'
 import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
@@ -16,8 +16,10 @@
 import { createProcessParts } from '../shared/processParts.js'
 import type { ProcessParts } from '../shared/processParts.js'
 import { syncPolicy } from '../shared/requestPolicy.js'
+import { createTaskService } from './createTaskService.js'
 import { DispatchHandler } from './dispatchHandler.js'
 import { SlotRunner } from './slotRunner.js'
+import type { TaskRunner } from './taskRunner.js'
 
 const MAX_LEDGER_ENTRIES = 50_000
 /** Longer than any dispatch can be under way. */
@@ -26,6 +28,8 @@
 /** Parts of an agent that tests replace. */
 export interface AgentParts extends ProcessParts {
   readonly endpoint: Endpoint
+  /** Undefined when the host runs requests only. */
+  readonly worker: Worker | undefined
 }
 
 export class AgentProcess {
@@ -44,7 +48,8 @@
   /** Starts an agent; rejects when its address can't be had. */
   static async start (settings: AgentSettings, given: Partial<AgentParts> = {}): Promise<AgentProcess> {
     const endpoint = given.endpoint ?? new HttpEndpoint({ url: settings.endpoint.url, connections: settings.endpoint.slots })
-    const agent = new AgentProcess(settings, { ...await createProcessParts(settings, given), endpoint })
+    const worker = given.worker ?? (settings.worker === undefined ? undefined : new HttpWorker(settings.worker.url))
+    const agent = new AgentProcess(settings, { ...await createProcessParts(settings, given), endpoint, worker })
     await agent._open()
     return agent
   }
@@ -75,11 +80,13 @@
     control.add(DISPATCH_PATH, (request, response) => handler.handle(request, response))
     this._serveWithdrawals(control, runner)
     this._controlAddress = await control.open(this._settings.listen.control)
+    const tasks = await this._createTasks(control)
     const holder = new ConfigurationHolder(this.board, createPartLogger(logger, 'config'))
     const announcer = new Announcer({ peers, holder, targets: this._settings.join, describe: () => this._describe(), noteFleetSlots: slots => this.board.set('fleetSlots', slots) })
     this._lifecycle.add('announcer', () => announcer.close())
     this._lifecycle.add('control server', () => control.close())
     this._lifecycle.add('requests under way', () => runner.drain())
+    this._lifecycle.add('tasks under way', () => tasks?.drain())
     this._lifecycle.add('word of leaving', () => announcer.leave())
     await announcer.start()
     log.info({ control: this._controlAddress, endpoint: this._settings.endpoint.url }, 'started')
@@ -96,6 +103,12 @@
     return runner
   }
 
+  private async _createTasks (control: ControlServer): Promise<TaskRunner | undefined> {
+    const { worker, peers, logger } = this._parts
+    if (worker === undefined) return undefined
+    return createTaskService({ settings: this._settings, worker, peers, rpc: control.rpc, logger, lifecycle: this._lifecycle })
+  }
+
   private _serveWithdrawals (control: ControlServer, runner: SlotRunner): void {
     control.rpc.add('withdraw', ({ attemptId, incarnation }) => {
       if (incarnation !== this._parts.incarnation) return { outcome: 'cannotVouch' }
--- /dev/null
+++ b/packages/daemon/src/agent/createTaskService.ts
@@ -0,0 +1,39 @@
+/**
+ * Puts the agent's part in gangs together, when the agent has a worker.
+ */
+import { TaskTable } from '@dragonflylever/core'
+import type { Worker } from '@dragonflylever/platform'
+import type { AgentSettings, PeerRpc, RpcRegistry } from '@dragonflylever/protocol'
+import { createPartLogger } from '@dragonflylever/runtime'
+import type { Lifecycle, Logger } from '@dragonflylever/runtime'
+
+import { TASK_LEASE_MS } from '../shared/taskLease.js'
+import { TaskRunner } from './taskRunner.js'
+import { TaskService } from './taskService.js'
+
+/** What the part works with. */
+export interface TaskServiceOptions {
+  readonly settings: AgentSettings
+  readonly worker: Worker
+  readonly peers: PeerRpc
+  readonly rpc: RpcRegistry
+  readonly logger: Logger
+  readonly lifecycle: Lifecycle
+}
+
+/** Creates the task service and has it serve the planner; resolves when the worker is clear of earlier tasks. */
+export async function createTaskService (options: TaskServiceOptions): Promise<TaskRunner> {
+  const { settings, worker, peers, lifecycle } = options
+  const { accelerators = 0, cores = 0, memoryGb = 0 } = settings.worker ?? {}
+  const workerId = settings.id
+  const table = new TaskTable({ workerId, capacity: { accelerators, cores, memoryGb }, leaseMs: TASK_LEASE_MS })
+  const logger = createPartLogger(options.logger, 'tasks')
+  const runner: TaskRunner = new TaskRunner({ workerId, table, worker, logger, onEnded: () => service.notify() })
+  const service: TaskService = new TaskService({ workerId, table, runner, peers })
+  lifecycle.add('worker', () => worker.close())
+  lifecycle.add('tasks', () => runner.close())
+  lifecycle.add('task service', () => service.close())
+  await runner.clear()
+  service.register(options.rpc)
+  return runner
+}
--- /dev/null
+++ b/packages/daemon/src/agent/taskRunner.ts
@@ -0,0 +1,217 @@
+/**
+ * Runs tasks of gangs at one agent: the task table decides, the worker carries out. A task runs only while its lease,
+ * renewed by the planner, is valid; the worker's own lease ends it when the agent dies.
+ */
+import type { AgentAnswer, AgentCommand, TaskIncarnation, TaskTable } from '@dragonflylever/core'
+import { TaskState } from '@dragonflylever/platform'
+import type { TaskReport as WorkerReport, Worker } from '@dragonflylever/platform'
+import type { TaskCommandMessage, TaskReportMessage } from '@dragonflylever/protocol'
+import type { Logger } from '@dragonflylever/runtime'
+
+/** Lease of a task at its worker; renewed at each observation, in milliseconds. */
+const WORKER_LEASE_MS = 5_000
+const OBSERVE_MS = 500
+const STOP_POLL_MS = 100
+const DRAIN_POLL_MS = 200
+
+/** What the runner works with. */
+export interface TaskRunnerParts {
+  readonly workerId: string
+  readonly table: TaskTable
+  readonly worker: Worker
+  readonly logger: Logger
+  /** Called when a task has ended by itself. */
+  readonly onEnded: () => void
+}
+
+interface Held {
+  readonly order: Extract<TaskCommandMessage, { kind: 'reserve' }>
+  checkpoint: string
+  ranMs: number
+  isStopping: boolean
+}
+
+const HOLDING = new Set<TaskState>([TaskState.prepared, TaskState.running])
+
+export class TaskRunner {
+  private readonly _parts: TaskRunnerParts
+  private readonly _held = new Map<string, Held>()
+  private readonly _timer: NodeJS.Timeout
+  private _observing: Promise<void> | undefined
+
+  constructor (parts: TaskRunnerParts) {
+    this._parts = parts
+    this._timer = setInterval(() => { this._observing ??= this._observe().finally(() => { this._observing = undefined }) }, OBSERVE_MS)
+  }
+
+  /** Number of tasks that hold resources or wait for the planner to hear of their end. */
+  get size (): number {
+    return this._parts.table.listTasks().length
+  }
+
+  /** Carries out a planner's commands in order; returns a report for each, or the higher epoch that fenced them. */
+  async handle (commands: readonly TaskCommandMessage[]): Promise<{ fencedBy?: number, reports: TaskReportMessage[] }> {
+    const reports: TaskReportMessage[] = []
+    for (const command of commands) {
+      const answer = await this._execute(command)
+      if (answer.kind === 'fenced') return { fencedBy: answer.epoch, reports }
+      reports.push(this._describe(answer.report.id, answer.report.status))
+    }
+    return { reports }
+  }
+
+  /** Lists all tasks. */
+  list (): TaskReportMessage[] {
+    return this._parts.table.listTasks().map(({ id, status }) => this._describe(id, status))
+  }
+
+  /** Ends whatever an earlier process of this agent left at the worker; called once, before the first command. */
+  async clear (): Promise<void> {
+    const outcome = await this._parts.worker.list()
+    if (outcome.kind !== 'ok') return
+    const left = outcome.tasks.filter(task => HOLDING.has(task.state))
+    await Promise.all(left.map(task => this._parts.worker.stop(task.taskId)))
+    if (left.length > 0) this._parts.logger.warn({ tasks: left.length }, 'tasks of an earlier process stopped')
+  }
+
+  /** Resolves when no task is left; the planner moves those that can be checkpointed. */
+  async drain (): Promise<void> {
+    while (this.size > 0) await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS))
+  }
+
+  /** Stops every task; used when the agent ends. */
+  async close (): Promise<void> {
+    clearInterval(this._timer)
+    await this._observing
+    await Promise.all([...this._held.values()].map(held => this._stopAtWorker(held.order.id)))
+  }
+
+  private async _execute (command: TaskCommandMessage): Promise<AgentAnswer> {
+    switch (command.kind) {
+      case 'reserve': return this._reserve(command)
+      case 'prepare': return this._prepare(command)
+      case 'go': return this._start(command)
+      case 'checkpoint': return this._checkpoint(command)
+      case 'stop': return this._stop(command)
+    }
+  }
+
+  private _reserve (command: Extract<TaskCommandMessage, { kind: 'reserve' }>): AgentAnswer {
+    const answer = this._handle(command)
+    const key = makeTaskId(command.id)
+    const isHeld = answer.kind === 'reported' && answer.report.status === 'reserved' && !this._held.has(key)
+    if (isHeld) this._held.set(key, { order: command, checkpoint: command.checkpoint, ranMs: 0, isStopping: false })
+    return answer
+  }
+
+  private async _prepare (command: AgentCommand): Promise<AgentAnswer> {
+    const held = this._held.get(makeTaskId(command.id))
+    if (held === undefined || !this._parts.table.acceptEpoch(command.epoch)) return this._handle(command)
+    const { jobId, incarnation } = command.id
+    const outcome = await this._parts.worker.prepare({
+      taskId: makeTaskId(command.id),
+      jobId,
+      incarnation,
+      shape: held.order.shape,
+      payload: held.order.payload,
+      checkpoint: held.order.checkpoint,
+      leaseMs: WORKER_LEASE_MS
+    })
+    if (outcome.kind === 'ok') return this._handle(command)
+    this._parts.logger.warn({ job: jobId, task: command.id.task, reason: outcome.message }, 'task could not be prepared')
+    return this._stop(command)
+  }
+
+  private async _start (command: AgentCommand): Promise<AgentAnswer> {
+    const answer = this._handle(command)
+    if (answer.kind !== 'reported' || answer.report.status !== 'running') return answer
+    const outcome = await this._parts.worker.start(makeTaskId(command.id))
+    if (outcome.kind === 'ok') return answer
+    this._parts.logger.warn({ job: command.id.jobId, task: command.id.task, reason: outcome.message }, 'task could not be started')
+    await this._stopAtWorker(command.id)
+    this._parts.table.finish(command.id, 'failed')
+    return this._handle(command)
+  }
+
+  private async _checkpoint (command: AgentCommand): Promise<AgentAnswer> {
+    const answer = this._handle(command)
+    const held = this._held.get(makeTaskId(command.id))
+    if (answer.kind !== 'reported' || answer.report.status !== 'running' || held === undefined || held.isStopping) return answer
+    held.isStopping = true
+    const outcome = await this._parts.worker.checkpoint(makeTaskId(command.id))
+    if (outcome.kind === 'ok') held.checkpoint = outcome.checkpoint
+    await this._stopAtWorker(command.id)
+    this._parts.table.finish(command.id, outcome.kind === 'ok' ? 'checkpointed' : 'failed')
+    return this._handle(command)
+  }
+
+  private async _stop (command: AgentCommand): Promise<AgentAnswer> {
+    const stop: AgentCommand = { kind: 'stop', epoch: command.epoch, id: command.id }
+    if (!this._parts.table.acceptEpoch(command.epoch)) return this._parts.table.handle(stop, performance.now())
+    const key = makeTaskId(command.id)
+    if (this._held.has(key)) await this._stopAtWorker(command.id)
+    this._held.delete(key)
+    return this._handle(stop)
+  }
+
+  private _handle (command: AgentCommand): AgentAnswer {
+    this._endLapsed()
+    return this._parts.table.handle(command, performance.now())
+  }
+
+  /** Stops a task at the worker and waits until it holds nothing; one that ignores the stop ends with its lease there. */
+  private async _stopAtWorker (id: TaskIncarnation): Promise<void> {
+    const key = makeTaskId(id)
+    const held = this._held.get(key)
+    if (held !== undefined) held.isStopping = true
+    const limit = performance.now() + WORKER_LEASE_MS
+    await this._parts.worker.stop(key)
+    while (await this._isHeldByWorker(key) && performance.now() < limit) await new Promise(resolve => setTimeout(resolve, STOP_POLL_MS))
+  }
+
+  private async _isHeldByWorker (key: string): Promise<boolean> {
+    const outcome = await this._parts.worker.list()
+    if (outcome.kind !== 'ok') return true
+    return outcome.tasks.some(task => task.taskId === key && HOLDING.has(task.state))
+  }
+
+  private _endLapsed (): void {
+    for (const id of this._parts.table.expire(performance.now())) {
+      this._parts.logger.warn({ job: id.jobId, task: id.task, incarnation: id.incarnation }, 'task lease lapsed')
+      void this._stopAtWorker(id).then(() => this._held.delete(makeTaskId(id)))
+    }
+  }
+
+  /** Renews the worker's leases and notes tasks that have ended by themselves. */
+  private async _observe (): Promise<void> {
+    this._endLapsed()
+    const live = [...this._held].filter(([, held]) => !held.isStopping)
+    await Promise.all(live.map(([key]) => this._parts.worker.renew(key)))
+    const outcome = await this._parts.worker.list()
+    if (outcome.kind !== 'ok') return
+    const reports = new Map(outcome.tasks.map(task => [task.taskId, task]))
+    const ended = live.filter(([key, held]) => this._note(held, reports.get(key)))
+    if (ended.length > 0) this._parts.onEnded()
+  }
+
+  private _note (held: Held, report: WorkerReport | undefined): boolean {
+    if (report === undefined || held.isStopping) return false
+    held.ranMs = report.ranMs
+    if (report.checkpoint !== '') held.checkpoint = report.checkpoint
+    if (HOLDING.has(report.state)) return false
+    held.isStopping = true
+    this._parts.table.finish(held.order.id, report.state === TaskState.done ? 'finished' : 'failed')
+    this._parts.logger.info({ job: held.order.id.jobId, task: held.order.id.task, state: report.state, message: report.message }, 'task ended')
+    return true
+  }
+
+  private _describe (id: TaskIncarnation, status: TaskReportMessage['status']): TaskReportMessage {
+    const held = this._held.get(makeTaskId(id))
+    return { workerId: this._parts.workerId, id, status, checkpoint: held?.checkpoint ?? '', ranMs: held?.ranMs ?? 0 }
+  }
+}
+
+/** Returns the name of a task at its worker. */
+export function makeTaskId (id: TaskIncarnation): string {
+  return `${id.jobId}/${id.incarnation}/${id.task}`
+}
--- /dev/null
+++ b/packages/daemon/src/agent/taskService.ts
@@ -0,0 +1,80 @@
+/**
+ * The agent's side towards the planner: takes commands, renews the tasks' leases, stops orphans.
+ */
+import type { TaskTable } from '@dragonflylever/core'
+import type { PeerRpc, RpcRegistry } from '@dragonflylever/protocol'
+
+import type { TaskRunner } from './taskRunner.js'
+
+/** Interval between renewals, in milliseconds; a task's lease is a few of them. */
+export const TASK_RENEW_MS = 4_000
+const RENEW_TIMEOUT_MS = 2_000
+const MIN_PAUSE_MS = 100
+
+/** What the service works with. */
+export interface TaskServiceParts {
+  readonly workerId: string
+  readonly table: TaskTable
+  readonly runner: TaskRunner
+  readonly peers: PeerRpc
+}
+
+export class TaskService {
+  private readonly _parts: TaskServiceParts
+  private _planner = ''
+  private _epoch = 0
+  private _timer: NodeJS.Timeout | undefined
+  private _isRenewing = false
+  private _isClosed = false
+
+  constructor (parts: TaskServiceParts) {
+    this._parts = parts
+    this._schedule(TASK_RENEW_MS)
+  }
+
+  /** Serves the planner's calls. */
+  register (rpc: RpcRegistry): void {
+    rpc.add('taskCommands', async params => {
+      if (!this._parts.table.acceptEpoch(params.epoch)) return this._parts.runner.handle(params.commands)
+      this._planner = params.planner
+      this._epoch = params.epoch
+      const answer = await this._parts.runner.handle(params.commands)
+      return params.wantsInventory ? { ...answer, reports: this._parts.runner.list() } : answer
+    })
+  }
+
+  /** Tells the planner soon, for instance because a task has ended. */
+  notify (): void {
+    this._schedule(MIN_PAUSE_MS)
+  }
+
+  close (): void {
+    this._isClosed = true
+    clearTimeout(this._timer)
+  }
+
+  private _schedule (delayMs: number): void {
+    clearTimeout(this._timer)
+    if (!this._isClosed) this._timer = setTimeout(() => { void this._renew() }, delayMs)
+  }
+
+  private async _renew (): Promise<void> {
+    const reports = this._parts.runner.list()
+    if (!this._isRenewing && reports.length > 0 && this._planner !== '') {
+      this._isRenewing = true
+      await this._tell(reports)
+      this._isRenewing = false
+    }
+    this._schedule(TASK_RENEW_MS)
+  }
+
+  private async _tell (reports: ReturnType<TaskRunner['list']>): Promise<void> {
+    const { workerId, table, runner, peers } = this._parts
+    const askedAt = performance.now()
+    const epoch = this._epoch
+    const outcome = await peers.call(this._planner, 'taskRenew', { workerId, epoch, reports }, RENEW_TIMEOUT_MS)
+    if (outcome.kind !== 'ok' || outcome.value.epoch !== epoch) return
+    for (const id of outcome.value.renewed) table.renew(id, epoch, askedAt, performance.now())
+    await runner.handle(outcome.value.orphans.map(id => ({ kind: 'stop', epoch, id })))
+  }
+}
--- a/packages/daemon/src/entry/callerRequest.ts
+++ b/packages/daemon/src/entry/callerRequest.ts
@@ -144,7 +144,8 @@
   return deadlineMs
 }
 
-function isAllowed (message: IncomingMessage, organisation: string, keys: Readonly<Record<string, string>> | undefined): boolean {
+/** Checks that a message brings the organisation's key, where the deployment gives keys. */
+export function isAllowed (message: IncomingMessage, organisation: string, keys: Readonly<Record<string, string>> | undefined): boolean {
   if (keys === undefined) return true
   const expected = keys[organisation]
   const presented = /^Bearer (.+)$/.exec(message.headers.authorization ?? '')?.[1]
--- a/packages/daemon/src/entry/callerServer.ts
+++ b/packages/daemon/src/entry/callerServer.ts
@@ -5,10 +5,11 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
 import { NotRunReason } from '@dragonflylever/core'
-import { CallerLimit } from '@dragonflylever/protocol'
+import { CallerLimit, JOBS_PATH } from '@dragonflylever/protocol'
 import type { Blackboard, Metrics, Tracer, WholeBody } from '@dragonflylever/runtime'
 import { closeServer, openServer, readWhole, sendJson } from '@dragonflylever/runtime'
 
+import type { JobApi } from '../jobs/jobApi.js'
 import type { FleetFacts } from '../shared/fleetFacts.js'
 import { writeOutcome, writeRefusal } from './callerAnswer.js'
 import { parseCallerRequest, refuse } from './callerRequest.js'
@@ -25,6 +26,7 @@
 export interface CallerServerParts {
   readonly board: Blackboard<FleetFacts>
   readonly service: RequestService
+  readonly jobs: JobApi
   readonly metrics: Metrics
   readonly tracer: Tracer
   readonly organisationKeys: Readonly<Record<string, string>> | undefined
@@ -72,6 +74,10 @@
       this._sendHealth(response)
       return
     }
+    if (message.url?.startsWith(JOBS_PATH) === true) {
+      await this._parts.jobs.handle(message, response)
+      return
+    }
     const parsed = parseCallerRequest(message, {
       configuration: this._parts.board.get('configuration'),
       organisationKeys: this._parts.organisationKeys,
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -5,7 +5,9 @@
 import type { EntrySettings, Member, QueueReport } from '@dragonflylever/protocol'
 import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
 
+import { createJobApi } from '../jobs/createJobApi.js'
 import { createOperatorServer } from '../operators/createOperatorServer.js'
+import { PlannerDuty } from '../planner/plannerDuty.js'
 import { Announcer } from '../shared/announcer.js'
 import { ConfigurationHolder } from '../shared/configurationHolder.js'
 import { ConfigurationWatcher } from '../shared/configurationWatcher.js'
@@ -94,7 +96,9 @@
     const directory = new MemberDirectory(this.board, createPartLogger(logger, 'members'))
     this._lifecycle.add('directory', () => directory.close())
     const dispatcher = this._createDispatcher(random)
+    const planner = this._createPlanner()
     const server = new CallerServer({
+      jobs: createJobApi({ settings: this._settings, store, board: this.board, planner }),
       board: this.board,
       service: this._createService(dispatcher),
       metrics,
@@ -112,6 +116,7 @@
     this._lifecycle.add('announcer', () => announcer.close())
     directory.note(this._describe())
     await announcer.start()
+    planner.start(control.rpc)
     const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder, logger })
     this._operatorAddress = await operators.open(this._settings.listen.operators)
     this._lifecycle.add('operator server', () => operators.close())
@@ -120,6 +125,22 @@
     log.info({ callers: this._callerAddress, control: this._controlAddress, operators: this._operatorAddress }, 'started')
   }
 
+  private _createPlanner (): PlannerDuty {
+    const { store, peers, logger, metrics } = this._parts
+    const planner = new PlannerDuty({
+      id: this._settings.id,
+      store,
+      prefix: this._settings.store.prefix,
+      peers,
+      board: this.board,
+      logger: createPartLogger(logger, 'planner'),
+      metrics,
+      getAddress: () => this._controlAddress
+    })
+    this._lifecycle.add('planner', () => planner.close())
+    return planner
+  }
+
   private _createDispatcher (random: ProcessParts['random']): Dispatcher {
     const agents = new AgentTable()
     const sender = new AgentLink({
--- /dev/null
+++ b/packages/daemon/src/jobs/createJobApi.ts
@@ -0,0 +1,31 @@
+/**
+ * Puts the calls for jobs of an entry together.
+ */
+import type { Store } from '@dragonflylever/platform'
+import type { EntrySettings } from '@dragonflylever/protocol'
+import type { Blackboard } from '@dragonflylever/runtime'
+
+import { isAllowed } from '../entry/callerRequest.js'
+import type { PlannerDuty } from '../planner/plannerDuty.js'
+import type { FleetFacts } from '../shared/fleetFacts.js'
+import { JobApi } from './jobApi.js'
+import { JobDirectory } from './jobDirectory.js'
+
+/** What the calls work with. */
+export interface JobApiOptions {
+  readonly settings: EntrySettings
+  readonly store: Store
+  readonly board: Blackboard<FleetFacts>
+  readonly planner: PlannerDuty
+}
+
+/** Creates the calls for jobs. */
+export function createJobApi (options: JobApiOptions): JobApi {
+  const { settings, store, board, planner } = options
+  return new JobApi({
+    directory: new JobDirectory(store, settings.store.prefix),
+    getConfiguration: () => board.get('configuration'),
+    isAllowed: (message, organisation) => isAllowed(message, organisation, settings.organisationKeys),
+    explain: jobId => planner.explain(jobId)
+  })
+}
--- a/packages/daemon/src/jobs/jobApi.ts
+++ b/packages/daemon/src/jobs/jobApi.ts
@@ -9,7 +9,7 @@
 import { readWhole, sendJson } from '@dragonflylever/runtime'
 
 import type { JobDirectory } from './jobDirectory.js'
-import { computeJobId, describeJob, hasEnded } from './jobRecord.js'
+import { computeJobId, createQueuedRecord, describeJob, hasEnded } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
 
 const RETRY_AFTER_S = 2
@@ -83,7 +83,7 @@
 
   private async _explain (response: ServerResponse, record: JobRecord): Promise<void> {
     const job = describeJob(record)
-    const told = hasEnded(record) ? { reasons: [`the job is ${record.state.kind}`], expectedStartAt: undefined } : await this._parts.explain(record.spec.id)
+    const told = hasEnded(record) ? { reasons: [`the job is ${record.gang.phase.kind}`], expectedStartAt: undefined } : await this._parts.explain(record.spec.id)
     const reasons = told?.reasons ?? ['the planner can\'t be reached now; the job keeps its place']
     const explanation: JobExplanation = { job, reasons: record.message === '' ? reasons : [...reasons, record.message], expectedStartAt: told?.expectedStartAt }
     sendJson(response, 200, explanation)
@@ -105,15 +105,15 @@
   const declaration = classes[request.class]
   if (declaration === undefined || declaration.kind !== 'job') return `class "${request.class}" is not declared for jobs`
   if (organisations[organisation] === undefined) return `organisation "${organisation}" is not declared`
+  const spec = makeSpec(request, parseDuration(declaration.finishWithin) ?? 0)
   return {
-    spec: makeSpec(request, parseDuration(declaration.finishWithin) ?? 0),
+    spec,
     payload: JSON.stringify(request.payload ?? {}),
     submittedAt: Date.now(),
-    state: { kind: 'queued', incarnation: 0 },
+    gang: createQueuedRecord(spec.id),
     attempts: 0,
     doneMs: 0,
     checkpoints: {},
-    coveredBy: [],
     message: ''
   }
 }
--- a/packages/daemon/src/jobs/jobRecord.ts
+++ b/packages/daemon/src/jobs/jobRecord.ts
@@ -3,7 +3,7 @@
  */
 import { createHash } from 'node:crypto'
 
-import type { JobSpec, JobState } from '@dragonflylever/core'
+import type { GangRecord, JobSpec } from '@dragonflylever/core'
 import type { JobView } from '@dragonflylever/protocol'
 
 /** The durable record of a job. Times are wall time in milliseconds since the epoch. */
@@ -12,7 +12,8 @@
   /** JSON text for the program. */
   readonly payload: string
   readonly submittedAt: number
-  readonly state: JobState
+  /** What the planner has decided, as the gang's state machine writes it. */
+  readonly gang: GangRecord
   readonly startedAt?: number
   readonly endedAt?: number
   readonly attempts: number
@@ -20,8 +21,6 @@
   readonly doneMs: number
   /** Last checkpoint of each task, by index. */
   readonly checkpoints: Readonly<Record<string, string>>
-  /** Guaranteed shapes that the running gang uses. */
-  readonly coveredBy: readonly string[]
   readonly message: string
 }
 
@@ -47,20 +46,21 @@
 
 /** True when the job has reached its end. */
 export function hasEnded (record: JobRecord): boolean {
-  return record.state.kind === 'done' || record.state.kind === 'failed' || record.state.kind === 'cancelled'
+  const { kind } = record.gang.phase
+  return kind === 'done' || kind === 'failed' || kind === 'cancelled'
 }
 
 /** Describes a job for callers. */
 export function describeJob (record: JobRecord): JobView {
-  const { spec, state } = record
+  const { spec, gang } = record
   return {
     id: spec.id,
     class: spec.className,
     organisation: spec.organisation,
     key: spec.idempotencyKey,
     tasks: spec.tasks,
-    state: state.kind,
-    workers: 'placement' in state ? [...new Set(state.placement)] : [],
+    state: gang.phase.kind === 'committed' ? 'running' : gang.phase.kind,
+    workers: [...new Set(gang.placement)],
     submittedAt: record.submittedAt,
     startedAt: record.startedAt,
     endedAt: record.endedAt,
@@ -68,3 +68,8 @@
     message: record.message
   }
 }
+
+/** Creates the gang's part of a new job's record. */
+export function createQueuedRecord (jobId: string): GangRecord {
+  return { jobId, phase: { kind: 'queued' }, incarnation: 0, placement: [], coveredBy: [], nonce: 'submitted', epoch: 0 }
+}
--- /dev/null
+++ b/packages/daemon/src/planner/commandSender.ts
@@ -0,0 +1,86 @@
+/**
+ * Sends commands to agents: those of one moment to one agent go in one call, and calls to an agent follow one another.
+ */
+import type { AgentCommand } from '@dragonflylever/core'
+import type { PeerRpc, TaskCommandMessage, TaskReportMessage } from '@dragonflylever/protocol'
+
+import type { BookedJob } from './jobBook.js'
+
+/** Longer than a checkpoint may take. */
+const CALL_TIMEOUT_MS = 90_000
+const INVENTORY_TIMEOUT_MS = 3_000
+
+/** What the sender works with. */
+export interface CommandSenderParts {
+  readonly peers: PeerRpc
+  readonly epoch: number
+  /** This process's control address. */
+  readonly address: string
+  /** Returns the control address of a worker's agent; undefined while it is away. */
+  readonly getAgentAddress: (workerId: string) => string | undefined
+  /** Takes what agents answer. */
+  readonly onReports: (reports: readonly TaskReportMessage[]) => void
+  /** Called when an agent knows a higher epoch. */
+  readonly onFenced: () => void
+}
+
+export class CommandSender {
+  private readonly _parts: CommandSenderParts
+  private readonly _queues = new Map<string, TaskCommandMessage[]>()
+  private readonly _busy = new Set<string>()
+  private _isClosed = false
+
+  constructor (parts: CommandSenderParts) {
+    this._parts = parts
+  }
+
+  /** Queues a command for a worker's agent. */
+  send (workerId: string, job: BookedJob, command: AgentCommand): void {
+    const queue = this._queues.get(workerId) ?? []
+    this._queues.set(workerId, queue)
+    if (!queue.some(known => isSame(known, command))) queue.push(makeMessage(job, command))
+    queueMicrotask(() => { void this._flush(workerId) })
+  }
+
+  /** Asks an agent for all its tasks, and tells it whom to report to. */
+  async requestInventory (workerId: string): Promise<void> {
+    await this._call(workerId, [], INVENTORY_TIMEOUT_MS)
+  }
+
+  close (): void {
+    this._isClosed = true
+    this._queues.clear()
+  }
+
+  private async _flush (workerId: string): Promise<void> {
+    if (this._isClosed || this._busy.has(workerId)) return
+    const commands = this._queues.get(workerId) ?? []
+    this._queues.delete(workerId)
+    if (commands.length === 0) return
+    this._busy.add(workerId)
+    await this._call(workerId, commands, CALL_TIMEOUT_MS)
+    this._busy.delete(workerId)
+    await this._flush(workerId)
+  }
+
+  private async _call (workerId: string, commands: TaskCommandMessage[], timeoutMs: number): Promise<void> {
+    const address = this._parts.getAgentAddress(workerId)
+    if (address === undefined) return
+    const params = { epoch: this._parts.epoch, planner: this._parts.address, commands, wantsInventory: commands.length === 0 }
+    const outcome = await this._parts.peers.call(address, 'taskCommands', params, timeoutMs)
+    if (this._isClosed || outcome.kind !== 'ok') return
+    this._parts.onReports(outcome.value.reports)
+    if (outcome.value.fencedBy !== undefined) this._parts.onFenced()
+  }
+}
+
+function isSame (known: TaskCommandMessage, command: AgentCommand): boolean {
+  return known.kind === command.kind && known.id.jobId === command.id.jobId && known.id.task === command.id.task && known.id.incarnation === command.id.incarnation
+}
+
+function makeMessage (job: BookedJob, command: AgentCommand): TaskCommandMessage {
+  const id = { ...command.id }
+  if (command.kind !== 'reserve') return { kind: command.kind, epoch: command.epoch, id }
+  const checkpoint = job.record.checkpoints[String(id.task)] ?? ''
+  return { kind: 'reserve', epoch: command.epoch, id, shape: { ...command.shape }, payload: job.record.payload, checkpoint }
+}
--- /dev/null
+++ b/packages/daemon/src/planner/explainJob.ts
@@ -0,0 +1,45 @@
+/**
+ * Says in short sentences why a job waits.
+ */
+import type { Reservation, RunningJob, WaitingJob, WorkerFacts } from '@dragonflylever/core'
+
+import type { BookedJob } from './jobBook.js'
+
+/** The planner's answer. Wall time in milliseconds. */
+export interface PlannerExplanation {
+  readonly reasons: string[]
+  readonly expectedStartAt?: number
+}
+
+/** What the answer follows from. */
+export interface ExplainInput {
+  readonly job: BookedJob | undefined
+  readonly workers: readonly WorkerFacts[]
+  readonly running: readonly RunningJob[]
+  readonly waiting: readonly WaitingJob[]
+  readonly reservations: readonly Reservation[]
+}
+
+/** Explains one job. */
+export function explainJob (input: ExplainInput): PlannerExplanation {
+  const { job } = input
+  if (job === undefined) return { reasons: ['the planner has not taken the job up yet'] }
+  if (job.gang.stage !== 'queued') return { reasons: [`the gang is ${job.gang.stage}, incarnation ${job.gang.incarnation}, on ${[...new Set(job.gang.placement)].join(', ')}`] }
+  const reservation = input.reservations.find(item => item.jobId === job.jobId)
+  const reasons = [describeNeed(job), describeFree(input), `${input.waiting.length} jobs wait, this one included`]
+  if (reservation === undefined) return { reasons }
+  reasons.push(`workers ${reservation.workers.join(', ')} are kept for it`)
+  return { reasons, expectedStartAt: reservation.expectedStartAt }
+}
+
+function describeNeed (job: BookedJob): string {
+  const { spec } = job.record
+  return `it waits for ${spec.tasks * spec.shape.accelerators} accelerators (${spec.tasks} tasks of ${spec.shape.accelerators}) within one ${spec.adjacency}`
+}
+
+function describeFree (input: ExplainInput): string {
+  const ready = input.workers.filter(worker => worker.state === 'ready')
+  const total = ready.reduce((sum, worker) => sum + worker.accelerators, 0)
+  const used = input.running.reduce((sum, job) => sum + job.placement.length * job.spec.shape.accelerators, 0)
+  return `${Math.max(0, total - used)} of ${total} accelerators are free on ${ready.length} workers; ${input.workers.length - ready.length} workers take no new tasks`
+}
--- /dev/null
+++ b/packages/daemon/src/planner/plannedWorkers.ts
@@ -0,0 +1,46 @@
+/**
+ * Workers and guarantees as the planner needs them, from members and declarations.
+ */
+import type { Guarantee } from '@dragonflylever/core'
+import { parseDuration } from '@dragonflylever/protocol'
+import type { Declarations, Member } from '@dragonflylever/protocol'
+
+import type { PlannedWorker } from './plannerSession.js'
+
+const DEFAULT_START_WITHIN_MS = 60_000
+
+/** Lists the workers that can run tasks. */
+export function listPlannedWorkers (members: Iterable<Member>): PlannedWorker[] {
+  const workers: PlannedWorker[] = []
+  for (const member of members) {
+    const facts = member.agent
+    if (facts === undefined || facts.cores <= 0) continue
+    workers.push({
+      id: member.id,
+      rack: `${member.failureDomain}/${facts.rack}`,
+      failureDomain: member.failureDomain,
+      region: member.region,
+      accelerators: facts.accelerators,
+      cores: facts.cores,
+      memoryGb: facts.memoryGb,
+      state: member.state === 'leaving' ? 'leaving' : 'ready',
+      address: member.address,
+      incarnation: member.incarnation
+    })
+  }
+  return workers
+}
+
+/** Lists the guaranteed shapes of all organisations; each must be free within the shortest start target of a class of jobs. */
+export function listGuarantees (declarations: Declarations | undefined): Guarantee[] {
+  if (declarations === undefined) return []
+  const targets = Object.values(declarations.classes).filter(item => item.kind === 'job').map(item => parseDuration(item.startWithin ?? ''))
+  const startWithinMs = Math.min(DEFAULT_START_WITHIN_MS, ...targets.filter(target => target !== undefined))
+  return Object.entries(declarations.organisations).flatMap(([organisation, declared]) => declared.guaranteedShapes.map(shape => ({
+    organisation,
+    accelerators: shape.accelerators,
+    adjacency: shape.adjacency,
+    count: shape.count,
+    startWithinMs
+  })))
+}
--- /dev/null
+++ b/packages/daemon/src/planner/plannerSession.ts
@@ -0,0 +1,287 @@
+/**
+ * One holder's time as planner, under one epoch: takes the jobs up from the store and the agents' inventories, decides,
+ * and carries the gangs' state machines through. It ends when the duty is lost; the next holder begins anew.
+ */
+import { BlameLedger, GangPlanner, RunTimeEstimator, isOrphan, isRenewable, noteRenewal, advanceGang } from '@dragonflylever/core'
+import type { GangCommand, GangEvent, GangRecord, GangTimes, Guarantee, PlanAction, WorkerFacts } from '@dragonflylever/core'
+import type { Store, StoredValue, Watch, WatchEvent } from '@dragonflylever/platform'
+import type { PeerRpc, RpcParams, RpcResultValue, TaskReportMessage } from '@dragonflylever/protocol'
+import type { Logger, Metrics } from '@dragonflylever/runtime'
+
+import { getJobsPrefix, getRecordKey } from '../jobs/jobRecord.js'
+import type { JobRecord } from '../jobs/jobRecord.js'
+import { TASK_LEASE_MS } from '../shared/taskLease.js'
+import { CommandSender } from './commandSender.js'
+import { explainJob } from './explainJob.js'
+import type { PlannerExplanation } from './explainJob.js'
+import { JobBook } from './jobBook.js'
+import type { BookedJob } from './jobBook.js'
+import { makeNextRecord } from './nextRecord.js'
+
+const TIMES: GangTimes = { leaseMs: TASK_LEASE_MS, marginMs: 3_000, checkpointMs: 60_000 }
+const TICK_MS = 1_000
+const PLAN_DELAY_MS = 50
+const RETRY_MS = 500
+/** How long the record of an ended job is kept, in milliseconds. */
+const RETENTION_MS = 7 * 24 * 3_600_000
+
+/** What a planner knows of a worker besides its facts. */
+export interface PlannedWorker extends WorkerFacts {
+  /** Control address of its agent. */
+  readonly address: string
+  readonly incarnation: string
+}
+
+/** What a session works with. */
+export interface PlannerSessionParts {
+  readonly store: Store
+  readonly prefix: string
+  readonly peers: PeerRpc
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly epoch: number
+  readonly address: string
+  /** True while the duty's lease runs; checked before each act. */
+  readonly isHolding: () => boolean
+  readonly listWorkers: () => readonly PlannedWorker[]
+  readonly listGuarantees: () => readonly Guarantee[]
+  /** Called when a higher epoch is met. */
+  readonly onFenced: () => void
+}
+
+export class PlannerSession {
+  private readonly _parts: PlannerSessionParts
+  private readonly _book: JobBook
+  private readonly _sender: CommandSender
+  private readonly _runTimes = new RunTimeEstimator()
+  private readonly _blame = new BlameLedger()
+  private readonly _planner = new GangPlanner({ runTimes: this._runTimes, blame: this._blame })
+  private readonly _timer: NodeJS.Timeout
+  private _workers = new Map<string, PlannedWorker>()
+  private _watch: Watch | undefined
+  private _retry: NodeJS.Timeout | undefined
+  private _planning: NodeJS.Timeout | undefined
+  private _retentionLease: string | undefined
+  private _isClosed = false
+
+  constructor (parts: PlannerSessionParts) {
+    this._parts = parts
+    this._book = new JobBook(parts.epoch, TIMES)
+    this._sender = new CommandSender({
+      peers: parts.peers,
+      epoch: parts.epoch,
+      address: parts.address,
+      getAgentAddress: workerId => this._workers.get(workerId)?.address,
+      onReports: reports => this._acceptReports(reports),
+      onFenced: parts.onFenced
+    })
+    this._timer = setInterval(() => this._advance(), TICK_MS)
+  }
+
+  /** Takes the jobs up and begins to plan. */
+  async open (): Promise<void> {
+    const lease = await this._parts.store.grantLease(RETENTION_MS)
+    if (lease.kind === 'ok') this._retentionLease = lease.leaseId
+    await this._watchJobs()
+  }
+
+  close (): void {
+    this._isClosed = true
+    clearInterval(this._timer)
+    clearTimeout(this._retry)
+    clearTimeout(this._planning)
+    this._watch?.close()
+    this._sender.close()
+  }
+
+  /** Takes the present workers over; tasks at those that are gone are lost. */
+  updateWorkers (): void {
+    const next = new Map(this._parts.listWorkers().map(worker => [worker.id, worker]))
+    const lost = [...this._workers.values()].filter(worker => next.get(worker.id)?.incarnation !== worker.incarnation)
+    const isKnown = (worker: PlannedWorker): boolean => this._workers.get(worker.id)?.incarnation === worker.incarnation
+    const joined = [...next.values()].filter(worker => !isKnown(worker))
+    this._workers = next
+    for (const worker of lost) {
+      for (const job of this._book.list()) this._apply(job, { kind: 'workerLost', workerId: worker.id })
+    }
+    for (const worker of joined) void this._sender.requestInventory(worker.id)
+    this._moveFromLeaving()
+    this._schedulePlan()
+  }
+
+  /** A gang that can be checkpointed moves away from a worker that leaves; any other runs to its end there. */
+  private _moveFromLeaving (): void {
+    for (const job of this._book.list()) {
+      const isLeaving = job.gang.placement.some(workerId => this._workers.get(workerId)?.state === 'leaving')
+      if (isLeaving && job.gang.stage === 'running' && job.record.spec.isCheckpointable) this._apply(job, { kind: 'reclaim', how: 'checkpoint' })
+    }
+  }
+
+  /** Answers an agent that renews its tasks' leases. */
+  renew (params: RpcParams<'taskRenew'>): RpcResultValue<'taskRenew'> {
+    if (!this._isActive() || params.epoch !== this._parts.epoch) return { renewed: [], orphans: [] }
+    this._acceptReports(params.reports)
+    const renewed: TaskReportMessage['id'][] = []
+    const orphans: TaskReportMessage['id'][] = []
+    for (const report of params.reports) {
+      const job = this._book.get(report.id.jobId)
+      if (isOrphan(job?.gang, report)) orphans.push(report.id)
+      else if (job !== undefined && isRenewable(job.gang)) {
+        job.gang = noteRenewal(job.gang, TIMES, performance.now())
+        renewed.push(report.id)
+      }
+    }
+    return { epoch: this._parts.epoch, renewed, orphans }
+  }
+
+  /** Says why a job waits. */
+  explain (jobId: string): PlannerExplanation {
+    const job = this._book.get(jobId)
+    const workers = [...this._workers.values()]
+    return explainJob({ job, workers, running: this._book.listRunning(), waiting: this._book.listWaiting(), reservations: this._planner.listReservations() })
+  }
+
+  private _isActive (): boolean {
+    return !this._isClosed && this._parts.isHolding()
+  }
+
+  private async _watchJobs (): Promise<void> {
+    const prefix = getJobsPrefix(this._parts.prefix)
+    const listed = await this._parts.store.list(prefix)
+    if (!this._isActive()) return
+    if (listed.kind !== 'ok') return this._scheduleWatch()
+    for (const value of listed.values) this._takeStored(value)
+    this.updateWorkers()
+    this._watch = this._parts.store.watch(prefix, listed.storeRevision + 1, {
+      onEvents: events => this._acceptEvents(events),
+      onEnd: () => this._scheduleWatch()
+    })
+  }
+
+  private _scheduleWatch (): void {
+    if (!this._isClosed) this._retry = setTimeout(() => { void this._watchJobs() }, RETRY_MS)
+  }
+
+  private _acceptEvents (events: readonly WatchEvent[]): void {
+    for (const event of events) if (event.kind === 'put') this._takeStored(event.value)
+    this._schedulePlan()
+  }
+
+  private _takeStored (stored: StoredValue): void {
+    if (stored.key.endsWith('/cancel')) {
+      const job = this._book.cancel(stored.key.split('/').at(-2) ?? '')
+      if (job !== undefined) this._apply(job, { kind: 'cancel' })
+      return
+    }
+    const job = this._book.take(JSON.parse(stored.value) as JobRecord, stored.modRevision, performance.now())
+    if (job === undefined) return
+    this._parts.logger.info({ job: job.jobId, stage: job.gang.stage }, 'job taken up')
+    if (job.isCancelled) this._apply(job, { kind: 'cancel' })
+  }
+
+  private _acceptReports (reports: readonly TaskReportMessage[]): void {
+    for (const report of reports) {
+      const job = this._book.get(report.id.jobId)
+      if (job === undefined) continue
+      if (report.id.incarnation === job.gang.incarnation) job.progress.set(report.id.task, report)
+      this._apply(job, { kind: 'report', report })
+    }
+  }
+
+  private _advance (): void {
+    if (!this._isActive()) return
+    for (const job of this._book.list()) {
+      if (job.gang.stage !== 'queued' || job.gang.pending !== undefined) this._apply(job, { kind: 'tick' })
+      if (job.isCancelled && job.gang.stage === 'queued' && job.gang.pending === undefined) this._apply(job, { kind: 'cancel' })
+    }
+    this._schedulePlan()
+  }
+
+  private _schedulePlan (): void {
+    if (this._isClosed) return
+    this._planning ??= setTimeout(() => {
+      this._planning = undefined
+      this._decide()
+    }, PLAN_DELAY_MS)
+  }
+
+  private _decide (): void {
+    if (!this._isActive()) return
+    const startedAt = performance.now()
+    const now = Date.now()
+    const workers = [...this._workers.values()].map(worker => this._blame.isQuarantined(worker.id, now) ? { ...worker, state: 'quarantined' as const } : worker)
+    const snapshot = { workers, guarantees: this._parts.listGuarantees(), waiting: this._book.listWaiting(), running: this._book.listRunning() }
+    const actions = this._planner.schedule(snapshot, now)
+    for (const action of actions) this._perform(action)
+    this._parts.metrics.time('plan_ms', performance.now() - startedAt)
+    this._parts.metrics.gauge('jobs_waiting', snapshot.waiting.length)
+  }
+
+  private _perform (action: PlanAction): void {
+    if (action.kind === 'quarantine' || action.kind === 'reserve') return
+    const job = this._book.get(action.jobId)
+    if (job === undefined) return
+    this._parts.logger.info({ job: action.jobId, action: action.kind, detail: action }, 'decision taken')
+    if (action.kind === 'start') this._place(job, action)
+    else if (action.kind === 'fail') {
+      job.record = { ...job.record, message: action.message }
+      this._apply(job, { kind: 'fail', reason: action.reason })
+    } else this._apply(job, { kind: 'reclaim', how: action.how === 'stop' ? 'stop' : 'checkpoint' })
+  }
+
+  private _place (job: BookedJob, action: Extract<PlanAction, { kind: 'start' }>): void {
+    job.progress.clear()
+    this._apply(job, { kind: 'place', placement: action.placement, coveredBy: action.coveredBy })
+  }
+
+  private _apply (job: BookedJob, event: GangEvent): void {
+    if (!this._isActive()) return
+    const before = job.gang.stage
+    const step = advanceGang(job.gang, event, TIMES, performance.now())
+    job.gang = step.gang
+    if (step.gang.stage !== before) this._parts.logger.info({ job: job.jobId, from: before, to: step.gang.stage, incarnation: step.gang.incarnation }, 'gang moved on')
+    for (const command of step.commands) this._execute(job, command)
+    if (job.gang.stage === 'ended') this._finish(job)
+    if (step.gang.stage !== before) this._schedulePlan()
+  }
+
+  private _execute (job: BookedJob, command: GangCommand): void {
+    switch (command.kind) {
+      case 'tell': return this._sender.send(command.workerId, job, command.command)
+      case 'write': return void this._write(job, command.record, command.expectedRevision)
+      case 'read': return void this._readBack(job)
+      case 'blame': return void this._blame.recordFailure(command.jobId, command.workerId, Date.now())
+      case 'fenced': return this._parts.onFenced()
+    }
+  }
+
+  private async _write (job: BookedJob, gang: GangRecord, expectedRevision: number): Promise<void> {
+    const record = makeNextRecord(job, gang, Date.now())
+    const isEnd = gang.phase.kind === 'done' || gang.phase.kind === 'failed' || gang.phase.kind === 'cancelled'
+    const lease = isEnd && this._retentionLease !== undefined ? { leaseId: this._retentionLease } : {}
+    const key = getRecordKey(this._parts.prefix, job.jobId)
+    const outcome = await this._parts.store.put({ key, value: JSON.stringify(record), expect: { kind: 'revision', modRevision: expectedRevision }, ...lease })
+    if (outcome.kind === 'ok') job.record = record
+    const result = outcome.kind === 'ok' ? { kind: 'ok' as const, revision: outcome.modRevision } : { kind: outcome.kind }
+    this._apply(job, { kind: 'written', nonce: gang.nonce, result })
+  }
+
+  private async _readBack (job: BookedJob): Promise<void> {
+    const outcome = await this._parts.store.get(getRecordKey(this._parts.prefix, job.jobId))
+    if (outcome.kind !== 'ok' || outcome.value === undefined) return
+    const record = JSON.parse(outcome.value.value) as JobRecord
+    if (record.gang.nonce === job.gang.pending?.nonce) job.record = record
+    this._apply(job, { kind: 'readBack', record: record.gang, revision: outcome.value.modRevision })
+  }
+
+  private _finish (job: BookedJob): void {
+    const { phase } = job.record.gang
+    if (phase.kind === 'done') {
+      const ranMs = Math.max(0, ...[...job.progress.values()].map(report => report.ranMs))
+      this._runTimes.learn(job.record.spec, job.record.doneMs + ranMs)
+      this._blame.recordSuccess(job.jobId, job.gang.placement)
+    }
+    this._parts.metrics.count('jobs_ended', 1, { class: job.record.spec.className, phase: phase.kind })
+    this._book.remove(job.jobId)
+  }
+}
--- a/packages/protocol/src/gangMessages.ts
+++ b/packages/protocol/src/gangMessages.ts
@@ -1,62 +1,45 @@
 /**
- * Messages between the planner and the agents that run parts of gangs, and between the agents of one gang.
+ * Messages between the planner and the agents that run tasks of gangs.
  */
 import { z } from 'zod'
 
+const id = z.object({ jobId: z.string(), incarnation: z.number().int(), task: z.number().int() })
 const shape = z.object({ accelerators: z.number(), cores: z.number(), memoryGb: z.number() })
 
-/** One task that an agent is to hold. */
-export const gangTaskSchema = z.object({
-  taskId: z.string(),
-  shape,
-  payload: z.string(),
-  checkpoint: z.string()
-})
-
-const gangKey = { jobId: z.string(), incarnation: z.number().int() }
-const taskStateSchema = z.object({ taskId: z.string(), state: z.enum(['prepared', 'running', 'done', 'failed', 'stopped', 'expired']), checkpoint: z.string(), message: z.string() })
+/** What a planner orders for one task. A reservation brings what the task runs. */
+export const taskCommandSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('reserve'), epoch: z.number().int(), id, shape, payload: z.string(), checkpoint: z.string() }),
+  z.object({ kind: z.enum(['prepare', 'go', 'checkpoint', 'stop']), epoch: z.number().int(), id })
+])
 
-/** One agent's part of a gang. */
-export const gangPartSchema = z.object({ ...gangKey, tasks: z.array(taskStateSchema) })
+/** Where a task stands at its agent. The checkpoint is empty when there is none. */
+export const taskReportSchema = z.object({
+  workerId: z.string(),
+  id,
+  status: z.enum(['reserved', 'ready', 'running', 'finished', 'failed', 'checkpointed', 'gone']),
+  checkpoint: z.string(),
+  ranMs: z.number()
+})
 
 /** JSON-RPC methods of gangs. */
 export const GangMethods = {
-  /** Planner to agent: hold resources for the agent's tasks of a gang. `members` are the control addresses of all its agents, the first leads. */
-  gangReserve: {
-    params: z.object({ ...gangKey, epoch: z.number().int(), tasks: z.array(gangTaskSchema), members: z.array(z.string()), planner: z.string(), expiresInMs: z.number(), leaseMs: z.number() }),
-    result: z.object({ kind: z.enum(['reserved', 'refused']), message: z.string() })
-  },
-  /** Planner to agent: start the held tasks; one agent of the gang leads. */
-  gangStart: {
-    params: z.object({ ...gangKey, epoch: z.number().int(), isLeader: z.boolean() }),
-    result: z.object({ kind: z.enum(['started', 'refused']), message: z.string() })
-  },
-  /** Planner or leader to agent: stop the tasks, with a checkpoint first when asked. */
-  gangStop: {
-    params: z.object({ ...gangKey, epoch: z.number().int(), withCheckpoint: z.boolean() }),
-    result: z.object({ kind: z.enum(['stopped', 'refused']), checkpoints: z.record(z.string(), z.string()) })
-  },
-  /** Planner to agent: slow a gang's tasks down, or let them run at full speed again. */
-  gangThrottle: {
-    params: z.object({ ...gangKey, epoch: z.number().int(), share: z.number().gt(0).max(1) }),
-    result: z.object({ kind: z.enum(['throttled', 'refused']) })
-  },
-  /** Leader to agent: the gang's lease goes on. The answer tells of the agent's tasks; an unknown part has none. */
-  gangRenew: {
-    params: z.object(gangKey),
-    result: gangPartSchema
+  /** Planner to agent: commands for its tasks. Also tells the agent whom to report to. */
+  taskCommands: {
+    params: z.object({ epoch: z.number().int(), planner: z.string(), commands: z.array(taskCommandSchema), wantsInventory: z.boolean() }),
+    result: z.object({ fencedBy: z.number().int().optional(), reports: z.array(taskReportSchema) })
   },
-  /** Leader to planner: all tasks are done, or one is lost and the rest are being stopped. */
-  gangReport: {
-    params: z.object({ ...gangKey, result: z.enum(['done', 'failed']), blamedAgent: z.string(), message: z.string(), checkpoints: z.record(z.string(), z.string()) }),
-    result: z.object({ isKnown: z.boolean() })
+  /** Agent to planner: all its tasks, and a renewal of their leases. The answer names those that may go on and those to stop. */
+  taskRenew: {
+    params: z.object({ workerId: z.string(), epoch: z.number().int(), reports: z.array(taskReportSchema) }),
+    result: z.object({ epoch: z.number().int().optional(), renewed: z.array(id), orphans: z.array(id) })
   },
-  /** Planner to agent: list the parts that the agent holds, and report to this planner from now on. */
-  gangInventory: {
-    params: z.object({ epoch: z.number().int(), planner: z.string() }),
-    result: z.object({ parts: z.array(gangPartSchema) })
+  /** Entry to planner: why a job waits. */
+  explainJob: {
+    params: z.object({ jobId: z.string() }),
+    result: z.object({ reasons: z.array(z.string()), expectedStartAt: z.number().optional() })
   }
 } as const
 
-export type GangTask = z.infer<typeof gangTaskSchema>
-export type GangPartReport = z.infer<typeof gangPartSchema>
+export type TaskCommandMessage = z.infer<typeof taskCommandSchema>
+export type TaskReportMessage = z.infer<typeof taskReportSchema>
+export type TaskId = z.infer<typeof id>
--- a/packages/standins/src/memoryWorker.ts
+++ b/packages/standins/src/memoryWorker.ts
@@ -3,16 +3,15 @@
  */
 import type { TaskOrder, TaskReport, TaskShape, Worker, WorkerOutcome } from '@dragonflylever/platform'
 
+import { WORKER_CAPACITY } from './sampleFleet.js'
 import { WorkerEngine } from './workerEngine.js'
 
-const DEFAULT_CAPACITY: TaskShape = { accelerators: 8, cores: 130, memoryGb: 500 }
-
 export class MemoryWorker implements Worker {
   readonly engine: WorkerEngine
   /** True while no order arrives. */
   isDown = false
 
-  constructor (capacity: TaskShape = DEFAULT_CAPACITY) {
+  constructor (capacity: TaskShape = WORKER_CAPACITY) {
     this.engine = new WorkerEngine(capacity)
   }
 
--- a/packages/standins/src/sampleFleet.ts
+++ b/packages/standins/src/sampleFleet.ts
@@ -6,6 +6,8 @@
 const CLUSTER_KEY = 'loopback-cluster-key'
 /** Operators' key of the sample fleets. */
 export const OPERATORS_KEY = 'loopback-operators-key'
+/** Capacity of the workers of a sample fleet. */
+export const WORKER_CAPACITY = { accelerators: 8, cores: 130, memoryGb: 500 } as const
 const ANY_PORT = '127.0.0.1:0'
 
 /** What varies between the processes of a sample fleet. */
@@ -29,13 +31,14 @@
 }
 
 /** Creates the settings of an agent on a free port. */
-export function createAgentSettings (options: SampleProcess & { readonly endpointUrl: string, readonly rack?: string, readonly slots?: number }): AgentSettings {
+export function createAgentSettings (options: SampleProcess & { readonly endpointUrl: string, readonly workerUrl?: string, readonly rack?: string, readonly slots?: number }): AgentSettings {
   return {
     role: 'agent',
     ...createCommon(options),
     listen: { control: ANY_PORT },
     rack: options.rack ?? 'rack-1',
-    endpoint: { url: options.endpointUrl, slots: options.slots ?? 8, maxConnections: 60 }
+    endpoint: { url: options.endpointUrl, slots: options.slots ?? 8, maxConnections: 60 },
+    ...(options.workerUrl === undefined ? {} : { worker: { url: options.workerUrl, ...WORKER_CAPACITY } })
   }
 }
 
