--- a/packages/standins/src/processFleet.ts
+++ b/packages/standins/src/processFleet.ts
@@ -5,6 +5,7 @@
 import { DaemonProcess } from './processHarness.js'
 import { EndpointStandIn } from './endpointStandIn.js'
 import { StoreStandIn } from './storeStandIn.js'
+import { WorkerStandIn } from './workerStandIn.js'
 
 const CONFIGURATION_KEY = 'dragonflylever/config/current'
 
@@ -20,6 +21,7 @@
   readonly id: string
   daemon: DaemonProcess
   readonly endpoint: EndpointStandIn
+  readonly worker: WorkerStandIn
 }
 
 export class ProcessFleet {
@@ -58,25 +60,26 @@
   /** Starts one more agent with an endpoint of its own. */
   async addAgent (id: string): Promise<FleetAgent> {
     const endpoint = await EndpointStandIn.open()
-    const agent = { id, endpoint, daemon: await this._startAgent(id, endpoint) }
+    const worker = await WorkerStandIn.open()
+    const agent = { id, endpoint, worker, daemon: await this._startAgent(id, endpoint, worker) }
     this.agents.push(agent)
     return agent
   }
 
   /** Starts an agent's process anew at the same endpoint. */
   async restartAgent (agent: FleetAgent): Promise<void> {
-    agent.daemon = await this._startAgent(agent.id, agent.endpoint)
+    agent.daemon = await this._startAgent(agent.id, agent.endpoint, agent.worker)
   }
 
   /** Ends all processes and closes the stand-ins. */
   async close (): Promise<void> {
     await Promise.all([...this.entries, ...this.agents.map(agent => agent.daemon)].map(daemon => daemon.kill()))
-    await Promise.all(this.agents.map(agent => agent.endpoint.close()))
+    await Promise.all(this.agents.flatMap(agent => [agent.endpoint.close(), agent.worker.close()]))
     await this.store.close()
   }
 
-  private async _startAgent (id: string, endpoint: EndpointStandIn): Promise<DaemonProcess> {
-    const settings = createAgentSettings({ id, storeUrl: this.store.url, endpointUrl: endpoint.url, join: this._listJoin() })
+  private async _startAgent (id: string, endpoint: EndpointStandIn, worker: WorkerStandIn): Promise<DaemonProcess> {
+    const settings = createAgentSettings({ id, storeUrl: this.store.url, endpointUrl: endpoint.url, workerUrl: worker.url, join: this._listJoin() })
     return DaemonProcess.start(this._binary, settings)
   }
 
