--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -1,19 +1,22 @@
 /**
  * The entry role: takes callers' requests and carries them to agents.
  */
-import { FifoQueue, TwoChoicesRouter } from '@dragonflylever/core'
-import type { EntrySettings, Member } from '@dragonflylever/protocol'
+import { FairQueue, FleetRouter, computeEntryCapacity } from '@dragonflylever/core'
+import type { EntrySettings, Member, QueueReport } from '@dragonflylever/protocol'
 import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
 
+import { createOperatorServer } from '../operators/createOperatorServer.js'
 import { Announcer } from '../shared/announcer.js'
 import { ConfigurationHolder } from '../shared/configurationHolder.js'
 import { ConfigurationWatcher } from '../shared/configurationWatcher.js'
 import { ControlServer } from '../shared/controlServer.js'
-import { createFleetFacts } from '../shared/fleetFacts.js'
+import { createFleetFacts, sumSlots } from '../shared/fleetFacts.js'
 import type { FleetFacts } from '../shared/fleetFacts.js'
 import { MemberDirectory } from '../shared/memberDirectory.js'
 import { createProcessParts } from '../shared/processParts.js'
 import type { ProcessParts } from '../shared/processParts.js'
+import { QueueMetrics } from '../shared/queueMetrics.js'
+import { syncPolicy } from '../shared/requestPolicy.js'
 import { AgentLink } from './agentLink.js'
 import { AgentTable, computeConnectionShare } from './agentTable.js'
 import { CallerServer } from './callerServer.js'
@@ -24,6 +27,8 @@
 import { DirectService } from './requestService.js'
 
 const MAX_WAITING = 4_096
+/** Bytes a second that one entry may send over the region link. */
+const LINK_BYTES_PER_SECOND = 250_000
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 const DEFAULT_AGENT_CONNECTIONS = 60
 /** Time in which the balancer notices that this entry leaves, in milliseconds. */
@@ -34,8 +39,10 @@
   private readonly _settings: EntrySettings
   private readonly _parts: ProcessParts
   private readonly _lifecycle = new Lifecycle()
+  private readonly _queue = new FairQueue({ maxWaiting: MAX_WAITING, slots: 0, fleetSlots: 1 })
   private _callerAddress = ''
   private _controlAddress = ''
+  private _operatorAddress = ''
   private _stopping: Promise<void> | undefined
 
   private constructor (settings: EntrySettings, parts: ProcessParts) {
@@ -60,6 +67,16 @@
     return this._controlAddress
   }
 
+  /** Address for operators, IP:PORT. */
+  get operatorAddress (): string {
+    return this._operatorAddress
+  }
+
+  /** Returns what waits and runs here and why, by class and organisation. */
+  describeQueue (): QueueReport {
+    return this._queue.describe()
+  }
+
   /** Leaves gracefully: no request under way is cut off. Every call gets the same promise. */
   stop (): Promise<void> {
     this._stopping ??= this._stop()
@@ -95,9 +112,12 @@
     this._lifecycle.add('announcer', () => announcer.close())
     directory.note(this._describe())
     await announcer.start()
+    const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder, logger })
+    this._operatorAddress = await operators.open(this._settings.listen.operators)
+    this._lifecycle.add('operator server', () => operators.close())
     this._callerAddress = await server.open(this._settings.listen.callers)
     this._lifecycle.add('caller server', () => server.close())
-    log.info({ callers: this._callerAddress, control: this._controlAddress }, 'started')
+    log.info({ callers: this._callerAddress, control: this._controlAddress, operators: this._operatorAddress }, 'started')
   }
 
   private _createDispatcher (random: ProcessParts['random']): Dispatcher {
@@ -107,12 +127,16 @@
       clusterKey: this._settings.clusterKey,
       connectionLimit: computeConnectionShare(DEFAULT_AGENT_CONNECTIONS, 1)
     })
-    const queue = new FifoQueue({ maxWaiting: MAX_WAITING, slots: Infinity })
-    const router = new TwoChoicesRouter({ region: this._settings.region, random })
+    const queue = this._queue
+    syncPolicy(this.board, queue)
+    const queueMetrics = new QueueMetrics({ metrics: this._parts.metrics, describe: () => queue.describe() })
+    this._lifecycle.add('queue metrics', () => queueMetrics.close())
+    const router = new FleetRouter({ region: this._settings.region, random, linkBytesPerSecond: LINK_BYTES_PER_SECOND })
     const dispatcher = new Dispatcher({ queue, router, agents, sender, peers: this._parts.peers })
     this.board.subscribe('members', () => {
       dispatcher.drop(agents.update(this.board.get('members')))
       sender.setConnectionLimit(computeConnectionShare(DEFAULT_AGENT_CONNECTIONS, agents.entries))
+      queue.setCapacity(computeEntryCapacity(agents.list(), agents.entries))
       dispatcher.notify()
     })
     this._lifecycle.add('agent links', () => sender.close())
@@ -135,7 +159,8 @@
       directory.note(this._describe())
       const configuration = this.board.get('configuration')
       const isNewer = configuration !== undefined && configuration.revision > params.revision
-      return isNewer ? { configuration } : {}
+      const fleetSlots = sumSlots(this.board.get('members'))
+      return isNewer ? { configuration, fleetSlots } : { fleetSlots }
     })
     control.rpc.add('leave', params => {
       directory.leave(params.member)
@@ -159,7 +184,8 @@
       region: this._settings.region,
       failureDomain: this._settings.failureDomain,
       address: this._controlAddress,
-      state: this.board.get('isLeaving') ? 'leaving' : 'alive'
+      state: this.board.get('isLeaving') ? 'leaving' : 'alive',
+      revision: this.board.get('configuration')?.revision ?? 0
     }
   }
 }
--- a/packages/protocol/src/rpcMessages.ts
+++ b/packages/protocol/src/rpcMessages.ts
@@ -3,6 +3,7 @@
  */
 import { z } from 'zod'
 
+import { GangMethods } from './gangMessages.js'
 import { memberSchema } from './members.js'
 
 const configurationEnvelope = z.object({
@@ -15,10 +16,11 @@
 
 /** Every RPC method by name. */
 export const RpcMethods = {
+  ...GangMethods,
   /** A process tells of itself; the answer brings configuration that is newer than the sender's. */
   heartbeat: {
     params: z.object({ member: memberSchema, revision: z.number().int() }),
-    result: z.object({ configuration: configurationEnvelope.optional() })
+    result: z.object({ configuration: configurationEnvelope.optional(), fleetSlots: z.number().int().optional() })
   },
   /** A process says that it takes no new work. */
   leave: {
