--- a/packages/daemon/src/agent/agentProcess.ts
+++ b/packages/daemon/src/agent/agentProcess.ts
@@ -16,6 +16,7 @@
 import { createProcessParts } from '../shared/processParts.js'
 import type { ProcessParts } from '../shared/processParts.js'
 import { syncPolicy } from '../shared/requestPolicy.js'
+import { DispatchConnections } from './dispatchConnections.js'
 import { DispatchHandler } from './dispatchHandler.js'
 import { SlotRunner } from './slotRunner.js'
 
@@ -72,7 +73,8 @@
     const { clusterKey } = this._settings
     const control = new ControlServer({ clusterKey, maxConnections: this._settings.endpoint.maxConnections })
     const handler = new DispatchHandler({ runner, tracer, clusterKey, incarnation, isLeaving: () => this.board.get('isLeaving') })
-    control.add(DISPATCH_PATH, (request, response) => handler.handle(request, response))
+    const connections = new DispatchConnections({ handler, maxConnections: this._settings.endpoint.maxConnections })
+    control.add(DISPATCH_PATH, (request, response) => connections.handle(request, response))
     this._serveWithdrawals(control, runner)
     this._controlAddress = await control.open(this._settings.listen.control)
     const holder = new ConfigurationHolder(this.board, createPartLogger(logger, 'config'))
--- /dev/null
+++ b/packages/daemon/src/agent/dispatchConnections.ts
@@ -0,0 +1,69 @@
+/**
+ * Shares an agent's connections among its entries: dispatches never take the last ones, which stay free for
+ * control calls such as withdrawals, and an entry that holds few connections gets one from an entry that holds more.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+
+import { DispatchHeader } from '@dragonflylever/protocol'
+
+import type { DispatchHandler } from './dispatchHandler.js'
+
+/** Connections kept free for control calls. */
+const CONTROL_CONNECTIONS = 12
+
+/** What is shared, and who serves what is admitted. */
+export interface DispatchConnectionsOptions {
+  /** Most connections of the agent's server. */
+  readonly maxConnections: number
+  readonly handler: DispatchHandler
+}
+
+export class DispatchConnections {
+  private readonly _options: DispatchConnectionsOptions
+  private readonly _limit: number
+  /** Entry of each connection that has carried a dispatch. */
+  private readonly _entries = new Map<Socket, string>()
+  private readonly _busy = new Set<Socket>()
+
+  constructor (options: DispatchConnectionsOptions) {
+    this._options = options
+    this._limit = Math.max(1, options.maxConnections - CONTROL_CONNECTIONS)
+  }
+
+  /** Serves a dispatch, or refuses it when its connection is one too many. */
+  async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { socket } = message
+    const isAdmitted = this._entries.has(socket) || this._acceptSocket(socket, String(message.headers[DispatchHeader.entryId] ?? ''))
+    if (!isAdmitted) return this._options.handler.refuse(message, response)
+    this._busy.add(socket)
+    try {
+      await this._options.handler.handle(message, response)
+    } finally {
+      this._busy.delete(socket)
+    }
+  }
+
+  private _acceptSocket (socket: Socket, entryId: string): boolean {
+    if (this._entries.size >= this._limit && !this._closeIdle(entryId)) return false
+    this._entries.set(socket, entryId)
+    socket.once('close', () => {
+      this._entries.delete(socket)
+      this._busy.delete(socket)
+    })
+    return true
+  }
+
+  /** Closes an idle connection of the entry that holds most, unless the asking entry would then hold more. */
+  private _closeIdle (entryId: string): boolean {
+    const counts = new Map<string, number>()
+    for (const entry of this._entries.values()) counts.set(entry, (counts.get(entry) ?? 0) + 1)
+    const own = counts.get(entryId) ?? 0
+    const idle = [...this._entries].filter(([socket, entry]) => !this._busy.has(socket) && (counts.get(entry) ?? 0) > own + 1)
+    const [chosen] = idle.sort((a, b) => (counts.get(b[1]) ?? 0) - (counts.get(a[1]) ?? 0))
+    if (chosen === undefined) return false
+    this._entries.delete(chosen[0])
+    chosen[0].end()
+    return true
+  }
+}
--- a/packages/daemon/src/agent/dispatchHandler.ts
+++ b/packages/daemon/src/agent/dispatchHandler.ts
@@ -14,6 +14,8 @@
 const SKIPPED_HEADERS = new Set(['host', 'connection', 'content-length', 'transfer-encoding', 'keep-alive'])
 const SKIPPED_ANSWER_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length'])
 
+const BUSY_RETRY_AFTER_MS = 500
+
 /** What the handler works with. */
 export interface DispatchHandlerParts {
   readonly runner: SlotRunner
@@ -47,6 +49,13 @@
     this._write(response, attemptId, result)
   }
 
+  /** Refuses a dispatch that came over a connection beyond the limit, and closes the connection. */
+  refuse (message: IncomingMessage, response: ServerResponse): void {
+    message.resume()
+    response.setHeader('connection', 'close')
+    this._write(response, readHeader(message, DispatchHeader.attemptId) ?? '', { kind: 'notRun', reason: NotRunReason.overloaded, retryAfterMs: BUSY_RETRY_AFTER_MS })
+  }
+
   private async _run (message: IncomingMessage, response: ServerResponse, attemptId: string, body: Buffer): Promise<RunResult> {
     if (readHeader(message, DispatchHeader.incarnation) !== this._parts.incarnation) return { kind: 'notRun', reason: NotRunReason.refused, retryAfterMs: 0 }
     if (this._parts.isLeaving()) return { kind: 'notRun', reason: NotRunReason.leaving, retryAfterMs: 0 }
--- a/packages/standins/src/processFleet.ts
+++ b/packages/standins/src/processFleet.ts
@@ -68,6 +68,13 @@
     agent.daemon = await this._startAgent(agent.id, agent.endpoint)
   }
 
+  /** Starts an entry's process anew at its addresses. */
+  async restartEntry (index: number): Promise<void> {
+    const { callers = '', control = '' } = this.entries[index]?.addresses ?? {}
+    const settings = createEntrySettings({ id: `entry-${index + 1}`, storeUrl: this.store.url, join: this._listJoin() })
+    this.entries[index] = await DaemonProcess.start(this._binary, { ...settings, listen: { ...settings.listen, callers, control } })
+  }
+
   /** Ends all processes and closes the stand-ins. */
   async close (): Promise<void> {
     await Promise.all([...this.entries, ...this.agents.map(agent => agent.daemon)].map(daemon => daemon.kill()))
