--- a/packages/daemon/src/agent/slotRunner.ts
+++ b/packages/daemon/src/agent/slotRunner.ts
@@ -33,6 +33,8 @@
 }
 
 const SWEEP_MS = 20
+/** Time in which an endpoint notices that a request was broken off; its slot stays taken until then. */
+const ABORT_NOTICE_MS = 50
 
 export class SlotRunner {
   private readonly _parts: SlotRunnerParts
@@ -111,8 +113,12 @@
     const { attempt } = waiting
     const outcome = await this._parts.endpoint.send(attempt.request, waiting.signal)
     const now = performance.now()
-    this._running--
     this._parts.ledger.finish(attempt.attemptId, now)
+    if (outcome.kind === 'lost') {
+      waiting.resolve(convertOutcome(outcome))
+      await new Promise(resolve => setTimeout(resolve, ABORT_NOTICE_MS))
+    }
+    this._running--
     this._parts.queue.finish(attempt.queued, now - startedAt, now)
     waiting.resolve(convertOutcome(outcome))
     this._pump()
--- a/packages/standins/src/endpointStandIn.ts
+++ b/packages/standins/src/endpointStandIn.ts
@@ -94,9 +94,10 @@
     this.executions.push(execution)
     this._running++
     this.maxRunning = Math.max(this.maxRunning, this._running)
+    const closed = new Promise<void>(resolve => response.on('close', resolve))
     response.on('close', () => { execution.isAborted = !response.writableFinished })
     const runMs = Number(request.headers[RUN_MS_HEADER] ?? 0)
-    if (runMs > 0) await new Promise(resolve => setTimeout(resolve, runMs))
+    if (runMs > 0) await Promise.race([closed, new Promise(resolve => setTimeout(resolve, runMs))])
     this._running--
     execution.endedAt = performance.now()
     if (fault !== 'hang') sendAnswer(request, response, body, fault)
