Refuse names of the prototype and absurd paths, and test bad input over raw sockets

Cause: organisation 'constructor' was accepted, since the check looked at inherited names; a path with an escaped separator between dots, a broken escape, a zero byte or a fragment went to the endpoint. What: own names only; such paths get 400.

--- a/packages/daemon/src/entry/callerRequest.ts
+++ b/packages/daemon/src/entry/callerRequest.ts
@@ -41,6 +41,9 @@
 const NAME_PATTERN = /^[a-z][a-z0-9-]*$/
 const PRINTABLE_PATTERN = /^[\x21-\x7e]+$/
 const PATH_PATTERN = /^\/[\x21-\x7e]*$/
+const ABSURD_PATTERN = /#|%00|%(?![0-9a-f]{2})/i
+/** What an endpoint may take for a separator of path segments. */
+const SEPARATOR_PATTERN = /[/\\]|%2f|%5c/i
 const TRACEPARENT_PATTERN = /^[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}$/
 const HOP_HEADERS = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'expect', 'traceparent', 'authorization', 'idempotency-key'])
 
@@ -61,12 +64,13 @@
   if (message.rawHeaders.length / 2 > CallerLimit.headerFields) return refuse(431, NotRunReason.badRequest, `more than ${CallerLimit.headerFields} header fields`)
   const className = readName(message, CallerHeader.className)
   if (typeof className !== 'string') return className
-  const declaration = configuration.declarations.classes[className]
-  if (declaration === undefined) return refuse(400, NotRunReason.badRequest, `class "${className}" is not declared; declared are ${listKeys(configuration.declarations.classes)}`)
+  const { classes } = configuration.declarations
+  const declaration = Object.hasOwn(classes, className) ? classes[className] : undefined
+  if (declaration === undefined) return refuse(400, NotRunReason.badRequest, `class "${className}" is not declared; declared are ${listKeys(classes)}`)
   if (declaration.kind !== 'request') return refuse(400, NotRunReason.badRequest, `class "${className}" is for jobs; submit it at /v1/jobs`)
   const organisation = readName(message, CallerHeader.organisation)
   if (typeof organisation !== 'string') return organisation
-  if (!(organisation in configuration.declarations.organisations)) return refuse(400, NotRunReason.badRequest, `organisation "${organisation}" is not declared`)
+  if (!Object.hasOwn(configuration.declarations.organisations, organisation)) return refuse(400, NotRunReason.badRequest, `organisation "${organisation}" is not declared`)
   if (!isAllowed(message, organisation, context.organisationKeys)) return refuse(401, NotRunReason.unauthorised, `the key for organisation "${organisation}" is missing or wrong; send it as "authorization: Bearer KEY"`)
   const caller = readPrintable(message, CallerHeader.caller, CallerLimit.callerLength)
   if (typeof caller === 'object') return caller
@@ -101,7 +105,8 @@
   const rest = url.slice(CALL_PATH_PREFIX.length)
   const isCall = url.startsWith(CALL_PATH_PREFIX) && PATH_PATTERN.test(rest)
   if (!isCall) return refuse(404, NotRunReason.badRequest, `paths start with ${CALL_PATH_PREFIX}/`)
-  const segments = (rest.split('?')[0] ?? '').split('/')
+  if (ABSURD_PATTERN.test(rest)) return refuse(400, NotRunReason.badRequest, 'the path holds a fragment, a zero byte or a broken percent escape')
+  const segments = (rest.split('?')[0] ?? '').split(SEPARATOR_PATTERN)
   if (segments.some(isDotSegment)) return refuse(400, NotRunReason.badRequest, 'the path holds a "." or ".." segment')
   return rest
 }
--- /dev/null
+++ b/packages/daemon/test/entry/badInput.test.ts
@@ -0,0 +1,143 @@
+/**
+ * Bad input over raw sockets: each gets a clear 4xx and nothing of it is sent on.
+ */
+import { once } from 'node:events'
+import { connect } from 'node:net'
+
+import { makeAnswered } from '@dragonflylever/core'
+import { CallerLimit } from '@dragonflylever/protocol'
+import { Blackboard, NoMetrics, PassingTracer } from '@dragonflylever/runtime'
+import { createSampleDeclarations } from '@dragonflylever/standins'
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+
+import { CallerServer } from '../../src/entry/callerServer.js'
+import { createFleetFacts } from '../../src/index.js'
+import type { CallerRequest } from '../../src/index.js'
+
+const GOOD = ['host: x', 'dfl-class: care-match', 'dfl-organisation: guild']
+
+interface Fixture {
+  readonly port: number
+  readonly served: CallerRequest[]
+}
+
+async function openEntry (t: ExecutionContext): Promise<Fixture> {
+  const board = new Blackboard(createFleetFacts())
+  board.set('configuration', { revision: 1, declarations: createSampleDeclarations(), acceptedAt: 0, nonce: 'n', acceptedBy: 'test' })
+  const served: CallerRequest[] = []
+  const service = {
+    serve: async (request: CallerRequest) => {
+      served.push(request)
+      return makeAnswered({ status: 200, headers: [], body: Buffer.from(request.path) })
+    }
+  }
+  const server = new CallerServer({ board, service, metrics: new NoMetrics(), tracer: new PassingTracer(), organisationKeys: undefined, maxBufferedBytes: 8 * 1024 * 1024 })
+  const address = await server.open('127.0.0.1:0')
+  t.teardown(() => server.close())
+  return { port: Number(address.split(':')[1]), served }
+}
+
+/** Sends the text and returns all that comes back until the other side closes or has sent `answers` answers. */
+async function callRaw (port: number, text: string | Buffer, answers = 1): Promise<string> {
+  const socket = connect(port, '127.0.0.1')
+  socket.on('error', () => {})
+  socket.write(text)
+  let received = ''
+  for await (const chunk of socket) {
+    received += String(chunk)
+    if (received.split('HTTP/1.1 ').length > answers && received.includes('\r\n\r\n')) break
+  }
+  socket.destroy()
+  return received
+}
+
+function makeHead (lines: readonly string[], first = 'POST /v1/call/match HTTP/1.1'): string {
+  return `${[first, ...lines].join('\r\n')}\r\n\r\n`
+}
+
+const CASES: ReadonlyArray<readonly [string, string, number]> = [
+  ['no class', makeHead(['host: x', 'dfl-organisation: guild']), 400],
+  ['unknown class', makeHead(['host: x', 'dfl-class: nothing', 'dfl-organisation: guild']), 400],
+  ['a class of jobs', makeHead(['host: x', 'dfl-class: recipe-run', 'dfl-organisation: guild']), 400],
+  ['a name from the prototype as class', makeHead(['host: x', 'dfl-class: constructor', 'dfl-organisation: guild']), 400],
+  ['no organisation', makeHead(['host: x', 'dfl-class: care-match']), 400],
+  ['unknown organisation', makeHead(['host: x', 'dfl-class: care-match', 'dfl-organisation: nobody']), 400],
+  ['a name from the prototype as organisation', makeHead(['host: x', 'dfl-class: care-match', 'dfl-organisation: constructor']), 400],
+  ['two classes', makeHead([...GOOD, 'dfl-class: allergen-check']), 400],
+  ['two idempotency keys', makeHead([...GOOD, 'idempotency-key: a', 'idempotency-key: b']), 400],
+  ['an idempotency key too long', makeHead([...GOOD, `idempotency-key: ${'k'.repeat(256)}`]), 400],
+  ['a caller with spaces', makeHead([...GOOD, 'dfl-caller: a b']), 400],
+  ['a negative deadline', makeHead([...GOOD, 'dfl-deadline-ms: -1']), 400],
+  ['a deadline in words', makeHead([...GOOD, 'dfl-deadline-ms: soon']), 400],
+  ['a deadline beyond the limit', makeHead([...GOOD, 'dfl-deadline-ms: 600001']), 400],
+  ['a header line without colon', makeHead([...GOOD, 'nonsense']), 400],
+  ['a head too large', makeHead([...GOOD, `x-big: ${'x'.repeat(CallerLimit.headerBytes)}`]), 431],
+  ['too many header fields', makeHead([...GOOD, ...Array.from({ length: 70 }, (_, index) => `x-${index}: 1`)]), 431],
+  ['no host', makeHead(GOOD.slice(1)), 400],
+  ['a body declared too large', makeHead([...GOOD, `content-length: ${CallerLimit.requestBodyBytes + 1}`]), 413],
+  ['a content-length that is no number', makeHead([...GOOD, 'content-length: ten']), 400],
+  ['both framings', makeHead([...GOOD, 'content-length: 3', 'transfer-encoding: chunked']), 400],
+  ['a broken chunk', `${makeHead([...GOOD, 'transfer-encoding: chunked'])}zz\r\n`, 400],
+  ['another prefix', makeHead(GOOD, 'POST /v1/callmatch HTTP/1.1'), 404],
+  ['no path', makeHead(GOOD, 'POST /v1/call HTTP/1.1'), 404],
+  ['an absolute URL', makeHead(GOOD, 'POST http://other/v1/call/x HTTP/1.1'), 404],
+  ['dot segments', makeHead(GOOD, 'POST /v1/call/a/../../admin HTTP/1.1'), 400],
+  ['escaped dot segments', makeHead(GOOD, 'POST /v1/call/a/%2E%2e%2fadmin HTTP/1.1'), 400],
+  ['a backslash with dots', makeHead(GOOD, 'POST /v1/call/a\\..\\admin HTTP/1.1'), 400],
+  ['a broken escape', makeHead(GOOD, 'POST /v1/call/%zz HTTP/1.1'), 400],
+  ['a path too long', makeHead(GOOD, `POST /v1/call/${'a'.repeat(CallerLimit.pathLength)} HTTP/1.1`), 414],
+  ['a method not served', makeHead(GOOD, 'TRACE /v1/call/x HTTP/1.1'), 405],
+  ['no HTTP', 'hello\r\n\r\n', 400]
+]
+
+for (const [name, text, status] of CASES) {
+  test(`${name} gets ${status} and nothing is sent on`, async t => {
+    const entry = await openEntry(t)
+    const answer = await callRaw(entry.port, text)
+    t.true(answer.startsWith(`HTTP/1.1 ${status} `), answer.slice(0, 200))
+    t.deepEqual(entry.served, [])
+  })
+}
+
+test('a chunked body that grows too large gets 413 and nothing is sent on', async t => {
+  const entry = await openEntry(t)
+  const chunk = `100000\r\n${'x'.repeat(0x100000)}\r\n`
+  const answer = await callRaw(entry.port, makeHead([...GOOD, 'transfer-encoding: chunked']) + chunk.repeat(5))
+  t.true(answer.startsWith('HTTP/1.1 413 '), answer.slice(0, 200))
+  t.deepEqual(entry.served, [])
+})
+
+test('a sender that breaks off within its body is not sent on', async t => {
+  const entry = await openEntry(t)
+  const socket = connect(entry.port, '127.0.0.1')
+  socket.write(`${makeHead([...GOOD, 'content-length: 100'])}half`)
+  socket.end()
+  socket.resume()
+  await once(socket, 'close')
+  t.deepEqual(entry.served, [])
+})
+
+test('a half-closed sender of a whole request gets its answer', async t => {
+  const entry = await openEntry(t)
+  const socket = connect({ port: entry.port, host: '127.0.0.1', allowHalfOpen: true })
+  socket.end(`${makeHead([...GOOD, 'content-length: 4'])}body`)
+  let received = ''
+  for await (const chunk of socket) received += String(chunk)
+  t.true(received.startsWith('HTTP/1.1 200 '), received.slice(0, 200))
+  t.is(entry.served.length, 1)
+})
+
+test('a slow sender of a head gets 408 and nothing is sent on', async t => {
+  const entry = await openEntry(t)
+  const answer = await callRaw(entry.port, 'POST /v1/call/match HTTP/1.1\r\nhost: x\r\n')
+  t.true(answer.startsWith('HTTP/1.1 408 '), answer.slice(0, 200))
+  t.deepEqual(entry.served, [])
+})
+
+test('pipelined requests get their own answers in their order', async t => {
+  const entry = await openEntry(t)
+  const paths = ['/a', '/b?q=1', '/c']
+  const answer = await callRaw(entry.port, paths.map(path => makeHead([...GOOD, 'content-length: 0'], `POST /v1/call${path} HTTP/1.1`)).join(''), 3)
+  t.deepEqual(answer.match(/\r\n\r\n(\/[^H]*)/g)?.map(text => text.trim()), paths)
+})
