--- a/packages/daemon/src/agent/agentProcess.ts
+++ b/packages/daemon/src/agent/agentProcess.ts
@@ -17,6 +17,7 @@
 import type { ProcessParts } from '../shared/processParts.js'
 import { syncPolicy } from '../shared/requestPolicy.js'
 import { createTaskService } from './createTaskService.js'
+import { DispatchConnections } from './dispatchConnections.js'
 import { DispatchHandler } from './dispatchHandler.js'
 import { SlotRunner } from './slotRunner.js'
 import type { TaskRunner } from './taskRunner.js'
@@ -77,7 +78,8 @@
     const { clusterKey } = this._settings
     const control = new ControlServer({ clusterKey, maxConnections: this._settings.endpoint.maxConnections })
     const handler = new DispatchHandler({ runner, tracer, clusterKey, incarnation, isLeaving: () => this.board.get('isLeaving') })
-    control.add(DISPATCH_PATH, (request, response) => handler.handle(request, response))
+    const connections = new DispatchConnections({ handler, maxConnections: this._settings.endpoint.maxConnections })
+    control.add(DISPATCH_PATH, (request, response) => connections.handle(request, response))
     this._serveWithdrawals(control, runner)
     this._controlAddress = await control.open(this._settings.listen.control)
     const tasks = await this._createTasks(control)
--- a/packages/daemon/src/entry/callerServer.ts
+++ b/packages/daemon/src/entry/callerServer.ts
@@ -26,7 +26,7 @@
 export interface CallerServerParts {
   readonly board: Blackboard<FleetFacts>
   readonly service: RequestService
-  readonly jobs: JobApi
+  readonly jobs: Pick<JobApi, 'handle'>
   readonly metrics: Metrics
   readonly tracer: Tracer
   readonly organisationKeys: Readonly<Record<string, string>> | undefined
