--- a/packages/daemon/src/operators/operatorServer.ts
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -7,7 +7,7 @@
 import { MAX_DOCUMENT_BYTES, OperatorPath, applyRequestSchema } from '@dragonflylever/protocol'
 import type { ApplyOutcome } from '@dragonflylever/protocol'
 import type { Blackboard } from '@dragonflylever/runtime'
-import { closeServer, isSameKey, openServer, sendJson } from '@dragonflylever/runtime'
+import { closeServer, isSameKey, openServer, readWhole, sendJson } from '@dragonflylever/runtime'
 
 import type { FleetFacts } from '../shared/fleetFacts.js'
 import type { StatusSource } from '../shared/statusSource.js'
@@ -109,9 +109,10 @@
   }
 
   private async _apply (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = await readBody(request)
-    if (body === undefined) return sendError(response, 413, `the body is larger than ${MAX_BODY_BYTES} bytes`)
-    const checked = applyRequestSchema.safeParse(parseJson(body))
+    const read = await readWhole(request, { maxBytes: MAX_BODY_BYTES })
+    if (read.kind === 'broken') return
+    if (read.kind === 'tooLarge') return sendError(response, 413, `the body is larger than ${MAX_BODY_BYTES} bytes`)
+    const checked = applyRequestSchema.safeParse(parseJson(read.body.toString('utf8')))
     if (!checked.success) {
       const issue = checked.error.issues[0]
       return sendError(response, 400, `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'bad request'}`)
@@ -133,14 +134,3 @@
     return undefined
   }
 }
-
-async function readBody (request: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of request) {
-    size += (chunk as Buffer).length
-    if (size > MAX_BODY_BYTES) return undefined
-    chunks.push(chunk as Buffer)
-  }
-  return Buffer.concat(chunks).toString('utf8')
-}
