--- a/packages/cli/test/operators.test.ts
+++ b/packages/cli/test/operators.test.ts
@@ -28,6 +28,7 @@
   readonly write: (name: string, value: object | string) => string
 }
 
+const POLL_MS = 10
 const WORKER = { url: 'http://127.0.0.1:9', cores: 8, memoryGb: 32, accelerators: 8 }
 
 async function runCommand (name: string, args: readonly string[]): Promise<Answer> {
@@ -49,6 +50,10 @@
   return file
 }
 
+async function waitUntil (isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) await new Promise(resolve => setTimeout(resolve, POLL_MS))
+}
+
 /** Opens a store, an entry and, unless told otherwise, an agent. */
 async function openBench (t: ExecutionContext, agents = 1): Promise<Bench> {
   const folder = createFolder(t)
@@ -63,6 +68,7 @@
     const agent = await AgentProcess.start(settings, { logger })
     t.teardown(async () => { await agent.stop(); await endpoint.close() })
   }
+  await waitUntil(() => entry.board.get('members').size === agents + 1)
   const key = writeDocument(folder, 'operators.key', `${OPERATORS_KEY}\n`)
   const flags = ['--entry', `http://${entry.operatorAddress}`, '--key-file', key]
   const run = (name = '', ...args: string[]): Promise<Answer> => runCommand(name, [...args, ...flags])
--- a/packages/cli/test/processes/running.test.ts
+++ b/packages/cli/test/processes/running.test.ts
@@ -75,6 +75,10 @@
   return new Promise(resolve => child.once('close', code => resolve({ code, text })))
 }
 
+async function waitForMember (profile: string, id: string): Promise<void> {
+  while (!(await runCli('status', '--json', '--profile', profile)).text.includes(`"${id}"`)) { /* ask again */ }
+}
+
 test('stand-ins, an entry and an agent run from the samples, take the declarations and answer a call', async t => {
   t.timeout(WAIT_MS * 3)
   const port = await findPort()
@@ -83,6 +87,7 @@
   await startProcess(t, [DAEMON, '--settings', join(folder, 'entry-jihlava.jsonc')], /started/)
   await startProcess(t, [DAEMON, '--settings', join(folder, 'agent-jihlava-1.jsonc')], /started/)
   const profile = join(folder, 'profile.jsonc')
+  await waitForMember(profile, 'agent-jihlava-1')
   const refused = await runCli('apply', join(folder, 'declarations.jsonc'), '--expect', '0', '--profile', profile)
   t.is(refused.code, 2)
   t.regex(refused.text, /guaranteedSlots that sum to 52, expected at most 8/)
--- a/packages/daemon/src/operators/operatorServer.ts
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -81,7 +81,7 @@
     if (route === `GET ${OperatorPath.configuration}`) return this._sendConfiguration(response)
     if (route === `POST ${OperatorPath.configuration}`) return this._apply(request, response)
     if (route === `GET ${OperatorPath.history}`) return this._sendHistory(url.searchParams.get('revision'), response)
-    if (route === `GET ${OperatorPath.status}`) return sendJson(response, 200, this._parts.status.read())
+    if (route === `GET ${OperatorPath.status}`) return sendJson(response, 200, await this._parts.status.read())
     sendError(response, 404, `no such path: ${request.method} ${url.pathname}`)
   }
 
