--- a/packages/cli/test/operators.test.ts
+++ b/packages/cli/test/operators.test.ts
@@ -92,6 +92,22 @@
   t.regex(late.err.join('\n'), /revision 2 is in force.*--expect 2\nrevision 2 by ben at .*\n~ organisations\.guild\.guaranteedSlots: 4 -> 6$/)
 })
 
+test('of five operators at two entries at the same moment one is accepted and four are told by whom', async t => {
+  const bench = await openBench(t)
+  const settings = createEntrySettings({ id: 'entry-2', storeUrl: bench.store.url })
+  const other = await EntryProcess.start(settings, { logger: createLogger({ level: 'silent', processId: 'test' }) })
+  t.teardown(() => other.stop())
+  const key = bench.write('other.key', OPERATORS_KEY)
+  const file = bench.write('first.jsonc', createDeclarations())
+  const answers = await Promise.all(['ana', 'ben', 'cyr', 'dan', 'eva'].map((by, index) => {
+    const args = [file, '--expect', '0', '--by', by, '--allow-unknown-fleet']
+    return index % 2 === 0 ? bench.run('apply', ...args) : runCommand('apply', [...args, '--entry', `http://${other.operatorAddress}`, '--key-file', key])
+  }))
+  t.is(answers.filter(answer => answer.code === 0).length, 1)
+  const winner = ['ana', 'ben', 'cyr', 'dan', 'eva'][answers.findIndex(answer => answer.code === 0)]
+  for (const answer of answers.filter(answer => answer.code !== 0)) t.regex(answer.err.join('\n'), new RegExp(`revision 1 is in force.*\nrevision 1 by ${winner} `))
+})
+
 test('history lists who applied what and gives an earlier revision back', async t => {
   const bench = await openBench(t)
   const file = bench.write('first.jsonc', createDeclarations())
--- a/packages/daemon/src/operators/acceptance.ts
+++ b/packages/daemon/src/operators/acceptance.ts
@@ -2,6 +2,8 @@
  * Accepts declarations: checks them, then puts them in force by one compare-and-swap in the store.
  * Accepted means durable. Of operators who race, exactly one is accepted; the others learn what changed.
  */
+import { createHash } from 'node:crypto'
+
 import type { WorkerCapacity } from '@dragonflylever/core'
 import { MAX_CONFIGURATION_BYTES, MAX_HISTORY, acceptableDeclarationsSchema, compareDeclarations, makeFaultAt, parseDocument } from '@dragonflylever/protocol'
 import type { ApplyOutcome, ApplyRequest, Declarations, Fault } from '@dragonflylever/protocol'
@@ -14,6 +16,7 @@
 import type { ConfigurationRecord } from './configurationRecord.js'
 import { checkGuarantees } from './fleetCheck.js'
 
+const DIGEST_LENGTH = 16
 const MAX_TRIES = 5
 const FIRST_WAIT_MS = 100
 
@@ -44,12 +47,14 @@
   }
 
   /** Puts a document in force or says why not. Never rejects. */
-  async apply (request: ApplyRequest): Promise<ApplyOutcome> {
+  async apply (given: ApplyRequest): Promise<ApplyOutcome> {
+    const request = { ...given, nonce: makeAttemptId(given) }
     const parsed = parseDocument(request.document, acceptableDeclarationsSchema)
     if (parsed.kind === 'invalid') return { kind: 'refused', faults: [...parsed.faults] }
     const read = await this._parts.store.get(this._key)
     if (read.kind !== 'ok') return makeUnavailable(request, read.message)
     const base = makeBase(read.value)
+    if (base.record !== undefined) this._parts.holder.offer(base.record)
     const settled = await this._settle(request, base.record, request.isRepeat)
     if (settled !== undefined) return settled
     const faults = this._checkFleet(request, parsed.value)
@@ -145,6 +150,12 @@
   }
 }
 
+/** Binds the nonce to what is applied, so that a nonce used for another document settles nothing. */
+function makeAttemptId (request: ApplyRequest): string {
+  const digest = createHash('sha256').update(`${request.expect}\n${request.document}`).digest('hex')
+  return `${request.nonce}.${digest.slice(0, DIGEST_LENGTH)}`
+}
+
 function makeBase (stored: StoredValue | undefined): Base {
   if (stored === undefined) return { expect: { kind: 'absent' }, stored, record: undefined }
   return { expect: { kind: 'revision', modRevision: stored.modRevision }, stored, record: decodeRecord(stored) }
