--- /dev/null
+++ b/packages/core/src/gangs/gangMachine.ts
@@ -0,0 +1,350 @@
+/**
+ * State machine of one gang: an event gives a new state and commands. It holds no clock and does no I/O.
+ *
+ * Order of a start: all reservations; the decision, durable; all tasks ready; go. A planner that loses a
+ * compare-and-swap is fenced and does nothing more. A new incarnation begins only when no task of the one before
+ * can still run: each was reported ended, or its lease has lapsed.
+ */
+import { TaskStatus } from './gangMessages.js'
+import type { AgentCommand, GangCommand, GangEvent, GangPhase, GangRecord, TaskReport, WriteResult } from './gangMessages.js'
+import { JobFailure } from './jobTypes.js'
+import type { JobSpec, Placement, StopGoal } from './jobTypes.js'
+
+/** Where a gang stands at its planner. */
+export type GangStage = 'queued' | 'reserving' | 'committing' | 'starting' | 'running' | 'checkpointing' | 'stopping' | 'recording' | 'recovering' | 'ended' | 'fenced'
+
+/** A gang as its planner holds it; immutable. */
+export interface Gang {
+  readonly spec: JobSpec
+  readonly epoch: number
+  readonly stage: GangStage
+  /** Last record known to be durable, with its revision in the store. */
+  readonly record: GangRecord
+  readonly revision: number
+  /** Incarnation and place being worked on. */
+  readonly incarnation: number
+  readonly placement: Placement
+  readonly coveredBy: readonly string[]
+  /** Last report of each task. */
+  readonly statuses: ReadonlyArray<TaskStatus | undefined>
+  readonly goal: StopGoal | undefined
+  /** Record under way to the store. */
+  readonly pending: GangRecord | undefined
+  /** True while the pending record is neither sent nor being read back. */
+  readonly isWriteDue: boolean
+  /** After this, no task of the incarnation can still hold a lease. */
+  readonly lapsedAt: number
+  /** When a stage that waits for others gives up. */
+  readonly giveUpAt: number
+}
+
+/** Times of the machine. */
+export interface GangTimes {
+  /** The agents' lease, as in their task tables. */
+  readonly leaseMs: number
+  /** Added to a lease for differences between clocks and for delivery. */
+  readonly marginMs: number
+  /** How long a checkpoint may take before the gang is stopped instead. */
+  readonly checkpointMs: number
+}
+
+/** A new state with what it asks for. */
+export interface GangStep {
+  readonly gang: Gang
+  readonly commands: readonly GangCommand[]
+}
+
+const ENDED: ReadonlySet<TaskStatus | undefined> = new Set([TaskStatus.finished, TaskStatus.failed, TaskStatus.checkpointed, TaskStatus.gone])
+const ALIVE: ReadonlySet<TaskStatus | undefined> = new Set([TaskStatus.ready, TaskStatus.running, TaskStatus.finished])
+
+/** Takes up a gang from its durable record, under a new planner's epoch. */
+export function restoreGang (spec: JobSpec, record: GangRecord, revision: number, epoch: number, times: GangTimes, now: number): GangStep {
+  const stage = record.phase.kind === 'queued' ? 'queued' : record.phase.kind === 'committed' ? 'recovering' : 'ended'
+  const lapsedAt = now + times.leaseMs + times.marginMs
+  const gang: Gang = {
+    spec,
+    epoch,
+    stage,
+    record,
+    revision,
+    incarnation: record.incarnation,
+    placement: record.placement,
+    coveredBy: record.coveredBy,
+    statuses: record.placement.map(() => undefined),
+    goal: undefined,
+    pending: undefined,
+    isWriteDue: false,
+    lapsedAt,
+    giveUpAt: lapsedAt
+  }
+  return { gang, commands: [] }
+}
+
+/** Returns whether an agent that asks may hold its lease on for another term. */
+export function isRenewable (gang: Gang): boolean {
+  return gang.stage === 'committing' || gang.stage === 'starting' || gang.stage === 'running' || gang.stage === 'checkpointing'
+}
+
+/** Notes that leases are renewed now; called before the renewal is sent. */
+export function noteRenewal (gang: Gang, times: GangTimes, now: number): Gang {
+  return { ...gang, lapsedAt: Math.max(gang.lapsedAt, now + times.leaseMs + times.marginMs) }
+}
+
+/** Returns whether a task at an agent belongs to no gang and must be stopped. */
+export function isOrphan (gang: Gang | undefined, report: TaskReport): boolean {
+  if (gang === undefined || gang.stage === 'ended' || gang.stage === 'queued') return true
+  return gang.incarnation !== report.id.incarnation || gang.placement[report.id.task] !== report.workerId
+}
+
+/** Returns the state after an event. */
+export function advanceGang (gang: Gang, event: GangEvent, times: GangTimes, now: number): GangStep {
+  if (gang.stage === 'ended' || gang.stage === 'fenced') return { gang, commands: [] }
+  switch (event.kind) {
+    case 'place': return gang.stage === 'queued' ? beginReserving(gang, event.placement, event.coveredBy, times, now) : makeStep(gang)
+    case 'report': return acceptReport(gang, event.report, times, now)
+    case 'workerLost': return loseWorker(gang, event.workerId, times, now)
+    case 'written': return acceptWritten(gang, event.nonce, event.result, times, now)
+    case 'readBack': return settleWrite(gang, event.record, event.revision, times, now)
+    case 'reclaim': return reclaim(gang, event.how, times, now)
+    case 'fail': return endWith(gang, { kind: 'fail', reason: event.reason }, now)
+    case 'cancel': return endWith(gang, { kind: 'cancel' }, now)
+    case 'tick': return advance(gang, times, now)
+  }
+}
+
+function makeStep (gang: Gang): GangStep {
+  return { gang, commands: [] }
+}
+
+function beginReserving (gang: Gang, placement: Placement, coveredBy: readonly string[], times: GangTimes, now: number): GangStep {
+  const next: Gang = {
+    ...gang,
+    stage: 'reserving',
+    incarnation: gang.incarnation + 1,
+    placement,
+    coveredBy,
+    statuses: placement.map(() => undefined),
+    lapsedAt: now + times.leaseMs + times.marginMs,
+    giveUpAt: now + times.leaseMs / 2
+  }
+  return { gang: next, commands: tellAll(next, 'reserve') }
+}
+
+function tellAll (gang: Gang, kind: AgentCommand['kind'], isMeant: (status: TaskStatus | undefined) => boolean = () => true): GangCommand[] {
+  return gang.placement.flatMap((workerId, task) => isMeant(gang.statuses[task]) ? [makeTell(gang, kind, workerId, task)] : [])
+}
+
+function makeTell (gang: Gang, kind: AgentCommand['kind'], workerId: string, task: number): GangCommand {
+  const id = { jobId: gang.spec.id, incarnation: gang.incarnation, task }
+  const command: AgentCommand = kind === 'reserve'
+    ? { kind, epoch: gang.epoch, id, shape: gang.spec.shape }
+    : { kind, epoch: gang.epoch, id }
+  return { kind: 'tell', workerId, command }
+}
+
+function acceptReport (gang: Gang, report: TaskReport, times: GangTimes, now: number): GangStep {
+  const { id } = report
+  if (id.incarnation !== gang.incarnation || gang.placement[id.task] !== report.workerId) return makeStep(gang)
+  if (gang.stage === 'queued') return makeStep(gang)
+  const known = gang.statuses[id.task]
+  if (ENDED.has(known) && !ENDED.has(report.status)) return makeStep(gang)
+  const statuses = gang.statuses.with(id.task, report.status)
+  const next = report.status === TaskStatus.reserved ? noteRenewal({ ...gang, statuses }, times, now) : { ...gang, statuses }
+  const blame: GangCommand[] = report.status === TaskStatus.failed && known !== TaskStatus.failed && gang.stage === 'running'
+    ? [{ kind: 'blame', jobId: gang.spec.id, workerId: report.workerId }]
+    : []
+  const step = decideAfterReport(next, report.status, now)
+  return { gang: step.gang, commands: [...blame, ...step.commands] }
+}
+
+function decideAfterReport (gang: Gang, status: TaskStatus, now: number): GangStep {
+  switch (gang.stage) {
+    case 'reserving':
+      if (status === TaskStatus.gone) return beginStopping(gang, { kind: 'requeue' })
+      return gang.statuses.every(item => item === TaskStatus.reserved) ? beginCommitting(gang) : makeStep(gang)
+    case 'starting':
+      if (ENDED.has(status)) return beginStopping(gang, { kind: 'requeue' })
+      return gang.statuses.every(item => item === TaskStatus.ready || item === TaskStatus.running) ? beginRunning(gang) : makeStep(gang)
+    case 'recovering':
+      return recover(gang, status)
+    case 'running':
+      if (gang.statuses.every(item => item === TaskStatus.finished)) return beginRecording(gang, { kind: 'done' })
+      return ENDED.has(status) && status !== TaskStatus.finished ? beginStopping(gang, { kind: 'requeue' }) : makeStep(gang)
+    case 'checkpointing':
+      if (gang.statuses.every(item => item === TaskStatus.finished)) return beginRecording(gang, { kind: 'done' })
+      return gang.statuses.every(item => ENDED.has(item)) ? beginStopping(gang, { kind: 'requeue' }) : makeStep(gang)
+    case 'stopping':
+      return finishStopping(gang, now)
+    default:
+      return makeStep(gang)
+  }
+}
+
+function beginCommitting (gang: Gang): GangStep {
+  return write({ ...gang, stage: 'committing' }, { kind: 'committed' })
+}
+
+function beginRunning (gang: Gang): GangStep {
+  return { gang: { ...gang, stage: 'running', giveUpAt: Infinity }, commands: tellAll(gang, 'go', status => status !== TaskStatus.running) }
+}
+
+/** All tasks are there: the gang goes on. One is not: all are stopped. */
+function recover (gang: Gang, status: TaskStatus): GangStep {
+  if (!ALIVE.has(status) && status !== TaskStatus.reserved) return beginStopping(gang, { kind: 'requeue' })
+  if (gang.statuses.some(item => item === undefined)) return makeStep(gang)
+  if (gang.statuses.every(item => item === TaskStatus.finished)) return beginRecording(gang, { kind: 'done' })
+  if (gang.statuses.every(item => ALIVE.has(item))) return beginRunning(gang)
+  return { gang: { ...gang, stage: 'starting' }, commands: tellAll(gang, 'prepare', item => item === TaskStatus.reserved) }
+}
+
+function beginStopping (gang: Gang, goal: StopGoal): GangStep {
+  return { gang: { ...gang, stage: 'stopping', goal }, commands: tellAll(gang, 'stop') }
+}
+
+/** An ended task is kept by its agent until stopped, so only `gone` counts here. */
+function finishStopping (gang: Gang, now: number): GangStep {
+  const isOver = now >= gang.lapsedAt || gang.statuses.every(status => status === TaskStatus.gone)
+  if (!isOver || gang.goal === undefined) return makeStep(gang)
+  const { goal } = gang
+  if (goal.kind === 'cancel') return beginRecording(gang, { kind: 'cancelled' })
+  if (goal.kind === 'fail') return beginRecording(gang, { kind: 'failed', reason: goal.reason })
+  if (gang.record.phase.kind === 'queued') return makeStep(clear(gang))
+  return beginRecording(gang, { kind: 'queued' })
+}
+
+function clear (gang: Gang): Gang {
+  return { ...gang, stage: 'queued', placement: [], coveredBy: [], statuses: [], goal: undefined }
+}
+
+function beginRecording (gang: Gang, phase: GangPhase): GangStep {
+  return write({ ...gang, stage: 'recording' }, phase)
+}
+
+function write (gang: Gang, phase: GangPhase): GangStep {
+  const isPlaced = phase.kind === 'committed'
+  const pending: GangRecord = {
+    jobId: gang.spec.id,
+    phase,
+    incarnation: gang.incarnation,
+    placement: isPlaced ? gang.placement : [],
+    coveredBy: isPlaced ? gang.coveredBy : [],
+    epoch: gang.epoch,
+    nonce: `${gang.epoch}/${gang.revision}/${gang.incarnation}/${phase.kind}`
+  }
+  return { gang: { ...gang, pending, isWriteDue: false }, commands: [{ kind: 'write', record: pending, expectedRevision: gang.revision }] }
+}
+
+function acceptWritten (gang: Gang, nonce: string, result: WriteResult, times: GangTimes, now: number): GangStep {
+  if (gang.pending === undefined || gang.pending.nonce !== nonce) return makeStep(gang)
+  if (result.kind === 'ok') return acceptDurable(gang, gang.pending, result.revision, times, now)
+  if (result.kind === 'unavailable') return makeStep({ ...gang, isWriteDue: true })
+  return { gang, commands: [{ kind: 'read', jobId: gang.spec.id }] }
+}
+
+/**
+ * A conflict may be the machine's own earlier write, whose answer was lost; only the nonce tells. It may also be
+ * a write of an earlier planner that was under way while this one read: its decision counts, and is taken up.
+ */
+function settleWrite (gang: Gang, record: GangRecord, revision: number, times: GangTimes, now: number): GangStep {
+  if (gang.pending === undefined) return makeStep(gang)
+  if (record.nonce === gang.pending.nonce) return acceptDurable(gang, gang.pending, revision, times, now)
+  if (revision === gang.revision) return makeStep({ ...gang, isWriteDue: true })
+  if (record.epoch > gang.epoch) return { gang: { ...gang, stage: 'fenced', pending: undefined }, commands: [{ kind: 'fenced', jobId: gang.spec.id }] }
+  const restored = restoreGang(gang.spec, record, revision, gang.epoch, times, now).gang
+  const goal = getEndGoal(gang)
+  const step = goal === undefined || restored.stage === 'ended' ? makeStep(restored) : endWith(restored, goal, now)
+  return { gang: step.gang, commands: [...tellAll(gang, 'stop'), ...step.commands] }
+}
+
+function getEndGoal (gang: Gang): StopGoal | undefined {
+  const phase = gang.pending?.phase
+  if (phase?.kind === 'failed') return { kind: 'fail', reason: phase.reason }
+  if (phase?.kind === 'cancelled') return { kind: 'cancel' }
+  return gang.goal?.kind === 'requeue' ? undefined : gang.goal
+}
+
+function acceptDurable (gang: Gang, record: GangRecord, revision: number, times: GangTimes, now: number): GangStep {
+  const next: Gang = { ...gang, record, revision, pending: undefined, isWriteDue: false }
+  if (record.phase.kind === 'queued') {
+    const isEnding = next.goal !== undefined && next.goal.kind !== 'requeue'
+    return isEnding ? endWith(clear(next), next.goal, now) : makeStep(clear(next))
+  }
+  if (record.phase.kind !== 'committed') return { gang: { ...next, stage: 'ended' }, commands: tellAll(next, 'stop', status => status !== TaskStatus.gone) }
+  if (next.goal !== undefined) return beginStopping(next, next.goal)
+  if (next.statuses.some(status => ENDED.has(status))) return beginStopping(next, { kind: 'requeue' })
+  return { gang: { ...next, stage: 'starting', giveUpAt: now + times.leaseMs }, commands: tellAll(next, 'prepare') }
+}
+
+function loseWorker (gang: Gang, workerId: string, times: GangTimes, now: number): GangStep {
+  if (!gang.placement.includes(workerId)) return makeStep(gang)
+  switch (gang.stage) {
+    case 'reserving':
+    case 'starting':
+    case 'running':
+    case 'checkpointing':
+      return beginStopping(gang, { kind: 'requeue' })
+    case 'committing':
+      return makeStep({ ...gang, goal: gang.goal ?? { kind: 'requeue' } })
+    default:
+      return advance(gang, times, now)
+  }
+}
+
+function reclaim (gang: Gang, how: 'checkpoint' | 'stop', times: GangTimes, now: number): GangStep {
+  if (gang.stage === 'running' && how === 'checkpoint') {
+    const next: Gang = { ...gang, stage: 'checkpointing', giveUpAt: now + times.checkpointMs }
+    return { gang: next, commands: tellAll(next, 'checkpoint') }
+  }
+  if (gang.stage === 'running' || gang.stage === 'checkpointing' || gang.stage === 'starting' || gang.stage === 'reserving') return beginStopping(gang, { kind: 'requeue' })
+  if (gang.stage === 'committing') return makeStep({ ...gang, goal: gang.goal ?? { kind: 'requeue' } })
+  return makeStep(gang)
+}
+
+/** Cancels or fails a gang in any stage; a job that is done meanwhile stays done. */
+function endWith (gang: Gang, goal: StopGoal, now: number): GangStep {
+  const phase: GangPhase = goal.kind === 'fail' ? { kind: 'failed', reason: goal.reason } : { kind: 'cancelled' }
+  switch (gang.stage) {
+    case 'queued': return beginRecording(gang, phase)
+    case 'committing': return makeStep({ ...gang, goal })
+    case 'recording': return makeStep(gang.pending?.phase.kind === 'queued' ? { ...gang, goal } : gang)
+    case 'stopping': return finishStopping({ ...gang, goal }, now)
+    default: return beginStopping(gang, goal)
+  }
+}
+
+/** What time alone brings: given-up waits, lapsed leases, and repeats of what may have been lost. */
+function advance (gang: Gang, times: GangTimes, now: number): GangStep {
+  if (gang.pending !== undefined) return advanceWrite(gang)
+  switch (gang.stage) {
+    case 'reserving':
+      return now >= gang.giveUpAt ? beginStopping(gang, { kind: 'requeue' }) : { gang: noteRenewal(gang, times, now), commands: tellAll(gang, 'reserve', status => status === undefined) }
+    case 'starting':
+      return now >= gang.giveUpAt ? beginStopping(gang, { kind: 'requeue' }) : { gang, commands: tellAll(gang, 'prepare', status => status === TaskStatus.reserved) }
+    case 'recovering':
+      return now >= gang.lapsedAt ? beginStopping(gang, { kind: 'requeue' }) : makeStep(gang)
+    case 'running':
+      return { gang, commands: tellAll(gang, 'go', status => status === TaskStatus.ready) }
+    case 'checkpointing':
+      return now >= gang.giveUpAt ? beginStopping(gang, { kind: 'requeue' }) : { gang, commands: tellAll(gang, 'checkpoint', status => !ENDED.has(status)) }
+    case 'stopping': {
+      const step = finishStopping(gang, now)
+      return step.gang.stage === 'stopping' ? { gang: step.gang, commands: tellAll(gang, 'stop', status => status !== TaskStatus.gone) } : step
+    }
+    default:
+      return makeStep(gang)
+  }
+}
+
+/** Repeats a write that surely did not happen; anything else is read back first. */
+function advanceWrite (gang: Gang): GangStep {
+  if (gang.pending === undefined) return makeStep(gang)
+  if (!gang.isWriteDue) return { gang, commands: [{ kind: 'read', jobId: gang.spec.id }] }
+  return { gang: { ...gang, isWriteDue: false }, commands: [{ kind: 'write', record: gang.pending, expectedRevision: gang.revision }] }
+}
+
+/** Returns the reason for which a job is failed when its spec can't be run at all. */
+export function validateSpec (spec: JobSpec): JobFailure | undefined {
+  const amounts = [spec.shape.accelerators, spec.shape.cores, spec.shape.memoryGb]
+  const isSound = spec.tasks >= 1 && Number.isInteger(spec.tasks) && amounts.every(amount => amount >= 0 && Number.isFinite(amount))
+  return isSound ? undefined : JobFailure.invalid
+}
--- /dev/null
+++ b/packages/core/src/gangs/gangMessages.ts
@@ -0,0 +1,86 @@
+/**
+ * What passes between a gang's state machine, the store and the agents. Times are in milliseconds of the receiver's clock.
+ */
+import type { JobFailure, Placement, Resources } from './jobTypes.js'
+
+/** What is durable of a job. Written by compare-and-swap; the nonce settles a write whose answer was lost. */
+export interface GangRecord {
+  readonly jobId: string
+  readonly phase: GangPhase
+  /** Counts the decisions to run the gang; a task incarnation is job, incarnation and task number. */
+  readonly incarnation: number
+  /** Worker of each task while committed. */
+  readonly placement: Placement
+  readonly coveredBy: readonly string[]
+  /** Epoch of the planner that wrote it. */
+  readonly epoch: number
+  readonly nonce: string
+}
+
+export type GangPhase =
+  | { readonly kind: 'queued' }
+  | { readonly kind: 'committed' }
+  | { readonly kind: 'done' }
+  | { readonly kind: 'failed', readonly reason: JobFailure }
+  | { readonly kind: 'cancelled' }
+
+/** Names one task of one decision to run a gang. */
+export interface TaskIncarnation {
+  readonly jobId: string
+  readonly incarnation: number
+  readonly task: number
+}
+
+/** What an agent is told; an agent refuses an epoch below the highest that it has seen. */
+export type AgentCommand =
+  | { readonly kind: 'reserve', readonly epoch: number, readonly id: TaskIncarnation, readonly shape: Resources }
+  | { readonly kind: 'prepare', readonly epoch: number, readonly id: TaskIncarnation }
+  | { readonly kind: 'go', readonly epoch: number, readonly id: TaskIncarnation }
+  | { readonly kind: 'checkpoint', readonly epoch: number, readonly id: TaskIncarnation }
+  | { readonly kind: 'stop', readonly epoch: number, readonly id: TaskIncarnation }
+
+/** Where a task incarnation stands at its agent. */
+export const TaskStatus = {
+  reserved: 'reserved',
+  ready: 'ready',
+  running: 'running',
+  finished: 'finished',
+  failed: 'failed',
+  checkpointed: 'checkpointed',
+  gone: 'gone'
+} as const
+export type TaskStatus = typeof TaskStatus[keyof typeof TaskStatus]
+
+/** What an agent says of one task: as an answer, unasked, or in its inventory. */
+export interface TaskReport {
+  readonly workerId: string
+  readonly id: TaskIncarnation
+  readonly status: TaskStatus
+}
+
+/** How a store answered a write. */
+export type WriteResult =
+  | { readonly kind: 'ok', readonly revision: number }
+  | { readonly kind: 'conflict' }
+  | { readonly kind: 'unavailable' }
+  | { readonly kind: 'ambiguous' }
+
+/** What happens to a gang. */
+export type GangEvent =
+  | { readonly kind: 'place', readonly placement: Placement, readonly coveredBy: readonly string[] }
+  | { readonly kind: 'report', readonly report: TaskReport }
+  | { readonly kind: 'workerLost', readonly workerId: string }
+  | { readonly kind: 'written', readonly nonce: string, readonly result: WriteResult }
+  | { readonly kind: 'readBack', readonly record: GangRecord, readonly revision: number }
+  | { readonly kind: 'reclaim', readonly how: 'checkpoint' | 'stop' }
+  | { readonly kind: 'fail', readonly reason: JobFailure }
+  | { readonly kind: 'cancel' }
+  | { readonly kind: 'tick' }
+
+/** What a gang's state machine asks for. */
+export type GangCommand =
+  | { readonly kind: 'tell', readonly workerId: string, readonly command: AgentCommand }
+  | { readonly kind: 'write', readonly record: GangRecord, readonly expectedRevision: number }
+  | { readonly kind: 'read', readonly jobId: string }
+  | { readonly kind: 'blame', readonly jobId: string, readonly workerId: string }
+  | { readonly kind: 'fenced', readonly jobId: string }
--- /dev/null
+++ b/packages/core/test/gangs/gangWorld.ts
@@ -0,0 +1,298 @@
+/**
+ * Gangs, agents' task tables and a store in one thread, with messages and faults under the control of a test.
+ * Watches all tables and throws when a promise is broken.
+ */
+import { isOrphan, isRenewable, noteRenewal, advanceGang, restoreGang, TaskStatus, TaskTable } from '@dragonflylever/core'
+import type { AgentCommand, Gang, GangCommand, GangEvent, GangRecord, JobSpec, TaskReport, WriteResult } from '@dragonflylever/core'
+
+import { makeSpec } from './plannerFixture.js'
+
+export const TIMES = { leaseMs: 1_000, marginMs: 200, checkpointMs: 3_000 }
+export const BEAT_MS = 250
+/** Longest time that a task may run while another of its gang does not: detection, lease and margin. */
+const BARRIER_BOUND_MS = TIMES.leaseMs + TIMES.marginMs + 2 * BEAT_MS
+const TASKS = 3
+const WORKERS = 7
+const RUN_BEATS = 10
+
+export type StoreMode = 'ok' | 'unavailable' | 'lostAnswer' | 'lostWrite'
+
+interface WorldWorker {
+  readonly id: string
+  readonly table: TaskTable
+  isDead: boolean
+  /** True while no planner can reach it; its tasks run on. */
+  isCut: boolean
+}
+
+interface PlannerFake {
+  readonly epoch: number
+  readonly gangs: Map<string, Gang>
+  isPaused: boolean
+}
+
+interface Message { readonly workerId: string, readonly command: AgentCommand, readonly planner: PlannerFake }
+
+export class GangWorld {
+  now = 0
+  storeMode: StoreMode = 'ok'
+  steps = 0
+  readonly ends = new Map<string, string[]>()
+  /** Called before each atomic step, so that a test can break something there. */
+  onStep: (step: number) => void = () => {}
+  private readonly _specs: JobSpec[]
+  private readonly _store = new Map<string, { record: GangRecord, revision: number }>()
+  private readonly _workers: WorldWorker[]
+  private readonly _planners: PlannerFake[] = []
+  private _messages: Message[] = []
+  private readonly _ready = new Set<string>()
+  private readonly _started = new Set<string>()
+  private readonly _beatsRun = new Map<string, number>()
+  private readonly _brokenSince = new Map<string, number>()
+  private readonly _failing = new Set<string>()
+
+  constructor (jobs: number) {
+    this._specs = Array.from({ length: jobs }, (_, index) => makeSpec(`job${index}`, { tasks: TASKS, shape: { accelerators: 8, cores: 8, memoryGb: 8 } }))
+    this._workers = Array.from({ length: WORKERS }, (_, index) => this._makeWorker(index))
+    for (const { id } of this._specs) {
+      this.ends.set(id, [])
+      this._store.set(id, { revision: 1, record: { jobId: id, phase: { kind: 'queued' }, incarnation: 0, placement: [], coveredBy: [], epoch: 0, nonce: 'accepted' } })
+    }
+    this.startPlanner()
+  }
+
+  get messages (): number {
+    return this._messages.length
+  }
+
+  /** Replaces the planner; the old one is gone, or paused with its state when `isPause`. */
+  startPlanner (isPause = false): void {
+    const old = this._planners.pop()
+    if (old !== undefined && isPause) {
+      old.isPaused = true
+      this._planners.unshift(old)
+    }
+    const epoch = (old?.epoch ?? 0) + 1
+    const planner: PlannerFake = { epoch, gangs: new Map(), isPaused: false }
+    for (const spec of this._specs) {
+      const stored = this._store.get(spec.id)
+      if (stored === undefined) throw new Error('invariant: a job was lost')
+      planner.gangs.set(spec.id, restoreGang(spec, stored.record, stored.revision, epoch, TIMES, this.now).gang)
+    }
+    this._planners.push(planner)
+  }
+
+  /** Lets paused planners act again, at once and without knowing of the pause. */
+  resumePlanners (): void {
+    for (const planner of this._planners) planner.isPaused = false
+  }
+
+  killWorker (index: number): void {
+    const worker = this._workers[index % WORKERS]
+    if (worker !== undefined) worker.isDead = true
+  }
+
+  /** Cuts a worker off from all planners, or joins it again. */
+  cutWorker (index: number): void {
+    const worker = this._workers[index % WORKERS]
+    if (worker !== undefined) worker.isCut = !worker.isCut
+  }
+
+  /** Brings dead workers back as new ones, without tasks. */
+  restartWorkers (): void {
+    this._workers.forEach((worker, index) => { if (worker.isDead) this._workers[index] = this._makeWorker(index) })
+  }
+
+  failNext (index: number): void {
+    this._failing.add(`w${index % WORKERS}`)
+  }
+
+  dropMessage (index: number): void {
+    this._messages.splice(index % Math.max(1, this._messages.length), 1)
+  }
+
+  passMessage (index: number, isCopy = false): void {
+    const at = index % Math.max(1, this._messages.length)
+    const message = this._messages[at]
+    if (message === undefined) return
+    if (!isCopy) this._messages.splice(at, 1)
+    this._takeStep()
+    const worker = this._workers.find(item => item.id === message.workerId && !item.isDead && !item.isCut)
+    if (worker === undefined) return
+    const answer = worker.table.handle(message.command, this.now)
+    this._verify()
+    if (answer.kind === 'reported') this._send(message.planner, { kind: 'report', report: answer.report }, answer.report.id.jobId)
+  }
+
+  cancel (index: number): void {
+    const planner = this._planners.at(-1)
+    const id = this._specs[index % this._specs.length]?.id
+    if (planner !== undefined && id !== undefined) this._send(planner, { kind: 'cancel' }, id)
+  }
+
+  /** One round: time passes, tasks run, agents report and renew, planners place and repeat. */
+  runBeat (): void {
+    this.now += BEAT_MS
+    for (const worker of this._workers) this._runTasks(worker)
+    this._verify()
+    for (const planner of [...this._planners]) if (!planner.isPaused) this._runPlanner(planner)
+  }
+
+  /** Ends all faults and returns the number of jobs that reached an end in time. */
+  settle (): number {
+    this.storeMode = 'ok'
+    this.onStep = () => {}
+    this._failing.clear()
+    this.restartWorkers()
+    for (const worker of this._workers) worker.isCut = false
+    this.resumePlanners()
+    for (let beats = 0; beats < 100 && !this._isOver(); beats++) {
+      this.runBeat()
+      while (this._messages.length > 0) this.passMessage(0)
+    }
+    return [...this._store.values()].filter(({ record }) => ['done', 'failed', 'cancelled'].includes(record.phase.kind)).length
+  }
+
+  countTasks (): number {
+    return this._workers.reduce((sum, worker) => sum + worker.table.listTasks().length, 0)
+  }
+
+  private _isOver (): boolean {
+    const isEnded = [...this._store.values()].every(({ record }) => ['done', 'failed', 'cancelled'].includes(record.phase.kind))
+    return isEnded && this.countTasks() === 0 && this._messages.length === 0
+  }
+
+  private _makeWorker (index: number): WorldWorker {
+    const id = `w${index}@${this.now}`
+    return { id, isDead: false, isCut: false, table: new TaskTable({ workerId: id, capacity: { accelerators: 8, cores: 32, memoryGb: 128 }, leaseMs: TIMES.leaseMs }) }
+  }
+
+  private _runTasks (worker: WorldWorker): void {
+    worker.table.expire(this.now)
+    for (const report of worker.table.listTasks()) {
+      if (report.status !== TaskStatus.running) continue
+      const key = makeKey(report)
+      const beats = (this._beatsRun.get(key) ?? 0) + 1
+      this._beatsRun.set(key, beats)
+      const isFailing = this._failing.delete(worker.id.split('@')[0] ?? '')
+      if (beats >= RUN_BEATS || isFailing) worker.table.finish(report.id, isFailing ? 'failed' : 'finished')
+    }
+  }
+
+  private _runPlanner (planner: PlannerFake): void {
+    for (const worker of this._workers) if (!worker.isDead && !worker.isCut) this._readInventory(planner, worker)
+    for (const [jobId, gang] of planner.gangs) {
+      for (const workerId of new Set(gang.placement)) {
+        if (!this._workers.some(worker => worker.id === workerId && !worker.isDead && !worker.isCut)) this._send(planner, { kind: 'workerLost', workerId }, jobId)
+      }
+      this._send(planner, { kind: 'tick' }, jobId)
+      if (planner.gangs.get(jobId)?.stage === 'queued') this._place(planner, jobId)
+    }
+  }
+
+  private _readInventory (planner: PlannerFake, worker: WorldWorker): void {
+    this._takeStep()
+    if (worker.isDead || worker.isCut || !worker.table.acceptEpoch(planner.epoch)) return
+    const reports = worker.table.listTasks()
+    for (const report of reports) {
+      const gang = planner.gangs.get(report.id.jobId)
+      if (isOrphan(gang, report)) {
+        this._messages.push({ workerId: worker.id, planner, command: { kind: 'stop', epoch: planner.epoch, id: report.id } })
+      } else if (gang !== undefined && isRenewable(gang)) {
+        planner.gangs.set(report.id.jobId, noteRenewal(gang, TIMES, this.now))
+        worker.table.renew(report.id, planner.epoch, this.now, this.now)
+      }
+      this._send(planner, { kind: 'report', report }, report.id.jobId)
+    }
+    for (const [jobId, gang] of planner.gangs) {
+      if (gang.stage === 'reserving') continue
+      gang.placement.forEach((workerId, task) => {
+        if (workerId !== worker.id || reports.some(report => report.id.jobId === jobId && report.id.task === task)) return
+        this._send(planner, { kind: 'report', report: { workerId, id: { jobId, incarnation: gang.incarnation, task }, status: TaskStatus.gone } }, jobId)
+      })
+    }
+  }
+
+  private _place (planner: PlannerFake, jobId: string): void {
+    const free = this._workers.filter(worker => !worker.isDead && !worker.isCut && worker.table.listTasks().length === 0)
+    if (free.length < TASKS) return
+    this._send(planner, { kind: 'place', placement: free.slice(0, TASKS).map(worker => worker.id), coveredBy: [] }, jobId)
+  }
+
+  private _send (planner: PlannerFake, event: GangEvent, jobId: string): void {
+    const gang = planner.gangs.get(jobId)
+    if (gang === undefined || planner.isPaused || !this._planners.includes(planner)) return
+    this._takeStep()
+    if (!this._planners.includes(planner) || planner.isPaused) return
+    const step = advanceGang(gang, event, TIMES, this.now)
+    planner.gangs.set(jobId, step.gang)
+    for (const command of step.commands) this._execute(planner, jobId, command)
+  }
+
+  private _execute (planner: PlannerFake, jobId: string, command: GangCommand): void {
+    if (command.kind === 'tell') this._messages.push({ workerId: command.workerId, command: command.command, planner })
+    if (command.kind === 'write') {
+      const result = this._write(command.record, command.expectedRevision)
+      this._send(planner, { kind: 'written', nonce: command.record.nonce, result }, jobId)
+    }
+    const stored = this._store.get(jobId)
+    if (command.kind === 'read' && this.storeMode !== 'unavailable' && stored !== undefined) this._send(planner, { kind: 'readBack', ...stored }, jobId)
+  }
+
+  private _write (record: GangRecord, expectedRevision: number): WriteResult {
+    this._takeStep()
+    const mode = this.storeMode
+    if (mode === 'unavailable') return { kind: 'unavailable' }
+    if (mode === 'lostWrite') return { kind: 'ambiguous' }
+    const stored = this._store.get(record.jobId)
+    if (stored === undefined || stored.revision !== expectedRevision) return { kind: 'conflict' }
+    this._store.set(record.jobId, { record, revision: expectedRevision + 1 })
+    if (record.phase.kind !== 'queued' && record.phase.kind !== 'committed') this.ends.get(record.jobId)?.push(record.phase.kind)
+    return mode === 'lostAnswer' ? { kind: 'ambiguous' } : { kind: 'ok', revision: expectedRevision + 1 }
+  }
+
+  private _takeStep (): void {
+    this.onStep(this.steps++)
+  }
+
+  private _verify (): void {
+    const reports = this._workers.flatMap(worker => worker.isDead ? [] : worker.table.listTasks())
+    for (const report of reports) if (report.status === TaskStatus.ready || report.status === TaskStatus.running) this._ready.add(makeKey(report))
+    for (const worker of this._workers) this._verifyCapacity(worker)
+    const running = reports.filter(report => report.status === TaskStatus.running)
+    for (const report of running) this._verifyStart(report)
+    for (const { id } of this._specs) this._verifyGang(running.filter(report => report.id.jobId === id), reports)
+  }
+
+  /** Each task takes all accelerators of a worker. */
+  private _verifyCapacity (worker: WorldWorker): void {
+    const held = worker.table.listTasks().filter(({ status }) => status === TaskStatus.reserved || status === TaskStatus.ready || status === TaskStatus.running)
+    if (held.length > 1) throw new Error(`${worker.id} holds ${held.length} tasks, one fits`)
+  }
+
+  private _verifyStart (report: TaskReport): void {
+    const { jobId, incarnation } = report.id
+    const startKey = `${makeKey(report)}@${report.workerId}`
+    if (this._started.has(startKey)) return
+    if ([...this._started].some(key => key.startsWith(`${makeKey(report)}@`))) throw new Error(`${makeKey(report)} ran twice`)
+    this._started.add(startKey)
+    for (let task = 0; task < TASKS; task++) {
+      if (!this._ready.has(`${jobId}/${incarnation}/${task}`)) throw new Error(`${makeKey(report)} runs though task ${task} was never ready`)
+    }
+  }
+
+  private _verifyGang (running: readonly TaskReport[], reports: readonly TaskReport[]): void {
+    const [first] = running
+    if (first === undefined) return
+    if (running.some(report => report.id.incarnation !== first.id.incarnation)) throw new Error(`two incarnations of ${first.id.jobId} run at once`)
+    const key = `${first.id.jobId}/${first.id.incarnation}`
+    const alive = reports.filter(report => `${report.id.jobId}/${report.id.incarnation}` === key && (report.status === TaskStatus.running || report.status === TaskStatus.finished))
+    if (alive.length === TASKS) this._brokenSince.delete(key)
+    else if (!this._brokenSince.has(key)) this._brokenSince.set(key, this.now)
+    else if (this.now - (this._brokenSince.get(key) ?? this.now) > BARRIER_BOUND_MS) throw new Error(`${key} runs in part for longer than ${BARRIER_BOUND_MS} ms`)
+  }
+}
+
+function makeKey (report: TaskReport): string {
+  return `${report.id.jobId}/${report.id.incarnation}/${report.id.task}`
+}
