Bound the time in which a gang may run in part

It now stops the gang when not all tasks run one lease after go, and a new planner stops a gang that it finds partly started.

--- a/packages/core/src/gangs/gangMachine.ts
+++ b/packages/core/src/gangs/gangMachine.ts
@@ -55,7 +55,7 @@
 }
 
 const ENDED: ReadonlySet<TaskStatus | undefined> = new Set([TaskStatus.finished, TaskStatus.failed, TaskStatus.checkpointed, TaskStatus.gone])
-const ALIVE: ReadonlySet<TaskStatus | undefined> = new Set([TaskStatus.ready, TaskStatus.running, TaskStatus.finished])
+const STARTED: ReadonlySet<TaskStatus | undefined> = new Set([TaskStatus.running, TaskStatus.finished])
 
 /** Takes up a gang from its durable record, under a new planner's epoch. */
 export function restoreGang (spec: JobSpec, record: GangRecord, revision: number, epoch: number, times: GangTimes, now: number): GangStep {
@@ -153,20 +153,20 @@
   const blame: GangCommand[] = report.status === TaskStatus.failed && known !== TaskStatus.failed && gang.stage === 'running'
     ? [{ kind: 'blame', jobId: gang.spec.id, workerId: report.workerId }]
     : []
-  const step = decideAfterReport(next, report.status, now)
+  const step = decideAfterReport(next, report.status, times, now)
   return { gang: step.gang, commands: [...blame, ...step.commands] }
 }
 
-function decideAfterReport (gang: Gang, status: TaskStatus, now: number): GangStep {
+function decideAfterReport (gang: Gang, status: TaskStatus, times: GangTimes, now: number): GangStep {
   switch (gang.stage) {
     case 'reserving':
       if (status === TaskStatus.gone) return beginStopping(gang, { kind: 'requeue' })
       return gang.statuses.every(item => item === TaskStatus.reserved) ? beginCommitting(gang) : makeStep(gang)
     case 'starting':
       if (ENDED.has(status)) return beginStopping(gang, { kind: 'requeue' })
-      return gang.statuses.every(item => item === TaskStatus.ready || item === TaskStatus.running) ? beginRunning(gang) : makeStep(gang)
+      return gang.statuses.every(item => item === TaskStatus.ready || item === TaskStatus.running) ? beginRunning(gang, times, now) : makeStep(gang)
     case 'recovering':
-      return recover(gang, status)
+      return recover(gang, status, times, now)
     case 'running':
       if (gang.statuses.every(item => item === TaskStatus.finished)) return beginRecording(gang, { kind: 'done' })
       return ENDED.has(status) && status !== TaskStatus.finished ? beginStopping(gang, { kind: 'requeue' }) : makeStep(gang)
@@ -184,16 +184,18 @@
   return write({ ...gang, stage: 'committing' }, { kind: 'committed' })
 }
 
-function beginRunning (gang: Gang): GangStep {
-  return { gang: { ...gang, stage: 'running', giveUpAt: Infinity }, commands: tellAll(gang, 'go', status => status !== TaskStatus.running) }
+/** From the first go until all tasks are known to run, the gang may run in part; that wait is bounded. */
+function beginRunning (gang: Gang, times: GangTimes, now: number): GangStep {
+  return { gang: { ...gang, stage: 'running', giveUpAt: now + times.leaseMs }, commands: tellAll(gang, 'go', status => status !== TaskStatus.running) }
 }
 
-/** All tasks are there: the gang goes on. One is not: all are stopped. */
-function recover (gang: Gang, status: TaskStatus): GangStep {
-  if (!ALIVE.has(status) && status !== TaskStatus.reserved) return beginStopping(gang, { kind: 'requeue' })
+/** All tasks run, or none runs yet and all are there: the gang goes on. Otherwise all are stopped. */
+function recover (gang: Gang, status: TaskStatus, times: GangTimes, now: number): GangStep {
+  if (ENDED.has(status) && status !== TaskStatus.finished) return beginStopping(gang, { kind: 'requeue' })
   if (gang.statuses.some(item => item === undefined)) return makeStep(gang)
   if (gang.statuses.every(item => item === TaskStatus.finished)) return beginRecording(gang, { kind: 'done' })
-  if (gang.statuses.every(item => ALIVE.has(item))) return beginRunning(gang)
+  if (gang.statuses.every(item => STARTED.has(item)) || gang.statuses.every(item => item === TaskStatus.ready)) return beginRunning(gang, times, now)
+  if (gang.statuses.some(item => STARTED.has(item))) return beginStopping(gang, { kind: 'requeue' })
   return { gang: { ...gang, stage: 'starting' }, commands: tellAll(gang, 'prepare', item => item === TaskStatus.reserved) }
 }
 
@@ -323,6 +325,7 @@
     case 'recovering':
       return now >= gang.lapsedAt ? beginStopping(gang, { kind: 'requeue' }) : makeStep(gang)
     case 'running':
+      if (now >= gang.giveUpAt && !gang.statuses.every(status => STARTED.has(status))) return beginStopping(gang, { kind: 'requeue' })
       return { gang, commands: tellAll(gang, 'go', status => status === TaskStatus.ready) }
     case 'checkpointing':
       return now >= gang.giveUpAt ? beginStopping(gang, { kind: 'requeue' }) : { gang, commands: tellAll(gang, 'checkpoint', status => !ENDED.has(status)) }
