--- /dev/null
+++ b/packages/daemon/src/fleet/domainTable.ts
@@ -0,0 +1,127 @@
+/**
+ * Member lists of failure domains as a process knows them. A list is replaced only by one of a higher epoch, or of the
+ * same epoch and a higher version. No I/O, no clock.
+ */
+import type { DomainChange, ListVersion, Member, Summary } from '@dragonflylever/protocol'
+
+/** Removals kept so that a difference can name them. */
+const MAX_REMOVED = 256
+
+interface DomainRow {
+  readonly region: string
+  readonly epoch: number
+  readonly version: number
+  /** Versions since which the list's own record of changes is complete. */
+  readonly completeSince: number
+  readonly registrar: { readonly id: string, readonly address: string }
+  readonly members: ReadonlyMap<string, { readonly member: Member, readonly version: number }>
+  readonly removed: ReadonlyMap<string, number>
+}
+
+/** `gap`: the change builds on a version that this process does not have. */
+export type ApplyOutcome = 'applied' | 'old' | 'gap'
+
+/** True when `a` is higher than `b`. */
+export function isHigher (a: ListVersion, b: ListVersion): boolean {
+  return a[0] !== b[0] ? a[0] > b[0] : a[1] > b[1]
+}
+
+export class DomainTable {
+  private readonly _rows = new Map<string, DomainRow>()
+
+  /** Names of the failure domains known. */
+  get domains (): string[] {
+    return [...this._rows.keys()]
+  }
+
+  /** Version of a domain's list; [0, 0] when there is none. */
+  getVersion (domain: string): ListVersion {
+    const row = this._rows.get(domain)
+    return row === undefined ? [0, 0] : [row.epoch, row.version]
+  }
+
+  getRegion (domain: string): string | undefined {
+    return this._rows.get(domain)?.region
+  }
+
+  /** Registrar that a domain's list names. */
+  getRegistrar (domain: string): { readonly id: string, readonly address: string } | undefined {
+    return this._rows.get(domain)?.registrar
+  }
+
+  getMember (domain: string, id: string): Member | undefined {
+    return this._rows.get(domain)?.members.get(id)?.member
+  }
+
+  /** Members of a domain, leaving ones too. */
+  list (domain: string): Member[] {
+    return [...this._rows.get(domain)?.members.values() ?? []].map(row => row.member)
+  }
+
+  /** Versions of the given domains, [0, 0] for the unknown. */
+  describe (domains: readonly string[]): Summary['domains'] {
+    return Object.fromEntries(domains.map(domain => [domain, this.getVersion(domain)]))
+  }
+
+  /** Takes a change over when it is newer and follows on what is here. */
+  apply (change: DomainChange): ApplyOutcome {
+    const [epoch, version] = this.getVersion(change.domain)
+    if (!isHigher([change.epoch, change.version], [epoch, version])) return 'old'
+    if (change.since === undefined) {
+      this._replace(change)
+      return 'applied'
+    }
+    if (change.epoch !== epoch || change.since > version) return 'gap'
+    this._patch(change)
+    return 'applied'
+  }
+
+  /** Returns what is newer than `have`: a difference when that is possible, else the whole list. */
+  makeChange (domain: string, have: ListVersion): DomainChange | undefined {
+    const row = this._rows.get(domain)
+    if (row === undefined || !isHigher([row.epoch, row.version], have)) return undefined
+    const { region, epoch, version, registrar } = row
+    const base = { domain, region, epoch, version, registrar }
+    const rows = [...row.members.values()]
+    if (have[0] !== epoch || have[1] < row.completeSince) return { ...base, members: rows.map(({ member }) => member), removed: [] }
+    const members = rows.filter(one => one.version > have[1]).map(({ member }) => member)
+    const removed = [...row.removed].filter(([, removedAt]) => removedAt > have[1]).map(([id]) => id)
+    return { ...base, since: have[1], members, removed }
+  }
+
+  private _replace (change: DomainChange): void {
+    const members = new Map(change.members.map(member => [member.id, { member, version: change.version }]))
+    this._rows.set(change.domain, { ...pickHead(change), completeSince: change.version, members, removed: new Map() })
+  }
+
+  private _patch (change: DomainChange): void {
+    const row = this._rows.get(change.domain)
+    if (row === undefined) throw new Error(`invariant: a difference of ${change.domain} without a list`)
+    const members = new Map(row.members)
+    const removed = new Map(row.removed)
+    for (const id of change.removed) {
+      members.delete(id)
+      removed.set(id, change.version)
+    }
+    for (const member of change.members) {
+      members.set(member.id, { member, version: change.version })
+      removed.delete(member.id)
+    }
+    const completeSince = forgetOldest(removed, row.completeSince)
+    this._rows.set(change.domain, { ...pickHead(change), completeSince, members, removed })
+  }
+}
+
+function pickHead (change: DomainChange): Pick<DomainRow, 'region' | 'epoch' | 'version' | 'registrar'> {
+  return { region: change.region, epoch: change.epoch, version: change.version, registrar: change.registrar }
+}
+
+function forgetOldest (removed: Map<string, number>, completeSince: number): number {
+  let since = completeSince
+  for (const [id, version] of [...removed].sort((a, b) => a[1] - b[1])) {
+    if (removed.size <= MAX_REMOVED) break
+    removed.delete(id)
+    since = Math.max(since, version)
+  }
+  return since
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/enrolment.ts
@@ -0,0 +1,122 @@
+/**
+ * Keeps this process in the list of its failure domain: finds the registrar (by the list, through an entry, from the
+ * store), tells it of this process, and stands for the duty itself when nobody holds it.
+ */
+import type { Member } from '@dragonflylever/protocol'
+
+import type { DutyHolder } from '../duties/dutyHolder.js'
+import { CALL_TIMEOUT_MS } from './fleetContext.js'
+import type { FleetContext } from './fleetContext.js'
+import type { NewsRelay } from './newsRelay.js'
+import type { Registrar } from './registrar.js'
+import { listSuccessors } from './ring.js'
+
+/** Members that stand for the duty when the registrar has left. */
+const MAX_SUCCESSORS = 3
+
+export interface EnrolmentOptions {
+  readonly context: FleetContext
+  readonly relay: NewsRelay
+  readonly duty: DutyHolder
+  readonly registrar: Registrar
+  /** Called when this process has taken the duty. */
+  readonly onTaken: () => Promise<void>
+}
+
+export class Enrolment {
+  private readonly _context: FleetContext
+  private readonly _options: EnrolmentOptions
+  private _hint: string | undefined
+  private _isAway = false
+
+  constructor (options: EnrolmentOptions) {
+    this._context = options.context
+    this._options = options
+  }
+
+  /** Notes that the registrar could not be reached. */
+  setAway (): void {
+    this._isAway = true
+  }
+
+  /** One round: does nothing while this process is listed as it is and the registrar is there. */
+  async check (): Promise<void> {
+    const own = this._context.describe()
+    if (this._options.registrar.register(own)) return
+    if (!this._isAway && this._isListed(own) && !this._isSuccessor(own)) return
+    if (await this._register(own)) return
+    await this._askEntries(own)
+    if (this._context.board.get('isLeaving')) return
+    await this._stand(own)
+  }
+
+  /** Tells of this process's end. */
+  async leave (): Promise<void> {
+    const member = this._context.describe()
+    if (this._options.registrar.remove(member.id, member.incarnation, true)) return
+    const address = this._findRegistrar(member)
+    const outcome = address === undefined ? undefined : await this._context.peers.call(address, 'leave', { member }, CALL_TIMEOUT_MS)
+    if (outcome?.kind === 'ok' && outcome.value.isRegistered === true) return
+    await Promise.all(this._context.join.map(entry => this._context.peers.call(entry, 'leave', { member }, CALL_TIMEOUT_MS)))
+  }
+
+  private _isListed (own: Member): boolean {
+    const { table, failureDomain } = this._context
+    if (table.getRegistrar(failureDomain)?.id === own.id) return false
+    const listed = table.getMember(failureDomain, own.id)
+    return listed?.incarnation === own.incarnation && listed.address === own.address && listed.state === own.state
+  }
+
+  /** True when the registrar has left the list and this process is among the first to follow it. */
+  private _isSuccessor (own: Member): boolean {
+    const { table, failureDomain } = this._context
+    const registrar = table.getRegistrar(failureDomain)
+    if (registrar === undefined || table.getMember(failureDomain, registrar.id) !== undefined) return false
+    return listSuccessors(table.list(failureDomain), registrar.id).slice(0, MAX_SUCCESSORS).some(member => member.id === own.id)
+  }
+
+  private _findRegistrar (own: Member): string | undefined {
+    const listed = this._context.table.getRegistrar(this._context.failureDomain)?.address
+    const address = this._hint ?? listed
+    return address === own.address ? undefined : address
+  }
+
+  private async _register (own: Member): Promise<boolean> {
+    const address = this._findRegistrar(own)
+    this._hint = undefined
+    if (address === undefined) return false
+    const isDone = await this._tell(address, own)
+    this._isAway = !isDone
+    if (isDone && this._context.table.getMember(this._context.failureDomain, own.id) === undefined) await this._options.relay.pull(address)
+    return isDone
+  }
+
+  private async _askEntries (own: Member): Promise<void> {
+    const targets = this._context.join.filter(address => address !== own.address)
+    await Promise.all(targets.map(address => this._tell(address, own)))
+    if (this._hint !== undefined) await this._register(own)
+  }
+
+  private async _stand (own: Member): Promise<void> {
+    const outcome = await this._options.duty.take()
+    if (outcome.kind === 'held') {
+      this._isAway = false
+      this._options.registrar.begin()
+      await this._options.onTaken()
+    }
+    if (outcome.kind !== 'other') return
+    this._hint = outcome.view.address
+    await this._register(own)
+  }
+
+  private async _tell (address: string, member: Member): Promise<boolean> {
+    const params = { member, revision: this._context.holder.revision }
+    const outcome = await this._context.peers.call(address, 'heartbeat', params, CALL_TIMEOUT_MS)
+    if (outcome.kind !== 'ok') return false
+    const { configuration, isRegistered, registrar } = outcome.value
+    if (configuration !== undefined) await this._options.relay.take({ configuration, domains: [] }, this._context)
+    if (isRegistered === true) return true
+    if (registrar !== undefined && registrar !== address && registrar !== member.address) this._hint = registrar
+    return false
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/fleetContext.ts
@@ -0,0 +1,39 @@
+/**
+ * What the parts of a process's fleet membership share.
+ */
+import type { Random } from '@dragonflylever/core'
+import type { Member, PeerRpc } from '@dragonflylever/protocol'
+import type { Blackboard, Logger } from '@dragonflylever/runtime'
+
+import type { ConfigurationHolder } from '../shared/configurationHolder.js'
+import type { FleetFacts } from '../shared/fleetFacts.js'
+import type { DomainTable } from './domainTable.js'
+
+/** Time within which a process answers a ping, in milliseconds. */
+export const PING_TIMEOUT_MS = 400
+/** Time that calls with more to carry may take, in milliseconds. */
+export const CALL_TIMEOUT_MS = 1_000
+
+export interface FleetContext {
+  readonly id: string
+  readonly region: string
+  readonly failureDomain: string
+  readonly isEntry: boolean
+  /** Control addresses of entries or of their balancer, from the settings. */
+  readonly join: readonly string[]
+  readonly board: Blackboard<FleetFacts>
+  readonly table: DomainTable
+  readonly holder: ConfigurationHolder
+  readonly peers: PeerRpc
+  readonly random: Random
+  readonly logger: Logger
+  /** Returns this process's member record as it is now. */
+  readonly describe: () => Member
+}
+
+/** True when the member answers at its address as the incarnation that the record names. */
+export async function isAnswering (context: FleetContext, member: Member): Promise<boolean> {
+  const summary = { revision: context.holder.revision, domains: {} }
+  const outcome = await context.peers.call(member.address, 'ping', { summary }, PING_TIMEOUT_MS)
+  return outcome.kind === 'ok' && outcome.value.incarnation === member.incarnation
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/fleetNode.ts
@@ -0,0 +1,251 @@
+/**
+ * One process's part in the fleet: membership, the duty of its failure domain's registrar, configuration.
+ */
+import type { Random } from '@dragonflylever/core'
+import { StoreClient } from '@dragonflylever/platform'
+import type { Store } from '@dragonflylever/platform'
+import type { DomainChange, Member, PeerRpc, RpcParams, RpcRegistry, RpcResultValue } from '@dragonflylever/protocol'
+import { createPartLogger } from '@dragonflylever/runtime'
+import type { Blackboard, Logger } from '@dragonflylever/runtime'
+
+import { DutyHolder } from '../duties/dutyHolder.js'
+import { ConfigurationHolder } from '../shared/configurationHolder.js'
+import { ConfigurationWatcher } from '../shared/configurationWatcher.js'
+import type { FleetFacts } from '../shared/fleetFacts.js'
+import { DomainTable } from './domainTable.js'
+import { Enrolment } from './enrolment.js'
+import { CALL_TIMEOUT_MS, PING_TIMEOUT_MS, isAnswering } from './fleetContext.js'
+import type { FleetContext } from './fleetContext.js'
+import { MemberView } from './memberView.js'
+import { NewsRelay } from './newsRelay.js'
+import { Reachability } from './reachability.js'
+import { Registrar } from './registrar.js'
+import { REGISTRAR_DUTY, RegistrarRounds } from './registrarRounds.js'
+import { RingMonitor } from './ringMonitor.js'
+
+const ROUND_MS = 1_000
+
+export interface FleetNodeOptions {
+  readonly id: string
+  readonly region: string
+  readonly failureDomain: string
+  readonly role: 'entry' | 'agent'
+  readonly join: readonly string[]
+  readonly prefix: string
+  readonly board: Blackboard<FleetFacts>
+  readonly store: Store
+  readonly peers: PeerRpc
+  /** Where this process serves the calls of others. */
+  readonly rpc: RpcRegistry
+  readonly random: Random
+  readonly logger: Logger
+  readonly describe: () => Member
+}
+
+export class FleetNode {
+  readonly holder: ConfigurationHolder
+  private readonly _options: FleetNodeOptions
+  private readonly _context: FleetContext
+  private readonly _duty: DutyHolder
+  private readonly _registrar: Registrar
+  private readonly _relay: NewsRelay
+  private readonly _view: MemberView
+  private readonly _rounds: ReadonlyArray<() => Promise<void>>
+  private readonly _enrolment: Enrolment
+  private readonly _watcher: ConfigurationWatcher
+  private readonly _running = new Set<() => Promise<void>>()
+  private readonly _stop: () => void
+  private _timer: NodeJS.Timeout | undefined
+
+  constructor (options: FleetNodeOptions) {
+    this._options = options
+    const { id, region, failureDomain, role, join, board, peers, random, store, prefix, describe } = options
+    const logger = createPartLogger(options.logger, 'members')
+    this.holder = new ConfigurationHolder(board, createPartLogger(options.logger, 'config'))
+    const table = new DomainTable()
+    const context = { id, region, failureDomain, isEntry: role === 'entry', join, board, table, holder: this.holder, peers, random, logger, describe }
+    this._context = context
+    this._view = new MemberView(board, table)
+    this._duty = new DutyHolder({
+      store,
+      prefix,
+      duty: `${REGISTRAR_DUTY}${failureDomain}`,
+      holder: id,
+      getAddress: () => describe().address,
+      logger: createPartLogger(options.logger, 'duties'),
+      onLost: () => this._enrolment.setAway()
+    })
+    const isRegistrar = (): boolean => this._duty.epoch !== undefined
+    this._registrar = new Registrar({ duty: this._duty, table, domain: failureDomain, region, describe, onChange: change => this._publish(change) })
+    this._relay = new NewsRelay({ context, isRegistrar, onMembers: () => this._view.publish(performance.now()) })
+    this._watcher = new ConfigurationWatcher(store, prefix, this.holder)
+    const rounds = new RegistrarRounds({ context, relay: this._relay, store, prefix, watcher: this._watcher, isActive: isRegistrar })
+    this._enrolment = new Enrolment({ context, relay: this._relay, duty: this._duty, registrar: this._registrar, onTaken: () => rounds.check() })
+    const ring = new RingMonitor({ context, relay: this._relay, onRegistrarAway: () => this._enrolment.setAway() })
+    const reachability = new Reachability(context, this._view)
+    const forEntry = [() => reachability.check(), () => this._balance()]
+    this._rounds = [() => this._enrolment.check(), () => ring.check(), () => rounds.check(), ...(context.isEntry ? forEntry : [])]
+    this._stop = board.subscribe('configuration', () => this._spread())
+    this._serve(options.rpc)
+  }
+
+  /** True while this process may act as the registrar of its failure domain. */
+  get isRegistrar (): boolean {
+    return this._registrar.isActive
+  }
+
+  /** Joins the fleet, as far as that is possible at once, and keeps on. */
+  async start (): Promise<void> {
+    this._view.note(this._context.describe(), performance.now())
+    this._timer = setTimeout(() => this._run(), ROUND_MS * this._options.random.sample())
+    await this._enrolment.check()
+  }
+
+  /** Says that this process takes no new work. */
+  async leave (): Promise<void> {
+    await this._enrolment.check()
+  }
+
+  /** Leaves the fleet and gives up what this process holds. */
+  async close (): Promise<void> {
+    clearTimeout(this._timer)
+    this._timer = undefined
+    this._stop()
+    this._watcher.close()
+    await this._enrolment.leave()
+    await this._registrar.close()
+    await this._duty.release()
+  }
+
+  /** Asks all members which configuration is in force at them, through the registrars where these answer. */
+  async collectRevisions (): Promise<ReadonlyMap<string, number>> {
+    const { table } = this._context
+    const parts = await Promise.all(table.domains.map(domain => this._collect(domain)))
+    return new Map(parts.flatMap(part => Object.entries(part)))
+  }
+
+  private async _collect (failureDomain: string): Promise<Record<string, number>> {
+    const { table, peers, id } = this._context
+    const registrar = table.getRegistrar(failureDomain)
+    if (registrar === undefined || registrar.id === id) return this._askMembers(failureDomain)
+    const outcome = await peers.call(registrar.address, 'revisions', { failureDomain }, 2 * CALL_TIMEOUT_MS)
+    return outcome.kind === 'ok' ? outcome.value.revisions : this._askMembers(failureDomain)
+  }
+
+  private async _askMembers (failureDomain: string): Promise<Record<string, number>> {
+    const { table, peers, holder, id } = this._context
+    const summary = { revision: holder.revision, domains: {} }
+    const rows = await Promise.all(table.list(failureDomain).map(async member => {
+      if (member.id === id) return [member.id, holder.revision] as const
+      const outcome = await peers.call(member.address, 'ping', { summary }, PING_TIMEOUT_MS)
+      return outcome.kind === 'ok' && outcome.value.incarnation === member.incarnation ? [member.id, outcome.value.summary.revision] as const : undefined
+    }))
+    return Object.fromEntries(rows.filter(row => row !== undefined))
+  }
+
+  private _run (): void {
+    this._timer = setTimeout(() => this._run(), ROUND_MS)
+    this._noteStore()
+    for (const round of this._rounds) void this._runOnce(round)
+  }
+
+  private async _runOnce (round: () => Promise<void>): Promise<void> {
+    if (this._running.has(round)) return
+    this._running.add(round)
+    try {
+      await round()
+    } catch (error) {
+      this._context.logger.error({ err: error }, 'a round failed')
+    }
+    this._running.delete(round)
+  }
+
+  private _noteStore (): void {
+    const { board } = this._context
+    board.set('storeHealth', this._options.store.health)
+    if (this._options.store instanceof StoreClient) board.set('storeUsage', this._options.store.usage)
+    if (this._context.isEntry) this._view.publish(performance.now())
+  }
+
+  /** An entry evens out all lists with its registrar each round; without one, with another entry. */
+  private async _balance (): Promise<void> {
+    const { table, failureDomain, id, peers, random } = this._context
+    const registrar = table.getRegistrar(failureDomain)
+    const entries = [...this._context.board.get('members').values()].filter(({ member }) => member.role === 'entry' && member.id !== id)
+    const target = registrar === undefined || registrar.id === id ? entries[random.pick(entries.length)]?.member : registrar
+    if (target === undefined) return
+    const outcome = await peers.call(target.address, 'ping', { summary: this._relay.describe() }, PING_TIMEOUT_MS)
+    if (outcome.kind === 'ok') await this._relay.balance(target.address, outcome.value.summary)
+    else if (target === registrar) this._enrolment.setAway()
+  }
+
+  private async _publish (change: DomainChange): Promise<void> {
+    this._view.publish(performance.now())
+    await this._relay.publish({ domains: [change] }, undefined)
+  }
+
+  private _spread (): void {
+    const configuration = this._context.board.get('configuration')
+    if (configuration !== undefined && !this._relay.isTaking) void this._relay.publish({ configuration, domains: [] }, undefined)
+  }
+
+  private _serve (rpc: RpcRegistry): void {
+    rpc.add('ping', ({ summary }) => this._answerPing(Object.keys(summary.domains)))
+    rpc.add('sync', ({ summary, isAll }) => this._relay.collect(summary, isAll))
+    rpc.add('relay', ({ news, from }) => {
+      void this._relay.take(news, from)
+      return {}
+    })
+    rpc.add('heartbeat', params => this._answerHeartbeat(params))
+    rpc.add('leave', params => this._answerLeave(params))
+    rpc.add('report', params => this._answerReport(params))
+    rpc.add('revisions', async ({ failureDomain }) => ({ revisions: await this._askMembers(failureDomain) }))
+  }
+
+  private _answerPing (domains: readonly string[]): RpcResultValue<'ping'> {
+    const { table, holder, describe } = this._context
+    const { id, incarnation } = describe()
+    return { id, incarnation, summary: { revision: holder.revision, domains: table.describe(domains) } }
+  }
+
+  private _answerHeartbeat ({ member, revision, isForwarded }: RpcParams<'heartbeat'>): RpcResultValue<'heartbeat'> {
+    const { board, table, failureDomain, isEntry } = this._context
+    const configuration = board.get('configuration')
+    const isRegistered = member.failureDomain === failureDomain && this._registrar.register(member)
+    if (isEntry && !isRegistered) this._view.note(member, performance.now())
+    if (isEntry && !isRegistered && isForwarded !== true) this._forward('heartbeat', { member, revision, isForwarded: true })
+    const registrar = table.getRegistrar(member.failureDomain)?.address
+    return {
+      ...(configuration !== undefined && configuration.revision > revision ? { configuration } : {}),
+      ...(registrar === undefined ? {} : { registrar }),
+      isRegistered
+    }
+  }
+
+  private _answerLeave ({ member, isForwarded }: RpcParams<'leave'>): RpcResultValue<'leave'> {
+    const isRegistered = member.failureDomain === this._context.failureDomain && this._registrar.remove(member.id, member.incarnation, true)
+    if (this._context.isEntry) this._view.leave(member, performance.now())
+    if (this._context.isEntry && !isRegistered && isForwarded !== true) this._forward('leave', { member, isForwarded: true })
+    return { isRegistered }
+  }
+
+  private async _answerReport (params: RpcParams<'report'>): Promise<RpcResultValue<'report'>> {
+    const { table, isEntry, failureDomain } = this._context
+    const isRegistrar = params.failureDomain === failureDomain && this._registrar.isActive
+    const member = table.getMember(params.failureDomain, params.id)
+    if (member === undefined || member.incarnation !== params.incarnation) return { isRegistrar }
+    if (await isAnswering(this._context, member)) return { isRegistrar }
+    if (isRegistrar) this._registrar.remove(member.id, member.incarnation, false)
+    if (!isRegistrar && isEntry) this._view.setSilent(member, true, performance.now())
+    if (!isRegistrar && isEntry && params.isForwarded !== true) this._forward('report', { ...params, isForwarded: true })
+    return { isRegistrar }
+  }
+
+  /** Tells the other entries of what no registrar takes. */
+  private _forward<M extends 'heartbeat' | 'leave' | 'report'> (method: M, params: RpcParams<M>): void {
+    const { board, peers, id } = this._context
+    for (const { member } of board.get('members').values()) {
+      if (member.role === 'entry' && member.id !== id) void peers.call(member.address, method, params, CALL_TIMEOUT_MS)
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/memberView.ts
@@ -0,0 +1,99 @@
+/**
+ * Members as an entry sees them: the lists of the failure domains, corrected by what it was told or saw itself while a
+ * list is behind (its registrar away, the store away, a failure domain out of reach).
+ */
+import type { Member } from '@dragonflylever/protocol'
+import type { Blackboard } from '@dragonflylever/runtime'
+
+import type { FleetFacts, MemberView as MemberFact } from '../shared/fleetFacts.js'
+import type { DomainTable } from './domainTable.js'
+
+/** Time that a member lives here by its own word only, in milliseconds. */
+const PROVISIONAL_MS = 2_500
+const MAX_LEFT = 4_096
+
+export class MemberView {
+  private readonly _board: Blackboard<FleetFacts>
+  private readonly _table: DomainTable
+  private readonly _provisional = new Map<string, { member: Member, until: number }>()
+  private readonly _silent = new Map<string, Member>()
+  private readonly _unreachable = new Set<string>()
+  private readonly _left = new Set<string>()
+  private readonly _leaving = new Set<string>()
+
+  constructor (board: Blackboard<FleetFacts>, table: DomainTable) {
+    this._board = board
+    this._table = table
+  }
+
+  /** Members that did not answer and are still in a list; to be tried again. */
+  get silent (): readonly Member[] {
+    return [...this._silent.values()]
+  }
+
+  /** Notes a member's own word while no registrar takes it. */
+  note (member: Member, now: number): void {
+    if (this._left.has(member.incarnation)) return
+    this._silent.delete(member.incarnation)
+    if (member.state === 'leaving') this._leaving.add(member.incarnation)
+    this._provisional.set(member.id, { member, until: now + PROVISIONAL_MS })
+    this.publish(now)
+  }
+
+  /** Notes that a member has ended. */
+  leave (member: Member, now: number): void {
+    this._left.add(member.incarnation)
+    if (this._left.size > MAX_LEFT) this._left.delete(this._left.values().next().value ?? '')
+    if (this._provisional.get(member.id)?.member.incarnation === member.incarnation) this._provisional.delete(member.id)
+    this.publish(now)
+  }
+
+  /** Notes that a member does not answer, or that it answers again. */
+  setSilent (member: Member, isSilent: boolean, now: number): void {
+    if (isSilent) this._silent.set(member.incarnation, member)
+    else this._silent.delete(member.incarnation)
+    this.publish(now)
+  }
+
+  /** Notes that no member of a failure domain can be reached from here, or that one can again. */
+  setUnreachable (domain: string, isUnreachable: boolean, now: number): void {
+    if (this._unreachable.has(domain) === isUnreachable) return
+    if (isUnreachable) this._unreachable.add(domain)
+    else this._unreachable.delete(domain)
+    this.publish(now)
+  }
+
+  /** Writes the members to the blackboard when they differ from what is there. */
+  publish (now: number): void {
+    this._forget(now)
+    const next = new Map<string, MemberFact>()
+    for (const domain of this._table.domains) for (const member of this._table.list(domain)) this._enter(next, member, now)
+    for (const { member } of this._provisional.values()) this._enter(next, member, now)
+    if (!isSame(this._board.get('members'), next)) this._board.set('members', next)
+  }
+
+  private _forget (now: number): void {
+    for (const [id, { member, until }] of this._provisional) {
+      const listed = this._table.getMember(member.failureDomain, id)
+      if (until < now || listed?.incarnation === member.incarnation) this._provisional.delete(id)
+    }
+    for (const [incarnation, member] of this._silent) {
+      if (this._table.getMember(member.failureDomain, member.id)?.incarnation !== incarnation) this._silent.delete(incarnation)
+    }
+  }
+
+  private _enter (next: Map<string, MemberFact>, member: Member, now: number): void {
+    const isAway = this._left.has(member.incarnation) || this._silent.has(member.incarnation) || this._unreachable.has(member.failureDomain)
+    if (isAway) return
+    const known = this._board.get('members').get(member.id)
+    const state = this._leaving.has(member.incarnation) ? 'leaving' : member.state
+    const isKnown = known?.member.incarnation === member.incarnation && known.member.address === member.address && known.member.state === state
+    next.set(member.id, isKnown ? known : { member: { ...member, state }, lastSeenAt: now })
+  }
+}
+
+function isSame (a: ReadonlyMap<string, MemberFact>, b: ReadonlyMap<string, MemberFact>): boolean {
+  if (a.size !== b.size) return false
+  for (const [id, view] of b) if (a.get(id) !== view) return false
+  return true
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/newsRelay.ts
@@ -0,0 +1,159 @@
+/**
+ * Spreads configuration and member lists: takes what is newer, passes it on once, and evens out differences that a
+ * ping shows. Within a failure domain news runs along a tree from the registrar; between failure domains from registrar
+ * to registrar, with one copy into each other region.
+ */
+import type { DomainChange, Member, News, Summary } from '@dragonflylever/protocol'
+
+import { isHigher } from './domainTable.js'
+import { CALL_TIMEOUT_MS } from './fleetContext.js'
+import type { FleetContext } from './fleetContext.js'
+import { listChildren } from './ring.js'
+
+/** Place that news came from; undefined when it arose here. */
+export type Origin = { readonly region: string, readonly failureDomain: string } | undefined
+
+export interface NewsRelayOptions {
+  readonly context: FleetContext
+  /** True while this process is the registrar of its failure domain. */
+  readonly isRegistrar: () => boolean
+  /** Called after a member list has changed. */
+  readonly onMembers: () => void
+}
+
+export class NewsRelay {
+  private readonly _context: FleetContext
+  private readonly _options: NewsRelayOptions
+  private _isTaking = false
+
+  constructor (options: NewsRelayOptions) {
+    this._context = options.context
+    this._options = options
+  }
+
+  /** True while a configuration from another process is being put in force here. */
+  get isTaking (): boolean {
+    return this._isTaking
+  }
+
+  /** Entries and registrars follow all failure domains, the others their own. */
+  get isFollowingAll (): boolean {
+    return this._context.isEntry || this._options.isRegistrar()
+  }
+
+  /** Describes what this process has of what it follows. */
+  describe (): Summary {
+    const { table, failureDomain, holder } = this._context
+    const domains = this.isFollowingAll ? [...new Set([failureDomain, ...table.domains])] : [failureDomain]
+    return { revision: holder.revision, domains: table.describe(domains) }
+  }
+
+  /** Collects what is newer here than `have`. */
+  collect (have: Summary, isAll: boolean): News {
+    const { table, board } = this._context
+    const configuration = board.get('configuration')
+    const names = isAll ? table.domains : Object.keys(have.domains)
+    const domains = names.map(domain => table.makeChange(domain, have.domains[domain] ?? [0, 0])).filter(change => change !== undefined)
+    return { ...(configuration !== undefined && configuration.revision > have.revision ? { configuration } : {}), domains }
+  }
+
+  /** Takes what is newer and passes it on; pulls from the registrar where a difference does not fit. */
+  async take (news: News, origin: Origin): Promise<void> {
+    const fresh: { configuration?: News['configuration'], domains: DomainChange[] } = { domains: [] }
+    if (news.configuration !== undefined && this._offer(news.configuration)) fresh.configuration = news.configuration
+    const gaps = new Set<string>()
+    for (const change of news.domains) {
+      const outcome = this._context.table.apply(change)
+      if (outcome === 'applied') fresh.domains.push(change)
+      if (outcome === 'gap') gaps.add(change.registrar.address)
+    }
+    if (fresh.domains.length > 0) this._options.onMembers()
+    await Promise.all([this.publish(fresh, origin), ...[...gaps].map(address => this.pull(address))])
+  }
+
+  private _offer (configuration: NonNullable<News['configuration']>): boolean {
+    this._isTaking = true
+    const isNew = this._context.holder.offer(configuration)
+    this._isTaking = false
+    return isNew
+  }
+
+  /** Asks a process for what it has newer; false when it did not answer. */
+  async pull (address: string): Promise<boolean> {
+    const params = { summary: this.describe(), isAll: this.isFollowingAll }
+    const outcome = await this._context.peers.call(address, 'sync', params, CALL_TIMEOUT_MS)
+    if (outcome.kind !== 'ok') return false
+    await this.take(outcome.value, this._context)
+    return true
+  }
+
+  /** Evens out the difference with a process that has answered a ping. */
+  async balance (address: string, theirs: Summary): Promise<void> {
+    const mine = this.describe()
+    const isBehind = theirs.revision > mine.revision || Object.entries(theirs.domains).some(([domain, version]) => isHigher(version, mine.domains[domain] ?? [0, 0]))
+    if (isBehind) await this.pull(address)
+    const news = this.collect(theirs, false)
+    if (!isEmpty(news)) await this._send(address, news)
+  }
+
+  /** Passes on what has just become known here. */
+  async publish (fresh: News, origin: Origin): Promise<void> {
+    if (isEmpty(fresh)) return
+    const local = this._select(fresh)
+    const sends = isEmpty(local) ? [] : this._listChildren(this._context.id).map(child => this._sendDown(child, local))
+    await Promise.all([...sends, ...this._publishUp(fresh, local, origin)])
+  }
+
+  private _publishUp (fresh: News, local: News, origin: Origin): Array<Promise<unknown>> {
+    const { table, failureDomain, id } = this._context
+    if (!this._options.isRegistrar()) {
+      const registrar = table.getRegistrar(failureDomain)
+      const isOwn = origin === undefined && registrar !== undefined && registrar.id !== id
+      return isOwn ? [this._send(registrar.address, fresh)] : []
+    }
+    const entries = table.list(failureDomain).filter(member => member.role === 'entry' && member.id !== id)
+    const peers = this._listRegistrars(origin).map(address => this._send(address, origin === undefined || origin.failureDomain === failureDomain ? local : fresh))
+    return [...entries.map(entry => this._send(entry.address, fresh)), ...peers]
+  }
+
+  /** Registrars that news from `origin` still has to go to. */
+  private _listRegistrars (origin: Origin): string[] {
+    const { table, failureDomain, region } = this._context
+    const isOwn = origin === undefined || origin.failureDomain === failureDomain
+    if (!isOwn && origin.region === region) return []
+    const others = table.domains.filter(domain => domain !== failureDomain).sort()
+    const near = others.filter(domain => table.getRegion(domain) === region)
+    const far = new Map<string, string>()
+    for (const domain of others) {
+      const place = table.getRegion(domain) ?? ''
+      if (place !== region && !far.has(place)) far.set(place, domain)
+    }
+    const chosen = isOwn ? [...near, ...far.values()] : near
+    return chosen.map(domain => table.getRegistrar(domain)?.address).filter(address => address !== undefined)
+  }
+
+  /** Sends down the tree; where a process does not answer, its children get the news from here. */
+  private async _sendDown (child: Member, news: News): Promise<void> {
+    if (await this._send(child.address, news)) return
+    await Promise.all(this._listChildren(child.id).map(next => this._sendDown(next, news)))
+  }
+
+  private _listChildren (id: string): Member[] {
+    const { table, failureDomain } = this._context
+    return listChildren(table.list(failureDomain), table.getRegistrar(failureDomain)?.id ?? '', id)
+  }
+
+  private _select (fresh: News): News {
+    return { ...fresh, domains: fresh.domains.filter(change => change.domain === this._context.failureDomain) }
+  }
+
+  private async _send (address: string, news: News): Promise<boolean> {
+    const { region, failureDomain } = this._context
+    const outcome = await this._context.peers.call(address, 'relay', { news, from: { region, failureDomain } }, CALL_TIMEOUT_MS)
+    return outcome.kind === 'ok'
+  }
+}
+
+function isEmpty (news: News): boolean {
+  return news.configuration === undefined && news.domains.length === 0
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/registrar.ts
@@ -0,0 +1,103 @@
+/**
+ * The duty of a failure domain's registrar: the only writer of its member list, under the epoch of its duty.
+ * Changes within a short time go out as one version.
+ */
+import type { DomainChange, Member } from '@dragonflylever/protocol'
+
+import type { DutyHolder } from '../duties/dutyHolder.js'
+import type { DomainTable } from './domainTable.js'
+
+const COALESCE_MS = 200
+
+export interface RegistrarOptions {
+  readonly duty: DutyHolder
+  readonly table: DomainTable
+  readonly domain: string
+  readonly region: string
+  readonly describe: () => Member
+  /** Called with each new version, after it is in the table. */
+  readonly onChange: (change: DomainChange) => Promise<void>
+}
+
+export class Registrar {
+  private readonly _options: RegistrarOptions
+  private readonly _ended = new Set<string>()
+  private _changed = new Map<string, Member>()
+  private _removed = new Set<string>()
+  private _timer: NodeJS.Timeout | undefined
+
+  constructor (options: RegistrarOptions) {
+    this._options = options
+  }
+
+  /** True while this process may act as the registrar. */
+  get isActive (): boolean {
+    return this._options.duty.epoch !== undefined
+  }
+
+  /** Starts a new epoch from the list that this process knows. */
+  begin (): void {
+    const { table, domain, describe } = this._options
+    const own = describe()
+    const members = [...table.list(domain).filter(member => member.id !== own.id), own]
+    void this._publish({ members, removed: [] })
+  }
+
+  /** Enters a member; false when this process may not. */
+  register (member: Member): boolean {
+    if (!this.isActive) return false
+    if (this._ended.has(member.incarnation)) return true
+    const known = this._changed.get(member.id) ?? this._options.table.getMember(this._options.domain, member.id)
+    if (known !== undefined && isSameMember(known, member) && !this._removed.has(member.id)) return true
+    this._removed.delete(member.id)
+    this._changed.set(member.id, member)
+    this._schedule()
+    return true
+  }
+
+  /** Takes a member out, if it is still of that incarnation; false when this process may not. */
+  remove (id: string, incarnation: string, hasEnded: boolean): boolean {
+    if (!this.isActive) return false
+    if (hasEnded) this._ended.add(incarnation)
+    const known = this._changed.get(id) ?? this._options.table.getMember(this._options.domain, id)
+    if (known?.incarnation !== incarnation) return true
+    this._changed.delete(id)
+    this._removed.add(id)
+    this._schedule()
+    return true
+  }
+
+  /** Sends out what is waiting and ends. */
+  async close (): Promise<void> {
+    clearTimeout(this._timer)
+    await this._flush()
+  }
+
+  private _schedule (): void {
+    this._timer ??= setTimeout(() => { void this._flush() }, COALESCE_MS)
+  }
+
+  private async _flush (): Promise<void> {
+    this._timer = undefined
+    const members = [...this._changed.values()]
+    const removed = [...this._removed]
+    this._changed = new Map()
+    this._removed = new Set()
+    if (members.length + removed.length === 0) return
+    await this._publish({ since: this._options.table.getVersion(this._options.domain)[1], members, removed })
+  }
+
+  private async _publish (change: Pick<DomainChange, 'since' | 'members' | 'removed'>): Promise<void> {
+    const { duty, table, domain, region, describe } = this._options
+    const epoch = duty.epoch
+    if (epoch === undefined) return
+    const own = describe()
+    const version = table.getVersion(domain)[1] + 1
+    const full = { domain, region, epoch, version, registrar: { id: own.id, address: own.address }, ...change }
+    if (table.apply(full) === 'applied') await this._options.onChange(full)
+  }
+}
+
+function isSameMember (a: Member, b: Member): boolean {
+  return a.incarnation === b.incarnation && a.address === b.address && a.state === b.state
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/ring.ts
@@ -0,0 +1,33 @@
+/**
+ * Orders over the members of a failure domain that every process computes alike: the ring in which each checks its
+ * successor, and the tree along which news goes out.
+ */
+import { createHash } from 'node:crypto'
+
+import type { Member } from '@dragonflylever/protocol'
+
+const FAN_OUT = 4
+
+/** Returns the other members in ring order, the successor of `id` first. */
+export function listSuccessors (members: readonly Member[], id: string): Member[] {
+  const own = computePosition(id)
+  const others = members.filter(member => member.id !== id).map(member => ({ member, position: computePosition(member.id) }))
+  others.sort((a, b) => a.position < b.position ? -1 : 1)
+  const first = others.findIndex(({ position }) => position > own)
+  const ordered = first <= 0 ? others : [...others.slice(first), ...others.slice(0, first)]
+  return ordered.map(({ member }) => member)
+}
+
+/** Returns the members that `id` passes news on to, in a tree with the registrar at its root. */
+export function listChildren (members: readonly Member[], registrarId: string, id: string): Member[] {
+  const sorted = [...members].sort((a, b) => a.id < b.id ? -1 : 1)
+  const root = sorted.findIndex(member => member.id === registrarId)
+  const ordered = root <= 0 ? sorted : [...sorted.slice(root), ...sorted.slice(0, root)]
+  const index = ordered.findIndex(member => member.id === id)
+  if (index < 0) return []
+  return ordered.slice(index * FAN_OUT + 1, index * FAN_OUT + 1 + FAN_OUT)
+}
+
+function computePosition (id: string): string {
+  return createHash('sha1').update(id).digest('hex')
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/ringMonitor.ts
@@ -0,0 +1,67 @@
+/**
+ * Each process checks its successor in the ring of its failure domain; over one that does not answer it goes on to the
+ * next at once. What it finds goes to the registrar, or to entries when there is no registrar to take it.
+ */
+import type { Member } from '@dragonflylever/protocol'
+
+import { CALL_TIMEOUT_MS, PING_TIMEOUT_MS } from './fleetContext.js'
+import type { FleetContext } from './fleetContext.js'
+import type { NewsRelay } from './newsRelay.js'
+import { listSuccessors } from './ring.js'
+
+/** Successors tried within one round. */
+const MAX_STEPS = 8
+const ATTEMPTS = 2
+
+export interface RingMonitorOptions {
+  readonly context: FleetContext
+  readonly relay: NewsRelay
+  /** Called when the registrar could not be told. */
+  readonly onRegistrarAway: () => void
+}
+
+export class RingMonitor {
+  private readonly _context: FleetContext
+  private readonly _options: RingMonitorOptions
+
+  constructor (options: RingMonitorOptions) {
+    this._context = options.context
+    this._options = options
+  }
+
+  /** One round: checks successors until one answers. */
+  async check (): Promise<void> {
+    const { table, failureDomain, id } = this._context
+    const successors = listSuccessors(table.list(failureDomain), id).slice(0, MAX_STEPS)
+    for (const member of successors) {
+      if (await this._visit(member)) return
+      void this._report(member)
+    }
+  }
+
+  private async _visit (member: Member): Promise<boolean> {
+    for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
+      const params = { summary: this._options.relay.describe() }
+      const outcome = await this._context.peers.call(member.address, 'ping', params, PING_TIMEOUT_MS)
+      if (outcome.kind !== 'ok') continue
+      if (outcome.value.incarnation !== member.incarnation) return false
+      await this._options.relay.balance(member.address, outcome.value.summary)
+      return true
+    }
+    return false
+  }
+
+  private async _report (member: Member): Promise<void> {
+    const { table, failureDomain, join, peers, id } = this._context
+    const params = { failureDomain, id: member.id, incarnation: member.incarnation }
+    const registrar = table.getRegistrar(failureDomain)
+    if (registrar !== undefined && registrar.id !== member.id) {
+      const outcome = await peers.call(registrar.address, 'report', params, CALL_TIMEOUT_MS)
+      if (outcome.kind === 'ok' && outcome.value.isRegistrar) return
+    }
+    this._options.onRegistrarAway()
+    const entries = table.list(failureDomain).filter(one => one.role === 'entry' && one.id !== id && one.id !== member.id)
+    const addresses = new Set([...join, ...entries.map(entry => entry.address)])
+    await Promise.all([...addresses].map(address => peers.call(address, 'report', params, CALL_TIMEOUT_MS)))
+  }
+}
--- a/packages/daemon/src/shared/configurationWatcher.ts
+++ b/packages/daemon/src/shared/configurationWatcher.ts
@@ -1,11 +1,13 @@
 /**
- * Follows the accepted configuration in the store: one read, then a watch; again after each break.
+ * Follows the accepted configuration in the store: one read, then a watch. The watch is opened anew at intervals from the
+ * revision after the last one seen, so that one that stalls or skips costs no more than the interval.
  */
-import type { Store, StoredValue, Watch } from '@dragonflylever/platform'
+import type { Store, StoredValue, Watch, WatchEvent } from '@dragonflylever/platform'
 
 import type { ConfigurationHolder } from './configurationHolder.js'
 
 const RETRY_MS = 500
+const REOPEN_MS = 5_000
 
 /** Returns the store key of the accepted configuration. */
 export function getConfigurationKey (prefix: string): string {
@@ -17,8 +19,9 @@
   private readonly _key: string
   private readonly _holder: ConfigurationHolder
   private _watch: Watch | undefined
-  private _retry: NodeJS.Timeout | undefined
-  private _isClosed = false
+  private _timer: NodeJS.Timeout | undefined
+  private _isOpen = false
+  private _nextRevision = 0
 
   constructor (store: Store, prefix: string, holder: ConfigurationHolder) {
     this._store = store
@@ -26,32 +29,56 @@
     this._holder = holder
   }
 
-  /** Reads the configuration once and follows it from there. */
+  /** Reads the configuration once and follows it from there; does nothing when that is under way. */
   async start (): Promise<void> {
+    if (this._isOpen) return
+    this._isOpen = true
+    await this._read()
+  }
+
+  /** Stops following; `start` begins anew. */
+  close (): void {
+    this._isOpen = false
+    this._watch?.close()
+    this._watch = undefined
+    clearTimeout(this._timer)
+  }
+
+  private async _read (): Promise<void> {
     const outcome = await this._store.get(this._key)
-    if (this._isClosed) return
+    if (!this._isOpen) return
     if (outcome.kind !== 'ok') {
-      this._scheduleRetry()
+      this._schedule(RETRY_MS, () => { void this._read() })
       return
     }
+    this._nextRevision = outcome.storeRevision + 1
     if (outcome.value !== undefined) this._take(outcome.value)
-    this._watch = this._store.watch(this._key, outcome.storeRevision + 1, {
-      onEvents: events => { for (const event of events) if (event.kind === 'put') this._take(event.value) },
-      onEnd: () => this._scheduleRetry()
-    })
+    this._open()
   }
 
-  close (): void {
-    this._isClosed = true
+  private _open (): void {
     this._watch?.close()
-    clearTimeout(this._retry)
+    this._watch = this._store.watch(this._key, this._nextRevision, {
+      onEvents: events => this._handle(events),
+      onEnd: () => this._schedule(RETRY_MS, () => { void this._read() })
+    })
+    this._schedule(REOPEN_MS, () => this._open())
+  }
+
+  private _handle (events: readonly WatchEvent[]): void {
+    for (const event of events) {
+      const revision = event.kind === 'put' ? event.value.modRevision : event.modRevision
+      this._nextRevision = Math.max(this._nextRevision, revision + 1)
+      if (event.kind === 'put') this._take(event.value)
+    }
   }
 
   private _take (stored: StoredValue): void {
     if (stored.key === this._key) this._holder.offer(JSON.parse(stored.value))
   }
 
-  private _scheduleRetry (): void {
-    if (!this._isClosed) this._retry = setTimeout(() => { void this.start() }, RETRY_MS)
+  private _schedule (ms: number, run: () => void): void {
+    clearTimeout(this._timer)
+    if (this._isOpen) this._timer = setTimeout(run, ms)
   }
 }
--- a/packages/daemon/src/shared/fleetFacts.ts
+++ b/packages/daemon/src/shared/fleetFacts.ts
@@ -1,8 +1,12 @@
 /**
  * Facts on the blackboard of every process.
  */
+import { StoreHealth } from '@dragonflylever/platform'
+import type { StoreUsage } from '@dragonflylever/platform'
 import type { Configuration, Member } from '@dragonflylever/protocol'
 
+import type { DutyView } from '../duties/dutyHolder.js'
+
 /** A member with when this process last had proof of its life (monotonic clock, milliseconds). */
 export interface MemberView {
   readonly member: Member
@@ -16,9 +20,15 @@
   members: ReadonlyMap<string, MemberView>
   /** True once this process takes no new work. */
   isLeaving: boolean
+  /** Duties by name as this process last read them in the store; empty where it did not. */
+  duties: ReadonlyMap<string, DutyView>
+  /** Circuit state towards the store, as this process sees it. */
+  storeHealth: StoreHealth
+  /** Store calls of this process so far; undefined when they are not counted. */
+  storeUsage: StoreUsage | undefined
 }
 
 /** Creates the facts of a process that has just started. */
 export function createFleetFacts (): FleetFacts {
-  return { configuration: undefined, members: new Map(), isLeaving: false }
+  return { configuration: undefined, members: new Map(), isLeaving: false, duties: new Map(), storeHealth: StoreHealth.up, storeUsage: undefined }
 }
