--- a/packages/daemon/src/agent/agentProcess.ts
+++ b/packages/daemon/src/agent/agentProcess.ts
@@ -1,20 +1,20 @@
 /**
  * The agent role: the only door to its endpoint.
  */
-import { AttemptLedger, FifoQueue } from '@dragonflylever/core'
+import { AttemptLedger, FairQueue } from '@dragonflylever/core'
 import { HttpEndpoint } from '@dragonflylever/platform'
 import type { Endpoint } from '@dragonflylever/platform'
 import { CallerLimit, DISPATCH_PATH } from '@dragonflylever/protocol'
 import type { AgentSettings, Member } from '@dragonflylever/protocol'
 import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
 
-import { Announcer } from '../shared/announcer.js'
-import { ConfigurationHolder } from '../shared/configurationHolder.js'
+import { FleetNode } from '../fleet/fleetNode.js'
 import { ControlServer } from '../shared/controlServer.js'
 import { createFleetFacts } from '../shared/fleetFacts.js'
 import type { FleetFacts } from '../shared/fleetFacts.js'
 import { createProcessParts } from '../shared/processParts.js'
 import type { ProcessParts } from '../shared/processParts.js'
+import { syncPolicy } from '../shared/requestPolicy.js'
 import { DispatchHandler } from './dispatchHandler.js'
 import { SlotRunner } from './slotRunner.js'
 
@@ -74,25 +74,33 @@
     control.add(DISPATCH_PATH, (request, response) => handler.handle(request, response))
     this._serveWithdrawals(control, runner)
     this._controlAddress = await control.open(this._settings.listen.control)
-    const holder = new ConfigurationHolder(this.board, createPartLogger(logger, 'config'))
-    const announcer = new Announcer({ peers, holder, targets: this._settings.join, describe: () => this._describe() })
-    this._lifecycle.add('announcer', () => announcer.close())
+    const node = this._createNode(control)
+    this._lifecycle.add('membership', () => node.close())
     this._lifecycle.add('control server', () => control.close())
     this._lifecycle.add('requests under way', () => runner.drain())
-    this._lifecycle.add('word of leaving', () => announcer.leave())
-    await announcer.start()
+    this._lifecycle.add('word of leaving', () => node.leave())
+    await node.start()
     log.info({ control: this._controlAddress, endpoint: this._settings.endpoint.url }, 'started')
   }
 
   private _createRunner (endpoint: Endpoint): SlotRunner {
     const { slots, maxConnections } = this._settings.endpoint
-    const queue = new FifoQueue({ maxWaiting: maxConnections, slots })
+    const queue = new FairQueue({ maxWaiting: maxConnections, slots, fleetSlots: slots })
+    syncPolicy(this.board, queue)
+    this.board.subscribe('fleetSlots', () => queue.setCapacity({ slots, fleetSlots: this.board.get('fleetSlots') }))
     const ledger = new AttemptLedger({ maxEntries: MAX_LEDGER_ENTRIES, keepMs: LEDGER_KEEP_MS })
     const runner = new SlotRunner({ queue, endpoint, ledger })
     this._lifecycle.add('slots', () => runner.close())
     return runner
   }
 
+  private _createNode (control: ControlServer): FleetNode {
+    const { store, peers, logger, random } = this._parts
+    const { id, role, region, failureDomain, join, store: { prefix } } = this._settings
+    const describe = (): Member => this._describe()
+    return new FleetNode({ id, role, region, failureDomain, join, prefix, board: this.board, store, peers, rpc: control.rpc, random, logger, describe })
+  }
+
   private _serveWithdrawals (control: ControlServer, runner: SlotRunner): void {
     control.rpc.add('withdraw', ({ attemptId, incarnation }) => {
       if (incarnation !== this._parts.incarnation) return { outcome: 'cannotVouch' }
--- a/packages/daemon/src/fleet/domainTable.ts
+++ b/packages/daemon/src/fleet/domainTable.ts
@@ -4,6 +4,10 @@
  */
 import type { DomainChange, ListVersion, Member, Summary } from '@dragonflylever/protocol'
 
+import type { DutyView } from '../duties/dutyHolder.js'
+
+/** Duties of registrars begin with this, the failure domain follows. */
+export const REGISTRAR_DUTY = 'registrar/'
 /** Removals kept so that a difference can name them. */
 const MAX_REMOVED = 256
 
@@ -14,6 +18,7 @@
   /** Versions since which the list's own record of changes is complete. */
   readonly completeSince: number
   readonly registrar: { readonly id: string, readonly address: string }
+  readonly fleetSlots: number
   readonly members: ReadonlyMap<string, { readonly member: Member, readonly version: number }>
   readonly removed: ReadonlyMap<string, number>
 }
@@ -49,6 +54,23 @@
     return this._rows.get(domain)?.registrar
   }
 
+  /** Registrars of all domains known, with their epochs. */
+  listDuties (): DutyView[] {
+    return [...this._rows].map(([domain, { registrar, epoch }]) => ({ duty: `${REGISTRAR_DUTY}${domain}`, holder: registrar.id, address: registrar.address, epoch }))
+  }
+
+  /** Slots of all agents of the fleet, as a domain's registrar last knew; 0 before that. */
+  getFleetSlots (domain: string): number {
+    return this._rows.get(domain)?.fleetSlots ?? 0
+  }
+
+  /** Sums the slots of the agents that take work, over all domains known. */
+  sumSlots (): number {
+    let slots = 0
+    for (const domain of this.domains) for (const member of this.list(domain)) if (member.state === 'alive') slots += member.agent?.slots ?? 0
+    return slots
+  }
+
   getMember (domain: string, id: string): Member | undefined {
     return this._rows.get(domain)?.members.get(id)?.member
   }
@@ -80,8 +102,8 @@
   makeChange (domain: string, have: ListVersion): DomainChange | undefined {
     const row = this._rows.get(domain)
     if (row === undefined || !isHigher([row.epoch, row.version], have)) return undefined
-    const { region, epoch, version, registrar } = row
-    const base = { domain, region, epoch, version, registrar }
+    const { region, epoch, version, registrar, fleetSlots } = row
+    const base = { domain, region, epoch, version, registrar, fleetSlots }
     const rows = [...row.members.values()]
     if (have[0] !== epoch || have[1] < row.completeSince) return { ...base, members: rows.map(({ member }) => member), removed: [] }
     const members = rows.filter(one => one.version > have[1]).map(({ member }) => member)
@@ -112,8 +134,8 @@
   }
 }
 
-function pickHead (change: DomainChange): Pick<DomainRow, 'region' | 'epoch' | 'version' | 'registrar'> {
-  return { region: change.region, epoch: change.epoch, version: change.version, registrar: change.registrar }
+function pickHead (change: DomainChange): Pick<DomainRow, 'region' | 'epoch' | 'version' | 'registrar' | 'fleetSlots'> {
+  return { region: change.region, epoch: change.epoch, version: change.version, registrar: change.registrar, fleetSlots: change.fleetSlots }
 }
 
 function forgetOldest (removed: Map<string, number>, completeSince: number): number {
--- a/packages/daemon/src/fleet/enrolment.ts
+++ b/packages/daemon/src/fleet/enrolment.ts
@@ -45,9 +45,9 @@
     if (this._options.registrar.register(own)) return
     if (!this._isAway && this._isListed(own) && !this._isSuccessor(own)) return
     if (await this._register(own)) return
-    await this._askEntries(own)
+    await this._tryEntries(own)
     if (this._context.board.get('isLeaving')) return
-    await this._stand(own)
+    await this._claim(own)
   }
 
   /** Tells of this process's end. */
@@ -87,17 +87,17 @@
     if (address === undefined) return false
     const isDone = await this._tell(address, own)
     this._isAway = !isDone
-    if (isDone && this._context.table.getMember(this._context.failureDomain, own.id) === undefined) await this._options.relay.pull(address)
+    if (isDone && this._context.table.getMember(this._context.failureDomain, own.id) === undefined) await this._options.relay.request(address)
     return isDone
   }
 
-  private async _askEntries (own: Member): Promise<void> {
+  private async _tryEntries (own: Member): Promise<void> {
     const targets = this._context.join.filter(address => address !== own.address)
     await Promise.all(targets.map(address => this._tell(address, own)))
     if (this._hint !== undefined) await this._register(own)
   }
 
-  private async _stand (own: Member): Promise<void> {
+  private async _claim (own: Member): Promise<void> {
     const outcome = await this._options.duty.take()
     if (outcome.kind === 'held') {
       this._isAway = false
--- a/packages/daemon/src/fleet/fleetNode.ts
+++ b/packages/daemon/src/fleet/fleetNode.ts
@@ -12,15 +12,15 @@
 import { ConfigurationHolder } from '../shared/configurationHolder.js'
 import { ConfigurationWatcher } from '../shared/configurationWatcher.js'
 import type { FleetFacts } from '../shared/fleetFacts.js'
-import { DomainTable } from './domainTable.js'
+import { DomainTable, REGISTRAR_DUTY } from './domainTable.js'
 import { Enrolment } from './enrolment.js'
 import { CALL_TIMEOUT_MS, PING_TIMEOUT_MS, isAnswering } from './fleetContext.js'
 import type { FleetContext } from './fleetContext.js'
-import { MemberView } from './memberView.js'
+import { FleetView } from './fleetView.js'
 import { NewsRelay } from './newsRelay.js'
 import { Reachability } from './reachability.js'
 import { Registrar } from './registrar.js'
-import { REGISTRAR_DUTY, RegistrarRounds } from './registrarRounds.js'
+import { RegistrarRounds } from './registrarRounds.js'
 import { RingMonitor } from './ringMonitor.js'
 
 const ROUND_MS = 1_000
@@ -49,7 +49,7 @@
   private readonly _duty: DutyHolder
   private readonly _registrar: Registrar
   private readonly _relay: NewsRelay
-  private readonly _view: MemberView
+  private readonly _view: FleetView
   private readonly _rounds: ReadonlyArray<() => Promise<void>>
   private readonly _enrolment: Enrolment
   private readonly _watcher: ConfigurationWatcher
@@ -65,7 +65,7 @@
     const table = new DomainTable()
     const context = { id, region, failureDomain, isEntry: role === 'entry', join, board, table, holder: this.holder, peers, random, logger, describe }
     this._context = context
-    this._view = new MemberView(board, table)
+    this._view = new FleetView(board, table)
     this._duty = new DutyHolder({
       store,
       prefix,
@@ -77,15 +77,15 @@
     })
     const isRegistrar = (): boolean => this._duty.epoch !== undefined
     this._registrar = new Registrar({ duty: this._duty, table, domain: failureDomain, region, describe, onChange: change => this._publish(change) })
-    this._relay = new NewsRelay({ context, isRegistrar, onMembers: () => this._view.publish(performance.now()) })
+    this._relay = new NewsRelay({ context, isRegistrar, onMembers: () => this._noteMembers() })
     this._watcher = new ConfigurationWatcher(store, prefix, this.holder)
-    const rounds = new RegistrarRounds({ context, relay: this._relay, store, prefix, watcher: this._watcher, isActive: isRegistrar })
+    const rounds = new RegistrarRounds({ context, relay: this._relay, store, prefix, watcher: this._watcher, registrar: this._registrar })
     this._enrolment = new Enrolment({ context, relay: this._relay, duty: this._duty, registrar: this._registrar, onTaken: () => rounds.check() })
     const ring = new RingMonitor({ context, relay: this._relay, onRegistrarAway: () => this._enrolment.setAway() })
     const reachability = new Reachability(context, this._view)
     const forEntry = [() => reachability.check(), () => this._balance()]
     this._rounds = [() => this._enrolment.check(), () => ring.check(), () => rounds.check(), ...(context.isEntry ? forEntry : [])]
-    this._stop = board.subscribe('configuration', () => this._spread())
+    this._stop = board.subscribe('configuration', () => this._publishConfiguration())
     this._serve(options.rpc)
   }
 
@@ -127,12 +127,12 @@
   private async _collect (failureDomain: string): Promise<Record<string, number>> {
     const { table, peers, id } = this._context
     const registrar = table.getRegistrar(failureDomain)
-    if (registrar === undefined || registrar.id === id) return this._askMembers(failureDomain)
+    if (registrar === undefined || registrar.id === id) return this._collectFromMembers(failureDomain)
     const outcome = await peers.call(registrar.address, 'revisions', { failureDomain }, 2 * CALL_TIMEOUT_MS)
-    return outcome.kind === 'ok' ? outcome.value.revisions : this._askMembers(failureDomain)
+    return outcome.kind === 'ok' ? outcome.value.revisions : this._collectFromMembers(failureDomain)
   }
 
-  private async _askMembers (failureDomain: string): Promise<Record<string, number>> {
+  private async _collectFromMembers (failureDomain: string): Promise<Record<string, number>> {
     const { table, peers, holder, id } = this._context
     const summary = { revision: holder.revision, domains: {} }
     const rows = await Promise.all(table.list(failureDomain).map(async member => {
@@ -179,41 +179,49 @@
     else if (target === registrar) this._enrolment.setAway()
   }
 
-  private async _publish (change: DomainChange): Promise<void> {
+  private _noteMembers (): void {
+    const { board, table, failureDomain, isEntry } = this._context
+    board.set('fleetSlots', table.getFleetSlots(failureDomain))
+    if (!isEntry) return
     this._view.publish(performance.now())
+    board.set('duties', new Map(table.listDuties().map(view => [view.duty, view])))
+  }
+
+  private async _publish (change: DomainChange): Promise<void> {
+    this._noteMembers()
     await this._relay.publish({ domains: [change] }, undefined)
   }
 
-  private _spread (): void {
+  private _publishConfiguration (): void {
     const configuration = this._context.board.get('configuration')
     if (configuration !== undefined && !this._relay.isTaking) void this._relay.publish({ configuration, domains: [] }, undefined)
   }
 
   private _serve (rpc: RpcRegistry): void {
-    rpc.add('ping', ({ summary }) => this._answerPing(Object.keys(summary.domains)))
+    rpc.add('ping', ({ summary }) => this._servePing(Object.keys(summary.domains)))
     rpc.add('sync', ({ summary, isAll }) => this._relay.collect(summary, isAll))
     rpc.add('relay', ({ news, from }) => {
       void this._relay.take(news, from)
       return {}
     })
-    rpc.add('heartbeat', params => this._answerHeartbeat(params))
-    rpc.add('leave', params => this._answerLeave(params))
-    rpc.add('report', params => this._answerReport(params))
-    rpc.add('revisions', async ({ failureDomain }) => ({ revisions: await this._askMembers(failureDomain) }))
+    rpc.add('heartbeat', params => this._serveHeartbeat(params))
+    rpc.add('leave', params => this._serveLeave(params))
+    rpc.add('report', params => this._serveReport(params))
+    rpc.add('revisions', async ({ failureDomain }) => ({ revisions: await this._collectFromMembers(failureDomain) }))
   }
 
-  private _answerPing (domains: readonly string[]): RpcResultValue<'ping'> {
+  private _servePing (domains: readonly string[]): RpcResultValue<'ping'> {
     const { table, holder, describe } = this._context
     const { id, incarnation } = describe()
     return { id, incarnation, summary: { revision: holder.revision, domains: table.describe(domains) } }
   }
 
-  private _answerHeartbeat ({ member, revision, isForwarded }: RpcParams<'heartbeat'>): RpcResultValue<'heartbeat'> {
+  private _serveHeartbeat ({ member, revision, isForwarded }: RpcParams<'heartbeat'>): RpcResultValue<'heartbeat'> {
     const { board, table, failureDomain, isEntry } = this._context
     const configuration = board.get('configuration')
     const isRegistered = member.failureDomain === failureDomain && this._registrar.register(member)
     if (isEntry && !isRegistered) this._view.note(member, performance.now())
-    if (isEntry && !isRegistered && isForwarded !== true) this._forward('heartbeat', { member, revision, isForwarded: true })
+    if (isEntry && !isRegistered && isForwarded !== true) this._passOn('heartbeat', { member, revision, isForwarded: true })
     const registrar = table.getRegistrar(member.failureDomain)?.address
     return {
       ...(configuration !== undefined && configuration.revision > revision ? { configuration } : {}),
@@ -222,14 +230,14 @@
     }
   }
 
-  private _answerLeave ({ member, isForwarded }: RpcParams<'leave'>): RpcResultValue<'leave'> {
+  private _serveLeave ({ member, isForwarded }: RpcParams<'leave'>): RpcResultValue<'leave'> {
     const isRegistered = member.failureDomain === this._context.failureDomain && this._registrar.remove(member.id, member.incarnation, true)
     if (this._context.isEntry) this._view.leave(member, performance.now())
-    if (this._context.isEntry && !isRegistered && isForwarded !== true) this._forward('leave', { member, isForwarded: true })
+    if (this._context.isEntry && !isRegistered && isForwarded !== true) this._passOn('leave', { member, isForwarded: true })
     return { isRegistered }
   }
 
-  private async _answerReport (params: RpcParams<'report'>): Promise<RpcResultValue<'report'>> {
+  private async _serveReport (params: RpcParams<'report'>): Promise<RpcResultValue<'report'>> {
     const { table, isEntry, failureDomain } = this._context
     const isRegistrar = params.failureDomain === failureDomain && this._registrar.isActive
     const member = table.getMember(params.failureDomain, params.id)
@@ -237,12 +245,12 @@
     if (await isAnswering(this._context, member)) return { isRegistrar }
     if (isRegistrar) this._registrar.remove(member.id, member.incarnation, false)
     if (!isRegistrar && isEntry) this._view.setSilent(member, true, performance.now())
-    if (!isRegistrar && isEntry && params.isForwarded !== true) this._forward('report', { ...params, isForwarded: true })
+    if (!isRegistrar && isEntry && params.isForwarded !== true) this._passOn('report', { ...params, isForwarded: true })
     return { isRegistrar }
   }
 
   /** Tells the other entries of what no registrar takes. */
-  private _forward<M extends 'heartbeat' | 'leave' | 'report'> (method: M, params: RpcParams<M>): void {
+  private _passOn<M extends 'heartbeat' | 'leave' | 'report'> (method: M, params: RpcParams<M>): void {
     const { board, peers, id } = this._context
     for (const { member } of board.get('members').values()) {
       if (member.role === 'entry' && member.id !== id) void peers.call(member.address, method, params, CALL_TIMEOUT_MS)
--- a/packages/daemon/src/fleet/memberView.ts
+++ b/packages/daemon/src/fleet/fleetView.ts
@@ -5,14 +5,14 @@
 import type { Member } from '@dragonflylever/protocol'
 import type { Blackboard } from '@dragonflylever/runtime'
 
-import type { FleetFacts, MemberView as MemberFact } from '../shared/fleetFacts.js'
+import type { FleetFacts, MemberView } from '../shared/fleetFacts.js'
 import type { DomainTable } from './domainTable.js'
 
 /** Time that a member lives here by its own word only, in milliseconds. */
 const PROVISIONAL_MS = 2_500
 const MAX_LEFT = 4_096
 
-export class MemberView {
+export class FleetView {
   private readonly _board: Blackboard<FleetFacts>
   private readonly _table: DomainTable
   private readonly _provisional = new Map<string, { member: Member, until: number }>()
@@ -65,14 +65,14 @@
 
   /** Writes the members to the blackboard when they differ from what is there. */
   publish (now: number): void {
-    this._forget(now)
-    const next = new Map<string, MemberFact>()
+    this._dropOld(now)
+    const next = new Map<string, MemberView>()
     for (const domain of this._table.domains) for (const member of this._table.list(domain)) this._enter(next, member, now)
     for (const { member } of this._provisional.values()) this._enter(next, member, now)
     if (!isSame(this._board.get('members'), next)) this._board.set('members', next)
   }
 
-  private _forget (now: number): void {
+  private _dropOld (now: number): void {
     for (const [id, { member, until }] of this._provisional) {
       const listed = this._table.getMember(member.failureDomain, id)
       if (until < now || listed?.incarnation === member.incarnation) this._provisional.delete(id)
@@ -82,7 +82,7 @@
     }
   }
 
-  private _enter (next: Map<string, MemberFact>, member: Member, now: number): void {
+  private _enter (next: Map<string, MemberView>, member: Member, now: number): void {
     const isAway = this._left.has(member.incarnation) || this._silent.has(member.incarnation) || this._unreachable.has(member.failureDomain)
     if (isAway) return
     const known = this._board.get('members').get(member.id)
@@ -92,7 +92,7 @@
   }
 }
 
-function isSame (a: ReadonlyMap<string, MemberFact>, b: ReadonlyMap<string, MemberFact>): boolean {
+function isSame (a: ReadonlyMap<string, MemberView>, b: ReadonlyMap<string, MemberView>): boolean {
   if (a.size !== b.size) return false
   for (const [id, view] of b) if (a.get(id) !== view) return false
   return true
--- a/packages/daemon/src/fleet/newsRelay.ts
+++ b/packages/daemon/src/fleet/newsRelay.ts
@@ -68,7 +68,7 @@
       if (outcome === 'gap') gaps.add(change.registrar.address)
     }
     if (fresh.domains.length > 0) this._options.onMembers()
-    await Promise.all([this.publish(fresh, origin), ...[...gaps].map(address => this.pull(address))])
+    await Promise.all([this.publish(fresh, origin), ...[...gaps].map(address => this.request(address))])
   }
 
   private _offer (configuration: NonNullable<News['configuration']>): boolean {
@@ -79,7 +79,7 @@
   }
 
   /** Asks a process for what it has newer; false when it did not answer. */
-  async pull (address: string): Promise<boolean> {
+  async request (address: string): Promise<boolean> {
     const params = { summary: this.describe(), isAll: this.isFollowingAll }
     const outcome = await this._context.peers.call(address, 'sync', params, CALL_TIMEOUT_MS)
     if (outcome.kind !== 'ok') return false
@@ -91,7 +91,7 @@
   async balance (address: string, theirs: Summary): Promise<void> {
     const mine = this.describe()
     const isBehind = theirs.revision > mine.revision || Object.entries(theirs.domains).some(([domain, version]) => isHigher(version, mine.domains[domain] ?? [0, 0]))
-    if (isBehind) await this.pull(address)
+    if (isBehind) await this.request(address)
     const news = this.collect(theirs, false)
     if (!isEmpty(news)) await this._send(address, news)
   }
--- a/packages/daemon/src/fleet/reachability.ts
+++ b/packages/daemon/src/fleet/reachability.ts
@@ -6,16 +6,16 @@
 
 import { isAnswering } from './fleetContext.js'
 import type { FleetContext } from './fleetContext.js'
-import type { MemberView } from './memberView.js'
+import type { FleetView } from './fleetView.js'
 
 const FURTHER_SAMPLES = 2
 const MAX_RETRIED = 8
 
 export class Reachability {
   private readonly _context: FleetContext
-  private readonly _view: MemberView
+  private readonly _view: FleetView
 
-  constructor (context: FleetContext, view: MemberView) {
+  constructor (context: FleetContext, view: FleetView) {
     this._context = context
     this._view = view
   }
--- a/packages/daemon/src/fleet/registrar.ts
+++ b/packages/daemon/src/fleet/registrar.ts
@@ -67,6 +67,13 @@
     return true
   }
 
+  /** Tells the members of the fleet's slots when their number has changed. */
+  async refresh (): Promise<void> {
+    const { table, domain } = this._options
+    if (!this.isActive || table.sumSlots() === table.getFleetSlots(domain)) return
+    await this._publish({ since: table.getVersion(domain)[1], members: [], removed: [] })
+  }
+
   /** Sends out what is waiting and ends. */
   async close (): Promise<void> {
     clearTimeout(this._timer)
@@ -93,7 +100,7 @@
     if (epoch === undefined) return
     const own = describe()
     const version = table.getVersion(domain)[1] + 1
-    const full = { domain, region, epoch, version, registrar: { id: own.id, address: own.address }, ...change }
+    const full = { domain, region, epoch, version, registrar: { id: own.id, address: own.address }, fleetSlots: table.sumSlots(), ...change }
     if (table.apply(full) === 'applied') await this._options.onChange(full)
   }
 }
--- a/packages/daemon/src/fleet/registrarRounds.ts
+++ b/packages/daemon/src/fleet/registrarRounds.ts
@@ -7,14 +7,14 @@
 import { decodeDuty } from '../duties/dutyHolder.js'
 import type { DutyView } from '../duties/dutyHolder.js'
 import type { ConfigurationWatcher } from '../shared/configurationWatcher.js'
+import { REGISTRAR_DUTY } from './domainTable.js'
 import { PING_TIMEOUT_MS } from './fleetContext.js'
 import type { FleetContext } from './fleetContext.js'
 import type { NewsRelay } from './newsRelay.js'
+import type { Registrar } from './registrar.js'
 
 const BALANCE_INTERVAL_MS = 3_000
 const LIST_INTERVAL_MS = 15_000
-/** Duties of registrars begin with this, the failure domain follows. */
-export const REGISTRAR_DUTY = 'registrar/'
 
 export interface RegistrarRoundsOptions {
   readonly context: FleetContext
@@ -22,7 +22,7 @@
   readonly store: Store
   readonly prefix: string
   readonly watcher: ConfigurationWatcher
-  readonly isActive: () => boolean
+  readonly registrar: Registrar
 }
 
 export class RegistrarRounds {
@@ -37,7 +37,7 @@
 
   /** Runs what is due; nothing unless this process is the registrar. */
   async check (): Promise<void> {
-    if (!this._options.isActive()) {
+    if (!this._options.registrar.isActive) {
       this._options.watcher.close()
       this._listedAt = -Infinity
       return
@@ -50,15 +50,14 @@
   }
 
   private async _list (now: number): Promise<void> {
-    const { store, prefix, context, relay } = this._options
+    const { store, prefix, relay } = this._options
     this._listedAt = now
     const base = `${prefix}/duties/`
     const outcome = await store.list(base)
     if (outcome.kind !== 'ok') return
     const views = outcome.values.map(stored => decodeDuty(stored.key.slice(base.length), stored))
-    context.board.set('duties', new Map(views.map(view => [view.duty, view])))
     const unknown = views.filter(view => this._isUnknown(view))
-    await Promise.all(unknown.map(view => relay.pull(view.address)))
+    await Promise.all(unknown.map(view => relay.request(view.address)))
   }
 
   private _isUnknown (view: DutyView): boolean {
@@ -74,6 +73,7 @@
     const others = table.domains.filter(domain => domain !== failureDomain).sort()
     const near = others.filter(domain => table.getRegion(domain) === region)
     const far = others.filter(domain => table.getRegion(domain) !== region)
+    await this._options.registrar.refresh()
     await Promise.all([...near.map(domain => this._visit(domain)), this._visitFirst(far)])
   }
 
--- a/packages/daemon/src/shared/fleetFacts.ts
+++ b/packages/daemon/src/shared/fleetFacts.ts
@@ -18,9 +18,11 @@
   configuration: Configuration | undefined
   /** Members by id; leaving and dead ones are not in it. */
   members: ReadonlyMap<string, MemberView>
+  /** Slots of all agents, as the registrar last told; 0 before that. */
+  fleetSlots: number
   /** True once this process takes no new work. */
   isLeaving: boolean
-  /** Duties by name as this process last read them in the store; empty where it did not. */
+  /** Duties by name as the lists of the failure domains name them; kept by entries. */
   duties: ReadonlyMap<string, DutyView>
   /** Circuit state towards the store, as this process sees it. */
   storeHealth: StoreHealth
@@ -30,5 +32,12 @@
 
 /** Creates the facts of a process that has just started. */
 export function createFleetFacts (): FleetFacts {
-  return { configuration: undefined, members: new Map(), isLeaving: false, duties: new Map(), storeHealth: StoreHealth.up, storeUsage: undefined }
+  return { configuration: undefined, members: new Map(), fleetSlots: 0, isLeaving: false, duties: new Map(), storeHealth: StoreHealth.up, storeUsage: undefined }
+}
+
+/** Sums the slots of the agents that take work. */
+export function sumSlots (members: ReadonlyMap<string, MemberView>): number {
+  let slots = 0
+  for (const { member } of members.values()) if (member.state === 'alive') slots += member.agent?.slots ?? 0
+  return slots
 }
--- a/packages/platform/src/storeClient.ts
+++ b/packages/platform/src/storeClient.ts
@@ -21,6 +21,8 @@
   readonly openWatches: number
   readonly overBudget: number
   readonly heldByCircuit: number
+  /** Share of the burst that is used up now, 0 to 1. */
+  readonly budgetUsed: number
 }
 
 export interface StoreClientOptions {
@@ -55,7 +57,7 @@
   }
 
   get usage (): StoreUsage {
-    return { ...this._usage }
+    return { ...this._usage, budgetUsed: this._bucket.getUsed(performance.now()) }
   }
 
   get (key: string): Promise<GetOutcome> {
--- a/packages/protocol/src/fleetMessages.ts
+++ b/packages/protocol/src/fleetMessages.ts
@@ -32,6 +32,8 @@
   /** Version that the change builds on; absent: the whole list. */
   since: z.number().int().optional(),
   registrar: z.object({ id: z.string(), address: z.string() }),
+  /** Slots of all agents of the fleet, as the registrar last knew. */
+  fleetSlots: z.number().int(),
   members: z.array(memberSchema),
   removed: z.array(z.string())
 })
