--- a/packages/daemon/src/fleet/domainTable.ts
+++ b/packages/daemon/src/fleet/domainTable.ts
@@ -94,7 +94,7 @@
       return 'applied'
     }
     if (change.epoch !== epoch || change.since > version) return 'gap'
-    this._patch(change)
+    this._merge(change)
     return 'applied'
   }
 
@@ -116,7 +116,7 @@
     this._rows.set(change.domain, { ...pickHead(change), completeSince: change.version, members, removed: new Map() })
   }
 
-  private _patch (change: DomainChange): void {
+  private _merge (change: DomainChange): void {
     const row = this._rows.get(change.domain)
     if (row === undefined) throw new Error(`invariant: a difference of ${change.domain} without a list`)
     const members = new Map(row.members)
@@ -129,7 +129,7 @@
       members.set(member.id, { member, version: change.version })
       removed.delete(member.id)
     }
-    const completeSince = forgetOldest(removed, row.completeSince)
+    const completeSince = dropOldest(removed, row.completeSince)
     this._rows.set(change.domain, { ...pickHead(change), completeSince, members, removed })
   }
 }
@@ -138,7 +138,7 @@
   return { region: change.region, epoch: change.epoch, version: change.version, registrar: change.registrar, fleetSlots: change.fleetSlots }
 }
 
-function forgetOldest (removed: Map<string, number>, completeSince: number): number {
+function dropOldest (removed: Map<string, number>, completeSince: number): number {
   let since = completeSince
   for (const [id, version] of [...removed].sort((a, b) => a[1] - b[1])) {
     if (removed.size <= MAX_REMOVED) break
--- a/packages/daemon/src/fleet/enrolment.ts
+++ b/packages/daemon/src/fleet/enrolment.ts
@@ -11,6 +11,8 @@
 import type { Registrar } from './registrar.js'
 import { listSuccessors } from './ring.js'
 
+/** Least time that a new agent leaves the duty to others, who may be starting as well; up to four times that. */
+const CLAIM_DELAY_MS = 1_000
 /** Members that stand for the duty when the registrar has left. */
 const MAX_SUCCESSORS = 3
 
@@ -27,10 +29,13 @@
   private readonly _context: FleetContext
   private readonly _options: EnrolmentOptions
   private _hint: string | undefined
+  private readonly _claimAt: number
   private _isAway = false
 
   constructor (options: EnrolmentOptions) {
     this._context = options.context
+    const { isEntry, random } = options.context
+    this._claimAt = performance.now() + (isEntry ? 0 : CLAIM_DELAY_MS * (1 + 3 * random.sample()))
     this._options = options
   }
 
@@ -46,7 +51,7 @@
     if (!this._isAway && this._isListed(own) && !this._isSuccessor(own)) return
     if (await this._register(own)) return
     await this._tryEntries(own)
-    if (this._context.board.get('isLeaving')) return
+    if (this._context.board.get('isLeaving') || performance.now() < this._claimAt) return
     await this._claim(own)
   }
 
--- a/packages/daemon/src/fleet/fleetNode.ts
+++ b/packages/daemon/src/fleet/fleetNode.ts
@@ -83,6 +83,10 @@
     this._enrolment = new Enrolment({ context, relay: this._relay, duty: this._duty, registrar: this._registrar, onTaken: () => rounds.check() })
     const ring = new RingMonitor({ context, relay: this._relay, onRegistrarAway: () => this._enrolment.setAway() })
     const reachability = new Reachability(context, this._view)
+    options.rpc.add('suspect', () => {
+      void reachability.checkAll()
+      return {}
+    })
     const forEntry = [() => reachability.check(), () => this._balance()]
     this._rounds = [() => this._enrolment.check(), () => ring.check(), () => rounds.check(), ...(context.isEntry ? forEntry : [])]
     this._stop = board.subscribe('configuration', () => this._publishConfiguration())
@@ -242,10 +246,10 @@
     const isRegistrar = params.failureDomain === failureDomain && this._registrar.isActive
     const member = table.getMember(params.failureDomain, params.id)
     if (member === undefined || member.incarnation !== params.incarnation) return { isRegistrar }
+    if (isEntry && !isRegistrar && params.isForwarded !== true) this._passOn('report', { ...params, isForwarded: true })
     if (await isAnswering(this._context, member)) return { isRegistrar }
     if (isRegistrar) this._registrar.remove(member.id, member.incarnation, false)
     if (!isRegistrar && isEntry) this._view.setSilent(member, true, performance.now())
-    if (!isRegistrar && isEntry && params.isForwarded !== true) this._passOn('report', { ...params, isForwarded: true })
     return { isRegistrar }
   }
 
--- a/packages/daemon/src/fleet/fleetView.ts
+++ b/packages/daemon/src/fleet/fleetView.ts
@@ -55,6 +55,11 @@
     this.publish(now)
   }
 
+  /** True while no member of a failure domain can be reached from here. */
+  isUnreachable (domain: string): boolean {
+    return this._unreachable.has(domain)
+  }
+
   /** Notes that no member of a failure domain can be reached from here, or that one can again. */
   setUnreachable (domain: string, isUnreachable: boolean, now: number): void {
     if (this._unreachable.has(domain) === isUnreachable) return
--- a/packages/daemon/src/fleet/reachability.ts
+++ b/packages/daemon/src/fleet/reachability.ts
@@ -1,44 +1,81 @@
 /**
- * An entry's own check of the failure domains: one member of each every round; when it does not answer, two more before
- * all of the failure domain count as out of reach. Members said to be silent are tried again until they answer.
+ * The entries' check of whole failure domains. The entries of a region share the failure domains out; one member of each
+ * is checked every round. When it does not answer, all failure domains are checked at once and the other entries of the
+ * region are told to do the same, so that each entry decides by its own samples. Members said to be silent are tried again.
  */
 import type { Member } from '@dragonflylever/protocol'
 
-import { isAnswering } from './fleetContext.js'
+import { CALL_TIMEOUT_MS, isAnswering } from './fleetContext.js'
 import type { FleetContext } from './fleetContext.js'
 import type { FleetView } from './fleetView.js'
 
-const FURTHER_SAMPLES = 2
+const SAMPLES = 3
 const MAX_RETRIED = 8
 
 export class Reachability {
   private readonly _context: FleetContext
   private readonly _view: FleetView
+  private readonly _checking = new Set<string>()
 
   constructor (context: FleetContext, view: FleetView) {
     this._context = context
     this._view = view
   }
 
-  /** One round over all failure domains but this entry's own, and over silent members. */
+  /** One round: the failure domains that are this entry's part, those out of reach, and silent members. */
   async check (): Promise<void> {
-    const domains = this._context.table.domains.filter(domain => domain !== this._context.failureDomain)
+    const domains = this._listOthers()
+    const own = domains.filter((domain, index) => this._view.isUnreachable(domain) || this._isMine(domain, index))
     const retried = this._view.silent.slice(0, MAX_RETRIED)
-    await Promise.all([...domains.map(domain => this._check(domain)), ...retried.map(member => this._retry(member))])
+    await Promise.all([...own.map(domain => this._visit(domain)), ...retried.map(member => this._retry(member))])
   }
 
-  private async _check (domain: string): Promise<void> {
-    const members = this._context.table.list(domain)
-    const first = this._take(members)
-    if (first === undefined) return
-    if (await isAnswering(this._context, first)) return this._view.setUnreachable(domain, false, performance.now())
-    const others = Array.from({ length: FURTHER_SAMPLES }, () => this._take(members)).filter(member => member !== undefined)
-    const answers = await Promise.all(others.map(member => isAnswering(this._context, member)))
-    this._view.setUnreachable(domain, !answers.includes(true), performance.now())
+  /** Checks all failure domains at once because one of them is suspected. */
+  async checkAll (): Promise<void> {
+    await Promise.all(this._listOthers().map(domain => this._sample(domain)))
+  }
+
+  private _listOthers (): string[] {
+    const { table, failureDomain } = this._context
+    return table.domains.filter(domain => domain !== failureDomain).sort()
+  }
+
+  private _listEntries (): Member[] {
+    const views = [...this._context.board.get('members').values()]
+    const entries = views.map(view => view.member).filter(member => member.role === 'entry' && member.region === this._context.region)
+    return entries.sort((a, b) => a.id < b.id ? -1 : 1)
+  }
+
+  private _isMine (domain: string, index: number): boolean {
+    const entries = this._listEntries().filter(entry => entry.failureDomain !== domain)
+    return entries.length === 0 || entries[index % entries.length]?.id === this._context.id
+  }
+
+  private async _visit (domain: string): Promise<void> {
+    if (this._view.isUnreachable(domain)) return this._sample(domain)
+    const [first] = this._pick(domain, 1)
+    if (first === undefined || await isAnswering(this._context, first)) return
+    for (const entry of this._listEntries()) {
+      if (entry.id !== this._context.id) void this._context.peers.call(entry.address, 'suspect', { failureDomain: domain }, CALL_TIMEOUT_MS)
+    }
+    await this.checkAll()
   }
 
-  private _take (members: Member[]): Member | undefined {
-    return members.splice(this._context.random.pick(members.length), 1)[0]
+  /** Takes several members at once; none of them answering means that the failure domain is out of reach. */
+  private async _sample (domain: string): Promise<void> {
+    if (this._checking.has(domain)) return
+    this._checking.add(domain)
+    const members = this._pick(domain, SAMPLES)
+    const answers = await Promise.all(members.map(member => isAnswering(this._context, member)))
+    this._checking.delete(domain)
+    if (members.length > 0) this._view.setUnreachable(domain, !answers.includes(true), performance.now())
+  }
+
+  private _pick (domain: string, count: number): Member[] {
+    const members = this._context.table.list(domain)
+    const picked: Member[] = []
+    while (picked.length < count && members.length > 0) picked.push(...members.splice(this._context.random.pick(members.length), 1))
+    return picked
   }
 
   private async _retry (member: Member): Promise<void> {
--- a/packages/daemon/src/fleet/ringMonitor.ts
+++ b/packages/daemon/src/fleet/ringMonitor.ts
@@ -1,8 +1,8 @@
 /**
  * Each process checks its successor in the ring of its failure domain; over one that does not answer it goes on to the
- * next at once. What it finds goes to the registrar, or to entries when there is no registrar to take it.
+ * next at once. What it finds goes to the registrar, and to entries, who act on it when there is no registrar to do so.
  */
-import type { Member } from '@dragonflylever/protocol'
+import type { Member, RpcParams } from '@dragonflylever/protocol'
 
 import { CALL_TIMEOUT_MS, PING_TIMEOUT_MS } from './fleetContext.js'
 import type { FleetContext } from './fleetContext.js'
@@ -52,16 +52,22 @@
   }
 
   private async _report (member: Member): Promise<void> {
-    const { table, failureDomain, join, peers, id } = this._context
-    const params = { failureDomain, id: member.id, incarnation: member.incarnation }
-    const registrar = table.getRegistrar(failureDomain)
-    if (registrar !== undefined && registrar.id !== member.id) {
-      const outcome = await peers.call(registrar.address, 'report', params, CALL_TIMEOUT_MS)
-      if (outcome.kind === 'ok' && outcome.value.isRegistrar) return
-    }
-    this._options.onRegistrarAway()
-    const entries = table.list(failureDomain).filter(one => one.role === 'entry' && one.id !== id && one.id !== member.id)
-    const addresses = new Set([...join, ...entries.map(entry => entry.address)])
-    await Promise.all([...addresses].map(address => peers.call(address, 'report', params, CALL_TIMEOUT_MS)))
+    const params = { failureDomain: this._context.failureDomain, id: member.id, incarnation: member.incarnation }
+    const entries = [...this._listEntries(member)].map(address => this._context.peers.call(address, 'report', params, CALL_TIMEOUT_MS))
+    if (!await this._tellRegistrar(member, params)) this._options.onRegistrarAway()
+    await Promise.all(entries)
+  }
+
+  private async _tellRegistrar (member: Member, params: RpcParams<'report'>): Promise<boolean> {
+    const registrar = this._context.table.getRegistrar(this._context.failureDomain)
+    if (registrar === undefined || registrar.id === member.id) return false
+    const outcome = await this._context.peers.call(registrar.address, 'report', params, CALL_TIMEOUT_MS)
+    return outcome.kind === 'ok' && outcome.value.isRegistrar
+  }
+
+  private _listEntries (silent: Member): Set<string> {
+    const { table, failureDomain, join, id } = this._context
+    const entries = table.list(failureDomain).filter(one => one.role === 'entry' && one.id !== id && one.id !== silent.id)
+    return new Set([...join, ...entries.map(entry => entry.address)])
   }
 }
--- a/packages/protocol/src/rpcMessages.ts
+++ b/packages/protocol/src/rpcMessages.ts
@@ -46,6 +46,11 @@
     params: z.object({ failureDomain: z.string(), id: z.string(), incarnation: z.string(), isForwarded: z.boolean().optional() }),
     result: z.object({ isRegistrar: z.boolean() })
   },
+  /** Says to another entry that a failure domain may be out of reach. */
+  suspect: {
+    params: z.object({ failureDomain: z.string() }),
+    result: z.object({})
+  },
   /** Asks a registrar which configuration is in force at the members of its failure domain. */
   revisions: {
     params: z.object({ failureDomain: z.string() }),
--- a/packages/standins/src/memoryPeers.ts
+++ b/packages/standins/src/memoryPeers.ts
@@ -20,11 +20,19 @@
   }
 }
 
+/** Hears of the bytes of each request and answer. */
+export type TrafficListener = (from: string, to: string, bytes: number) => void
+
 export class MemoryPeers {
+  private readonly _onTraffic: TrafficListener | undefined
   private readonly _peers = new Map<string, MemoryPeer>()
   private readonly _down = new Set<string>()
   private readonly _cuts = new Set<string>()
 
+  constructor (onTraffic?: TrafficListener) {
+    this._onTraffic = onTraffic
+  }
+
   /** Returns the registry of the peer at an address. */
   open (address: string): RpcRegistry {
     return this._getPeer(address)
@@ -85,6 +93,7 @@
     sender.calls++
     sender.sentBytes += bytes
     this._getPeer(to).traffic.receivedBytes += bytes
+    this._onTraffic?.(from, to, bytes)
   }
 
   private _getPeer (address: string): MemoryPeer {
