--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -6,5 +6,7 @@
 type Loader = () => Promise<Bench>
 
 export const BENCHES: Readonly<Record<string, Loader>> = {
+  fairness: async () => (await import('./floods/fairnessBench.js')).fairnessBench,
+  flood: async () => (await import('./floods/floodBench.js')).floodBench,
   path: async () => (await import('./path/pathBench.js')).pathBench
 }
--- /dev/null
+++ b/packages/bench/src/floods/fairnessBench.ts
@@ -0,0 +1,122 @@
+/**
+ * How one lone caller fares beside branches that ask far more, within its organisation and across organisations,
+ * and how equal backlogged equals are served.
+ */
+import type { Bench, BenchOptions } from '../bench.js'
+import { runFleet } from './fleetRun.js'
+import type { FleetRunResult, Stream } from './fleetRun.js'
+import { countSlots, createStream } from './floodScenarios.js'
+import { createBaselines, createFairPolicy } from './policies.js'
+import type { Policy } from './policies.js'
+import { formatNumber } from './tally.js'
+import { DEPLOYMENTS } from './workload.js'
+import type { Deployment, WorkClass } from './workload.js'
+
+const WARM_UP_MS = 10_000
+const MEASURED_MS = 60_000
+const QUICK_MEASURED_MS = 10_000
+const LONE_REQUESTS_PER_S = 5
+const BRANCHES = 2
+const EQUALS = 8
+const EQUALS_LOAD = 4
+const MS_PER_S = 1_000
+
+/** The lone caller under one policy beside branches. */
+interface LoneResult {
+  readonly policy: string
+  readonly deployment: string
+  readonly place: 'same organisation' | 'other organisation'
+  readonly times: number
+  readonly aloneP99Ms: number
+  readonly besideP99Ms: number
+  readonly p99Ratio: number
+  readonly keptShare: number
+}
+
+interface RunContext {
+  readonly policy: Policy
+  readonly deployment: Deployment
+  readonly seed: number
+  readonly measuredMs: number
+}
+
+function runStreams (context: RunContext, streams: readonly Stream[]): FleetRunResult {
+  return runFleet({ ...context, streams, warmUpMs: WARM_UP_MS })
+}
+
+function createLone (workClass: WorkClass): Stream {
+  const slots = LONE_REQUESTS_PER_S * workClass.meanRunMs / MS_PER_S
+  return createStream('lone', workClass, 'small', slots, 1, 0)
+}
+
+function runLone (context: RunContext): LoneResult[] {
+  const workClass = context.deployment.classes[0] as WorkClass
+  const lone = createLone(workClass)
+  const alone = runStreams(context, [lone]).streams.get('lone')
+  const results: LoneResult[] = []
+  for (const place of ['same organisation', 'other organisation'] as const) {
+    for (const times of [100, 1_000]) {
+      const organisation = place === 'same organisation' ? 'small' : 'large-one'
+      const slots = LONE_REQUESTS_PER_S * times * workClass.meanRunMs / MS_PER_S
+      const branches = Array.from({ length: BRANCHES }, (_, index) => createStream(`branch-${index}`, workClass, organisation, slots, 1, 0))
+      const beside = runStreams(context, [lone, ...branches]).streams.get('lone')
+      const aloneP99Ms = alone?.p99Ms ?? 0
+      const besideP99Ms = beside?.p99Ms ?? 0
+      results.push({
+        policy: context.policy.name,
+        deployment: context.deployment.name,
+        place,
+        times,
+        aloneP99Ms: formatNumber(aloneP99Ms, 0),
+        besideP99Ms: formatNumber(besideP99Ms, 0),
+        p99Ratio: formatNumber(besideP99Ms / aloneP99Ms, 2),
+        keptShare: formatNumber((beside?.inTime ?? 0) / Math.max(1, alone?.inTime ?? 0))
+      })
+    }
+  }
+  return results
+}
+
+/** Serves backlogged equals: callers of one organisation, and organisations of one class. */
+function runEquals (context: RunContext): object {
+  const workClass = context.deployment.classes[0] as WorkClass
+  const slots = countSlots(context.deployment) * EQUALS_LOAD
+  const callers = Array.from({ length: EQUALS }, (_, index) => createStream(`equal-${index}`, workClass, 'small', slots / EQUALS, 1, 0))
+  const names = context.deployment.organisations.filter(({ guaranteedSlots }) => guaranteedSlots === 0).map(({ name }) => name)
+  const organisations = [...names, 'undeclared'].map(name => createStream(`organisation-${name}`, workClass, name, slots / 2, 1, 0))
+  return {
+    policy: context.policy.name,
+    deployment: context.deployment.name,
+    jainOverCallers: computeJainIndex(runStreams(context, callers)),
+    jainOverOrganisations: computeJainIndex(runStreams(context, organisations))
+  }
+}
+
+/** Jain's index of the answers in time: 1 when all get the same. */
+function computeJainIndex (result: FleetRunResult): number {
+  const counts = [...result.streams.values()].map(({ inTime }) => inTime)
+  const sum = counts.reduce((total, count) => total + count, 0)
+  const squares = counts.reduce((total, count) => total + count * count, 0)
+  return formatNumber(sum * sum / Math.max(1, counts.length * squares))
+}
+
+async function runBench (options: BenchOptions): Promise<object> {
+  const measuredMs = options.isQuick ? QUICK_MEASURED_MS : MEASURED_MS
+  const lone: LoneResult[] = []
+  const equals: object[] = []
+  for (const policy of [createFairPolicy(), ...createBaselines()]) {
+    for (const deployment of DEPLOYMENTS) {
+      options.note(`${policy.name}, ${deployment.name}`)
+      const context = { policy, deployment, seed: options.seed, measuredMs }
+      lone.push(...runLone(context))
+      equals.push(runEquals(context))
+    }
+  }
+  return { measuredMs, lone, equals }
+}
+
+export const fairnessBench: Bench = {
+  name: 'fairness',
+  help: 'one lone caller beside branches, and equal shares of backlogged equals',
+  run: runBench
+}
--- /dev/null
+++ b/packages/bench/src/floods/floodBench.ts
@@ -0,0 +1,140 @@
+/**
+ * What the other work keeps during a flood: fair queue against baselines, both deployments, with and
+ * without a failure domain lost.
+ */
+import type { Bench, BenchOptions } from '../bench.js'
+import { runFleet } from './fleetRun.js'
+import type { FleetRunResult } from './fleetRun.js'
+import { FLOODER, createFloodStreams, createOrdinaryStreams, listCoveredOrganisations, listFloodingClasses, listScenarios } from './floodScenarios.js'
+import type { FloodScenario } from './floodScenarios.js'
+import { createBaselines, createFairPolicy } from './policies.js'
+import type { Policy } from './policies.js'
+import { formatNumber } from './tally.js'
+import type { StreamMeasures } from './tally.js'
+import { DEPLOYMENTS } from './workload.js'
+import type { Deployment } from './workload.js'
+
+const FLOOD_STARTS_MS = 5_000
+const WARM_UP_MS = 10_000
+const MEASURED_MS = 20_000
+const QUICK_MEASURED_MS = 5_000
+
+/** Measures of one class and organisation in one run. */
+interface GroupResult {
+  readonly keptShare: number
+  readonly p99Ms: number
+  readonly p99StartMs: number
+}
+
+/** One flood under one policy. */
+export interface FloodResult extends FloodScenario {
+  readonly policy: string
+  readonly deployment: string
+  readonly lostDomain: string
+  /** Least share of the unflooded goodput kept by a class and organisation that does not flood and whose load is within its guarantee. */
+  readonly worstKeptShare: number
+  readonly worstKeptBy: string
+  /** The same over organisations whose load is beyond their guarantee. */
+  readonly worstKeptWithoutGuarantee: number
+  /** Highest p99 of the start of the most urgent class over the organisations that do not flood it. */
+  readonly urgentP99StartMs: number
+  readonly goodputShare: number
+  readonly wasted: number
+  readonly expired: number
+  readonly p99ToldShedMs: number
+  readonly groups: Readonly<Record<string, GroupResult>>
+}
+
+/** Settings of a set of flood runs. */
+export interface FloodRunOptions {
+  readonly policy: Policy
+  readonly deployment: Deployment
+  readonly lostDomain: string | undefined
+  readonly scenarios: readonly FloodScenario[]
+  readonly seed: number
+  readonly measuredMs: number
+}
+
+/** Runs the unflooded load once, then each flood. */
+export function runFloods (options: FloodRunOptions): FloodResult[] {
+  const { deployment, policy, lostDomain, seed } = options
+  const ordinary = createOrdinaryStreams(deployment)
+  const run = { deployment, policy, lostDomain, seed, warmUpMs: WARM_UP_MS, measuredMs: options.measuredMs }
+  const calm = runFleet({ ...run, streams: ordinary })
+  return options.scenarios.map(scenario => {
+    const flood = createFloodStreams(deployment, scenario, FLOOD_STARTS_MS)
+    const result = runFleet({ ...run, streams: [...ordinary, ...flood] })
+    return { policy: policy.name, deployment: deployment.name, lostDomain: lostDomain ?? 'none', ...scenario, ...compareRuns(options, scenario, calm, result) }
+  })
+}
+
+function compareRuns (options: FloodRunOptions, scenario: FloodScenario, calm: FleetRunResult, flooded: FleetRunResult): Omit<FloodResult, 'policy' | 'deployment' | 'lostDomain' | keyof FloodScenario> {
+  const floodingGroups = new Set(listFloodingClasses(options.deployment, scenario).map(name => `${name}/${FLOODER}`))
+  const urgent = options.deployment.classes[0]?.name ?? ''
+  const groups: Record<string, GroupResult> = {}
+  const covered = listCoveredOrganisations(options.deployment)
+  let worst = { share: Infinity, id: '' }
+  let worstUncovered = Infinity
+  let urgentP99StartMs = 0
+  for (const [id, before] of calm.streams) {
+    const after = flooded.streams.get(id) as StreamMeasures
+    const keptShare = formatNumber(after.inTime / Math.max(1, before.inTime))
+    groups[id] = { keptShare, p99Ms: formatNumber(after.p99Ms, 0), p99StartMs: formatNumber(after.p99StartMs, 0) }
+    if (floodingGroups.has(id)) continue
+    const isCovered = covered.has(id.split('/')[1] ?? '')
+    if (!isCovered) worstUncovered = Math.min(worstUncovered, keptShare)
+    else if (keptShare < worst.share) worst = { share: keptShare, id }
+    if (id.startsWith(urgent)) urgentP99StartMs = Math.max(urgentP99StartMs, after.p99StartMs)
+  }
+  const all = [...flooded.streams.values()]
+  const usefulMs = all.reduce((sum, stream) => sum + stream.usefulRunMs, 0)
+  return {
+    worstKeptShare: worst.share,
+    worstKeptBy: worst.id,
+    worstKeptWithoutGuarantee: worstUncovered,
+    urgentP99StartMs: formatNumber(urgentP99StartMs, 0),
+    goodputShare: formatNumber(usefulMs / (flooded.slots * options.measuredMs)),
+    wasted: all.reduce((sum, stream) => sum + stream.wasted, 0),
+    expired: all.reduce((sum, stream) => sum + stream.expired, 0),
+    p99ToldShedMs: formatNumber(Math.max(...all.map(stream => stream.p99ToldShedMs)), 1),
+    groups
+  }
+}
+
+/** Sums up one policy over all its floods. */
+function computeSummary (results: readonly FloodResult[]): object {
+  const fifty = results.filter(({ times }) => times === 50)
+  return {
+    worstKeptShare: Math.min(...results.map(result => result.worstKeptShare)),
+    worstKeptWithoutGuarantee: Math.min(...results.map(result => result.worstKeptWithoutGuarantee)),
+    worstUrgentP99StartMs: Math.max(...results.map(result => result.urgentP99StartMs)),
+    worstGoodputShareAt50: Math.min(...fifty.map(result => result.goodputShare)),
+    wasted: results.reduce((sum, result) => sum + result.wasted, 0),
+    worstP99ToldShedMs: Math.max(...results.map(result => result.p99ToldShedMs))
+  }
+}
+
+async function runBench (options: BenchOptions): Promise<object> {
+  const scenarios = options.isQuick ? listScenarios().filter(({ times }) => times === 10) : listScenarios()
+  const measuredMs = options.isQuick ? QUICK_MEASURED_MS : MEASURED_MS
+  const results: FloodResult[] = []
+  const summary: Record<string, object> = {}
+  for (const policy of [createFairPolicy(), ...createBaselines()]) {
+    const own: FloodResult[] = []
+    for (const deployment of DEPLOYMENTS) {
+      for (const lostDomain of [undefined, deployment.failureDomains[1]?.name]) {
+        options.note(`${policy.name}, ${deployment.name}, lost: ${lostDomain ?? 'none'}`)
+        own.push(...runFloods({ policy, deployment, lostDomain, scenarios, seed: options.seed, measuredMs }))
+      }
+    }
+    summary[policy.name] = computeSummary(own)
+    results.push(...own)
+  }
+  return { measuredMs, summary, results }
+}
+
+export const floodBench: Bench = {
+  name: 'flood',
+  help: 'what the other work keeps during a flood, against baselines',
+  run: runBench
+}
--- /dev/null
+++ b/packages/bench/src/floods/floodScenarios.ts
@@ -0,0 +1,87 @@
+/**
+ * The floods that are tried, and the streams of callers they are made of.
+ */
+import type { Stream } from './fleetRun.js'
+import { ORDINARY_LOAD, SLOTS_PER_WORKER } from './workload.js'
+import type { Deployment, WorkClass } from './workload.js'
+
+const MS_PER_S = 1_000
+const CALLERS_PER_STREAM = 20
+const FLOOD_CALLERS = 500
+/** Organisation that floods. */
+export const FLOODER = 'large-one'
+
+export interface FloodScenario {
+  readonly flooding: 'least urgent' | 'most urgent' | 'both'
+  /** Demand of the flood as a multiple of the fleet's capacity. */
+  readonly times: number
+  readonly callers: 'one' | 'many'
+}
+
+/** Lists all floods. */
+export function listScenarios (): FloodScenario[] {
+  const scenarios: FloodScenario[] = []
+  for (const flooding of ['least urgent', 'most urgent', 'both'] as const) {
+    for (const times of [2, 10, 50]) {
+      for (const callers of ['one', 'many'] as const) scenarios.push({ flooding, times, callers })
+    }
+  }
+  return scenarios
+}
+
+/** Returns the slots of all workers, lost ones included. */
+export function countSlots (deployment: Deployment): number {
+  return deployment.failureDomains.reduce((sum, domain) => sum + domain.workers, 0) * SLOTS_PER_WORKER
+}
+
+/** Creates the ordinary load: every class uses the same slot time, organisations their share of it. */
+export function createOrdinaryStreams (deployment: Deployment): Stream[] {
+  const slotsPerClass = countSlots(deployment) * ORDINARY_LOAD / deployment.classes.length
+  return deployment.classes.flatMap(workClass => deployment.organisations.map(organisation => {
+    const slots = slotsPerClass * organisation.loadShare
+    return createStream(`${workClass.name}/${organisation.name}`, workClass, organisation.name, slots, CALLERS_PER_STREAM, 0)
+  }))
+}
+
+/** Returns the organisations whose ordinary load is within their guarantee. */
+export function listCoveredOrganisations (deployment: Deployment): Set<string> {
+  const slots = countSlots(deployment) * ORDINARY_LOAD
+  const covered = deployment.organisations.filter(({ guaranteedSlots, loadShare }) => loadShare * slots <= guaranteedSlots)
+  return new Set(covered.map(({ name }) => name))
+}
+
+/** Creates the streams of a flood. */
+export function createFloodStreams (deployment: Deployment, scenario: FloodScenario, startsAt: number): Stream[] {
+  const callers = scenario.callers === 'one' ? 1 : FLOOD_CALLERS
+  return selectClasses(deployment, scenario).map(workClass => {
+    const slots = countSlots(deployment) * scenario.times
+    return createStream(`flood ${workClass.name}`, workClass, FLOODER, slots, callers, startsAt)
+  })
+}
+
+/** Returns the names of the classes that flood. */
+export function listFloodingClasses (deployment: Deployment, scenario: FloodScenario): string[] {
+  return selectClasses(deployment, scenario).map(({ name }) => name)
+}
+
+function selectClasses (deployment: Deployment, { flooding }: FloodScenario): WorkClass[] {
+  const { classes } = deployment
+  const most = classes[0] as WorkClass
+  const least = classes[classes.length - 1] as WorkClass
+  if (flooding === 'both') return [most, least]
+  return [flooding === 'most urgent' ? most : least]
+}
+
+/** Creates a stream that asks for `slots` slots' worth of time. */
+export function createStream (id: string, workClass: WorkClass, organisation: string, slots: number, callers: number, startsAt: number): Stream {
+  return {
+    id,
+    className: workClass.name,
+    organisation,
+    callers,
+    requestsPerS: slots * MS_PER_S / workClass.meanRunMs,
+    meanRunMs: workClass.meanRunMs,
+    finishWithinMs: workClass.finishWithinMs,
+    startsAt
+  }
+}
--- /dev/null
+++ b/packages/bench/src/floods/virtualClock.ts
@@ -0,0 +1,36 @@
+/**
+ * Virtual time: events run in order of their time, and no time passes between them.
+ */
+import { IndexedHeap } from '@dragonflylever/core/fairness/indexedHeap'
+
+interface TimedEvent {
+  readonly at: number
+  readonly run: () => void
+}
+
+export class VirtualClock {
+  private readonly _events = new IndexedHeap<TimedEvent>(event => event.at)
+  private _now = 0
+
+  /** Present time in milliseconds. */
+  get now (): number {
+    return this._now
+  }
+
+  /** Runs `run` after `delayMs`. */
+  schedule (delayMs: number, run: () => void): void {
+    this._events.add({ at: this._now + delayMs, run })
+  }
+
+  /** Runs all events up to a time. */
+  advance (until: number): void {
+    for (;;) {
+      const event = this._events.first
+      if (event === undefined || event.at > until) break
+      this._events.remove(event)
+      this._now = event.at
+      event.run()
+    }
+    this._now = until
+  }
+}
--- a/packages/core/src/fairness/callerQueues.ts
+++ b/packages/core/src/fairness/callerQueues.ts
@@ -12,15 +12,20 @@
 const HASH_PRIME = 0x01000193
 const HASH_START = 0x811c9dc5
 
+/** Returns the place of a caller, if there is one. */
+export function getCallerQueue (group: RequestGroup, caller: string): CallerQueue | undefined {
+  const own = group.callers.get(`own ${caller}`)
+  if (own !== undefined || group.callers.size < MAX_OWN_PLACES) return own
+  evictSettled(group)
+  return group.callers.size < MAX_OWN_PLACES ? undefined : group.callers.get(computeSharedKey(caller))
+}
+
 /** Finds or creates the place of a caller. */
 export function findCallerQueue (group: RequestGroup, caller: string): CallerQueue {
-  const own = group.callers.get(`own ${caller}`)
-  if (own !== undefined) return own
-  if (group.callers.size >= MAX_OWN_PLACES) evictSettled(group)
-  const isFull = group.callers.size >= MAX_OWN_PLACES
-  const key = isFull ? `shared ${computeHash(caller) % SHARED_PLACES}` : `own ${caller}`
-  const known = group.callers.get(key)
+  const known = getCallerQueue(group, caller)
   if (known !== undefined) return known
+  const isFull = group.callers.size >= MAX_OWN_PLACES
+  const key = isFull ? computeSharedKey(caller) : `own ${caller}`
   const items = new IndexedHeap<QueueItem>(item => item.dueAt)
   const created: CallerQueue = { key, group, items, running: 0, virtualMs: 0 }
   group.callers.set(key, created)
@@ -34,6 +39,10 @@
   }
 }
 
+function computeSharedKey (caller: string): string {
+  return `shared ${computeHash(caller) % SHARED_PLACES}`
+}
+
 /** FNV-1a hash of a caller's name. */
 function computeHash (caller: string): number {
   let hash = HASH_START
--- a/packages/core/src/fairness/describeTree.ts
+++ b/packages/core/src/fairness/describeTree.ts
@@ -11,14 +11,14 @@
 import type { ReserveOptions } from './slotReserve.js'
 
 /** Describes the whole tree. */
-export function describeTree (tree: QueueTree, capacity: QueueCapacity, reserve: ReserveOptions, recentlyShed: readonly ShedReport[]): QueueReport {
+export function describeTree (tree: QueueTree, capacity: QueueCapacity, usableSlots: number, reserve: ReserveOptions, recentlyShed: readonly ShedReport[]): QueueReport {
   const heldBack: Record<string, number> = {}
   for (const node of tree.classes.values()) {
     if (node.targets.startWithinMs !== undefined) heldBack[node.name] = computeReserve(tree, node, capacity, reserve)
   }
   const groups = [...tree.organisations.values()]
     .flatMap(organisation => [...organisation.groups.values()])
-    .map(group => describeGroup(tree, group, capacity.slots))
+    .map(group => describeGroup(tree, group, usableSlots))
   return { slots: capacity.slots, running: tree.running, waiting: tree.waiting, heldBack, groups, recentlyShed }
 }
 
--- a/packages/core/src/fairness/fairQueue.ts
+++ b/packages/core/src/fairness/fairQueue.ts
@@ -4,6 +4,7 @@
  */
 import { NotRunReason } from '../outcome.js'
 import type { OfferResult, QueuedRequest, RequestQueue, ShedRequest } from '../requestQueue.js'
+import { getCallerQueue } from './callerQueues.js'
 import { findLargestOffender } from './offender.js'
 import { estimateMeanRun, estimateTypicalRun, predictFinish } from './finishPrediction.js'
 import { IndexedHeap } from './indexedHeap.js'
@@ -36,6 +37,8 @@
   readonly admission?: AdmissionOptions
 }
 
+const USABLE_WEIGHT = 0.02
+
 interface RunningRequest {
   readonly callerQueue: CallerQueue
   readonly chargedMs: number
@@ -54,6 +57,7 @@
   private readonly _reserve: ReserveOptions
   private readonly _admission: AdmissionOptions
   private _policy: RequestPolicy
+  private _usableSlots: number
   private _capacity: QueueCapacity
 
   constructor (options: FairQueueOptions) {
@@ -62,6 +66,7 @@
     this._admission = options.admission ?? DEFAULT_ADMISSION
     this._policy = options.policy ?? EMPTY_POLICY
     this._capacity = { slots: options.slots, fleetSlots: options.fleetSlots }
+    this._usableSlots = options.slots
     this._update()
   }
 
@@ -78,6 +83,7 @@
   /** Takes a change of the fleet over. */
   setCapacity (capacity: QueueCapacity): void {
     if (capacity.slots === this._capacity.slots && capacity.fleetSlots === this._capacity.fleetSlots) return
+    this._usableSlots += capacity.slots - this._capacity.slots
     this._capacity = capacity
     this._update()
   }
@@ -138,6 +144,7 @@
     const running = this._running.get(request.id)
     if (running === undefined) throw new Error('invariant: only a taken request finishes')
     this._running.delete(request.id)
+    this._learnUsableSlots()
     this._tree.finish(running.callerQueue, ranMs - running.chargedMs)
     if (ranMs <= 0) return
     running.callerQueue.group.runTimes.note(ranMs)
@@ -146,7 +153,14 @@
 
   /** Returns what waits, runs and was shed, for people. */
   describe (): QueueReport {
-    return describeTree(this._tree, this._capacity, this._reserve, this._shedLog.list())
+    return describeTree(this._tree, this._capacity, this._usableSlots, this._reserve, this._shedLog.list())
+  }
+
+  /** While requests wait, as many run as this queue can get; other entries may use the rest of the slots. */
+  private _learnUsableSlots (): void {
+    const seen = this._tree.waiting > 0 ? this._tree.running : this._capacity.slots
+    const next = this._usableSlots + USABLE_WEIGHT * (seen - this._usableSlots)
+    this._usableSlots = Math.max(1, Math.min(this._capacity.slots, next))
   }
 
   private _update (): void {
@@ -161,8 +175,8 @@
     const leftMs = request.deadlineAt - now
     if (leftMs <= 0) return { kind: 'refused', reason: NotRunReason.deadlinePassed, retryAfterMs: 0 }
     if (group.waiting + group.running === 0) return undefined
-    const callerQueue = group.callers.get(`own ${request.caller}`)
-    const { waitMs, slowWaitMs, runMs } = predictFinish(this._tree, group, callerQueue, this._capacity.slots)
+    const callerQueue = getCallerQueue(group, request.caller)
+    const { waitMs, slowWaitMs, runMs } = predictFinish(this._tree, group, callerQueue, this._usableSlots)
     if (waitMs === 0) return undefined
     const { waitFactor, minRetryAfterMs } = this._admission
     const startWithinMs = (group.classNode.targets.startWithinMs ?? Infinity) - (now - request.arrivedAt)
@@ -177,7 +191,7 @@
     if (this.size <= this._maxWaiting) return { kind: 'queued', shed: [] }
     const victim = findLargestOffender(this._tree, added)
     const { group } = victim.callerQueue
-    const { waitMs } = predictFinish(this._tree, group, victim.callerQueue, this._capacity.slots)
+    const { waitMs } = predictFinish(this._tree, group, victim.callerQueue, this._usableSlots)
     const retryAfterMs = Math.ceil(Math.max(this._admission.minRetryAfterMs, waitMs))
     this._drop(victim)
     const shed: ShedRequest = { id: victim.request.id, reason: NotRunReason.overloaded, retryAfterMs }
--- a/packages/core/src/fairness/slotReserve.ts
+++ b/packages/core/src/fairness/slotReserve.ts
@@ -16,6 +16,8 @@
 }
 
 export const DEFAULT_RESERVE: ReserveOptions = { targetShare: 0.5, maxShare: 0.25 }
+/** Standard deviations of a Poisson load that a class's need of slots is taken to swing by. */
+const PEAK_DEVIATIONS = 2
 const SLOW_QUANTILE = 0.9
 
 /** Returns the slots to keep free for one class. */
@@ -24,8 +26,9 @@
   if (startWithinMs === undefined) return 0
   const windowMs = startWithinMs * options.targetShare
   const part = Math.min(1, capacity.slots / Math.max(1, capacity.fleetSlots))
-  const expected = node.arrivalRate * windowMs / part + 1
-  const missing = expected - estimateFreed(tree, windowMs) / part
+  const busy = node.arrivalRate * node.runTimes.meanMs / part
+  const peak = busy + PEAK_DEVIATIONS * Math.sqrt(busy) + 1
+  const missing = peak - (node.running + estimateFreed(tree, windowMs)) / part
   const unused = estimateClassShare(tree, node, capacity.slots) - node.running
   const most = Math.min(unused, capacity.slots * options.maxShare)
   return Math.max(0, Math.min(Math.round(missing * part), Math.floor(most)))
--- a/packages/core/src/router.ts
+++ b/packages/core/src/router.ts
@@ -40,6 +40,8 @@
 export interface Router {
   /** Picks an agent; undefined when none may take the request now. */
   pick (request: RoutedRequest, candidates: readonly Candidate[], now: number): Candidate | undefined
+  /** True when some agent should get another request now, whatever its class; absent when only the bound on requests in flight counts. */
+  hasRoom? (candidates: readonly Candidate[], now: number): boolean
   /** Notes how an attempt ended. */
   report (report: AttemptReport, now: number): void
 }
--- a/packages/core/src/routing/fleetRouter.ts
+++ b/packages/core/src/routing/fleetRouter.ts
@@ -21,10 +21,12 @@
 
 const LINK_ROUND_TRIP_MS = 60
 /** Expected size of an answer and all headers on the link. */
-const ANSWER_BYTES = 4_096
+const ANSWER_BYTES = 2_048
 const LATENCY_WEIGHT = 0.1
-/** Requests that may wait at an agent, as a part of its slots, before it counts as full. */
-const WAITING_SHARE = 0.25
+/** Round trip within the region in milliseconds. */
+const LOCAL_ROUND_TRIP_MS = 4
+/** Most requests that may wait at an agent, as a part of its slots, so that no slot idles for a round trip. */
+const MAX_WAITING_SHARE = 0.25
 const MAX_CLASSES = 256
 
 export class FleetRouter implements Router {
@@ -33,10 +35,11 @@
   private readonly _latencies = new Map<string, number>()
   private readonly _ejection = new OutlierEjection()
   private readonly _link: TokenBucket
+  private _meanLatencyMs = 0
 
   constructor (options: FleetRouterOptions) {
     this._options = options
-    this._link = new TokenBucket({ perSecond: options.linkBytesPerSecond, capacity: options.linkBytesPerSecond })
+    this._link = new TokenBucket(options.linkBytesPerSecond)
   }
 
   pick (request: RoutedRequest, candidates: readonly Candidate[], now: number): Candidate | undefined {
@@ -48,6 +51,19 @@
     return this._pickRemote(request, usable, now) ?? localPick
   }
 
+  hasRoom (candidates: readonly Candidate[], now: number): boolean {
+    const hasLink = this._link.has(ANSWER_BYTES, now)
+    return candidates.some(candidate => {
+      if (candidate.region !== this._options.region && !hasLink) return false
+      return candidate.inFlight < candidate.maxInFlight && this._isOpen(candidate, now) && this._ejection.accept(candidate.agentId, candidate.inFlight, now)
+    })
+  }
+
+  /** Sets the bytes a second for the region link. */
+  setLinkBudget (bytesPerSecond: number): void {
+    this._link.setRate(bytesPerSecond)
+  }
+
   report (report: AttemptReport, now: number): void {
     this._ejection.learn(report, now)
     if (report.kind !== 'lost') this._getLoad(report.agentId).note()
@@ -55,7 +71,7 @@
   }
 
   private _pickRemote (request: RoutedRequest, usable: readonly Candidate[], now: number): Candidate | undefined {
-    const roundTripMs = this._options.linkRoundTripMs ?? LINK_ROUND_TRIP_MS
+    const roundTripMs = this._getLinkRoundTrip()
     const remote = usable.filter(candidate => candidate.region !== this._options.region)
     const pick = this._pickOfTwo(remote, now)
     if (pick === undefined || !this._isInTime(pick, request, roundTripMs, now)) return undefined
@@ -76,12 +92,24 @@
 
   /** True when the agent has room and the request would finish there before its deadline. */
   private _isInTime (candidate: Candidate, request: RoutedRequest, extraMs: number, now: number): boolean {
+    if (!this._isOpen(candidate, now)) return false
     const load = this._computeLoad(candidate, now)
-    if (load >= 1 + WAITING_SHARE) return false
     const latencyMs = this._latencies.get(request.className) ?? 0
     return now + extraMs + latencyMs * (1 + Math.max(0, load - 1)) <= request.deadlineAt
   }
 
+  /** True when another request would find a free slot, or one that comes free by the time it arrives. */
+  private _isOpen (candidate: Candidate, now: number): boolean {
+    const isLocal = candidate.region === this._options.region
+    const roundTripMs = isLocal ? LOCAL_ROUND_TRIP_MS : this._getLinkRoundTrip()
+    const waitingShare = Math.min(MAX_WAITING_SHARE, roundTripMs / Math.max(1, this._meanLatencyMs))
+    return this._computeLoad(candidate, now) + 1 / Math.max(1, candidate.slots) <= 1 + waitingShare
+  }
+
+  private _getLinkRoundTrip (): number {
+    return this._options.linkRoundTripMs ?? LINK_ROUND_TRIP_MS
+  }
+
   private _isUsable (candidate: Candidate, request: RoutedRequest, now: number): boolean {
     if (candidate.inFlight >= candidate.maxInFlight || request.tried.has(candidate.agentId)) return false
     return this._ejection.accept(candidate.agentId, candidate.inFlight, now)
@@ -100,6 +128,7 @@
   }
 
   private _learnLatency (report: AttemptReport): void {
+    this._meanLatencyMs += LATENCY_WEIGHT * (report.latencyMs - this._meanLatencyMs)
     const known = this._latencies.get(report.className)
     if (known === undefined && this._latencies.size >= MAX_CLASSES) return
     const latencyMs = known === undefined ? report.latencyMs : known + LATENCY_WEIGHT * (report.latencyMs - known)
--- a/packages/core/src/routing/tokenBucket.ts
+++ b/packages/core/src/routing/tokenBucket.ts
@@ -2,22 +2,23 @@
  * Token bucket: a budget that refills at a steady rate up to a bound.
  */
 
-/** Rate and bound of a bucket, in units of the caller's choice. */
-export interface TokenBucketOptions {
-  readonly perSecond: number
-  readonly capacity: number
-}
-
 const MS_PER_S = 1_000
 
 export class TokenBucket {
-  private readonly _options: TokenBucketOptions
+  private _perSecond: number
   private _tokens: number
   private _filledAt = 0
 
-  constructor (options: TokenBucketOptions) {
-    this._options = options
-    this._tokens = options.capacity
+  /** Starts full; the bound is the refill of one second. */
+  constructor (perSecond: number) {
+    this._perSecond = perSecond
+    this._tokens = perSecond
+  }
+
+  /** Changes the rate; what is there stays within the new bound. */
+  setRate (perSecond: number): void {
+    this._perSecond = perSecond
+    this._tokens = Math.min(this._tokens, perSecond)
   }
 
   /** True when `cost` can be taken now. */
@@ -34,8 +35,8 @@
   }
 
   private _refresh (now: number): void {
-    const refill = Math.max(0, now - this._filledAt) * this._options.perSecond / MS_PER_S
-    this._tokens = Math.min(this._options.capacity, this._tokens + refill)
+    const refill = Math.max(0, now - this._filledAt) * this._perSecond / MS_PER_S
+    this._tokens = Math.min(this._perSecond, this._tokens + refill)
     this._filledAt = Math.max(this._filledAt, now)
   }
 }
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -123,13 +123,19 @@
   }
 
   private _pump (): void {
-    while (this._parts.agents.hasRoom()) {
+    while (this._hasRoom()) {
       const next = this._parts.queue.take(performance.now())
       if (next === undefined) return
       this._start(next)
     }
   }
 
+  private _hasRoom (): boolean {
+    const { agents, router } = this._parts
+    if (this._waiting.size === 0 || !agents.hasRoom()) return false
+    return router.hasRoom?.(agents.list(), performance.now()) !== false
+  }
+
   private _start (next: QueuedRequest): void {
     const waiting = this._waiting.get(next.id)
     if (waiting === undefined) throw new Error('invariant: a queued request waits')
@@ -221,6 +227,7 @@
       this._end(request.id, makeNotRun(NotRunReason.deadlinePassed, 'the deadline passed before the request could be sent'))
     }
     for (const flight of this._inFlight.values()) if (flight.deadlineAt <= now) flight.abort.abort()
+    this._pump()
   }
 
   private _end (requestId: string, outcome: Outcome): void {
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -27,8 +27,8 @@
 import { DirectService } from './requestService.js'
 
 const MAX_WAITING = 4_096
-/** Bytes a second that one entry may send over the region link. */
-const LINK_BYTES_PER_SECOND = 250_000
+/** Bytes a second that all entries together may send over the region link: half of 20 Mbit/s. */
+const LINK_BYTES_PER_SECOND = 1_250_000
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 const DEFAULT_AGENT_CONNECTIONS = 60
 /** Time in which the balancer notices that this entry leaves, in milliseconds. */
@@ -136,6 +136,7 @@
     this.board.subscribe('members', () => {
       dispatcher.drop(agents.update(this.board.get('members')))
       sender.setConnectionLimit(computeConnectionShare(DEFAULT_AGENT_CONNECTIONS, agents.entries))
+      router.setLinkBudget(LINK_BYTES_PER_SECOND / agents.entries)
       queue.setCapacity(computeEntryCapacity(agents.list(), agents.entries))
       dispatcher.notify()
     })
