--- a/packages/bench/src/floods/policies.ts
+++ b/packages/bench/src/floods/policies.ts
@@ -43,7 +43,11 @@
       return new FairQueue({ ...computeEntryCapacity(agents, context.entries), maxWaiting: ENTRY_MAX_WAITING, policy: createPolicy(context.deployment), ...constants })
     },
     createAgentQueue: context => new FairQueue({ slots: SLOTS_PER_WORKER, fleetSlots: context.workers * SLOTS_PER_WORKER, maxWaiting: CONNECTIONS_PER_WORKER, policy: createPolicy(context.deployment), ...constants }),
-    createRouter: ({ region, random, entries }) => new FleetRouter({ region, random, linkBytesPerSecond: LINK_BYTES_PER_SECOND / entries })
+    createRouter: ({ region, random, entries }) => {
+      const router = new FleetRouter({ region, random, linkBytesPerSecond: LINK_BYTES_PER_SECOND / entries })
+      router.update(entries, LINK_BYTES_PER_SECOND / entries)
+      return router
+    }
   }
 }
 
--- a/packages/core/src/fairness/fairQueue.ts
+++ b/packages/core/src/fairness/fairQueue.ts
@@ -38,6 +38,7 @@
 }
 
 const USABLE_WEIGHT = 0.02
+const APPLIED_TOLERANCE = 0.05
 
 interface RunningRequest {
   readonly callerQueue: CallerQueue
@@ -58,6 +59,8 @@
   private readonly _admission: AdmissionOptions
   private _policy: RequestPolicy
   private _usableSlots: number
+  /** Usable slots that the guarantees were last applied to. */
+  private _appliedSlots = 0
   private _capacity: QueueCapacity
 
   constructor (options: FairQueueOptions) {
@@ -104,7 +107,7 @@
 
   take (now: number): QueuedRequest | undefined {
     while (this._tree.running < this._capacity.slots) {
-      const group = selectGroup(this._tree, this._capacity, this._reserve)
+      const group = selectGroup(this._tree, this._capacity, this._usableSlots, this._reserve)
       const item = group?.level.select()?.items.first
       if (group === undefined || item === undefined) return undefined
       this._drop(item)
@@ -161,13 +164,15 @@
     const seen = this._tree.waiting > 0 ? this._tree.running : this._capacity.slots
     const next = this._usableSlots + USABLE_WEIGHT * (seen - this._usableSlots)
     this._usableSlots = Math.max(1, Math.min(this._capacity.slots, next))
+    if (Math.abs(this._usableSlots - this._appliedSlots) > this._appliedSlots * APPLIED_TOLERANCE) this._update()
   }
 
   private _update (): void {
     let guaranteed = 0
     for (const slots of this._policy.guarantees.values()) guaranteed += slots
-    const { slots, fleetSlots } = this._capacity
-    this._tree.update(this._policy, slots / Math.max(1, slots, fleetSlots, guaranteed))
+    this._appliedSlots = this._usableSlots
+    const { fleetSlots } = this._capacity
+    this._tree.update(this._policy, this._usableSlots / Math.max(1, this._usableSlots, fleetSlots, guaranteed))
   }
 
   /** Refuses what can't start or finish in time. A group with nothing under way is always let in, so that run times stay fresh. */
--- a/packages/core/src/fairness/selectGroup.ts
+++ b/packages/core/src/fairness/selectGroup.ts
@@ -9,9 +9,9 @@
 import type { ReserveOptions } from './slotReserve.js'
 
 /** Selects the group; undefined when nothing may start now. */
-export function selectGroup (tree: QueueTree, capacity: QueueCapacity, reserve: ReserveOptions): RequestGroup | undefined {
+export function selectGroup (tree: QueueTree, capacity: QueueCapacity, usableSlots: number, reserve: ReserveOptions): RequestGroup | undefined {
   if (tree.waiting === 0) return undefined
-  return selectGuaranteed(tree) ?? selectShared(tree, capacity, reserve)
+  return selectGuaranteed(tree) ?? selectShared(tree, capacity, usableSlots, reserve)
 }
 
 function selectGuaranteed (tree: QueueTree): RequestGroup | undefined {
@@ -38,10 +38,10 @@
   return getStartTarget(one.classNode) < getStartTarget(other.classNode)
 }
 
-function selectShared (tree: QueueTree, capacity: QueueCapacity, reserve: ReserveOptions): RequestGroup | undefined {
+function selectShared (tree: QueueTree, capacity: QueueCapacity, usableSlots: number, reserve: ReserveOptions): RequestGroup | undefined {
   const free = capacity.slots - tree.running
   const mayHoldBack = free <= capacity.slots * reserve.maxShare
-  const equalShare = capacity.slots / tree.level.active.size
+  const equalShare = usableSlots / tree.level.active.size
   let best: ClassNode | undefined
   for (const node of tree.level.active) {
     if (mayHoldBack && free <= computeReserveAgainst(tree, node, capacity, reserve)) continue
--- a/packages/core/src/routing/fleetRouter.ts
+++ b/packages/core/src/routing/fleetRouter.ts
@@ -36,6 +36,7 @@
   private readonly _ejection = new OutlierEjection()
   private readonly _link: TokenBucket
   private _meanLatencyMs = 0
+  private _entries = 1
 
   constructor (options: FleetRouterOptions) {
     this._options = options
@@ -59,9 +60,10 @@
     })
   }
 
-  /** Sets the bytes a second for the region link. */
-  setLinkBudget (bytesPerSecond: number): void {
-    this._link.setRate(bytesPerSecond)
+  /** Notes how many entries share the agents, and the bytes a second that this one may send over the region link. */
+  update (entries: number, linkBytesPerSecond: number): void {
+    this._entries = Math.max(1, entries)
+    this._link.setRate(linkBytesPerSecond)
   }
 
   report (report: AttemptReport, now: number): void {
@@ -71,7 +73,7 @@
   }
 
   private _pickRemote (request: RoutedRequest, usable: readonly Candidate[], now: number): Candidate | undefined {
-    const roundTripMs = this._getLinkRoundTrip()
+    const roundTripMs = this._options.linkRoundTripMs ?? LINK_ROUND_TRIP_MS
     const remote = usable.filter(candidate => candidate.region !== this._options.region)
     const pick = this._pickOfTwo(remote, now)
     if (pick === undefined || !this._isInTime(pick, request, roundTripMs, now)) return undefined
@@ -98,16 +100,17 @@
     return now + extraMs + latencyMs * (1 + Math.max(0, load - 1)) <= request.deadlineAt
   }
 
-  /** True when another request would find a free slot, or one that comes free by the time it arrives. */
+  /**
+   * True when another request would find a free slot, or one that comes free by the time it arrives. In the own
+   * region an entry may also use its equal part of the slots while other entries fill all of them: the agent's
+   * queue then decides. Work from another region never waits at an agent.
+   */
   private _isOpen (candidate: Candidate, now: number): boolean {
-    const isLocal = candidate.region === this._options.region
-    const roundTripMs = isLocal ? LOCAL_ROUND_TRIP_MS : this._getLinkRoundTrip()
-    const waitingShare = Math.min(MAX_WAITING_SHARE, roundTripMs / Math.max(1, this._meanLatencyMs))
-    return this._computeLoad(candidate, now) + 1 / Math.max(1, candidate.slots) <= 1 + waitingShare
-  }
-
-  private _getLinkRoundTrip (): number {
-    return this._options.linkRoundTripMs ?? LINK_ROUND_TRIP_MS
+    const slots = Math.max(1, candidate.slots)
+    const nextLoad = this._computeLoad(candidate, now) + 1 / slots
+    if (candidate.region !== this._options.region) return nextLoad <= 1
+    if (candidate.inFlight < slots / this._entries) return true
+    return nextLoad <= 1 + Math.min(MAX_WAITING_SHARE, LOCAL_ROUND_TRIP_MS / Math.max(1, this._meanLatencyMs))
   }
 
   private _isUsable (candidate: Candidate, request: RoutedRequest, now: number): boolean {
--- a/packages/core/test/routing/fleetRouter.test.ts
+++ b/packages/core/test/routing/fleetRouter.test.ts
@@ -76,7 +76,16 @@
 
 test('the load that others caused fades when no answer brings news', t => {
   const router = createRouter()
-  const candidates = [makeCandidate('near-1', { reportedLoad: 40 }), makeCandidate('far-1', { region: 'far' })]
+  router.update(2, 1_000_000)
+  const candidates = [makeCandidate('near-1', { reportedLoad: 44, inFlight: 4 }), makeCandidate('far-1', { region: 'far' })]
   t.is(router.pick(makeRequest(), candidates, 0)?.agentId, 'far-1')
   t.is(router.pick(makeRequest(), candidates, 3_000)?.agentId, 'near-1')
 })
+
+test('an entry may use its equal part of an agent that others have filled', t => {
+  const router = createRouter()
+  router.update(2, 1_000_000)
+  t.true(router.hasRoom([makeCandidate('near-1', { reportedLoad: 11, inFlight: 3 })], 0))
+  t.false(router.hasRoom([makeCandidate('near-1', { reportedLoad: 12, inFlight: 4 })], 0))
+  t.false(router.hasRoom([makeCandidate('far-1', { reportedLoad: 11, inFlight: 3, region: 'far' })], 0))
+})
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -136,7 +136,7 @@
     this.board.subscribe('members', () => {
       dispatcher.drop(agents.update(this.board.get('members')))
       sender.setConnectionLimit(computeConnectionShare(DEFAULT_AGENT_CONNECTIONS, agents.entries))
-      router.setLinkBudget(LINK_BYTES_PER_SECOND / agents.entries)
+      router.update(agents.entries, LINK_BYTES_PER_SECOND / agents.entries)
       queue.setCapacity(computeEntryCapacity(agents.list(), agents.entries))
       dispatcher.notify()
     })
