--- a/packages/core/src/routing/fleetRouter.ts
+++ b/packages/core/src/routing/fleetRouter.ts
@@ -22,6 +22,11 @@
 const LINK_ROUND_TRIP_MS = 60
 /** Expected size of an answer and all headers on the link. */
 const ANSWER_BYTES = 2_048
+/** Half-lives of the load that other entries cause. It fades slowly across the link, so that a full region is not tried often. */
+const LOCAL_HALF_LIFE_MS = 500
+const LINK_HALF_LIFE_MS = 10_000
+/** Age up to which a report from across the link may be acted on. */
+const LINK_NEWS_MS = 500
 const LATENCY_WEIGHT = 0.1
 /** Round trip within the region in milliseconds. */
 const LOCAL_ROUND_TRIP_MS = 4
@@ -68,7 +73,7 @@
 
   report (report: AttemptReport, now: number): void {
     this._ejection.learn(report, now)
-    if (report.kind !== 'lost') this._getLoad(report.agentId).note()
+    if (report.kind !== 'lost') this._loads.get(report.agentId)?.note()
     if (report.kind === 'answered') this._learnLatency(report)
   }
 
@@ -108,25 +113,31 @@
   private _isOpen (candidate: Candidate, now: number): boolean {
     const slots = Math.max(1, candidate.slots)
     const nextLoad = this._computeLoad(candidate, now) + 1 / slots
-    if (candidate.region !== this._options.region) return nextLoad <= 1
+    if (candidate.region !== this._options.region) return nextLoad <= 1 - 1 / slots && this._hasNews(candidate, now)
     if (candidate.inFlight < slots / this._entries) return true
     return nextLoad <= 1 + Math.min(MAX_WAITING_SHARE, LOCAL_ROUND_TRIP_MS / Math.max(1, this._meanLatencyMs))
   }
 
+  /** Without recent news of an agent in another region, one request at a time finds out whether it has room. */
+  private _hasNews (candidate: Candidate, now: number): boolean {
+    return candidate.inFlight === 0 || this._getLoad(candidate).isFresh(now, LINK_NEWS_MS)
+  }
+
   private _isUsable (candidate: Candidate, request: RoutedRequest, now: number): boolean {
     if (candidate.inFlight >= candidate.maxInFlight || request.tried.has(candidate.agentId)) return false
     return this._ejection.accept(candidate.agentId, candidate.inFlight, now)
   }
 
   private _computeLoad (candidate: Candidate, now: number): number {
-    return this._getLoad(candidate.agentId).estimate(candidate, now) / Math.max(1, candidate.slots)
+    return this._getLoad(candidate).estimate(candidate, now) / Math.max(1, candidate.slots)
   }
 
-  private _getLoad (agentId: string): LoadEstimate {
-    const known = this._loads.get(agentId)
+  private _getLoad (candidate: Candidate): LoadEstimate {
+    const known = this._loads.get(candidate.agentId)
     if (known !== undefined) return known
-    const created = new LoadEstimate()
-    this._loads.set(agentId, created)
+    const isLocal = candidate.region === this._options.region
+    const created = new LoadEstimate(isLocal ? LOCAL_HALF_LIFE_MS : LINK_HALF_LIFE_MS)
+    this._loads.set(candidate.agentId, created)
     return created
   }
 
