--- a/packages/bench/src/floods/fleetRun.ts
+++ b/packages/bench/src/floods/fleetRun.ts
@@ -64,7 +64,7 @@
 function createAgents (options: FleetRunOptions, domains: readonly FailureDomain[], clock: VirtualClock, random: Random): FakeAgent[] {
   const workers = domains.reduce((sum, domain) => sum + domain.workers, 0)
   return domains.flatMap(domain => Array.from({ length: domain.workers }, (_, index) => {
-    const context = { deployment: options.deployment, workers, entries: domains.length, region: domain.region, random }
+    const context = { deployment: options.deployment, workers, entries: domains.length, localEntries: countLocal(domains, domain), region: domain.region, random }
     const place = { agentId: `${domain.name}-${index}`, region: domain.region, failureDomain: domain.name }
     return new FakeAgent(place, clock, options.policy.createAgentQueue(context))
   }))
@@ -72,7 +72,7 @@
 
 function createEntry (options: FleetRunOptions, domains: readonly FailureDomain[], domain: FailureDomain, agents: readonly FakeAgent[], clock: VirtualClock, random: Random): FakeEntry {
   const { deployment, policy } = options
-  const context = { deployment, workers: agents.length, entries: domains.length, region: domain.region, random }
+  const context = { deployment, workers: agents.length, entries: domains.length, localEntries: countLocal(domains, domain), region: domain.region, random }
   return new FakeEntry({
     clock,
     queue: policy.createEntryQueue(context),
@@ -85,6 +85,10 @@
   })
 }
 
+function countLocal (domains: readonly FailureDomain[], domain: FailureDomain): number {
+  return domains.filter(({ region }) => region === domain.region).length
+}
+
 interface StreamRun {
   readonly stream: Stream
   readonly entries: readonly FakeEntry[]
--- a/packages/bench/src/floods/policies.ts
+++ b/packages/bench/src/floods/policies.ts
@@ -19,6 +19,8 @@
   /** Workers that are up, and entries. */
   readonly workers: number
   readonly entries: number
+  /** Entries of the same region. */
+  readonly localEntries: number
   readonly region: string
   readonly random: Random
 }
@@ -43,9 +45,9 @@
       return new FairQueue({ ...computeEntryCapacity(agents, context.entries), maxWaiting: ENTRY_MAX_WAITING, policy: createPolicy(context.deployment), ...constants })
     },
     createAgentQueue: context => new FairQueue({ slots: SLOTS_PER_WORKER, fleetSlots: context.workers * SLOTS_PER_WORKER, maxWaiting: CONNECTIONS_PER_WORKER, policy: createPolicy(context.deployment), ...constants }),
-    createRouter: ({ region, random, entries }) => {
+    createRouter: ({ region, random, entries, localEntries }) => {
       const router = new FleetRouter({ region, random, linkBytesPerSecond: LINK_BYTES_PER_SECOND / entries })
-      router.update(entries, LINK_BYTES_PER_SECOND / entries)
+      router.update(localEntries, LINK_BYTES_PER_SECOND / entries)
       return router
     }
   }
--- a/packages/core/src/fairness/fairQueue.ts
+++ b/packages/core/src/fairness/fairQueue.ts
@@ -37,7 +37,7 @@
   readonly admission?: AdmissionOptions
 }
 
-const USABLE_WEIGHT = 0.02
+const USABLE_WEIGHT = 0.05
 const APPLIED_TOLERANCE = 0.05
 
 interface RunningRequest {
--- a/packages/core/src/routing/fleetRouter.ts
+++ b/packages/core/src/routing/fleetRouter.ts
@@ -41,7 +41,7 @@
   private readonly _ejection = new OutlierEjection()
   private readonly _link: TokenBucket
   private _meanLatencyMs = 0
-  private _entries = 1
+  private _localEntries = 1
 
   constructor (options: FleetRouterOptions) {
     this._options = options
@@ -65,9 +65,9 @@
     })
   }
 
-  /** Notes how many entries share the agents, and the bytes a second that this one may send over the region link. */
-  update (entries: number, linkBytesPerSecond: number): void {
-    this._entries = Math.max(1, entries)
+  /** Notes how many entries the region has, and the bytes a second that this one may send over the region link. */
+  update (localEntries: number, linkBytesPerSecond: number): void {
+    this._localEntries = Math.max(1, localEntries)
     this._link.setRate(linkBytesPerSecond)
   }
 
@@ -114,7 +114,7 @@
     const slots = Math.max(1, candidate.slots)
     const nextLoad = this._computeLoad(candidate, now) + 1 / slots
     if (candidate.region !== this._options.region) return nextLoad <= 1 - 1 / slots && this._hasNews(candidate, now)
-    if (candidate.inFlight < slots / this._entries) return true
+    if (candidate.inFlight < slots / this._localEntries) return true
     return nextLoad <= 1 + Math.min(MAX_WAITING_SHARE, LOCAL_ROUND_TRIP_MS / Math.max(1, this._meanLatencyMs))
   }
 
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -10,7 +10,7 @@
 import { ConfigurationHolder } from '../shared/configurationHolder.js'
 import { ConfigurationWatcher } from '../shared/configurationWatcher.js'
 import { ControlServer } from '../shared/controlServer.js'
-import { createFleetFacts, sumSlots } from '../shared/fleetFacts.js'
+import { countEntries, createFleetFacts, sumSlots } from '../shared/fleetFacts.js'
 import type { FleetFacts } from '../shared/fleetFacts.js'
 import { MemberDirectory } from '../shared/memberDirectory.js'
 import { createProcessParts } from '../shared/processParts.js'
@@ -136,7 +136,7 @@
     this.board.subscribe('members', () => {
       dispatcher.drop(agents.update(this.board.get('members')))
       sender.setConnectionLimit(computeConnectionShare(DEFAULT_AGENT_CONNECTIONS, agents.entries))
-      router.update(agents.entries, LINK_BYTES_PER_SECOND / agents.entries)
+      router.update(countEntries(this.board.get('members'), this._settings.region), LINK_BYTES_PER_SECOND / agents.entries)
       queue.setCapacity(computeEntryCapacity(agents.list(), agents.entries))
       dispatcher.notify()
     })
--- a/packages/daemon/src/shared/fleetFacts.ts
+++ b/packages/daemon/src/shared/fleetFacts.ts
@@ -31,3 +31,8 @@
   for (const { member } of members.values()) if (member.state === 'alive') slots += member.agent?.slots ?? 0
   return slots
 }
+
+/** Counts the entries of a region. */
+export function countEntries (members: ReadonlyMap<string, MemberView>, region: string): number {
+  return [...members.values()].filter(({ member }) => member.role === 'entry' && member.region === region).length
+}
