--- a/packages/core/src/routing/fleetRouter.ts
+++ b/packages/core/src/routing/fleetRouter.ts
@@ -52,9 +52,9 @@
     if (this._loads.size > candidates.length) this._dropGone(candidates)
     const usable = candidates.filter(candidate => this._isUsable(candidate, request, now))
     const local = usable.filter(candidate => candidate.region === this._options.region)
-    const localPick = this._pickOfTwo(local, now)
-    if (localPick !== undefined && this._isInTime(localPick, request, 0, now)) return localPick
-    return this._pickRemote(request, usable, now) ?? localPick
+    const open = this._pickOfTwo(local.filter(candidate => this._isOpen(candidate, now)), now)
+    if (open !== undefined && this._isInTime(open, request, 0, now)) return open
+    return this._pickRemote(request, usable, now) ?? open ?? this._pickOfTwo(local, now)
   }
 
   hasRoom (candidates: readonly Candidate[], now: number): boolean {
@@ -79,7 +79,7 @@
 
   private _pickRemote (request: RoutedRequest, usable: readonly Candidate[], now: number): Candidate | undefined {
     const roundTripMs = this._options.linkRoundTripMs ?? LINK_ROUND_TRIP_MS
-    const remote = usable.filter(candidate => candidate.region !== this._options.region)
+    const remote = usable.filter(candidate => candidate.region !== this._options.region && this._isOpen(candidate, now))
     const pick = this._pickOfTwo(remote, now)
     if (pick === undefined || !this._isInTime(pick, request, roundTripMs, now)) return undefined
     return this._link.take(request.bodyBytes + ANSWER_BYTES, now) ? pick : undefined
@@ -97,9 +97,8 @@
     return this._computeLoad(first, now) <= this._computeLoad(second, now) ? first : second
   }
 
-  /** True when the agent has room and the request would finish there before its deadline. */
+  /** True when the request would finish there before its deadline. */
   private _isInTime (candidate: Candidate, request: RoutedRequest, extraMs: number, now: number): boolean {
-    if (!this._isOpen(candidate, now)) return false
     const load = this._computeLoad(candidate, now)
     const latencyMs = this._latencies.get(request.className) ?? 0
     return now + extraMs + latencyMs * (1 + Math.max(0, load - 1)) <= request.deadlineAt
