Fail a job as one that fits nowhere only when the verdict has stood for ten minutes

Cause: right after the planner's start, and while hosts are away, the announced fleet is smaller than the real one; a gang of two whole workers was failed for good because the second agent's announcement came after the job.

--- a/packages/daemon/src/planner/explainJob.ts
+++ b/packages/daemon/src/planner/explainJob.ts
@@ -25,6 +25,7 @@
   const { job } = input
   if (job === undefined) return { reasons: ['the planner has not taken the job up yet'] }
   if (job.gang.stage !== 'queued') return { reasons: [`the gang is ${job.gang.stage}, incarnation ${job.gang.incarnation}, on ${[...new Set(job.gang.placement)].join(', ')}`] }
+  if (job.verdict !== undefined) return { reasons: [job.verdict, 'it is failed when this has stood for ten minutes', describeFree(input)] }
   const reservation = input.reservations.find(item => item.jobId === job.jobId)
   const reasons = [describeNeed(job), describeFree(input), `${input.waiting.length} jobs wait, this one included`]
   if (reservation === undefined) return { reasons }
--- a/packages/daemon/src/planner/jobBook.ts
+++ b/packages/daemon/src/planner/jobBook.ts
@@ -20,6 +20,8 @@
   readonly progress: Map<number, TaskReportMessage>
   /** True when its caller has asked for the cancellation. */
   isCancelled: boolean
+  /** Why no host that is known could ever hold the job; undefined while one could. */
+  verdict: string | undefined
 }
 
 export class JobBook {
@@ -51,7 +53,7 @@
     const jobId = record.spec.id
     if (this._jobs.has(jobId) || hasEnded(record)) return undefined
     const { gang } = restoreGang(record.spec, record.gang, revision, this._epoch, this._times, now)
-    const job: BookedJob = { jobId, record, gang, progress: new Map(), isCancelled: this._cancelled.has(jobId) }
+    const job: BookedJob = { jobId, record, gang, progress: new Map(), isCancelled: this._cancelled.has(jobId), verdict: undefined }
     this._jobs.set(jobId, job)
     return job
   }
--- a/packages/daemon/src/planner/plannerSession.ts
+++ b/packages/daemon/src/planner/plannerSession.ts
@@ -2,7 +2,7 @@
  * One holder's time as planner, under one epoch: takes the jobs up from the store and the agents' inventories, decides,
  * and carries the gangs' state machines through. It ends when the duty is lost; the next holder begins anew.
  */
-import { BlameLedger, GangPlanner, RunTimeEstimator, isOrphan, isRenewable, noteRenewal, advanceGang } from '@dragonflylever/core'
+import { BlameLedger, GangPlanner, JobFailure, RunTimeEstimator, isOrphan, isRenewable, noteRenewal, advanceGang } from '@dragonflylever/core'
 import type { GangCommand, GangEvent, GangRecord, GangTimes, Guarantee, PlanAction, WorkerFacts } from '@dragonflylever/core'
 import type { Store, StoredValue, Watch, WatchEvent } from '@dragonflylever/platform'
 import type { PeerRpc, RpcParams, RpcResultValue, TaskReportMessage } from '@dragonflylever/protocol'
@@ -17,6 +17,8 @@
 import { JobBook } from './jobBook.js'
 import type { BookedJob } from './jobBook.js'
 import { makeNextRecord } from './nextRecord.js'
+import { StandingVerdicts } from './standingVerdicts.js'
+import { WorkerCatalogue } from './workerCatalogue.js'
 
 const TIMES: GangTimes = { leaseMs: TASK_LEASE_MS, marginMs: 3_000, checkpointMs: 60_000 }
 const TICK_MS = 1_000
@@ -57,7 +59,8 @@
   private readonly _blame = new BlameLedger()
   private readonly _planner = new GangPlanner({ runTimes: this._runTimes, blame: this._blame })
   private readonly _timer: NodeJS.Timeout
-  private _workers = new Map<string, PlannedWorker>()
+  private readonly _workers = new WorkerCatalogue()
+  private readonly _verdicts = new StandingVerdicts()
   private _watch: Watch | undefined
   private _retry: NodeJS.Timeout | undefined
   private _planning: NodeJS.Timeout | undefined
@@ -96,11 +99,7 @@
 
   /** Takes the present workers over; tasks at those that are gone are lost. */
   updateWorkers (): void {
-    const next = new Map(this._parts.listWorkers().map(worker => [worker.id, worker]))
-    const lost = [...this._workers.values()].filter(worker => next.get(worker.id)?.incarnation !== worker.incarnation)
-    const isKnown = (worker: PlannedWorker): boolean => this._workers.get(worker.id)?.incarnation === worker.incarnation
-    const joined = [...next.values()].filter(worker => !isKnown(worker))
-    this._workers = next
+    const { lost, joined } = this._workers.update(this._parts.listWorkers(), performance.now())
     for (const worker of lost) {
       for (const job of this._book.list()) this._apply(job, { kind: 'workerLost', workerId: worker.id })
     }
@@ -137,7 +136,7 @@
   /** Says why a job waits. */
   explain (jobId: string): PlannerExplanation {
     const job = this._book.get(jobId)
-    const workers = [...this._workers.values()]
+    const workers = this._workers.list()
     return explainJob({ job, workers, running: this._book.listRunning(), waiting: this._book.listWaiting(), reservations: this._planner.listReservations() })
   }
 
@@ -209,14 +208,23 @@
     if (!this._isActive()) return
     const startedAt = performance.now()
     const now = Date.now()
-    const workers = [...this._workers.values()].map(worker => this._blame.isQuarantined(worker.id, now) ? { ...worker, state: 'quarantined' as const } : worker)
+    const workers = this._workers.list().map(worker => this._blame.isQuarantined(worker.id, now) ? { ...worker, state: 'quarantined' as const } : worker)
     const snapshot = { workers, guarantees: this._parts.listGuarantees(), waiting: this._book.listWaiting(), running: this._book.listRunning() }
     const actions = this._planner.schedule(snapshot, now)
-    for (const action of actions) this._perform(action)
+    for (const action of this._holdBack(actions)) this._perform(action)
     this._parts.metrics.time('plan_ms', performance.now() - startedAt)
     this._parts.metrics.gauge('jobs_waiting', snapshot.waiting.length)
   }
 
+  /** Leaves out the verdicts that a job never fits, until they have stood for a while; explain tells of them at once. */
+  private _holdBack (actions: readonly PlanAction[]): readonly PlanAction[] {
+    const hopeless = new Map<string, string>()
+    for (const action of actions) if (action.kind === 'fail' && action.reason === JobFailure.neverFits) hopeless.set(action.jobId, action.message)
+    const standing = this._verdicts.update([...hopeless.keys()], performance.now())
+    for (const job of this._book.list()) job.verdict = hopeless.get(job.jobId)
+    return actions.filter(action => action.kind !== 'fail' || !hopeless.has(action.jobId) || standing.has(action.jobId))
+  }
+
   private _perform (action: PlanAction): void {
     if (action.kind === 'quarantine' || action.kind === 'reserve') return
     const job = this._book.get(action.jobId)
--- /dev/null
+++ b/packages/daemon/test/planner/workerCatalogue.test.ts
@@ -0,0 +1,37 @@
+/**
+ * What a planner keeps of workers that are away, and how long a verdict must stand.
+ */
+import test from 'ava'
+
+import { NEVER_FITS_STAND_MS, StandingVerdicts } from '../../src/planner/standingVerdicts.js'
+import { WorkerCatalogue } from '../../src/planner/workerCatalogue.js'
+import type { PlannedWorker } from '../../src/index.js'
+
+function makeWorker (id: string, incarnation = 'first'): PlannedWorker {
+  return { id, incarnation, rack: 'r', failureDomain: 'd', region: 'g', accelerators: 8, cores: 8, memoryGb: 8, state: 'ready', address: '' }
+}
+
+test('a worker that is away still counts for what the fleet can hold, and takes no tasks', t => {
+  const catalogue = new WorkerCatalogue()
+  catalogue.update([makeWorker('a'), makeWorker('b')], 0)
+  const { lost } = catalogue.update([makeWorker('a')], 1_000)
+  t.deepEqual(lost.map(worker => worker.id), ['b'])
+  t.deepEqual(catalogue.list().map(worker => [worker.id, worker.state]), [['a', 'ready'], ['b', 'lost']])
+})
+
+test('a restarted agent is a loss and a join', t => {
+  const catalogue = new WorkerCatalogue()
+  catalogue.update([makeWorker('a')], 0)
+  const { lost, joined } = catalogue.update([makeWorker('a', 'second')], 1)
+  t.is(lost.length, 1)
+  t.is(joined.length, 1)
+  t.deepEqual(catalogue.list().map(worker => worker.state), ['ready'])
+})
+
+test('a job is judged to fit nowhere only when the verdict has stood without a break', t => {
+  const verdicts = new StandingVerdicts()
+  t.is(verdicts.update(['job'], 0).size, 0)
+  t.is(verdicts.update([], NEVER_FITS_STAND_MS - 1).size, 0)
+  t.is(verdicts.update(['job'], NEVER_FITS_STAND_MS).size, 0)
+  t.is(verdicts.update(['job'], 2 * NEVER_FITS_STAND_MS).size, 1)
+})
