--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -6,5 +6,7 @@
 type Loader = () => Promise<Bench>
 
 export const BENCHES: Readonly<Record<string, Loader>> = {
-  path: async () => (await import('./path/pathBench.js')).pathBench
+  path: async () => (await import('./path/pathBench.js')).pathBench,
+  completion: async () => (await import('./gangs/completionBench.js')).completionBench,
+  fragmentation: async () => (await import('./gangs/fragmentationBench.js')).fragmentationBench
 }
--- /dev/null
+++ b/packages/bench/src/gangs/completionBench.ts
@@ -0,0 +1,103 @@
+/**
+ * Completion: jobs within their finish target, waits of large gangs, cost of a decision; against two baselines and an ideal bound.
+ */
+import type { Bench, BenchOptions } from '../bench.js'
+import { GangDriver } from './gangDriver.js'
+import type { DriverResult, GangScheduler, JobResult } from './gangDriver.js'
+import { makeArrivals, makeCrispWorks, makeGuild, makeLargeFleet, makeWorkerEvents } from './gangWorkload.js'
+import type { Deployment, JobArrival } from './gangWorkload.js'
+import { makeClassPriority, makeFirstFit, makePlanner } from './schedulers.js'
+
+const DAYS = 3
+const LOAD = 0.65
+const MINUTE_MS = 60_000
+const SCHEDULERS: Readonly<Record<string, () => GangScheduler>> = { planner: makePlanner, firstFitFifo: makeFirstFit, bestFitClassPriority: makeClassPriority }
+
+/** Runs all schedulers over the same stream of each deployment. */
+export function runDeployments (options: BenchOptions, report: (result: DriverResult, deployment: Deployment) => object, load = LOAD): object {
+  const days = options.isQuick ? 1 : DAYS
+  const result: Record<string, object> = {}
+  for (const deployment of [makeCrispWorks(), makeGuild(), makeLargeFleet()]) {
+    const arrivals = makeArrivals(deployment, options.seed, days, load)
+    const workerEvents = makeWorkerEvents(deployment, options.seed, days)
+    const rows: Record<string, object> = { ideal: computeIdeal(deployment, arrivals) }
+    for (const [name, make] of Object.entries(SCHEDULERS)) {
+      options.note(`${deployment.name}: ${name}`)
+      const driver = new GangDriver({ workers: deployment.workers, guarantees: deployment.guarantees, arrivals, workerEvents, scheduler: make() })
+      rows[name] = report(driver.run(), deployment)
+    }
+    result[deployment.name] = rows
+  }
+  return { days, load, ...result }
+}
+
+/** Whether each job's own run time and all work due in any span allow every job its finish target. */
+function computeIdeal (deployment: Deployment, arrivals: readonly JobArrival[]): object {
+  const capacity = deployment.workers.reduce((sum, worker) => sum + worker.accelerators, 0)
+  const sound = arrivals.filter(isSound)
+  const byDue = [...sound].sort((a, b) => getDueAt(a) - getDueAt(b))
+  let peak = 0
+  for (const from of sound) {
+    let work = 0
+    for (const job of byDue) {
+      if (job.at < from.at) continue
+      work += job.runMs * job.spec.tasks * job.spec.shape.accelerators
+      peak = Math.max(peak, work / (capacity * (getDueAt(job) - from.at)))
+    }
+  }
+  const withinPath = sound.filter(job => job.runMs <= job.spec.finishWithinMs).length
+  return { withinCriticalPath: withinPath / sound.length, peakWorkOverCapacity: cutDigits(peak), isAllReachable: withinPath === sound.length && peak <= 1 }
+}
+
+function getDueAt (arrival: JobArrival): number {
+  return arrival.at + arrival.spec.finishWithinMs
+}
+
+function isSound (arrival: JobArrival): boolean {
+  return !arrival.isImpossible && !arrival.isFaulty && arrival.cancelAt === undefined
+}
+
+function reportCompletion (result: DriverResult): object {
+  const sound = result.results.filter(({ arrival }) => isSound(arrival))
+  const bad = result.results.filter(({ arrival }) => (arrival.isImpossible || arrival.isFaulty) && arrival.cancelAt === undefined)
+  const large = result.results.filter(item => item.drainMs !== undefined && isSound(item.arrival))
+  const stretch = sound.map(item => (item.endAt - item.arrival.at) / item.arrival.runMs)
+  return {
+    withinTarget: cutDigits(sound.filter(isWithin).length / sound.length),
+    jobsCounted: sound.length,
+    stretchP50: cutDigits(computeQuantile(stretch, 0.5)),
+    stretchP99: cutDigits(computeQuantile(stretch, 0.99)),
+    badJobsFailed: cutDigits(bad.filter(item => item.end === 'failed').length / Math.max(1, bad.length)),
+    unfinished: sound.filter(item => item.end === 'unfinished').length,
+    gangsOf64: large.length,
+    gangsOf64Within2Drains: cutDigits(large.filter(isWithinDrains).length / Math.max(1, large.length)),
+    reclaims: result.reclaims,
+    lostWorkShare: cutDigits(result.lostShare),
+    decisions: result.decisionUs.length,
+    decisionMsP50: cutDigits(computeQuantile(result.decisionUs, 0.5) / 1_000),
+    decisionMsP99: cutDigits(computeQuantile(result.decisionUs, 0.99) / 1_000)
+  }
+}
+
+function isWithin ({ arrival, end, endAt }: JobResult): boolean {
+  return end === 'done' && endAt <= getDueAt(arrival)
+}
+
+function isWithinDrains ({ arrival, firstStartAt, drainMs }: JobResult): boolean {
+  return firstStartAt !== undefined && firstStartAt - arrival.at <= 2 * (drainMs ?? 0) + MINUTE_MS
+}
+
+export function computeQuantile (values: readonly number[], quantile: number): number {
+  const sorted = [...values].sort((a, b) => a - b)
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * quantile))] ?? 0
+}
+
+export function cutDigits (value: number): number {
+  return Math.round(value * 10_000) / 10_000
+}
+
+export const completionBench: Bench = {
+  name: 'completion',
+  help: 'jobs within their finish target, waits of large gangs, cost of a decision',
+  run: async options => runDeployments(options, reportCompletion)
+}
--- /dev/null
+++ b/packages/bench/src/gangs/fragmentation.ts
@@ -0,0 +1,88 @@
+/**
+ * How much of what is free could be used, in accelerators. Free accelerators count as usable when a shape that waits
+ * fits whole where they are, or a guaranteed shape would fit there after a reclaim.
+ */
+import { CapacityTable, convertCells, findPlacementIn, FleetModel, listGroups } from '@dragonflylever/core'
+import type { GangAdjacency, PlanSnapshot, Resources } from '@dragonflylever/core'
+
+/** Accelerators of one moment. */
+export interface FreeUse {
+  readonly total: number
+  readonly used: number
+  /** Free, and of use to no waiting and no guaranteed shape. */
+  readonly unusable: number
+  /** The same, without counting on any reclaim. */
+  readonly unusableStrict: number
+  /** Free while jobs wait that would fit; at most what those jobs need. */
+  readonly freeWhileWaiting: number
+}
+
+interface Shape {
+  readonly tasks: number
+  readonly shape: Resources
+  readonly adjacency: GangAdjacency
+}
+
+export function sampleFreeUse (snapshot: PlanSnapshot): FreeUse {
+  const fleet = new FleetModel(snapshot.workers)
+  const total = sum(fleet.free.accelerators)
+  const freeable = new CapacityTable(fleet.workers.length)
+  for (const job of snapshot.running) fleet.hold(fleet.listIndexes(job.placement), job.spec.shape)
+  fleet.workers.forEach((_, worker) => freeable.add(worker, readRow(fleet.free, worker), 1))
+  for (const job of snapshot.running) {
+    if (!job.spec.isCheckpointable || job.coveredBy.length > 0) continue
+    for (const worker of fleet.listIndexes(job.placement)) freeable.add(worker, job.spec.shape, 1)
+  }
+  const free = sum(fleet.free.accelerators)
+  const waiting = collectShapes(snapshot.waiting.map(({ spec }) => spec).filter(spec => spec.tasks <= fleet.workers.length * 8))
+  const guaranteed = collectShapes(snapshot.guarantees.map(guarantee => makeGuaranteedShape(fleet, guarantee.accelerators, guarantee.adjacency)))
+  if (free === 0 || (waiting.length === 0 && guaranteed.length === 0)) return { total, used: total - free, unusable: 0, unusableStrict: 0, freeWhileWaiting: 0 }
+  const usable = new Uint8Array(fleet.workers.length)
+  const fitting = waiting.filter(shape => markUsable(fleet, fleet.free, shape, usable))
+  const usableStrict = usable.slice()
+  for (const shape of guaranteed) markUsable(fleet, freeable, shape, usable)
+  for (const shape of guaranteed) markUsable(fleet, fleet.free, shape, usableStrict)
+  const needed = snapshot.waiting.reduce((need, { spec }) => need + (fitting.some(shape => isSame(shape, spec)) ? spec.tasks * spec.shape.accelerators : 0), 0)
+  return { total, used: total - free, unusable: sumUnmarked(fleet, usable), unusableStrict: sumUnmarked(fleet, usableStrict), freeWhileWaiting: Math.min(free, needed) }
+}
+
+function makeGuaranteedShape (fleet: FleetModel, accelerators: number, adjacency: GangAdjacency): Shape {
+  const [facts] = fleet.workers
+  if (facts === undefined) throw new Error('invariant: a fleet has workers')
+  const size = Math.min(accelerators, facts.accelerators)
+  return { tasks: Math.ceil(accelerators / size), shape: convertCells(facts, size), adjacency }
+}
+
+function collectShapes (shapes: readonly Shape[]): Shape[] {
+  const unique: Shape[] = []
+  for (const shape of shapes) if (!unique.some(item => isSame(item, shape))) unique.push(shape)
+  return unique
+}
+
+function isSame (a: Shape, b: Shape): boolean {
+  return a.tasks === b.tasks && a.adjacency === b.adjacency && a.shape.accelerators === b.shape.accelerators &&
+    a.shape.cores === b.shape.cores && a.shape.memoryGb === b.shape.memoryGb
+}
+
+/** Marks all workers that could hold a task of a gang that fits in their group; returns whether any group fits it. */
+function markUsable (fleet: FleetModel, capacity: CapacityTable, shape: Shape, usable: Uint8Array): boolean {
+  let hasPlace = false
+  for (const group of listGroups(fleet, shape.adjacency)) {
+    if (findPlacementIn(fleet, group, { ...shape, capacity }) === undefined) continue
+    hasPlace = true
+    for (const worker of group.workers) if (capacity.countFits(worker, shape.shape) > 0) usable[worker] = 1
+  }
+  return hasPlace
+}
+
+function sumUnmarked (fleet: FleetModel, usable: Uint8Array): number {
+  return fleet.free.accelerators.reduce((open, amount, worker) => open + (usable[worker] === 1 ? 0 : Math.max(0, amount)), 0)
+}
+
+function sum (amounts: Float64Array): number {
+  return amounts.reduce((total, amount) => total + Math.max(0, amount), 0)
+}
+
+function readRow (table: CapacityTable, worker: number): Resources {
+  return { accelerators: table.accelerators[worker] ?? 0, cores: table.cores[worker] ?? 0, memoryGb: table.memoryGb[worker] ?? 0 }
+}
--- /dev/null
+++ b/packages/bench/src/gangs/schedulers.ts
@@ -0,0 +1,65 @@
+/**
+ * The planner and the baselines that it is compared with, behind one interface.
+ */
+import { BlameLedger, findPlacement, FleetModel, GangAdjacency, GangPlanner, RunTimeEstimator } from '@dragonflylever/core'
+import type { JobSpec, PlanAction, PlanSnapshot } from '@dragonflylever/core'
+
+import type { GangScheduler } from './gangDriver.js'
+
+/** The planner with its learning. */
+export function makePlanner (): GangScheduler {
+  const runTimes = new RunTimeEstimator()
+  const blame = new BlameLedger()
+  const planner = new GangPlanner({ runTimes, blame })
+  return {
+    schedule: (snapshot, now) => planner.schedule(snapshot, now),
+    noteFinished: (spec, runMs, placement) => {
+      runTimes.learn(spec, runMs)
+      blame.recordSuccess(spec.id, placement)
+    },
+    noteFailed: (spec, workerId, now) => { blame.recordFailure(spec.id, workerId, now) }
+  }
+}
+
+/** First come, first served in the order of submission; each job on the first workers that fit, later ones may pass. */
+export function makeFirstFit (): GangScheduler {
+  return makeBaseline(() => 0, findFirstFit)
+}
+
+/** Shorter finish targets first; best fit. */
+export function makeClassPriority (): GangScheduler {
+  return makeBaseline(spec => spec.finishWithinMs, (fleet, spec) => findPlacement(fleet, { ...spec, capacity: fleet.free }))
+}
+
+function makeBaseline (rank: (spec: JobSpec) => number, find: (fleet: FleetModel, spec: JobSpec) => number[] | undefined): GangScheduler {
+  return { schedule: snapshot => startAll(snapshot, rank, find) }
+}
+
+function startAll (snapshot: PlanSnapshot, rank: (spec: JobSpec) => number, find: (fleet: FleetModel, spec: JobSpec) => number[] | undefined): PlanAction[] {
+  const fleet = new FleetModel(snapshot.workers)
+  for (const job of snapshot.running) fleet.hold(fleet.listIndexes(job.placement), job.spec.shape)
+  const waiting = [...snapshot.waiting].sort((a, b) => rank(a.spec) - rank(b.spec) || a.submittedAt - b.submittedAt)
+  const actions: PlanAction[] = []
+  for (const { spec } of waiting) {
+    const places = find(fleet, spec)
+    if (places === undefined) continue
+    fleet.hold(places, spec.shape)
+    actions.push({ kind: 'start', jobId: spec.id, placement: places.map(worker => fleet.workers[worker]?.id ?? ''), coveredBy: [] })
+  }
+  return actions
+}
+
+function findFirstFit (fleet: FleetModel, spec: JobSpec): number[] | undefined {
+  const groups = spec.adjacency === GangAdjacency.rack
+    ? fleet.racks
+    : spec.adjacency === GangAdjacency.failureDomain ? fleet.failureDomains : fleet.workers.map((worker, index) => ({ id: worker.id, workers: [index] }))
+  for (const group of groups) {
+    const places: number[] = []
+    for (const worker of group.workers) {
+      const count = Math.min(spec.tasks - places.length, fleet.free.countFits(worker, spec.shape))
+      for (let task = 0; task < count; task++) places.push(worker)
+    }
+    if (places.length === spec.tasks) return places
+  }
+  return undefined
+}
