--- a/packages/daemon/src/agent/slotRunner.ts
+++ b/packages/daemon/src/agent/slotRunner.ts
@@ -33,6 +33,8 @@
 }
 
 const SWEEP_MS = 20
+/** Time in which an endpoint notices that a request was broken off; its slot stays taken until then. */
+const ABORT_NOTICE_MS = 50
 
 export class SlotRunner {
   private readonly _parts: SlotRunnerParts
@@ -60,6 +62,8 @@
   run (attempt: Attempt, signal: AbortSignal): Promise<RunResult> {
     const now = performance.now()
     const accepted = this._parts.ledger.accept(attempt.attemptId, now)
+    // A duplicate says nothing of the first arrival, which may run.
+    if (accepted === 'duplicate') return Promise.resolve({ kind: 'unknown', reason: UnknownReason.answerLost })
     if (accepted !== 'accepted') return Promise.resolve(makeNotRun(NotRunReason.refused))
     const offer = this._parts.queue.offer(attempt.queued, now)
     if (offer.kind === 'refused') {
@@ -109,8 +113,12 @@
     const { attempt } = waiting
     const outcome = await this._parts.endpoint.send(attempt.request, waiting.signal)
     const now = performance.now()
-    this._running--
     this._parts.ledger.finish(attempt.attemptId, now)
+    if (outcome.kind === 'lost') {
+      waiting.resolve(convertOutcome(outcome))
+      await new Promise(resolve => setTimeout(resolve, ABORT_NOTICE_MS))
+    }
+    this._running--
     this._parts.queue.finish(attempt.queued, now - startedAt, now)
     waiting.resolve(convertOutcome(outcome))
     this._pump()
--- a/packages/standins/src/sampleFleet.ts
+++ b/packages/standins/src/sampleFleet.ts
@@ -4,6 +4,10 @@
 import type { AgentSettings, Declarations, EntrySettings } from '@dragonflylever/protocol'
 
 const CLUSTER_KEY = 'loopback-cluster-key'
+/** Operators' key of the sample fleets. */
+export const OPERATORS_KEY = 'loopback-operators-key'
+/** Capacity of the workers of a sample fleet. */
+export const WORKER_CAPACITY = { accelerators: 8, cores: 130, memoryGb: 500 } as const
 const ANY_PORT = '127.0.0.1:0'
 
 /** What varies between the processes of a sample fleet. */
@@ -21,18 +25,20 @@
   return {
     role: 'entry',
     ...createCommon(options),
-    listen: { callers: ANY_PORT, control: ANY_PORT, operators: ANY_PORT }
+    listen: { callers: ANY_PORT, control: ANY_PORT, operators: ANY_PORT },
+    operatorsKey: OPERATORS_KEY
   }
 }
 
 /** Creates the settings of an agent on a free port. */
-export function createAgentSettings (options: SampleProcess & { readonly endpointUrl: string, readonly rack?: string, readonly slots?: number }): AgentSettings {
+export function createAgentSettings (options: SampleProcess & { readonly endpointUrl: string, readonly workerUrl?: string, readonly rack?: string, readonly slots?: number }): AgentSettings {
   return {
     role: 'agent',
     ...createCommon(options),
     listen: { control: ANY_PORT },
     rack: options.rack ?? 'rack-1',
-    endpoint: { url: options.endpointUrl, slots: options.slots ?? 8, maxConnections: 60 }
+    endpoint: { url: options.endpointUrl, slots: options.slots ?? 8, maxConnections: 60 },
+    ...(options.workerUrl === undefined ? {} : { worker: { url: options.workerUrl, ...WORKER_CAPACITY } })
   }
 }
 
@@ -59,7 +65,7 @@
   return JSON.stringify({ revision: 1, declarations, acceptedAt: 0, nonce: 'first', acceptedBy: 'sample' })
 }
 
-function createCommon (options: SampleProcess): Omit<EntrySettings, 'role' | 'listen' | 'organisationKeys'> {
+function createCommon (options: SampleProcess): Omit<EntrySettings, 'role' | 'listen' | 'organisationKeys' | 'operatorsKey'> {
   return {
     id: options.id,
     region: options.region ?? 'morava',
