--- a/packages/bench/src/gangs/completionBench.ts
+++ b/packages/bench/src/gangs/completionBench.ts
@@ -14,7 +14,7 @@
 const SCHEDULERS: Readonly<Record<string, () => GangScheduler>> = { planner: makePlanner, firstFitFifo: makeFirstFit, bestFitClassPriority: makeClassPriority }
 
 /** Runs all schedulers over the same stream of each deployment. */
-export function runDeployments (options: BenchOptions, report: (result: DriverResult, deployment: Deployment) => object, load = LOAD): object {
+export function runDeployments (options: BenchOptions, report: (result: DriverResult) => object, load = LOAD): object {
   const days = options.isQuick ? 1 : DAYS
   const result: Record<string, object> = {}
   for (const deployment of [makeCrispWorks(), makeGuild(), makeLargeFleet()]) {
@@ -24,7 +24,9 @@
     for (const [name, make] of Object.entries(SCHEDULERS)) {
       options.note(`${deployment.name}: ${name}`)
       const driver = new GangDriver({ workers: deployment.workers, guarantees: deployment.guarantees, arrivals, workerEvents, scheduler: make() })
-      rows[name] = report(driver.run(), deployment)
+      const row = report(driver.run())
+      options.note(JSON.stringify(row))
+      rows[name] = row
     }
     result[deployment.name] = rows
   }
--- a/packages/bench/src/gangs/schedulers.ts
+++ b/packages/bench/src/gangs/schedulers.ts
@@ -1,11 +1,14 @@
 /**
  * The planner and the baselines that it is compared with, behind one interface.
  */
-import { BlameLedger, findPlacement, FleetModel, GangAdjacency, GangPlanner, RunTimeEstimator } from '@dragonflylever/core'
+import { BlameLedger, findPlacement, FleetModel, GangAdjacency, GangPlanner, JobFailure, RunTimeEstimator } from '@dragonflylever/core'
 import type { JobSpec, PlanAction, PlanSnapshot } from '@dragonflylever/core'
 
 import type { GangScheduler } from './gangDriver.js'
 
+/** Failures after which a baseline gives up on a job. */
+const MAX_FAILURES = 3
+
 /** The planner with its learning. */
 export function makePlanner (): GangScheduler {
   const runTimes = new RunTimeEstimator()
@@ -32,7 +35,18 @@
 }
 
 function makeBaseline (rank: (spec: JobSpec) => number, find: (fleet: FleetModel, spec: JobSpec) => number[] | undefined): GangScheduler {
-  return { schedule: snapshot => startAll(snapshot, rank, find) }
+  const failures = new Map<string, number>()
+  return {
+    schedule: snapshot => [
+      ...snapshot.waiting.filter(({ spec }) => (failures.get(spec.id) ?? 0) >= MAX_FAILURES).map(({ spec }) => makeFailure(spec.id)),
+      ...startAll({ ...snapshot, waiting: snapshot.waiting.filter(({ spec }) => (failures.get(spec.id) ?? 0) < MAX_FAILURES) }, rank, find)
+    ],
+    noteFailed: spec => { failures.set(spec.id, (failures.get(spec.id) ?? 0) + 1) }
+  }
+}
+
+function makeFailure (jobId: string): PlanAction {
+  return { kind: 'fail', jobId, reason: JobFailure.failsEverywhere, message: 'its tasks failed too often' }
 }
 
 function startAll (snapshot: PlanSnapshot, rank: (spec: JobSpec) => number, find: (fleet: FleetModel, spec: JobSpec) => number[] | undefined): PlanAction[] {
