Check guaranteed shapes also for the time after the running ones end; reserve only for jobs that have waited

A job gets a reservation once it has waited a quarter of its target. The test of the reservation now lets the gang wait first; its checks are the same.

--- a/packages/core/src/gangs/guaranteeLedger.ts
+++ b/packages/core/src/gangs/guaranteeLedger.ts
@@ -34,6 +34,8 @@
 export class GuaranteeLedger {
   /** What no reclaim can free, per worker. */
   readonly firm: CapacityTable
+  /** The part of `firm` that is charged to guaranteed shapes. */
+  private readonly _covered: CapacityTable
   private readonly _fleet: FleetModel
   private readonly _instances = new Map<string, ShapeInstance>()
   private readonly _byOrganisation = new Map<string, ShapeInstance[]>()
@@ -41,6 +43,7 @@
   constructor (fleet: FleetModel, guarantees: readonly Guarantee[]) {
     this._fleet = fleet
     this.firm = new CapacityTable(fleet.workers.length)
+    this._covered = new CapacityTable(fleet.workers.length)
     guarantees.forEach((guarantee, index) => {
       for (let copy = 0; copy < guarantee.count; copy++) this._addInstance(`${guarantee.organisation}/${index}/${copy}`, guarantee)
     })
@@ -74,6 +77,7 @@
       if (facts === undefined || instance === undefined) return
       const cells = computeCells(facts, shape)
       this.firm.add(worker, convertCells(facts, cells), factor)
+      this._covered.add(worker, convertCells(facts, cells), factor)
       const used = (instance.used.get(worker) ?? 0) + cells * factor
       if (used > 0) instance.used.set(worker, used)
       else instance.used.delete(worker)
@@ -104,13 +108,27 @@
     })
   }
 
-  /** Returns the guaranteed cells that could not be freed now; zero when each guaranteed shape can be had back. */
+  /**
+   * Returns the guaranteed cells that could not be freed; zero when each guaranteed shape can be had back. Counts both
+   * now and once all shapes in use are given back, since the packing is a heuristic and may fail then only.
+   */
   computeShortfall (): number {
-    const packer = new CellPacker(this._fleet, this.computeFreeable())
+    const freeable = this.computeFreeable()
+    const now = this._placeAll(freeable, instance => instance.used.size > 0)
+    this._fleet.workers.forEach((_, worker) => {
+      if (!this._fleet.isReady(worker)) return
+      const { accelerators, cores, memoryGb } = this._covered
+      freeable.add(worker, { accelerators: accelerators[worker] ?? 0, cores: cores[worker] ?? 0, memoryGb: memoryGb[worker] ?? 0 }, 1)
+    })
+    return now + this._placeAll(freeable, () => false)
+  }
+
+  private _placeAll (freeable: CapacityTable, isBound: (instance: ShapeInstance) => boolean): number {
+    const packer = new CellPacker(this._fleet, freeable)
     const open: ShapeInstance[] = []
     let shortfall = 0
     for (const instance of this._instances.values()) {
-      if (instance.used.size > 0) shortfall += packer.takeBound(instance)
+      if (isBound(instance)) shortfall += packer.takeBound(instance)
       else open.push(instance)
     }
     open.sort(compareInstances)
--- a/packages/core/src/gangs/planRound.ts
+++ b/packages/core/src/gangs/planRound.ts
@@ -13,6 +13,8 @@
 
 const MEDIAN = 0.5
 const CAUTIOUS = 0.9
+/** Share of its target that a job waits before it gets a reservation. */
+const RESERVE_SHARE = 0.25
 /** A late job goes to the front once it has waited for this many times its target. */
 const AGED_FACTOR = 3
 
@@ -170,6 +172,7 @@
   private _reserve (job: WaitingJob): void {
     const { spec } = job
     if (spec.shape.accelerators * spec.tasks < this._options.minReservedAccelerators) return
+    if (this._now - job.submittedAt < RESERVE_SHARE * spec.finishWithinMs) return
     if (this._reservations.has(spec.id) || !this._hasReservationRoom(spec)) return
     const isOpen = (worker: number): boolean => !this._reservedFor.has(worker)
     const found = findEarliest(this._fleet, spec, this._listEnds(), isOpen, this._now)
--- a/packages/core/test/gangs/gangPlanner.test.ts
+++ b/packages/core/test/gangs/gangPlanner.test.ts
@@ -123,6 +123,7 @@
   submitJob(fleet, makeSpec('first', { shape: { accelerators: 8, cores: 1, memoryGb: 1 } }))
   runRound(fleet)
   submitJob(fleet, makeSpec('large', { tasks: 3, shape: { accelerators: 8, cores: 1, memoryGb: 1 }, adjacency: GangAdjacency.rack, finishWithinMs: 100_000 }))
+  fleet.now = 30_000
   submitJob(fleet, makeSpec('long', { declaredRunMs: 500_000, finishWithinMs: 900_000 }))
   submitJob(fleet, makeSpec('short', { declaredRunMs: 1_000 }))
   runRound(fleet)
