--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -9,4 +9,7 @@
   path: async () => (await import('./path/pathBench.js')).pathBench,
   completion: async () => (await import('./gangs/completionBench.js')).completionBench,
   fragmentation: async () => (await import('./gangs/fragmentationBench.js')).fragmentationBench
+  fairness: async () => (await import('./floods/fairnessBench.js')).fairnessBench,
+  flood: async () => (await import('./floods/floodBench.js')).floodBench,
+  path: async () => (await import('./path/pathBench.js')).pathBench
 }
--- a/packages/daemon/src/agent/agentProcess.ts
+++ b/packages/daemon/src/agent/agentProcess.ts
@@ -8,8 +8,7 @@
 import type { AgentSettings, Member } from '@dragonflylever/protocol'
 import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
 
-import { Announcer } from '../shared/announcer.js'
-import { ConfigurationHolder } from '../shared/configurationHolder.js'
+import { FleetNode } from '../fleet/fleetNode.js'
 import { ControlServer } from '../shared/controlServer.js'
 import { createFleetFacts } from '../shared/fleetFacts.js'
 import type { FleetFacts } from '../shared/fleetFacts.js'
@@ -83,14 +82,13 @@
     this._serveWithdrawals(control, runner)
     this._controlAddress = await control.open(this._settings.listen.control)
     const tasks = await this._createTasks(control)
-    const holder = new ConfigurationHolder(this.board, createPartLogger(logger, 'config'))
-    const announcer = new Announcer({ peers, holder, targets: this._settings.join, describe: () => this._describe(), noteFleetSlots: slots => this.board.set('fleetSlots', slots) })
-    this._lifecycle.add('announcer', () => announcer.close())
+    const node = this._createNode(control)
+    this._lifecycle.add('membership', () => node.close())
     this._lifecycle.add('control server', () => control.close())
     this._lifecycle.add('requests under way', () => runner.drain())
     this._lifecycle.add('tasks under way', () => tasks?.drain())
-    this._lifecycle.add('word of leaving', () => announcer.leave())
-    await announcer.start()
+    this._lifecycle.add('word of leaving', () => node.leave())
+    await node.start()
     log.info({ control: this._controlAddress, endpoint: this._settings.endpoint.url }, 'started')
   }
 
@@ -111,6 +109,13 @@
     return createTaskService({ settings: this._settings, worker, peers, rpc: control.rpc, logger, lifecycle: this._lifecycle })
   }
 
+  private _createNode (control: ControlServer): FleetNode {
+    const { store, peers, logger, random } = this._parts
+    const { id, role, region, failureDomain, join, store: { prefix } } = this._settings
+    const describe = (): Member => this._describe()
+    return new FleetNode({ id, role, region, failureDomain, join, prefix, board: this.board, store, peers, rpc: control.rpc, random, logger, describe })
+  }
+
   private _serveWithdrawals (control: ControlServer, runner: SlotRunner): void {
     control.rpc.add('withdraw', ({ attemptId, incarnation }) => {
       if (incarnation !== this._parts.incarnation) return { outcome: 'cannotVouch' }
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -7,14 +7,11 @@
 
 import { createJobApi } from '../jobs/createJobApi.js'
 import { createOperatorServer } from '../operators/createOperatorServer.js'
+import { FleetNode } from '../fleet/fleetNode.js'
 import { PlannerDuty } from '../planner/plannerDuty.js'
-import { Announcer } from '../shared/announcer.js'
-import { ConfigurationHolder } from '../shared/configurationHolder.js'
-import { ConfigurationWatcher } from '../shared/configurationWatcher.js'
 import { ControlServer } from '../shared/controlServer.js'
-import { createFleetFacts, sumSlots } from '../shared/fleetFacts.js'
+import { countEntries, createFleetFacts } from '../shared/fleetFacts.js'
 import type { FleetFacts } from '../shared/fleetFacts.js'
-import { MemberDirectory } from '../shared/memberDirectory.js'
 import { createProcessParts } from '../shared/processParts.js'
 import type { ProcessParts } from '../shared/processParts.js'
 import { QueueMetrics } from '../shared/queueMetrics.js'
@@ -29,8 +26,8 @@
 import { DirectService } from './requestService.js'
 
 const MAX_WAITING = 4_096
-/** Bytes a second that one entry may send over the region link. */
-const LINK_BYTES_PER_SECOND = 250_000
+/** Bytes a second that all entries together may send over the region link: half of 20 Mbit/s. */
+const LINK_BYTES_PER_SECOND = 1_250_000
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 const DEFAULT_AGENT_CONNECTIONS = 60
 /** Time in which the balancer notices that this entry leaves, in milliseconds. */
@@ -92,9 +89,6 @@
     this._lifecycle.add('metrics', () => metrics.close())
     this._lifecycle.add('store', () => store.close())
     this._lifecycle.add('peers', () => peers.close())
-    const holder = new ConfigurationHolder(this.board, createPartLogger(logger, 'config'))
-    const directory = new MemberDirectory(this.board, createPartLogger(logger, 'members'))
-    this._lifecycle.add('directory', () => directory.close())
     const dispatcher = this._createDispatcher(random)
     const planner = this._createPlanner()
     const server = new CallerServer({
@@ -106,18 +100,14 @@
       organisationKeys: this._settings.organisationKeys,
       maxBufferedBytes: MAX_BUFFERED_BYTES
     })
-    const control = this._createControl(directory)
+    const control = new ControlServer({ clusterKey: this._settings.clusterKey })
+    const node = this._createNode(control)
     this._controlAddress = await control.open(this._settings.listen.control)
     this._lifecycle.add('control server', () => control.close())
-    const watcher = new ConfigurationWatcher(store, this._settings.store.prefix, holder)
-    this._lifecycle.add('configuration watcher', () => watcher.close())
-    await watcher.start()
-    const announcer = new Announcer({ peers, holder, targets: this._settings.join, describe: () => this._describe() })
-    this._lifecycle.add('announcer', () => announcer.close())
-    directory.note(this._describe())
-    await announcer.start()
+    this._lifecycle.add('membership', () => node.close())
+    await node.start()
     planner.start(control.rpc)
-    const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder, logger })
+    const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder: node.holder, logger, collectRevisions: () => node.collectRevisions() })
     this._operatorAddress = await operators.open(this._settings.listen.operators)
     this._lifecycle.add('operator server', () => operators.close())
     this._callerAddress = await server.open(this._settings.listen.callers)
@@ -157,6 +147,7 @@
     this.board.subscribe('members', () => {
       dispatcher.drop(agents.update(this.board.get('members')))
       sender.setConnectionLimit(computeConnectionShare(DEFAULT_AGENT_CONNECTIONS, agents.entries))
+      router.update(countEntries(this.board.get('members'), this._settings.region), LINK_BYTES_PER_SECOND / agents.entries)
       queue.setCapacity(computeEntryCapacity(agents.list(), agents.entries))
       dispatcher.notify()
     })
@@ -173,21 +164,11 @@
     return service
   }
 
-  private _createControl (directory: MemberDirectory): ControlServer {
-    const control = new ControlServer({ clusterKey: this._settings.clusterKey })
-    control.rpc.add('heartbeat', params => {
-      directory.note(params.member)
-      directory.note(this._describe())
-      const configuration = this.board.get('configuration')
-      const isNewer = configuration !== undefined && configuration.revision > params.revision
-      const fleetSlots = sumSlots(this.board.get('members'))
-      return isNewer ? { configuration, fleetSlots } : { fleetSlots }
-    })
-    control.rpc.add('leave', params => {
-      directory.leave(params.member)
-      return {}
-    })
-    return control
+  private _createNode (control: ControlServer): FleetNode {
+    const { store, peers, logger, random } = this._parts
+    const { id, role, region, failureDomain, join, store: { prefix } } = this._settings
+    const describe = (): Member => this._describe()
+    return new FleetNode({ id, role, region, failureDomain, join, prefix, board: this.board, store, peers, rpc: control.rpc, random, logger, describe })
   }
 
   private async _stop (): Promise<void> {
--- a/packages/platform/src/tokenBucket.ts
+++ b/packages/platform/src/tokenBucket.ts
@@ -23,11 +23,21 @@
 
   /** Takes one token; false when there is none. */
   take (now: number): boolean {
-    const gained = Math.max(0, now - this._updatedAt) / MS_PER_S * this._options.ratePerS
-    this._tokens = Math.min(this._options.burst, this._tokens + gained)
-    this._updatedAt = now
+    this._refresh(now)
     if (this._tokens < 1) return false
     this._tokens--
     return true
   }
+
+  /** Returns the share of the burst that is used up, 0 to 1. */
+  getUsed (now: number): number {
+    this._refresh(now)
+    return 1 - this._tokens / this._options.burst
+  }
+
+  private _refresh (now: number): void {
+    const gained = Math.max(0, now - this._updatedAt) / MS_PER_S * this._options.ratePerS
+    this._tokens = Math.min(this._options.burst, this._tokens + gained)
+    this._updatedAt = now
+  }
 }
