--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -6,5 +6,6 @@
 type Loader = () => Promise<Bench>
 
 export const BENCHES: Readonly<Record<string, Loader>> = {
+  claims: async () => (await import('./claims/claimsBench.js')).claimsBench,
   path: async () => (await import('./path/pathBench.js')).pathBench
 }
--- a/packages/daemon/src/entry/claimService.ts
+++ b/packages/daemon/src/entry/claimService.ts
@@ -24,7 +24,7 @@
 /** What the service works with. */
 export interface ClaimServiceParts {
   readonly store: Store
-  readonly writer: ClaimWriter
+  readonly writer: Pick<ClaimWriter, 'submit'>
   readonly inner: RequestService
   /** Prefix of all keys of the system. */
   readonly prefix: string
--- a/packages/daemon/src/entry/claimWriter.ts
+++ b/packages/daemon/src/entry/claimWriter.ts
@@ -8,7 +8,7 @@
 
 import type { ClaimLease } from './claimLease.js'
 
-const MIN_INTERVAL_MS = 10
+const MIN_INTERVAL_MS = 20
 const MAX_BATCH_BYTES = 512 * 1024
 const MAX_PENDING = 8_192
 const FIRST_BACKOFF_MS = 50
@@ -38,7 +38,7 @@
   readonly store: Store
   readonly lease: ClaimLease
   readonly random: Random
-  /** Least milliseconds between the starts of two calls; 10 when absent. */
+  /** Least milliseconds between the starts of two calls; 20 when absent. */
   readonly minIntervalMs?: number
   /** Most writes in one call; the store's bound when absent. */
   readonly maxBatch?: number
