--- a/packages/daemon/test/entry/badInput.test.ts
+++ b/packages/daemon/test/entry/badInput.test.ts
@@ -32,7 +32,15 @@
       return makeAnswered({ status: 200, headers: [], body: Buffer.from(request.path) })
     }
   }
-  const server = new CallerServer({ board, service, metrics: new NoMetrics(), tracer: new PassingTracer(), organisationKeys: undefined, maxBufferedBytes: 8 * 1024 * 1024 })
+  const server = new CallerServer({
+    board,
+    service,
+    jobs: { handle: async () => {} },
+    metrics: new NoMetrics(),
+    tracer: new PassingTracer(),
+    organisationKeys: undefined,
+    maxBufferedBytes: 8 * 1024 * 1024
+  })
   const address = await server.open('127.0.0.1:0')
   t.teardown(() => server.close())
   return { port: Number(address.split(':')[1]), served }
