Take an agent's answer as whole only when framed by its length, and test whole answers

Cause: an answer of an agent that ended with its connection was taken as whole however short it was cut.

--- a/packages/daemon/src/entry/agentLink.ts
+++ b/packages/daemon/src/entry/agentLink.ts
@@ -129,6 +129,7 @@
 function parseResult (response: UndiciDispatcher.ResponseData, body: Buffer, attemptId: string): AttemptResult {
   const { headers } = response
   if (headers[DispatchHeader.attemptId] !== attemptId) return { kind: 'lost', message: 'the answer belongs to another attempt' }
+  if (headers['content-length'] !== String(body.length)) return { kind: 'lost', message: 'the answer is not framed by its length' }
   const load = parseLoad(headers[DispatchHeader.load])
   const kind = headers[DispatchHeader.result]
   if (kind === 'answered') {
--- /dev/null
+++ b/packages/daemon/test/processes/wholeAnswers.test.ts
@@ -0,0 +1,59 @@
+/**
+ * Whole answers through separate processes: truncated ones are no answers, large ones pass up to the limits.
+ */
+import { createHash } from 'node:crypto'
+import { fileURLToPath } from 'node:url'
+
+import { ANSWER_BYTES_HEADER, ProcessFleet, WORK_ID_HEADER } from '@dragonflylever/standins'
+import type { EndpointFault } from '@dragonflylever/standins'
+import { CallerLimit } from '@dragonflylever/protocol'
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+import { request } from 'undici'
+
+const BINARY = fileURLToPath(new URL('../../src/main.js', import.meta.url))
+const FAULTS: readonly EndpointFault[] = ['truncate', 'noFraming', 'cutAfter', 'cutBefore']
+
+async function startFleet (t: ExecutionContext, agents: number): Promise<ProcessFleet> {
+  const fleet = await ProcessFleet.start({ binary: BINARY, entries: 1, agents })
+  t.teardown(() => fleet.close())
+  return fleet
+}
+
+async function send (fleet: ProcessFleet, className: string, workId: string, body: string, answerBytes = 0): Promise<{ status: number, reason: string, text: string }> {
+  const headers = { 'dfl-class': className, 'dfl-organisation': 'guild', 'dfl-deadline-ms': '20000', [WORK_ID_HEADER]: workId, [ANSWER_BYTES_HEADER]: String(answerBytes) }
+  const response = await request(`${fleet.getCallerUrl()}/v1/call/match`, { method: 'POST', headers, body })
+  return { status: response.statusCode, reason: String(response.headers['dfl-reason']), text: await response.body.text() }
+}
+
+function countAll (fleet: ProcessFleet, workId: string): number {
+  return fleet.agents.reduce((sum, agent) => sum + agent.endpoint.countExecutions(workId), 0)
+}
+
+test('a truncated answer is retried elsewhere for an idempotent request and unknown for another', async t => {
+  const fleet = await startFleet(t, 2)
+  const [bad] = fleet.agents
+  if (bad === undefined) return t.fail('no agent')
+  for (const fault of FAULTS) {
+    bad.endpoint.fault = fault
+    for (let index = 0; index < 6; index++) {
+      const safe = await send(fleet, 'care-match', `${fault}-${index}`, `body ${index}`)
+      t.is(safe.status, 200)
+      t.true(safe.text.includes(createHash('sha256').update(`body ${index}`).digest('hex')))
+      const careful = await send(fleet, 'reconciliation', `${fault}-once-${index}`, 'x')
+      t.true(careful.status === 200 || careful.reason === 'answerLost', `${careful.status} ${careful.reason}`)
+      t.true(countAll(fleet, `${fault}-once-${index}`) <= 1)
+    }
+  }
+})
+
+test('bodies pass up to their limits, and an answer beyond its limit is unknown without a retry', async t => {
+  const fleet = await startFleet(t, 2)
+  const body = 'x'.repeat(CallerLimit.requestBodyBytes)
+  const large = await send(fleet, 'care-match', 'large', body, CallerLimit.answerBodyBytes - 1_024)
+  t.is(large.status, 200)
+  t.true(large.text.includes(createHash('sha256').update(body).digest('hex')))
+  t.like(await send(fleet, 'care-match', 'too-large', 'x', CallerLimit.answerBodyBytes + 1), { status: 502, reason: 'answerTooLarge' })
+  t.is(countAll(fleet, 'too-large'), 1)
+  t.is((await send(fleet, 'care-match', 'long', `${body}x`)).status, 413)
+})
