--- a/packages/standins/src/endpointStandIn.ts
+++ b/packages/standins/src/endpointStandIn.ts
@@ -97,13 +97,20 @@
     const closed = new Promise<void>(resolve => response.on('close', resolve))
     response.on('close', () => { execution.isAborted = !response.writableFinished })
     const runMs = Number(request.headers[RUN_MS_HEADER] ?? 0)
-    if (runMs > 0) await Promise.race([closed, new Promise(resolve => setTimeout(resolve, runMs))])
+    if (runMs > 0) await waitForRun(runMs, closed)
     this._running--
     execution.endedAt = performance.now()
     if (fault !== 'hang') sendAnswer(request, response, body, fault)
   }
 }
 
+/** Waits for the end of a run or of its connection, whichever is first. */
+async function waitForRun (runMs: number, closed: Promise<void>): Promise<void> {
+  let timer: NodeJS.Timeout | undefined
+  await Promise.race([closed, new Promise(resolve => { timer = setTimeout(resolve, runMs) })])
+  clearTimeout(timer)
+}
+
 function sendAnswer (request: IncomingMessage, response: ServerResponse, body: Buffer, fault: EndpointFault): void {
   const digest = createHash('sha256').update(body).digest('hex')
   const padding = Number(request.headers[ANSWER_BYTES_HEADER] ?? 0)
