--- a/packages/daemon/src/operators/createOperatorServer.ts
+++ b/packages/daemon/src/operators/createOperatorServer.ts
@@ -21,6 +21,7 @@
   readonly store: Store
   readonly holder: ConfigurationHolder
   readonly logger: Logger
+  readonly collectRevisions: () => Promise<ReadonlyMap<string, number>>
 }
 
 /** Creates the operators' server of an entry. */
@@ -32,7 +33,7 @@
     board,
     acceptance: new Acceptance({ store, prefix, holder, logger, listWorkers: () => listWorkers(board.get('members')) }),
     history: new HistoryReader(store, prefix),
-    status: new BoardStatusSource({ processId: settings.id, board, store }),
+    status: new BoardStatusSource({ processId: settings.id, board, store, collectRevisions: context.collectRevisions }),
     operatorsKey: settings.operatorsKey
   })
 }
