Take new attempts when the agent's memory of attempts is full

Cause: an ended attempt is remembered 11 minutes and at most 50,000 are, so an agent with more than 75 attempts a second refused all work once the memory was full. What: the oldest finished attempts give way. While one that gave way should still have been remembered, a withdrawal of an unknown attempt is answered cannotVouch, so its caller hears unknown rather than notRun. Running and withdrawn ones never give way. Ruled out: a shorter memory, since a withdrawal may come as late as the request's deadline.

--- a/packages/core/src/attemptLedger.ts
+++ b/packages/core/src/attemptLedger.ts
@@ -35,7 +35,9 @@
 export class AttemptLedger {
   private readonly _options: AttemptLedgerOptions
   private readonly _entries = new Map<string, Entry>()
-  private readonly _ended = new Map<string, number>()
+  private readonly _finished = new Map<string, number>()
+  private readonly _withdrawn = new Map<string, number>()
+  private _forgottenUntil = -Infinity
 
   constructor (options: AttemptLedgerOptions) {
     this._options = options
@@ -56,7 +58,7 @@
     const known = this._entries.get(attemptId)
     if (known !== undefined) return known.state === AttemptState.withdrawn ? 'withdrawn' : 'duplicate'
     this._sweep(now)
-    if (this._entries.size >= this._options.maxEntries) return 'full'
+    if (this._entries.size >= this._options.maxEntries && !this._evictFinished()) return 'full'
     this._entries.set(attemptId, { state: AttemptState.waiting, endedAt: Infinity })
     return 'accepted'
   }
@@ -80,22 +82,37 @@
     if (state === AttemptState.running || state === AttemptState.finished) return 'started'
     if (state === undefined && this._entries.size >= this._options.maxEntries) {
       this._sweep(now)
-      if (this._entries.size >= this._options.maxEntries) return 'cannotVouch'
+      if (this._entries.size >= this._options.maxEntries && !this._evictFinished()) return 'cannotVouch'
     }
     this._end(attemptId, AttemptState.withdrawn, now)
-    return 'neverStarted'
+    const mayBeForgotten = state === undefined && now < this._forgottenUntil
+    return mayBeForgotten ? 'cannotVouch' : 'neverStarted'
   }
 
   private _end (attemptId: string, state: AttemptState, now: number): void {
     this._entries.set(attemptId, { state, endedAt: now })
-    this._ended.set(attemptId, now)
+    const ended = state === AttemptState.finished ? this._finished : this._withdrawn
+    ended.set(attemptId, now)
   }
 
   private _sweep (now: number): void {
-    for (const [attemptId, endedAt] of this._ended) {
-      if (endedAt + this._options.keepMs > now) return
-      this._ended.delete(attemptId)
-      this._entries.delete(attemptId)
+    for (const ended of [this._finished, this._withdrawn]) {
+      for (const [attemptId, endedAt] of ended) {
+        if (endedAt + this._options.keepMs > now) break
+        ended.delete(attemptId)
+        this._entries.delete(attemptId)
+      }
     }
   }
+
+  /** Makes room early; for as long as the attempt should have been remembered nobody unknown is vouched for. */
+  private _evictFinished (): boolean {
+    const [oldest] = this._finished
+    if (oldest === undefined) return false
+    const [attemptId, endedAt] = oldest
+    this._finished.delete(attemptId)
+    this._entries.delete(attemptId)
+    this._forgottenUntil = endedAt + this._options.keepMs
+    return true
+  }
 }
