Bound the answers that wait for a slow store

What: while more than 8 MiB of claim values wait, an end is written without its answer; the repeat is told answerNotKept.

--- a/packages/bench/src/claims/claimsBench.ts
+++ b/packages/bench/src/claims/claimsBench.ts
@@ -25,6 +25,7 @@
 
 /** Writes each claim by a call of its own. */
 class SingleWriter implements Writer {
+  readonly bytes = 0
   private readonly _store: Store
   private readonly _lease: ClaimLease
 
--- a/packages/daemon/src/entry/claimService.ts
+++ b/packages/daemon/src/entry/claimService.ts
@@ -17,6 +17,8 @@
 const SETTLE_MS = 60_000
 /** How long the end of a request is offered to the store, in milliseconds. */
 const RECORD_MS = 600_000
+/** Bytes that may wait for a slow store before answers are no longer kept. */
+const MAX_HELD_BYTES = 8 * 1024 * 1024
 const DRAIN_MS = 10_000
 /** Waits before each look at a claim whose request has not ended, in milliseconds. */
 const POLL_DELAYS_MS = [100, 200, 400, 800, 1_600]
@@ -24,7 +26,7 @@
 /** What the service works with. */
 export interface ClaimServiceParts {
   readonly store: Store
-  readonly writer: Pick<ClaimWriter, 'submit'>
+  readonly writer: Pick<ClaimWriter, 'submit' | 'bytes'>
   readonly inner: RequestService
   /** Prefix of all keys of the system. */
   readonly prefix: string
@@ -122,7 +124,8 @@
   }
 
   private _record (claim: Claim, outcome: Outcome): void {
-    if (outcome.kind === 'answered') this._writeEnd(claim, ClaimState.answered, selectKeptAnswer(outcome.answer))
+    const hasRoom = this._parts.writer.bytes < MAX_HELD_BYTES
+    if (outcome.kind === 'answered') this._writeEnd(claim, ClaimState.answered, hasRoom ? selectKeptAnswer(outcome.answer) : undefined)
     if (outcome.kind === 'notRun') this._writeEnd(claim, ClaimState.released)
   }
 
--- a/packages/daemon/src/entry/claimWriter.ts
+++ b/packages/daemon/src/entry/claimWriter.ts
@@ -53,6 +53,7 @@
 export class ClaimWriter {
   private readonly _parts: ClaimWriterParts
   private _pending: Pending[] = []
+  private _bytes = 0
   private _lastCallAt = -Infinity
   private _failures = 0
   private _loop: Promise<void> | undefined
@@ -61,6 +62,11 @@
     this._parts = parts
   }
 
+  /** Bytes of values that the store has not decided yet. */
+  get bytes (): number {
+    return this._bytes
+  }
+
   /** Number of writes that the store has not decided yet. */
   get size (): number {
     return this._pending.length
@@ -70,6 +76,8 @@
   submit (write: ClaimWrite): Promise<ClaimWriteResult> {
     if (this._pending.length >= MAX_PENDING) return Promise.resolve({ kind: 'overloaded' })
     const result = new Promise<ClaimWriteResult>(resolve => this._pending.push({ write, resolve, isAmbiguous: false }))
+    this._bytes += write.value.length
+    void result.then(() => { this._bytes -= write.value.length })
     this._loop ??= this._run()
     return result
   }
