--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -7,5 +7,7 @@
 
 export const BENCHES: Readonly<Record<string, Loader>> = {
   claims: async () => (await import('./claims/claimsBench.js')).claimsBench,
+  fairness: async () => (await import('./floods/fairnessBench.js')).fairnessBench,
+  flood: async () => (await import('./floods/floodBench.js')).floodBench,
   path: async () => (await import('./path/pathBench.js')).pathBench
 }
--- a/packages/daemon/src/shared/fleetFacts.ts
+++ b/packages/daemon/src/shared/fleetFacts.ts
@@ -35,9 +35,7 @@
   return { configuration: undefined, members: new Map(), fleetSlots: 0, isLeaving: false, duties: new Map(), storeHealth: StoreHealth.up, storeUsage: undefined }
 }
 
-/** Sums the slots of the agents that take work. */
-export function sumSlots (members: ReadonlyMap<string, MemberView>): number {
-  let slots = 0
-  for (const { member } of members.values()) if (member.state === 'alive') slots += member.agent?.slots ?? 0
-  return slots
+/** Counts the entries of a region. */
+export function countEntries (members: ReadonlyMap<string, MemberView>, region: string): number {
+  return [...members.values()].filter(({ member }) => member.role === 'entry' && member.region === region).length
 }
