--- a/packages/core/src/fairness/shareEstimate.ts
+++ b/packages/core/src/fairness/shareEstimate.ts
@@ -2,7 +2,7 @@
  * Slots that a group gets while everyone who waits now goes on waiting: max-min over classes, then over
  * the organisations of the class, never below the organisation's guarantee.
  */
-import type { ClassNode, RequestGroup } from './queueNodes.js'
+import type { ClassNode, OrganisationNode, RequestGroup } from './queueNodes.js'
 import type { QueueTree } from './queueTree.js'
 
 const MIN_SHARE_SLOTS = 0.01
@@ -22,7 +22,7 @@
 /** Returns the slots of a group. */
 export function estimateGroupShare (tree: QueueTree, group: RequestGroup, slots: number): number {
   const { classNode, organisationNode } = group
-  const classShare = estimateClassShare(tree, classNode, slots)
+  const classShare = Math.min(estimateClassShare(tree, classNode, slots), slots - sumGuaranteesInUse(tree, organisationNode))
   const isActive = classNode.level.active.has(group)
   const backlogged = classNode.level.active.size + (isActive ? 0 : 1)
   let usedByBacklogged = 0
@@ -32,6 +32,15 @@
   return Math.max(MIN_SHARE_SLOTS, fairShare, estimateGuarantee(organisationNode.guaranteedSlots, group))
 }
 
+/** Sums what other organisations use of their guarantees, and will as soon as they can. */
+function sumGuaranteesInUse (tree: QueueTree, own: OrganisationNode): number {
+  let slots = 0
+  for (const node of tree.organisations.values()) {
+    if (node !== own) slots += Math.min(node.guaranteedSlots, node.running + node.waiting)
+  }
+  return slots
+}
+
 /** Returns the part of an organisation's guarantee that one of its groups gets. */
 function estimateGuarantee (guaranteedSlots: number, group: RequestGroup): number {
   let contenders = 1
