--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -5,14 +5,13 @@
 import type { EntrySettings, Member, QueueReport } from '@dragonflylever/protocol'
 import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
 
+import { createJobApi } from '../jobs/createJobApi.js'
 import { createOperatorServer } from '../operators/createOperatorServer.js'
-import { Announcer } from '../shared/announcer.js'
-import { ConfigurationHolder } from '../shared/configurationHolder.js'
-import { ConfigurationWatcher } from '../shared/configurationWatcher.js'
+import { FleetNode } from '../fleet/fleetNode.js'
+import { PlannerDuty } from '../planner/plannerDuty.js'
 import { ControlServer } from '../shared/controlServer.js'
-import { countEntries, createFleetFacts, sumSlots } from '../shared/fleetFacts.js'
+import { countEntries, createFleetFacts } from '../shared/fleetFacts.js'
 import type { FleetFacts } from '../shared/fleetFacts.js'
-import { MemberDirectory } from '../shared/memberDirectory.js'
 import { createProcessParts } from '../shared/processParts.js'
 import type { ProcessParts } from '../shared/processParts.js'
 import { QueueMetrics } from '../shared/queueMetrics.js'
@@ -90,11 +89,10 @@
     this._lifecycle.add('metrics', () => metrics.close())
     this._lifecycle.add('store', () => store.close())
     this._lifecycle.add('peers', () => peers.close())
-    const holder = new ConfigurationHolder(this.board, createPartLogger(logger, 'config'))
-    const directory = new MemberDirectory(this.board, createPartLogger(logger, 'members'))
-    this._lifecycle.add('directory', () => directory.close())
     const dispatcher = this._createDispatcher(random)
+    const planner = this._createPlanner()
     const server = new CallerServer({
+      jobs: createJobApi({ settings: this._settings, store, board: this.board, planner }),
       board: this.board,
       service: this._createService(dispatcher),
       metrics,
@@ -102,17 +100,14 @@
       organisationKeys: this._settings.organisationKeys,
       maxBufferedBytes: MAX_BUFFERED_BYTES
     })
-    const control = this._createControl(directory)
+    const control = new ControlServer({ clusterKey: this._settings.clusterKey })
+    const node = this._createNode(control)
     this._controlAddress = await control.open(this._settings.listen.control)
     this._lifecycle.add('control server', () => control.close())
-    const watcher = new ConfigurationWatcher(store, this._settings.store.prefix, holder)
-    this._lifecycle.add('configuration watcher', () => watcher.close())
-    await watcher.start()
-    const announcer = new Announcer({ peers, holder, targets: this._settings.join, describe: () => this._describe() })
-    this._lifecycle.add('announcer', () => announcer.close())
-    directory.note(this._describe())
-    await announcer.start()
-    const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder, logger })
+    this._lifecycle.add('membership', () => node.close())
+    await node.start()
+    planner.start(control.rpc)
+    const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder: node.holder, logger, collectRevisions: () => node.collectRevisions() })
     this._operatorAddress = await operators.open(this._settings.listen.operators)
     this._lifecycle.add('operator server', () => operators.close())
     this._callerAddress = await server.open(this._settings.listen.callers)
@@ -120,6 +115,22 @@
     log.info({ callers: this._callerAddress, control: this._controlAddress, operators: this._operatorAddress }, 'started')
   }
 
+  private _createPlanner (): PlannerDuty {
+    const { store, peers, logger, metrics } = this._parts
+    const planner = new PlannerDuty({
+      id: this._settings.id,
+      store,
+      prefix: this._settings.store.prefix,
+      peers,
+      board: this.board,
+      logger: createPartLogger(logger, 'planner'),
+      metrics,
+      getAddress: () => this._controlAddress
+    })
+    this._lifecycle.add('planner', () => planner.close())
+    return planner
+  }
+
   private _createDispatcher (random: ProcessParts['random']): Dispatcher {
     const agents = new AgentTable()
     const sender = new AgentLink({
@@ -153,21 +164,11 @@
     return service
   }
 
-  private _createControl (directory: MemberDirectory): ControlServer {
-    const control = new ControlServer({ clusterKey: this._settings.clusterKey })
-    control.rpc.add('heartbeat', params => {
-      directory.note(params.member)
-      directory.note(this._describe())
-      const configuration = this.board.get('configuration')
-      const isNewer = configuration !== undefined && configuration.revision > params.revision
-      const fleetSlots = sumSlots(this.board.get('members'))
-      return isNewer ? { configuration, fleetSlots } : { fleetSlots }
-    })
-    control.rpc.add('leave', params => {
-      directory.leave(params.member)
-      return {}
-    })
-    return control
+  private _createNode (control: ControlServer): FleetNode {
+    const { store, peers, logger, random } = this._parts
+    const { id, role, region, failureDomain, join, store: { prefix } } = this._settings
+    const describe = (): Member => this._describe()
+    return new FleetNode({ id, role, region, failureDomain, join, prefix, board: this.board, store, peers, rpc: control.rpc, random, logger, describe })
   }
 
   private async _stop (): Promise<void> {
