Explain why requests of a class wait or are shed

GET /v1/explain on the operators' port gives the entry's queue: waiting and running by class and organisation, shares, guarantees, the wait a new caller would have, slots held back, and the last requests shed with their reason.

--- a/packages/cli/src/commands/explainJob.ts
+++ b/packages/cli/src/commands/explainJob.ts
@@ -1,9 +1,11 @@
 /**
- * `dragonflylever explain JOB`: why a job waits, and when it is expected to start.
+ * `dragonflylever explain`: why a job waits and when it is expected to start, or why requests of a class wait.
  */
 import type { JobExplanation } from '@dragonflylever/protocol'
 
 import { ExitCode, createFlagCommand, getText } from '../flagCommand.js'
+import { explainQueue } from '../operators/explainQueue.js'
+import { OPERATOR_FLAGS } from '../operators/operatorFlags.js'
 import { JOB_FLAGS, createJobClient } from '../jobs/jobFlags.js'
 import { formatJob, printCall } from '../jobs/printJob.js'
 
@@ -14,12 +16,18 @@
 
 export const explainJobCommand = createFlagCommand({
   name: 'explain',
-  usage: 'explain JOB --url URL --organisation NAME',
-  help: 'say why a job waits and when it is expected to start',
-  flags: JOB_FLAGS,
-  minArguments: 1,
+  usage: 'explain JOB --url URL --organisation NAME, or explain --class NAME [--organisation NAME] --entry URL --key-file FILE',
+  help: 'say why a job waits and when it is expected to start, or why requests of a class wait or are shed',
+  flags: { ...JOB_FLAGS, ...OPERATOR_FLAGS, class: { type: 'string', help: 'class of requests to explain, as the entry named by --entry sees it' } },
+  minArguments: 0,
   maxArguments: 1,
   async execute (flags, output) {
+    const className = getText(flags, 'class')
+    if (className !== undefined) return explainQueue(className, flags, output)
+    if (flags.positionals.length === 0) {
+      output.err('explain: name a job, or a class of requests with --class NAME')
+      return ExitCode.badInput
+    }
     const client = createJobClient(flags, getText(flags, 'organisation'), output)
     if (client === undefined) return ExitCode.badInput
     const [jobId = ''] = flags.positionals
--- /dev/null
+++ b/packages/cli/src/operators/explainQueue.ts
@@ -0,0 +1,46 @@
+/**
+ * `dragonflylever explain --class NAME`: why requests of a class and organisation wait or are shed at an entry.
+ */
+import type { GroupReport, QueueReport } from '@dragonflylever/protocol'
+import type { ParsedFlags } from '@dragonflylever/runtime/flags'
+
+import type { CommandOutput } from '../command.js'
+import { ExitCode, getText } from '../flagCommand.js'
+import { readTarget } from './operatorFlags.js'
+
+/** Reads the queue of an entry and prints what concerns a class, and an organisation if one is named. */
+export async function explainQueue (className: string, flags: ParsedFlags, output: CommandOutput): Promise<number> {
+  const target = readTarget(flags, output)
+  if (target === undefined) return ExitCode.badInput
+  const { OperatorClient } = await import('./operatorClient.js')
+  const result = await new OperatorClient(target).readQueue()
+  if (result.kind === 'failed') {
+    output.err(`explain: ${result.message}`)
+    return ExitCode.failed
+  }
+  const report = selectReport(result.value, className, getText(flags, 'organisation'))
+  if (flags.values.json === true) output.out(JSON.stringify(report, null, 2))
+  else for (const line of formatReport(report, className)) output.out(line)
+  return ExitCode.ok
+}
+
+function selectReport (report: QueueReport, className: string, organisation: string | undefined): QueueReport {
+  const isMeant = (one: { className: string, organisation: string }): boolean =>
+    one.className === className && (organisation === undefined || one.organisation === organisation)
+  return { ...report, groups: report.groups.filter(isMeant), recentlyShed: report.recentlyShed.filter(isMeant) }
+}
+
+function formatReport (report: QueueReport, className: string): string[] {
+  const head = `this entry fills up to ${report.slots} slots: ${report.running} requests run, ${report.waiting} wait`
+  const held = report.heldBack[className] ?? 0
+  const groups = report.groups.map(formatGroup)
+  const shed = report.recentlyShed.map(one => `shed: ${one.organisation}, caller ${one.caller}, ${one.reason}, told to retry after ${one.retryAfterMs} ms`)
+  const none = groups.length === 0 ? [`no request of class ${className} has come to this entry`] : groups
+  return [head, `slots held back for class ${className}: ${held}`, ...none, ...shed]
+}
+
+function formatGroup (group: GroupReport): string {
+  const share = `${group.running} running of a share of ${group.shareSlots.toFixed(1)} slots (guaranteed ${group.guaranteedSlots.toFixed(1)} over all classes)`
+  const wait = `a new caller would wait ${Math.round(group.expectedWaitMs)} ms, a run takes ${Math.round(group.meanRunMs)} ms`
+  return `${group.organisation}: ${group.waiting} waiting from ${group.waitingCallers} callers, ${share}; ${wait}; ${group.shed} shed so far`
+}
--- a/packages/cli/src/operators/operatorClient.ts
+++ b/packages/cli/src/operators/operatorClient.ts
@@ -1,8 +1,8 @@
 /**
  * Calls the operators' port of an entry.
  */
-import { OperatorPath, applyOutcomeSchema, configurationAnswerSchema, fleetStatusSchema, historyAnswerSchema } from '@dragonflylever/protocol'
-import type { ApplyOutcome, ApplyRequest, ConfigurationAnswer, FleetStatus, HistoryEntry } from '@dragonflylever/protocol'
+import { OperatorPath, applyOutcomeSchema, configurationAnswerSchema, fleetStatusSchema, historyAnswerSchema, queueReportSchema } from '@dragonflylever/protocol'
+import type { ApplyOutcome, ApplyRequest, ConfigurationAnswer, FleetStatus, HistoryEntry, QueueReport } from '@dragonflylever/protocol'
 import { request } from 'undici'
 
 import type { OperatorTarget } from './operatorFlags.js'
@@ -44,6 +44,11 @@
     return this._call('GET', OperatorPath.status, fleetStatusSchema)
   }
 
+  /** Reads what waits and runs at the entry, and why. */
+  readQueue (): Promise<CallResult<QueueReport>> {
+    return this._call('GET', OperatorPath.explain, queueReportSchema)
+  }
+
   /** Sends a document once. */
   apply (message: ApplyRequest): Promise<CallResult<ApplyOutcome>> {
     return this._call('POST', OperatorPath.configuration, applyOutcomeSchema, message)
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -107,7 +107,7 @@
     this._lifecycle.add('membership', () => node.close())
     await node.start()
     planner.start(control.rpc)
-    const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder: node.holder, logger, collectRevisions: () => node.collectRevisions() })
+    const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder: node.holder, logger, describeQueue: () => this.describeQueue(), collectRevisions: () => node.collectRevisions() })
     this._operatorAddress = await operators.open(this._settings.listen.operators)
     this._lifecycle.add('operator server', () => operators.close())
     this._callerAddress = await server.open(this._settings.listen.callers)
--- a/packages/daemon/src/operators/createOperatorServer.ts
+++ b/packages/daemon/src/operators/createOperatorServer.ts
@@ -1,7 +1,7 @@
 /**
  * Puts the operators' port of an entry together.
  */
-import type { EntrySettings } from '@dragonflylever/protocol'
+import type { EntrySettings, QueueReport } from '@dragonflylever/protocol'
 import type { Store } from '@dragonflylever/platform'
 import type { Blackboard, Logger } from '@dragonflylever/runtime'
 import { createPartLogger } from '@dragonflylever/runtime'
@@ -21,6 +21,7 @@
   readonly store: Store
   readonly holder: ConfigurationHolder
   readonly logger: Logger
+  readonly describeQueue: () => QueueReport
   readonly collectRevisions: () => Promise<ReadonlyMap<string, number>>
 }
 
@@ -34,6 +35,7 @@
     acceptance: new Acceptance({ store, prefix, holder, logger, listWorkers: () => listWorkers(board.get('members')) }),
     history: new HistoryReader(store, prefix),
     status: new BoardStatusSource({ processId: settings.id, board, store, collectRevisions: context.collectRevisions }),
+    describeQueue: context.describeQueue,
     operatorsKey: settings.operatorsKey
   })
 }
--- a/packages/daemon/src/operators/operatorServer.ts
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
 import { MAX_DOCUMENT_BYTES, OperatorPath, applyRequestSchema } from '@dragonflylever/protocol'
-import type { ApplyOutcome } from '@dragonflylever/protocol'
+import type { ApplyOutcome, QueueReport } from '@dragonflylever/protocol'
 import type { Blackboard } from '@dragonflylever/runtime'
 import { closeServer, isSameKey, openServer, readWhole, sendJson } from '@dragonflylever/runtime'
 
@@ -28,6 +28,8 @@
   readonly acceptance: Acceptance
   readonly history: HistoryReader
   readonly status: StatusSource
+  /** Reads out the queue of this entry. */
+  readonly describeQueue: () => QueueReport
   /** Undefined refuses every call. */
   readonly operatorsKey: string | undefined
 }
@@ -82,6 +84,7 @@
     if (route === `POST ${OperatorPath.configuration}`) return this._apply(request, response)
     if (route === `GET ${OperatorPath.history}`) return this._sendHistory(url.searchParams.get('revision'), response)
     if (route === `GET ${OperatorPath.status}`) return sendJson(response, 200, await this._parts.status.read())
+    if (route === `GET ${OperatorPath.explain}`) return sendJson(response, 200, this._parts.describeQueue())
     sendError(response, 404, `no such path: ${request.method} ${url.pathname}`)
   }
 
--- a/packages/protocol/src/operatorMessages.ts
+++ b/packages/protocol/src/operatorMessages.ts
@@ -7,7 +7,8 @@
 export const OperatorPath = {
   configuration: '/v1/config',
   history: '/v1/config/history',
-  status: '/v1/status'
+  status: '/v1/status',
+  explain: '/v1/explain'
 } as const
 
 /** Largest document that operators may send, in bytes. */
