--- a/packages/bench/test/fleet/fleetProperties.test.ts
+++ b/packages/bench/test/fleet/fleetProperties.test.ts
@@ -19,14 +19,14 @@
 const DEAD_MS = 3_000
 const LEAVING_MS = 2_000
 
-function installClock (t: ExecutionContext): Clock {
+function createClock (t: ExecutionContext): Clock {
   const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
   t.teardown(() => clock.uninstall())
   return clock
 }
 
 async function startFleet (t: ExecutionContext, seed = 1): Promise<{ clock: Clock, fleet: MemoryFleet }> {
-  const clock = installClock(t)
+  const clock = createClock(t)
   const fleet = new MemoryFleet(PLACES, seed)
   fleet.startAll()
   await clock.tickAsync(8_000)
@@ -62,7 +62,7 @@
 )
 
 test.serial('revisions in force never fall, accepted ones are never lost, and all converge once the faults end', async t => {
-  const clock = installClock(t)
+  const clock = createClock(t)
   await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 10, maxLength: 30 }), fc.integer({ min: 1, max: 1_000_000 }), async (steps, seed) => {
     const fleet = new MemoryFleet(PLACES, seed)
     fleet.startAll()
--- a/packages/daemon/src/fleet/fleetNode.ts
+++ b/packages/daemon/src/fleet/fleetNode.ts
@@ -125,7 +125,10 @@
   async collectRevisions (): Promise<ReadonlyMap<string, number>> {
     const { table } = this._context
     const parts = await Promise.all(table.domains.map(domain => this._collect(domain)))
-    return new Map(parts.flatMap(part => Object.entries(part)))
+    const revisions = new Map(parts.flatMap(part => Object.entries(part)))
+    const others = [...this._context.board.get('members').values()].map(view => view.member).filter(member => !revisions.has(member.id))
+    for (const [id, revision] of Object.entries(await this._collectFrom(others))) revisions.set(id, revision)
+    return revisions
   }
 
   private async _collect (failureDomain: string): Promise<Record<string, number>> {
@@ -136,10 +139,14 @@
     return outcome.kind === 'ok' ? outcome.value.revisions : this._collectFromMembers(failureDomain)
   }
 
-  private async _collectFromMembers (failureDomain: string): Promise<Record<string, number>> {
-    const { table, peers, holder, id } = this._context
+  private _collectFromMembers (failureDomain: string): Promise<Record<string, number>> {
+    return this._collectFrom(this._context.table.list(failureDomain))
+  }
+
+  private async _collectFrom (members: readonly Member[]): Promise<Record<string, number>> {
+    const { peers, holder, id } = this._context
     const summary = { revision: holder.revision, domains: {} }
-    const rows = await Promise.all(table.list(failureDomain).map(async member => {
+    const rows = await Promise.all(members.map(async member => {
       if (member.id === id) return [member.id, holder.revision] as const
       const outcome = await peers.call(member.address, 'ping', { summary }, PING_TIMEOUT_MS)
       return outcome.kind === 'ok' && outcome.value.incarnation === member.incarnation ? [member.id, outcome.value.summary.revision] as const : undefined
