--- a/packages/cli/test/operators.test.ts
+++ b/packages/cli/test/operators.test.ts
@@ -28,6 +28,7 @@
   readonly write: (name: string, value: object | string) => string
 }
 
+const POLL_MS = 10
 const WORKER = { url: 'http://127.0.0.1:9', cores: 8, memoryGb: 32, accelerators: 8 }
 
 async function runCommand (name: string, args: readonly string[]): Promise<Answer> {
@@ -49,6 +50,10 @@
   return file
 }
 
+async function waitUntil (isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) await new Promise(resolve => setTimeout(resolve, POLL_MS))
+}
+
 /** Opens a store, an entry and, unless told otherwise, an agent. */
 async function openBench (t: ExecutionContext, agents = 1): Promise<Bench> {
   const folder = createFolder(t)
@@ -63,6 +68,7 @@
     const agent = await AgentProcess.start(settings, { logger })
     t.teardown(async () => { await agent.stop(); await endpoint.close() })
   }
+  await waitUntil(() => entry.board.get('members').size === agents + 1)
   const key = writeDocument(folder, 'operators.key', `${OPERATORS_KEY}\n`)
   const flags = ['--entry', `http://${entry.operatorAddress}`, '--key-file', key]
   const run = (name = '', ...args: string[]): Promise<Answer> => runCommand(name, [...args, ...flags])
@@ -86,6 +92,22 @@
   t.regex(late.err.join('\n'), /revision 2 is in force.*--expect 2\nrevision 2 by ben at .*\n~ organisations\.guild\.guaranteedSlots: 4 -> 6$/)
 })
 
+test('of five operators at two entries at the same moment one is accepted and four are told by whom', async t => {
+  const bench = await openBench(t)
+  const settings = createEntrySettings({ id: 'entry-2', storeUrl: bench.store.url })
+  const other = await EntryProcess.start(settings, { logger: createLogger({ level: 'silent', processId: 'test' }) })
+  t.teardown(() => other.stop())
+  const key = bench.write('other.key', OPERATORS_KEY)
+  const file = bench.write('first.jsonc', createDeclarations())
+  const answers = await Promise.all(['ana', 'ben', 'cyr', 'dan', 'eva'].map((by, index) => {
+    const args = [file, '--expect', '0', '--by', by, '--allow-unknown-fleet']
+    return index % 2 === 0 ? bench.run('apply', ...args) : runCommand('apply', [...args, '--entry', `http://${other.operatorAddress}`, '--key-file', key])
+  }))
+  t.is(answers.filter(answer => answer.code === 0).length, 1)
+  const winner = ['ana', 'ben', 'cyr', 'dan', 'eva'][answers.findIndex(answer => answer.code === 0)]
+  for (const answer of answers.filter(answer => answer.code !== 0)) t.regex(answer.err.join('\n'), new RegExp(`revision 1 is in force.*\nrevision 1 by ${winner} `))
+})
+
 test('history lists who applied what and gives an earlier revision back', async t => {
   const bench = await openBench(t)
   const file = bench.write('first.jsonc', createDeclarations())
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -5,8 +5,10 @@
 import type { EntrySettings, Member, QueueReport } from '@dragonflylever/protocol'
 import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
 
+import { createJobApi } from '../jobs/createJobApi.js'
 import { createOperatorServer } from '../operators/createOperatorServer.js'
 import { FleetNode } from '../fleet/fleetNode.js'
+import { PlannerDuty } from '../planner/plannerDuty.js'
 import { ControlServer } from '../shared/controlServer.js'
 import { createFleetFacts } from '../shared/fleetFacts.js'
 import type { FleetFacts } from '../shared/fleetFacts.js'
@@ -88,7 +90,9 @@
     this._lifecycle.add('store', () => store.close())
     this._lifecycle.add('peers', () => peers.close())
     const dispatcher = this._createDispatcher(random)
+    const planner = this._createPlanner()
     const server = new CallerServer({
+      jobs: createJobApi({ settings: this._settings, store, board: this.board, planner }),
       board: this.board,
       service: this._createService(dispatcher),
       metrics,
@@ -102,6 +106,7 @@
     this._lifecycle.add('control server', () => control.close())
     this._lifecycle.add('membership', () => node.close())
     await node.start()
+    planner.start(control.rpc)
     const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder: node.holder, logger, collectRevisions: () => node.collectRevisions() })
     this._operatorAddress = await operators.open(this._settings.listen.operators)
     this._lifecycle.add('operator server', () => operators.close())
@@ -110,6 +115,22 @@
     log.info({ callers: this._callerAddress, control: this._controlAddress, operators: this._operatorAddress }, 'started')
   }
 
+  private _createPlanner (): PlannerDuty {
+    const { store, peers, logger, metrics } = this._parts
+    const planner = new PlannerDuty({
+      id: this._settings.id,
+      store,
+      prefix: this._settings.store.prefix,
+      peers,
+      board: this.board,
+      logger: createPartLogger(logger, 'planner'),
+      metrics,
+      getAddress: () => this._controlAddress
+    })
+    this._lifecycle.add('planner', () => planner.close())
+    return planner
+  }
+
   private _createDispatcher (random: ProcessParts['random']): Dispatcher {
     const agents = new AgentTable()
     const sender = new AgentLink({
