Measure store calls and spreading; publish the first change of a list at once

A gang submitted within 200 ms of an agent's start failed as one that never fits, because the list held the agent back. The first change after a pause now goes out at once, and an entry counts a member from its own heartbeat on.

--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -6,5 +6,7 @@
 type Loader = () => Promise<Bench>
 
 export const BENCHES: Readonly<Record<string, Loader>> = {
-  path: async () => (await import('./path/pathBench.js')).pathBench
+  path: async () => (await import('./path/pathBench.js')).pathBench,
+  'store-calls': async () => (await import('./fleet/storeCallsBench.js')).storeCallsBench,
+  'config-spread': async () => (await import('./fleet/configSpreadBench.js')).configSpreadBench
 }
--- a/packages/daemon/src/fleet/fleetNode.ts
+++ b/packages/daemon/src/fleet/fleetNode.ts
@@ -231,7 +231,7 @@
     const { board, table, failureDomain, isEntry } = this._context
     const configuration = board.get('configuration')
     const isRegistered = member.failureDomain === failureDomain && this._registrar.register(member)
-    if (isEntry && !isRegistered) this._view.note(member, performance.now())
+    if (isEntry) this._view.note(member, performance.now())
     if (isEntry && !isRegistered && isForwarded !== true) this._passOn('heartbeat', { member, revision, isForwarded: true })
     const registrar = table.getRegistrar(member.failureDomain)?.address
     return {
--- a/packages/daemon/src/fleet/registrar.ts
+++ b/packages/daemon/src/fleet/registrar.ts
@@ -1,6 +1,6 @@
 /**
  * The duty of a failure domain's registrar: the only writer of its member list, under the epoch of its duty.
- * Changes within a short time go out as one version.
+ * The first change goes out at once, those that follow within a short time as one version.
  */
 import type { DomainChange, Member } from '@dragonflylever/protocol'
 
@@ -25,6 +25,7 @@
   private _changed = new Map<string, Member>()
   private _removed = new Set<string>()
   private _timer: NodeJS.Timeout | undefined
+  private _flushedAt = -Infinity
 
   constructor (options: RegistrarOptions) {
     this._options = options
@@ -81,11 +82,13 @@
   }
 
   private _schedule (): void {
-    this._timer ??= setTimeout(() => { void this._flush() }, COALESCE_MS)
+    const waitMs = Math.max(0, this._flushedAt + COALESCE_MS - performance.now())
+    this._timer ??= setTimeout(() => { void this._flush() }, waitMs)
   }
 
   private async _flush (): Promise<void> {
     this._timer = undefined
+    this._flushedAt = performance.now()
     const members = [...this._changed.values()]
     const removed = [...this._removed]
     this._changed = new Map()
