--- a/packages/bench/src/fleet/memoryFleet.ts
+++ b/packages/bench/src/fleet/memoryFleet.ts
@@ -6,11 +6,12 @@
 import { FleetNode, createFleetFacts, getConfigurationKey } from '@dragonflylever/daemon'
 import type { FleetFacts } from '@dragonflylever/daemon'
 import { StoreClient } from '@dragonflylever/platform'
-import type { Member } from '@dragonflylever/protocol'
+import type { Configuration, Member } from '@dragonflylever/protocol'
 import { Blackboard, createLogger } from '@dragonflylever/runtime'
 import { MemoryPeers, MemoryStore, StoreEngine, createCallCounts, createSampleDeclarations } from '@dragonflylever/standins'
 
 const PREFIX = 'p'
+const CALL_TIMEOUT_MS = 1_000
 /** Bytes of headers and JSON-RPC envelope around a request and its answer over HTTP. */
 export const ENVELOPE_BYTES = 410
 
@@ -152,12 +153,19 @@
   accept (entryId: string, revision: number): boolean {
     const entry = this.get(entryId)
     if (entry.memory.faults.isDown) return false
-    const configuration = { revision, declarations: createSampleDeclarations(), acceptedAt: 0, nonce: `n${revision}`, acceptedBy: 'test' }
+    const configuration = createConfiguration(revision)
     this.engine.put({ key: getConfigurationKey(PREFIX), value: JSON.stringify(configuration), expect: { kind: 'any' } })
     entry.node.holder.offer(configuration)
     return true
   }
 
+  /** Brings a process a revision that was under way for long. */
+  sendLate (id: string, revision: number): void {
+    const { address, place: { region, failureDomain } } = this.get(id)
+    const news = { configuration: createConfiguration(revision), domains: [] }
+    void this.peers.createClient(address).call(address, 'relay', { news, from: { region, failureDomain } }, CALL_TIMEOUT_MS)
+  }
+
   /** Ends everything. */
   async close (): Promise<void> {
     await Promise.all(this.running.map(one => one.node.close()))
@@ -167,3 +175,7 @@
     for (const one of this.running) one.memory.faults.isDown = this._isStoreDown || (this._isCut && one.place.region !== this._places[0]?.region)
   }
 }
+
+function createConfiguration (revision: number): Configuration {
+  return { revision, declarations: createSampleDeclarations(), acceptedAt: 0, nonce: `n${revision}`, acceptedBy: 'test' }
+}
--- a/packages/bench/test/fleet/fleetProperties.test.ts
+++ b/packages/bench/test/fleet/fleetProperties.test.ts
@@ -51,6 +51,7 @@
 const step = fc.oneof(
   fc.record({ kind: fc.constant('wait' as const), ms: fc.integer({ min: 100, max: 4_000 }) }),
   fc.record({ kind: fc.constant('accept' as const), who }),
+  fc.record({ kind: fc.constant('lateRelay' as const), who, revision: fc.integer({ min: 1, max: 5 }) }),
   fc.record({ kind: fc.constant('kill' as const), who }),
   fc.record({ kind: fc.constant('stop' as const), who }),
   fc.record({ kind: fc.constant('start' as const), who }),
@@ -85,6 +86,7 @@
       const isRunning = id !== '' && fleet.get(id).isRunning
       if (one.kind === 'wait') await advance(one.ms)
       if (one.kind === 'accept' && isRunning && fleet.accept(id, accepted + 1)) accepted++
+      if (one.kind === 'lateRelay' && one.revision <= accepted) fleet.sendLate(id, one.revision)
       if (one.kind === 'kill' && isRunning) fleet.kill(id)
       if (one.kind === 'stop' && isRunning) void fleet.stop(id)
       if (one.kind === 'start' && !isRunning) fleet.start(id)
--- a/packages/daemon/src/fleet/ringMonitor.ts
+++ b/packages/daemon/src/fleet/ringMonitor.ts
@@ -12,6 +12,8 @@
 /** Successors tried within one round. */
 const MAX_STEPS = 8
 const ATTEMPTS = 2
+/** Time after which a member that is still listed and still silent is reported again, in milliseconds. */
+const REPORT_AGAIN_MS = 5_000
 
 export interface RingMonitorOptions {
   readonly context: FleetContext
@@ -23,6 +25,7 @@
 export class RingMonitor {
   private readonly _context: FleetContext
   private readonly _options: RingMonitorOptions
+  private readonly _reportedAt = new Map<string, number>()
 
   constructor (options: RingMonitorOptions) {
     this._context = options.context
@@ -35,10 +38,18 @@
     const successors = listSuccessors(table.list(failureDomain), id).slice(0, MAX_STEPS)
     for (const member of successors) {
       if (await this._visit(member)) return
-      void this._report(member)
+      if (this._isDue(member)) void this._report(member)
     }
   }
 
+  private _isDue (member: Member): boolean {
+    const now = performance.now()
+    for (const [incarnation, at] of this._reportedAt) if (now - at >= REPORT_AGAIN_MS) this._reportedAt.delete(incarnation)
+    if (this._reportedAt.has(member.incarnation)) return false
+    this._reportedAt.set(member.incarnation, now)
+    return true
+  }
+
   private async _visit (member: Member): Promise<boolean> {
     for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
       const params = { summary: this._options.relay.describe() }
