--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -6,11 +6,12 @@
 type Loader = () => Promise<Bench>
 
 export const BENCHES: Readonly<Record<string, Loader>> = {
-  path: async () => (await import('./path/pathBench.js')).pathBench,
-  completion: async () => (await import('./gangs/completionBench.js')).completionBench,
-  fragmentation: async () => (await import('./gangs/fragmentationBench.js')).fragmentationBench
   claims: async () => (await import('./claims/claimsBench.js')).claimsBench,
+  completion: async () => (await import('./gangs/completionBench.js')).completionBench,
+  'config-spread': async () => (await import('./fleet/configSpreadBench.js')).configSpreadBench,
   fairness: async () => (await import('./floods/fairnessBench.js')).fairnessBench,
   flood: async () => (await import('./floods/floodBench.js')).floodBench,
-  path: async () => (await import('./path/pathBench.js')).pathBench
+  fragmentation: async () => (await import('./gangs/fragmentationBench.js')).fragmentationBench,
+  path: async () => (await import('./path/pathBench.js')).pathBench,
+  'store-calls': async () => (await import('./fleet/storeCallsBench.js')).storeCallsBench
 }
--- a/packages/bench/test/fleet/fleetProperties.test.ts
+++ b/packages/bench/test/fleet/fleetProperties.test.ts
@@ -19,14 +19,14 @@
 const DEAD_MS = 3_000
 const LEAVING_MS = 2_000
 
-function installClock (t: ExecutionContext): Clock {
+function createClock (t: ExecutionContext): Clock {
   const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
   t.teardown(() => clock.uninstall())
   return clock
 }
 
 async function startFleet (t: ExecutionContext, seed = 1): Promise<{ clock: Clock, fleet: MemoryFleet }> {
-  const clock = installClock(t)
+  const clock = createClock(t)
   const fleet = new MemoryFleet(PLACES, seed)
   fleet.startAll()
   await clock.tickAsync(8_000)
@@ -51,6 +51,7 @@
 const step = fc.oneof(
   fc.record({ kind: fc.constant('wait' as const), ms: fc.integer({ min: 100, max: 4_000 }) }),
   fc.record({ kind: fc.constant('accept' as const), who }),
+  fc.record({ kind: fc.constant('lateRelay' as const), who, revision: fc.integer({ min: 1, max: 5 }) }),
   fc.record({ kind: fc.constant('kill' as const), who }),
   fc.record({ kind: fc.constant('stop' as const), who }),
   fc.record({ kind: fc.constant('start' as const), who }),
@@ -62,7 +63,7 @@
 )
 
 test.serial('revisions in force never fall, accepted ones are never lost, and all converge once the faults end', async t => {
-  const clock = installClock(t)
+  const clock = createClock(t)
   await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 10, maxLength: 30 }), fc.integer({ min: 1, max: 1_000_000 }), async (steps, seed) => {
     const fleet = new MemoryFleet(PLACES, seed)
     fleet.startAll()
@@ -85,6 +86,7 @@
       const isRunning = id !== '' && fleet.get(id).isRunning
       if (one.kind === 'wait') await advance(one.ms)
       if (one.kind === 'accept' && isRunning && fleet.accept(id, accepted + 1)) accepted++
+      if (one.kind === 'lateRelay' && one.revision <= accepted) fleet.sendLate(id, one.revision)
       if (one.kind === 'kill' && isRunning) fleet.kill(id)
       if (one.kind === 'stop' && isRunning) void fleet.stop(id)
       if (one.kind === 'start' && !isRunning) fleet.start(id)
