Keep the signal handlers of the stand-ins until they have closed

The test of the samples had ended by SIGTERM in place of exit code 0 in 3 of 6 runs alone under load; who sent a second signal, if anyone, was not found out (a trace showed one signal and exit 0).

--- a/packages/cli/src/commands/standins.ts
+++ b/packages/cli/src/commands/standins.ts
@@ -52,7 +52,7 @@
 
 async function waitForSignal (): Promise<void> {
   await new Promise<void>(resolve => {
-    process.once('SIGTERM', resolve)
-    process.once('SIGINT', resolve)
+    process.on('SIGTERM', resolve)
+    process.on('SIGINT', resolve)
   })
 }
