--- a/packages/daemon/src/shared/statusSource.ts
+++ b/packages/daemon/src/shared/statusSource.ts
@@ -1,5 +1,5 @@
 /**
- * What a process can say of the fleet from its own memory, without the store.
+ * What an entry can say of the fleet from its own memory and its members' word, without the store.
  */
 import type { FleetStatus, ProcessStatus } from '@dragonflylever/protocol'
 import type { Store } from '@dragonflylever/platform'
@@ -9,7 +9,7 @@
 
 /** Gives the status of the fleet as this process sees it. */
 export interface StatusSource {
-  read (): FleetStatus
+  read (): Promise<FleetStatus>
 }
 
 /** What the status is read from. */
@@ -17,6 +17,8 @@
   readonly processId: string
   readonly board: Blackboard<FleetFacts>
   readonly store: Store
+  /** Asks the members which revision is in force at them. */
+  readonly collectRevisions: () => Promise<ReadonlyMap<string, number>>
 }
 
 /** Reads the status from the blackboard. */
@@ -27,18 +29,22 @@
     this._parts = parts
   }
 
-  read (): FleetStatus {
+  async read (): Promise<FleetStatus> {
     const { board, store, processId } = this._parts
+    const revisions = await this._parts.collectRevisions()
     const members = [...board.get('members').values()]
     const revision = board.get('configuration')?.revision ?? 0
-    const newest = Math.max(revision, ...members.map(view => view.member.revision ?? 0))
-    const processes = members.map(view => describeProcess(view, newest))
+    const newest = Math.max(revision, ...revisions.values())
+    const processes = members.map(view => describeProcess(view, revisions.get(view.member.id), newest))
     processes.sort((a, b) => a.id < b.id ? -1 : 1)
-    return { entry: processId, revision: newest, processes, duties: [], store: { health: store.health } }
+    const duties = [...board.get('duties').values()].map(({ duty, holder, epoch }) => ({ name: duty, holder, epoch }))
+    const usage = board.get('storeUsage')
+    const budget = usage === undefined ? {} : { budgetUsed: usage.budgetUsed }
+    return { entry: processId, revision: newest, processes, duties, store: { health: store.health, ...budget } }
   }
 }
 
-function describeProcess ({ member, lastSeenAt }: MemberView, newest: number): ProcessStatus {
+function describeProcess ({ member, lastSeenAt }: MemberView, revision: number | undefined, newest: number): ProcessStatus {
   return {
     id: member.id,
     role: member.role,
@@ -46,8 +52,8 @@
     region: member.region,
     failureDomain: member.failureDomain,
     address: member.address,
-    ...(member.revision === undefined ? {} : { revision: member.revision }),
-    isBehind: (member.revision ?? 0) < newest,
-    silentMs: Math.round(performance.now() - lastSeenAt)
+    ...(revision === undefined ? {} : { revision }),
+    isBehind: (revision ?? 0) < newest,
+    silentMs: revision === undefined ? Math.round(performance.now() - lastSeenAt) : 0
   }
 }
