--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -6,11 +6,10 @@
 type Loader = () => Promise<Bench>
 
 export const BENCHES: Readonly<Record<string, Loader>> = {
-  path: async () => (await import('./path/pathBench.js')).pathBench,
-  completion: async () => (await import('./gangs/completionBench.js')).completionBench,
-  fragmentation: async () => (await import('./gangs/fragmentationBench.js')).fragmentationBench
   claims: async () => (await import('./claims/claimsBench.js')).claimsBench,
+  completion: async () => (await import('./gangs/completionBench.js')).completionBench,
   fairness: async () => (await import('./floods/fairnessBench.js')).fairnessBench,
   flood: async () => (await import('./floods/floodBench.js')).floodBench,
+  fragmentation: async () => (await import('./gangs/fragmentationBench.js')).fragmentationBench,
   path: async () => (await import('./path/pathBench.js')).pathBench
 }
