--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -14,4 +14,8 @@
   fragmentation: async () => (await import('./gangs/fragmentationBench.js')).fragmentationBench,
   path: async () => (await import('./path/pathBench.js')).pathBench,
   'store-calls': async () => (await import('./fleet/storeCallsBench.js')).storeCallsBench
+  fairness: async () => (await import('./floods/fairnessBench.js')).fairnessBench,
+  flood: async () => (await import('./floods/floodBench.js')).floodBench,
+  fragmentation: async () => (await import('./gangs/fragmentationBench.js')).fragmentationBench,
+  path: async () => (await import('./path/pathBench.js')).pathBench
 }
