--- a/packages/daemon/src/agent/agentProcess.ts
+++ b/packages/daemon/src/agent/agentProcess.ts
@@ -103,6 +103,12 @@
     return runner
   }
 
+  private async _createTasks (control: ControlServer): Promise<TaskRunner | undefined> {
+    const { worker, peers, logger } = this._parts
+    if (worker === undefined) return undefined
+    return createTaskService({ settings: this._settings, worker, peers, rpc: control.rpc, logger, lifecycle: this._lifecycle })
+  }
+
   private _createNode (control: ControlServer): FleetNode {
     const { store, peers, logger, random } = this._parts
     const { id, role, region, failureDomain, join, store: { prefix } } = this._settings
@@ -110,12 +116,6 @@
     return new FleetNode({ id, role, region, failureDomain, join, prefix, board: this.board, store, peers, rpc: control.rpc, random, logger, describe })
   }
 
-  private async _createTasks (control: ControlServer): Promise<TaskRunner | undefined> {
-    const { worker, peers, logger } = this._parts
-    if (worker === undefined) return undefined
-    return createTaskService({ settings: this._settings, worker, peers, rpc: control.rpc, logger, lifecycle: this._lifecycle })
-  }
-
   private _serveWithdrawals (control: ControlServer, runner: SlotRunner): void {
     control.rpc.add('withdraw', ({ attemptId, incarnation }) => {
       if (incarnation !== this._parts.incarnation) return { outcome: 'cannotVouch' }
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -10,7 +10,7 @@
 import { FleetNode } from '../fleet/fleetNode.js'
 import { PlannerDuty } from '../planner/plannerDuty.js'
 import { ControlServer } from '../shared/controlServer.js'
-import { createFleetFacts } from '../shared/fleetFacts.js'
+import { countEntries, createFleetFacts } from '../shared/fleetFacts.js'
 import type { FleetFacts } from '../shared/fleetFacts.js'
 import { createProcessParts } from '../shared/processParts.js'
 import type { ProcessParts } from '../shared/processParts.js'
@@ -26,8 +26,8 @@
 import { DirectService } from './requestService.js'
 
 const MAX_WAITING = 4_096
-/** Bytes a second that one entry may send over the region link. */
-const LINK_BYTES_PER_SECOND = 250_000
+/** Bytes a second that all entries together may send over the region link: half of 20 Mbit/s. */
+const LINK_BYTES_PER_SECOND = 1_250_000
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 const DEFAULT_AGENT_CONNECTIONS = 60
 /** Time in which the balancer notices that this entry leaves, in milliseconds. */
@@ -147,6 +147,7 @@
     this.board.subscribe('members', () => {
       dispatcher.drop(agents.update(this.board.get('members')))
       sender.setConnectionLimit(computeConnectionShare(DEFAULT_AGENT_CONNECTIONS, agents.entries))
+      router.update(countEntries(this.board.get('members'), this._settings.region), LINK_BYTES_PER_SECOND / agents.entries)
       queue.setCapacity(computeEntryCapacity(agents.list(), agents.entries))
       dispatcher.notify()
     })
