Close the stand-ins when a port can't be had

A taken port left the command running without signal handlers, so that SIGTERM ended it: the test matched 'ready' within 'address already in use'.

--- a/packages/cli/src/commands/standins.ts
+++ b/packages/cli/src/commands/standins.ts
@@ -1,6 +1,7 @@
 /**
  * `dragonflylever standins --port N`: stand-ins of the platform on loopback, so that the daemon can be tried.
  */
+import type { CommandOutput } from '../command.js'
 import { ExitCode, createFlagCommand, getText } from '../flagCommand.js'
 
 const MAX_PORT = 65_535
@@ -29,21 +30,30 @@
       output.err(`standins: expected --port from 1 to ${MAX_BASE_PORT} and --endpoints from 1 to ${MAX_ENDPOINTS}`)
       return ExitCode.badInput
     }
-    const { EndpointStandIn, StoreStandIn, WorkerStandIn } = await import('@dragonflylever/standins')
-    const store = await StoreStandIn.open(port)
-    output.out(`store at ${store.url}`)
-    const opened: Array<{ url: string, close (): Promise<void> }> = []
+    return serveStandIns(port, count, output)
+  }
+})
+
+/** Serves until a signal; closes what is open already when a port can't be had. */
+async function serveStandIns (port: number, count: number, output: CommandOutput): Promise<number> {
+  const { EndpointStandIn, StoreStandIn, WorkerStandIn } = await import('@dragonflylever/standins')
+  const opened: Array<{ url: string, close (): Promise<void> }> = []
+  try {
+    opened.push(await StoreStandIn.open(port))
     for (let index = 1; index <= count; index++) {
       opened.push(await EndpointStandIn.open(port + index), await WorkerStandIn.open(port + WORKER_PORT_OFFSET + index))
     }
-    output.out(`endpoints and workers at ${opened.map(one => one.url).join(' ')}`)
+    output.out(`store, endpoints and workers at ${opened.map(one => one.url).join(' ')}`)
     output.out('ready')
     await waitForSignal()
-    await Promise.all(opened.map(one => one.close()))
-    await store.close()
     return ExitCode.ok
+  } catch (error) {
+    output.err(`standins: ${(error as Error).message}; choose another --port`)
+    return ExitCode.failed
+  } finally {
+    await Promise.all(opened.map(one => one.close()))
   }
-})
+}
 
 function parseNumber (text: string): number | undefined {
   const value = /^\d{1,5}$/.test(text) ? Number(text) : 0
