Start the stand-ins' timers only once they listen

Ruled out: membership (status named the agent within a second when started by hand) and the samples. The test of a taken port now takes the store's, an endpoint's and a worker's port.

--- a/packages/cli/test/processes/running.test.ts
+++ b/packages/cli/test/processes/running.test.ts
@@ -20,6 +20,7 @@
 const PORT_RANGES = 40
 const PORTS_IN_USE = 400
 const WAIT_MS = 30_000
+const WORKER_PORT_OFFSET = 100
 
 interface Output {
   readonly code: number | null
@@ -87,9 +88,11 @@
 
 test('stand-ins that can\'t have a port say so and exit 1', async t => {
   const { port } = await startStandIns(t)
-  const second = await runCli('standins', '--port', String(port - 1), '--endpoints', '2')
-  t.is(second.code, 1)
-  t.regex(second.text, /^standins: .*EADDRINUSE.*choose another --port\n$/)
+  for (const taken of [port, port - 1, port - WORKER_PORT_OFFSET]) {
+    const second = await runCli('standins', '--port', String(taken), '--endpoints', '2')
+    t.is(second.code, 1)
+    t.regex(second.text, /^standins: .*EADDRINUSE.*choose another --port\n$/)
+  }
 })
 
 test('stand-ins, an entry and an agent run from the samples, take the declarations and answer a call', async t => {
--- a/packages/standins/src/storeStandIn.ts
+++ b/packages/standins/src/storeStandIn.ts
@@ -19,18 +19,18 @@
   readonly faults = createStoreFaults()
   readonly counts = createCallCounts()
   private readonly _server: Server
-  private readonly _expiry: NodeJS.Timeout
+  private _expiry: NodeJS.Timeout | undefined
   private _url = ''
 
   private constructor () {
     this._server = createServer((request, response) => { void this._handle(request, response) })
-    this._expiry = setInterval(() => this.engine.expire(), EXPIRE_INTERVAL_MS)
   }
 
   /** Opens a store on a loopback port; 0 takes a free one. */
   static async open (port = 0): Promise<StoreStandIn> {
     const store = new StoreStandIn()
     store._url = await listen(store._server, port)
+    store._expiry = setInterval(() => store.engine.expire(), EXPIRE_INTERVAL_MS)
     return store
   }
 
--- a/packages/standins/src/workerStandIn.ts
+++ b/packages/standins/src/workerStandIn.ts
@@ -15,19 +15,19 @@
 export class WorkerStandIn {
   readonly worker: MemoryWorker
   private readonly _server: Server
-  private readonly _timer: NodeJS.Timeout
+  private _timer: NodeJS.Timeout | undefined
   private _url = ''
 
   private constructor (capacity: TaskShape | undefined) {
     this.worker = new MemoryWorker(capacity)
     this._server = createServer((request, response) => { void this._handle(request, response) })
-    this._timer = setInterval(() => this.worker.engine.advance(), ADVANCE_MS)
   }
 
   /** Opens a worker on a loopback port; 0 takes a free one. */
   static async open (port = 0, capacity?: TaskShape): Promise<WorkerStandIn> {
     const standIn = new WorkerStandIn(capacity)
     standIn._url = await listen(standIn._server, port)
+    standIn._timer = setInterval(() => standIn.worker.engine.advance(), ADVANCE_MS)
     return standIn
   }
 
