--- a/packages/cli/src/commands/standins.ts
+++ b/packages/cli/src/commands/standins.ts
@@ -41,7 +41,8 @@
   try {
     opened.push(await StoreStandIn.open(port))
     for (let index = 1; index <= count; index++) {
-      opened.push(await EndpointStandIn.open(port + index), await WorkerStandIn.open(port + WORKER_PORT_OFFSET + index))
+      opened.push(await EndpointStandIn.open(port + index))
+      opened.push(await WorkerStandIn.open(port + WORKER_PORT_OFFSET + index))
     }
     output.out(`store, endpoints and workers at ${opened.map(one => one.url).join(' ')}`)
     output.out('ready')
