--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -6,6 +6,7 @@
 type Loader = () => Promise<Bench>
 
 export const BENCHES: Readonly<Record<string, Loader>> = {
+  capacity: async () => (await import('./capacity/capacityBench.js')).capacityBench,
   claims: async () => (await import('./claims/claimsBench.js')).claimsBench,
   completion: async () => (await import('./gangs/completionBench.js')).completionBench,
   'config-spread': async () => (await import('./fleet/configSpreadBench.js')).configSpreadBench,
