Close an entry's connections to agents that are gone

Pools were kept per address for ever, so that memory grew as agents moved. Test: agentLink.test.ts, a connection to a dropped address is seen closed; without the call it stays open and the test times out.

--- a/packages/daemon/src/entry/agentLink.ts
+++ b/packages/daemon/src/entry/agentLink.ts
@@ -87,6 +87,15 @@
     this._pools.clear()
   }
 
+  /** Closes the connections to all addresses but these; requests under way finish. */
+  dropOthers (addresses: ReadonlySet<string>): void {
+    for (const [address, pool] of this._pools) {
+      if (addresses.has(address)) continue
+      this._pools.delete(address)
+      void pool.close()
+    }
+  }
+
   async close (): Promise<void> {
     await Promise.all([...this._pools.values()].map(pool => pool.destroy()))
   }
--- a/packages/daemon/src/entry/agentTable.ts
+++ b/packages/daemon/src/entry/agentTable.ts
@@ -57,6 +57,11 @@
     return false
   }
 
+  /** Lists the control addresses of all agents, leaving ones included. */
+  listAddresses (): Set<string> {
+    return new Set([...this._rows.values()].map(row => row.target.address))
+  }
+
   /** Returns where to send for an agent. */
   getTarget (agentId: string): AgentTarget | undefined {
     return this._rows.get(agentId)?.target
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -146,6 +146,7 @@
     const dispatcher = new Dispatcher({ queue, router, agents, sender, peers: this._parts.peers })
     this.board.subscribe('members', () => {
       dispatcher.drop(agents.update(this.board.get('members')))
+      sender.dropOthers(agents.listAddresses())
       sender.setConnectionLimit(computeConnectionShare(DEFAULT_AGENT_CONNECTIONS, agents.entries))
       router.update(countEntries(this.board.get('members'), this._settings.region), LINK_BYTES_PER_SECOND / agents.entries)
       queue.setCapacity(computeEntryCapacity(agents.list(), agents.entries))
--- a/packages/daemon/test/entry/agentLink.test.ts
+++ b/packages/daemon/test/entry/agentLink.test.ts
@@ -14,14 +14,20 @@
 type Answer = (attemptId: string, socket: Socket) => void
 
 interface Fixture {
+  readonly link: AgentLink
+  /** Resolves when the agent has seen a connection close. */
+  readonly closed: Promise<void>
   send (attemptId: string): Promise<AttemptResult>
 }
 
 /** Opens an agent that answers its n-th dispatch by the n-th function, the last one for all further dispatches. */
 async function openAgent (t: ExecutionContext, ...answers: Answer[]): Promise<Fixture> {
   let next = 0
+  let onClosed = (): void => {}
+  const closed = new Promise<void>(resolve => { onClosed = resolve })
   const server = createServer(socket => {
     socket.on('error', () => {})
+    socket.on('close', onClosed)
     socket.on('data', data => {
       const attemptId = /dfl-attempt: (\S+)/.exec(String(data))?.[1] ?? ''
       const answer = answers[Math.min(next++, answers.length - 1)]
@@ -35,7 +41,7 @@
     server.close()
   })
   const target = { agentId: 'agent-1', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, incarnation: 'i' }
-  return { send: attemptId => link.send(target, makeRequest(), attemptId, new AbortController().signal) }
+  return { link, closed, send: attemptId => link.send(target, makeRequest(), attemptId, new AbortController().signal) }
 }
 
 function makeRequest (): CallerRequest {
@@ -89,3 +95,11 @@
   const agent = await openAgent(t, (attemptId, socket) => socket.end(formatAnswer(attemptId, 'x'.repeat(size))))
   t.is((await agent.send('a1')).kind, 'lost')
 })
+
+test('connections to an agent that is gone are closed, and the same address may be used again', async t => {
+  const agent = await openAgent(t, (attemptId, socket) => socket.write(formatAnswer(attemptId, 'whole')))
+  t.is((await agent.send('a1')).kind, 'answered')
+  agent.link.dropOthers(new Set())
+  await agent.closed
+  t.is((await agent.send('a2')).kind, 'answered')
+})
