--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -12,6 +12,7 @@
 import { ControlServer } from '../shared/controlServer.js'
 import { countEntries, createFleetFacts } from '../shared/fleetFacts.js'
 import type { FleetFacts } from '../shared/fleetFacts.js'
+import { MemberLog } from '../shared/memberLog.js'
 import { createProcessParts } from '../shared/processParts.js'
 import type { ProcessParts } from '../shared/processParts.js'
 import { QueueMetrics } from '../shared/queueMetrics.js'
@@ -100,6 +101,8 @@
       organisationKeys: this._settings.organisationKeys,
       maxBufferedBytes: MAX_BUFFERED_BYTES
     })
+    const memberLog = new MemberLog(this.board, createPartLogger(logger, 'members'))
+    this._lifecycle.add('member log', () => memberLog.close())
     const control = new ControlServer({ clusterKey: this._settings.clusterKey })
     const node = this._createNode(control)
     this._controlAddress = await control.open(this._settings.listen.control)
--- /dev/null
+++ b/packages/daemon/src/shared/memberLog.ts
@@ -0,0 +1,36 @@
+/**
+ * Logs which members come and go, as this process sees them.
+ */
+import type { Blackboard, Logger } from '@dragonflylever/runtime'
+
+import type { FleetFacts, MemberView } from './fleetFacts.js'
+
+export class MemberLog {
+  private readonly _board: Blackboard<FleetFacts>
+  private readonly _logger: Logger
+  private readonly _stop: () => void
+  private _known: ReadonlyMap<string, MemberView> = new Map()
+
+  constructor (board: Blackboard<FleetFacts>, logger: Logger) {
+    this._board = board
+    this._logger = logger
+    this._stop = board.subscribe('members', () => this._update())
+  }
+
+  close (): void {
+    this._stop()
+  }
+
+  private _update (): void {
+    const members = this._board.get('members')
+    for (const [id, { member }] of members) this._logChange(id, member.incarnation, member.state)
+    for (const id of this._known.keys()) if (!members.has(id)) this._logger.info({ member: id }, 'member gone')
+    this._known = members
+  }
+
+  private _logChange (id: string, incarnation: string, state: string): void {
+    const known = this._known.get(id)?.member
+    if (known?.incarnation !== incarnation) this._logger.info({ member: id, incarnation }, 'member joined')
+    else if (known.state !== state) this._logger.info({ member: id }, `member ${state}`)
+  }
+}
