Keep the slot of an aborted run taken for a second

A second covers what was seen; an endpoint that runs on for longer can still exceed its slots, and nothing tells the agent. The cost: each aborted run takes up to a second of one slot.

--- a/packages/daemon/src/agent/slotRunner.ts
+++ b/packages/daemon/src/agent/slotRunner.ts
@@ -34,7 +34,7 @@
 
 const SWEEP_MS = 20
 /** Time in which an endpoint notices that a request was broken off; its slot stays taken until then. */
-const ABORT_NOTICE_MS = 50
+const ABORT_NOTICE_MS = 1_000
 
 export class SlotRunner {
   private readonly _parts: SlotRunnerParts
