--- a/packages/daemon/src/entry/callerServer.ts
+++ b/packages/daemon/src/entry/callerServer.ts
@@ -125,7 +125,8 @@
 
   private _sendHealth (response: ServerResponse): void {
     const isLeaving = this._parts.board.get('isLeaving')
-    const isReady = !isLeaving && this._parts.board.get('configuration') !== undefined
+    const hasAgent = [...this._parts.board.get('members').values()].some(({ member }) => member.role === 'agent')
+    const isReady = !isLeaving && hasAgent && this._parts.board.get('configuration') !== undefined
     sendJson(response, isReady ? 200 : 503, { status: isReady ? 'ready' : isLeaving ? 'leaving' : 'starting' })
   }
 
