Keep one piece of code for the proof that a call was not sent

The list of errors that prove it stood in five files (store, endpoint, worker, entry's link, operators' client); notRun rests on it, so a code added to one and not the others would have made outcomes differ. describeCallFailure serves all. Likewise the test whether a task holds its resources, which stood at the agent and in the worker's stand-in. A lost run's result is resolved once, not twice. A limit that nothing read is gone. No behaviour changes.

--- a/packages/cli/src/operators/operatorClient.ts
+++ b/packages/cli/src/operators/operatorClient.ts
@@ -1,6 +1,7 @@
 /**
  * Calls the operators' port of an entry.
  */
+import { describeCallFailure } from '@dragonflylever/platform'
 import { OperatorPath, applyOutcomeSchema, configurationAnswerSchema, fleetStatusSchema, historyAnswerSchema, queueReportSchema } from '@dragonflylever/protocol'
 import type { ApplyOutcome, ApplyRequest, ConfigurationAnswer, FleetStatus, HistoryEntry, QueueReport } from '@dragonflylever/protocol'
 import { request } from 'undici'
@@ -17,7 +18,6 @@
 }
 
 const TIMEOUT_MS = 15_000
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 const REFUSED_STATUSES = new Set([400, 401, 403, 404, 413])
 
 export class OperatorClient {
@@ -65,8 +65,8 @@
       })
       return parseAnswer(response.statusCode, await response.body.text(), schema)
     } catch (error) {
-      const { code, message } = error as { code?: string, message: string }
-      return { kind: 'failed', message: `${method} ${url}${path}: ${message}`, isSent: !NOT_SENT_CODES.has(code ?? '') }
+      const { isNotSent, message } = describeCallFailure(error)
+      return { kind: 'failed', message: `${method} ${url}${path}: ${message}`, isSent: !isNotSent }
     }
   }
 }
--- a/packages/daemon/src/agent/slotRunner.ts
+++ b/packages/daemon/src/agent/slotRunner.ts
@@ -114,13 +114,10 @@
     const outcome = await this._parts.endpoint.send(attempt.request, waiting.signal)
     const now = performance.now()
     this._parts.ledger.finish(attempt.attemptId, now)
-    if (outcome.kind === 'lost') {
-      waiting.resolve(convertOutcome(outcome))
-      await new Promise(resolve => setTimeout(resolve, ABORT_NOTICE_MS))
-    }
+    waiting.resolve(convertOutcome(outcome))
+    if (outcome.kind === 'lost') await new Promise(resolve => setTimeout(resolve, ABORT_NOTICE_MS))
     this._running--
     this._parts.queue.finish(attempt.queued, now - startedAt, now)
-    waiting.resolve(convertOutcome(outcome))
     this._pump()
     this._notifyIdle()
   }
--- a/packages/daemon/src/agent/taskRunner.ts
+++ b/packages/daemon/src/agent/taskRunner.ts
@@ -3,7 +3,7 @@
  * renewed by the planner, is valid; the worker's own lease ends it when the agent dies.
  */
 import type { AgentAnswer, AgentCommand, TaskIncarnation, TaskTable } from '@dragonflylever/core'
-import { TaskState } from '@dragonflylever/platform'
+import { TaskState, isHoldingState } from '@dragonflylever/platform'
 import type { TaskReport as WorkerReport, Worker } from '@dragonflylever/platform'
 import type { TaskCommandMessage, TaskReportMessage } from '@dragonflylever/protocol'
 import type { Logger } from '@dragonflylever/runtime'
@@ -31,8 +31,6 @@
   isStopping: boolean
 }
 
-const HOLDING = new Set<TaskState>([TaskState.prepared, TaskState.running])
-
 export class TaskRunner {
   private readonly _parts: TaskRunnerParts
   private readonly _held = new Map<string, Held>()
@@ -69,7 +67,7 @@
   async clear (): Promise<void> {
     const outcome = await this._parts.worker.list()
     if (outcome.kind !== 'ok') return
-    const left = outcome.tasks.filter(task => HOLDING.has(task.state))
+    const left = outcome.tasks.filter(task => isHoldingState(task.state))
     await Promise.all(left.map(task => this._parts.worker.stop(task.taskId)))
     if (left.length > 0) this._parts.logger.warn({ tasks: left.length }, 'tasks of an earlier process stopped')
   }
@@ -172,7 +170,7 @@
   private async _isHeldByWorker (key: string): Promise<boolean> {
     const outcome = await this._parts.worker.list()
     if (outcome.kind !== 'ok') return true
-    return outcome.tasks.some(task => task.taskId === key && HOLDING.has(task.state))
+    return outcome.tasks.some(task => task.taskId === key && isHoldingState(task.state))
   }
 
   private _endLapsed (): void {
@@ -198,7 +196,7 @@
     if (report === undefined || held.isStopping) return false
     held.ranMs = report.ranMs
     if (report.checkpoint !== '') held.checkpoint = report.checkpoint
-    if (HOLDING.has(report.state)) return false
+    if (isHoldingState(report.state)) return false
     held.isStopping = true
     this._parts.table.finish(held.order.id, report.state === TaskState.done ? 'finished' : 'failed')
     this._parts.logger.info({ job: held.order.id.jobId, task: held.order.id.task, state: report.state, message: report.message }, 'task ended')
--- a/packages/daemon/src/entry/agentLink.ts
+++ b/packages/daemon/src/entry/agentLink.ts
@@ -3,7 +3,7 @@
  */
 import { NotRunReason, UnknownReason } from '@dragonflylever/core'
 import type { Answer } from '@dragonflylever/core'
-import { listHeaders } from '@dragonflylever/platform'
+import { describeCallFailure, listHeaders } from '@dragonflylever/platform'
 import { CallerLimit, DISPATCH_PATH, DispatchHeader } from '@dragonflylever/protocol'
 import { Pool } from 'undici'
 import type { Dispatcher as UndiciDispatcher } from 'undici'
@@ -44,7 +44,6 @@
 }
 
 const CONNECT_TIMEOUT_MS = 1_000
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 const NO_LOAD: ReportedLoad = { running: 0, waiting: 0 }
 
 /** Who sends. */
@@ -160,7 +159,6 @@
 }
 
 function describeError (error: unknown): AttemptResult {
-  const { code, message } = error as { code?: string, message?: string }
-  const text = message ?? String(error)
-  return NOT_SENT_CODES.has(code ?? '') ? { kind: 'notSent', message: text } : { kind: 'lost', message: text }
+  const { isNotSent, message } = describeCallFailure(error)
+  return { kind: isNotSent ? 'notSent' : 'lost', message }
 }
--- a/packages/platform/src/etcdStore.ts
+++ b/packages/platform/src/etcdStore.ts
@@ -7,13 +7,13 @@
 import { EtcdPath, decodeBytes, encodeBytes, encodePrefixEnd } from './etcdMessages.js'
 import type { EtcdKeyValue, EtcdLeaseResponse, EtcdRangeResponse, EtcdRequestOp, EtcdResponseOp, EtcdTxnRequest, EtcdTxnResponse } from './etcdMessages.js'
 import { EtcdWatch } from './etcdWatch.js'
+import { describeCallFailure } from './notSent.js'
 import { StoreHealth } from './store.js'
 import type { Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, PutResult, RemoveOutcome, Store, StoredValue, Watch, WatchListener } from './store.js'
 
 const CALL_TIMEOUT_MS = 1_000
 const CONNECTIONS = 4
 const MS_PER_S = 1_000
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
 type CallOutcome<T> =
   | { readonly kind: 'ok', readonly value: T }
@@ -145,9 +145,8 @@
 }
 
 function describeCallError (error: unknown): { kind: 'notSent' | 'lost', message: string } {
-  const { code, message } = error as { code?: string, message?: string }
-  const text = `store call failed: ${message ?? String(error)}`
-  return { kind: NOT_SENT_CODES.has(code ?? '') ? 'notSent' : 'lost', message: text }
+  const { isNotSent, message } = describeCallFailure(error)
+  return { kind: isNotSent ? 'notSent' : 'lost', message: `store call failed: ${message}` }
 }
 
 function convertFailure (outcome: { kind: 'notSent' | 'lost' | 'rejected', message: string }): { kind: 'unavailable' | 'ambiguous', message: string } {
--- a/packages/platform/src/httpEndpoint.ts
+++ b/packages/platform/src/httpEndpoint.ts
@@ -6,10 +6,10 @@
 import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 
+import { describeCallFailure } from './notSent.js'
 import type { Endpoint, EndpointOutcome, EndpointRequest } from './endpoint.js'
 
 const CONNECT_TIMEOUT_MS = 1_000
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 const BODILESS_STATUS = new Set([204, 304])
 
 /** Where the endpoint listens and how many connections it allows. */
@@ -85,8 +85,6 @@
 }
 
 function describeError (error: unknown): EndpointOutcome {
-  const { code, message } = error as { code?: string, message?: string }
-  const text = message ?? String(error)
-  if (NOT_SENT_CODES.has(code ?? '')) return { kind: 'notSent', message: text }
-  return { kind: 'lost', message: text }
+  const { isNotSent, message } = describeCallFailure(error)
+  return { kind: isNotSent ? 'notSent' : 'lost', message }
 }
--- a/packages/platform/src/httpWorker.ts
+++ b/packages/platform/src/httpWorker.ts
@@ -3,12 +3,12 @@
  */
 import { Pool } from 'undici'
 
+import { describeCallFailure } from './notSent.js'
 import type { TaskOrder, TaskReport, Worker, WorkerOutcome } from './worker.js'
 
 const CALL_TIMEOUT_MS = 2_000
 const CHECKPOINT_TIMEOUT_MS = 120_000
 const CONNECTIONS = 2
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
 /** Paths of the worker's calls; each takes and gives a JSON object by POST. */
 export const WorkerPath = {
@@ -74,8 +74,8 @@
       if (response.statusCode < 500) return { kind: 'refused', message: String((answer as { message?: string }).message) }
       return { kind: 'lost', message: `the worker answered ${response.statusCode}` }
     } catch (error) {
-      const { code, message } = error as { code?: string, message?: string }
-      return { kind: NOT_SENT_CODES.has(code ?? '') ? 'refused' : 'lost', message: `worker call ${path}: ${message ?? String(error)}` }
+      const { isNotSent, message } = describeCallFailure(error)
+      return { kind: isNotSent ? 'refused' : 'lost', message: `worker call ${path}: ${message}` }
     }
   }
 }
--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -84,6 +84,3 @@
 
 /** Bound of `putMany`, below the usual limit of 128 operations in a transaction. */
 export const MAX_PUTS_PER_CALL = 40
-
-/** Largest value the store takes, in bytes. */
-export const MAX_VALUE_BYTES = 1024 * 1024
--- a/packages/platform/src/worker.ts
+++ b/packages/platform/src/worker.ts
@@ -20,6 +20,11 @@
 } as const
 export type TaskState = typeof TaskState[keyof typeof TaskState]
 
+/** Returns whether a task in this state holds its resources. */
+export function isHoldingState (state: TaskState): boolean {
+  return state === TaskState.prepared || state === TaskState.running
+}
+
 /** An order to hold resources for a task and make it ready. */
 export interface TaskOrder {
   /** Unique per run of a task: job, index and incarnation. */
--- a/packages/standins/src/workerEngine.ts
+++ b/packages/standins/src/workerEngine.ts
@@ -1,7 +1,7 @@
 /**
  * State of the worker stand-in: resources, tasks under leases, faults, and a record of what ran. In memory, no I/O.
  */
-import { TaskState } from '@dragonflylever/platform'
+import { TaskState, isHoldingState } from '@dragonflylever/platform'
 import type { TaskOrder, TaskReport, TaskShape, WorkerOutcome } from '@dragonflylever/platform'
 
 /** What the worker does wrong now. */
@@ -55,7 +55,7 @@
 
   /** Resources held now. */
   get used (): TaskShape {
-    const held = [...this._tasks.values()].filter(task => isHolding(task.state)).map(task => task.order.shape)
+    const held = [...this._tasks.values()].filter(task => isHoldingState(task.state)).map(task => task.order.shape)
     return held.reduce(addShapes, { accelerators: 0, cores: 0, memoryGb: 0 })
   }
 
@@ -94,7 +94,7 @@
   renew (taskId: string): WorkerOutcome {
     this.advance()
     const task = this._tasks.get(taskId)
-    if (task === undefined || !isHolding(task.state)) return makeUnknownTask(taskId)
+    if (task === undefined || !isHoldingState(task.state)) return makeUnknownTask(taskId)
     task.leaseEndsAt = performance.now() + task.order.leaseMs
     return { kind: 'ok' }
   }
@@ -119,7 +119,7 @@
   stop (taskId: string): WorkerOutcome {
     this.advance()
     const task = this._tasks.get(taskId)
-    if (task !== undefined && isHolding(task.state) && !this.faults.ignoresStop) this._end(task, TaskState.stopped, 'stopped')
+    if (task !== undefined && isHoldingState(task.state) && !this.faults.ignoresStop) this._end(task, TaskState.stopped, 'stopped')
     return { kind: 'ok' }
   }
 
@@ -140,7 +140,7 @@
   advance (): void {
     const now = performance.now()
     for (const task of this._tasks.values()) {
-      if (!isHolding(task.state)) continue
+      if (!isHoldingState(task.state)) continue
       this._count(task, now)
       if (task.leaseEndsAt <= now) this._end(task, TaskState.expired, 'the lease lapsed')
       else if (task.state === TaskState.running) this._advanceRunning(task)
@@ -177,10 +177,6 @@
   return Number(task.order.checkpoint === '' ? 0 : task.order.checkpoint) + task.ranMs
 }
 
-function isHolding (state: TaskState): boolean {
-  return state === TaskState.prepared || state === TaskState.running
-}
-
 function addShapes (a: TaskShape, b: TaskShape): TaskShape {
   return { accelerators: a.accelerators + b.accelerators, cores: a.cores + b.cores, memoryGb: a.memoryGb + b.memoryGb }
 }
