Keep the router's candidates instead of building them anew for each request

Each request made the table of agents describe all of them two times or more, with the share of connections computed anew for each; at 630 agents that is more than a thousand objects a request. The rows are the candidates now; what depends on members is computed when members change. Decisions are the same. Not measured on a quiet machine.

--- a/packages/daemon/src/entry/agentTable.ts
+++ b/packages/daemon/src/entry/agentTable.ts
@@ -6,20 +6,15 @@
 
 import type { MemberView } from '../shared/fleetFacts.js'
 import type { AgentTarget, ReportedLoad } from './agentLink.js'
+import { AgentRow } from './agentRow.js'
 
 /** Connections of an agent kept for control calls. */
 const CONTROL_CONNECTIONS = 12
 
-interface AgentRow {
-  readonly target: AgentTarget
-  readonly member: Member
-  load: ReportedLoad
-  inFlight: number
-  isLeaving: boolean
-}
-
 export class AgentTable {
   private _rows = new Map<string, AgentRow>()
+  /** Rows that take new work. */
+  private _open: readonly AgentRow[] = []
   private _entries = 1
 
   /** Number of entries that share the agents' connections. */
@@ -29,32 +24,24 @@
 
   /** Takes the present members over; returns the ids of agents (or incarnations of them) that are gone. */
   update (members: ReadonlyMap<string, MemberView>): string[] {
-    const rows = new Map<string, AgentRow>()
-    for (const { member } of members.values()) {
-      if (member.role !== 'agent') continue
-      const known = this._rows.get(member.id)
-      const isSame = known?.target.incarnation === member.incarnation && known.target.address === member.address
-      const row = isSame ? known : createRow(member)
-      row.isLeaving = member.state === 'leaving'
-      rows.set(member.id, row)
-    }
-    const gone = [...this._rows.values()].filter(row => rows.get(row.member.id) !== row).map(row => row.target.incarnation)
+    const agents = [...members.values()].map(({ member }) => member).filter(member => member.role === 'agent')
+    const rows = new Map(agents.map(member => [member.id, this._getRow(member)]))
+    const gone = [...this._rows.values()].filter(row => rows.get(row.agentId) !== row).map(row => row.target.incarnation)
     this._rows = rows
     this._entries = Math.max(1, [...members.values()].filter(({ member }) => member.role === 'entry').length)
+    for (const row of rows.values()) row.maxInFlight = computeConnectionShare(row.maxConnections, this._entries)
+    this._open = agents.filter(member => member.state !== 'leaving').map(member => rows.get(member.id) as AgentRow)
     return gone
   }
 
-  /** Lists the agents for the router. */
-  list (): Candidate[] {
-    return [...this._rows.values()].filter(row => !row.isLeaving).map(row => this._describe(row))
+  /** Lists the agents that take new work, for the router; the entries change in place. */
+  list (): readonly Candidate[] {
+    return this._open
   }
 
   /** True when at least one agent takes another request from this entry. */
   hasRoom (): boolean {
-    for (const row of this._rows.values()) {
-      if (!row.isLeaving && row.inFlight < this._getMaxInFlight(row)) return true
-    }
-    return false
+    return this._open.some(row => row.inFlight < row.maxInFlight)
   }
 
   /** Lists the control addresses of all agents, leaving ones included. */
@@ -78,23 +65,12 @@
     const row = this._rows.get(target.agentId)
     if (row === undefined || row.target.incarnation !== target.incarnation) return
     row.inFlight--
-    if (load !== undefined) row.load = load
-  }
-
-  private _describe (row: AgentRow): Candidate {
-    return {
-      agentId: row.member.id,
-      region: row.member.region,
-      failureDomain: row.member.failureDomain,
-      slots: row.member.agent?.slots ?? 1,
-      reportedLoad: row.load.running + row.load.waiting,
-      inFlight: row.inFlight,
-      maxInFlight: this._getMaxInFlight(row)
-    }
+    if (load !== undefined) row.note(load)
   }
 
-  private _getMaxInFlight (row: AgentRow): number {
-    return computeConnectionShare(row.member.agent?.maxConnections ?? 1, this._entries)
+  private _getRow (member: Member): AgentRow {
+    const known = this._rows.get(member.id)
+    return known?.isSame(member) === true ? known : new AgentRow(member)
   }
 }
 
@@ -102,8 +78,3 @@
 export function computeConnectionShare (maxConnections: number, entries: number): number {
   return Math.max(1, Math.floor((maxConnections - CONTROL_CONNECTIONS) / entries))
 }
-
-function createRow (member: Member): AgentRow {
-  const target = { agentId: member.id, address: member.address, incarnation: member.incarnation }
-  return { target, member, load: { running: 0, waiting: 0 }, inFlight: 0, isLeaving: false }
-}
