Share the commands' call to an entry and the sample store, and drop the unused controller loop

status, history, diff and explain each read the target, loaded the client and wrote the failure; callEntry does. Five places opened a store with the sample declarations; openSampleStore does.

--- a/packages/bench/src/path/pathFleet.ts
+++ b/packages/bench/src/path/pathFleet.ts
@@ -6,11 +6,11 @@
 import { once } from 'node:events'
 import { fileURLToPath } from 'node:url'
 
-import { DaemonProcess, StoreStandIn, createAgentSettings, createEntrySettings, createSampleDeclarations, encodeFirstConfiguration } from '@dragonflylever/standins'
+import { DaemonProcess, createAgentSettings, createEntrySettings, openSampleStore } from '@dragonflylever/standins'
+import type { StoreStandIn } from '@dragonflylever/standins'
 
 const BINARY = fileURLToPath(import.meta.resolve('@dragonflylever/daemon/main'))
 const ENDPOINT_MAIN = fileURLToPath(new URL('./endpointMain.js', import.meta.url))
-const CONFIGURATION_KEY = 'dragonflylever/config/current'
 
 export class PathFleet {
   /** URL of an endpoint to call without the system. */
@@ -26,8 +26,7 @@
 
   /** Starts a fleet of one entry and `agents` agents. */
   static async start (agents: number): Promise<PathFleet> {
-    const store = await StoreStandIn.open()
-    store.engine.put({ key: CONFIGURATION_KEY, value: encodeFirstConfiguration(createSampleDeclarations()), expect: { kind: 'any' } })
+    const store = await openSampleStore()
     const fleet = new PathFleet(store)
     fleet._entry = await DaemonProcess.start(BINARY, createEntrySettings({ id: 'entry-1', storeUrl: store.url }))
     for (let index = 1; index <= agents; index++) await fleet._addAgent(`agent-${index}`)
--- a/packages/cli/src/commands/diff.ts
+++ b/packages/cli/src/commands/diff.ts
@@ -6,7 +6,8 @@
 
 import type { CommandOutput } from '../command.js'
 import { ExitCode, createFlagCommand } from '../flagCommand.js'
-import { OPERATOR_FLAGS, readTarget } from '../operators/operatorFlags.js'
+import { callEntry } from '../operators/callEntry.js'
+import { OPERATOR_FLAGS } from '../operators/operatorFlags.js'
 import { readDocument } from '../readDocument.js'
 
 /** What a document is compared with. */
@@ -41,11 +42,7 @@
 }
 
 async function readInForce (flags: ParsedFlags, output: CommandOutput): Promise<Side | number> {
-  const target = readTarget(flags, output)
-  if (target === undefined) return ExitCode.badInput
-  const { OperatorClient } = await import('../operators/operatorClient.js')
-  const result = await new OperatorClient(target).readConfiguration()
-  if (result.kind === 'ok') return { label: `revision ${result.value.revision}`, declarations: result.value.declarations ?? {} }
-  output.err(`diff: ${result.message}`)
-  return ExitCode.failed
+  const result = await callEntry('diff', flags, output, client => client.readConfiguration())
+  if (result.kind === 'ended') return result.exitCode
+  return { label: `revision ${result.value.revision}`, declarations: result.value.declarations ?? {} }
 }
--- a/packages/cli/src/commands/history.ts
+++ b/packages/cli/src/commands/history.ts
@@ -1,8 +1,11 @@
 /**
  * `dragonflylever history`: the accepted revisions, or one of them whole.
  */
+import type { ConfigurationAnswer, HistoryEntry } from '@dragonflylever/protocol'
+
 import { ExitCode, createFlagCommand, getText } from '../flagCommand.js'
-import { OPERATOR_FLAGS, readTarget } from '../operators/operatorFlags.js'
+import { callEntry } from '../operators/callEntry.js'
+import { OPERATOR_FLAGS } from '../operators/operatorFlags.js'
 
 const FLAGS = {
   revision: { type: 'string', help: 'print the declarations of this revision' },
@@ -18,16 +21,9 @@
   minArguments: 0,
   maxArguments: 0,
   async execute (flags, output) {
-    const target = readTarget(flags, output)
-    if (target === undefined) return ExitCode.badInput
-    const { OperatorClient } = await import('../operators/operatorClient.js')
-    const client = new OperatorClient(target)
     const revision = getText(flags, 'revision')
-    const result = revision === undefined ? await client.readHistory() : await client.readRevision(revision)
-    if (result.kind === 'failed') {
-      output.err(`history: ${result.message}`)
-      return ExitCode.failed
-    }
+    const result = await callEntry<ConfigurationAnswer | { entries: HistoryEntry[] }>('history', flags, output, client => revision === undefined ? client.readHistory() : client.readRevision(revision))
+    if (result.kind === 'ended') return result.exitCode
     if (!('entries' in result.value)) output.out(JSON.stringify(result.value.declarations, null, 2))
     else if (flags.values.json === true) output.out(JSON.stringify(result.value.entries, null, 2))
     else for (const entry of result.value.entries) output.out(`${entry.revision}  ${new Date(entry.acceptedAt).toISOString()}  ${entry.acceptedBy}`)
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -4,7 +4,8 @@
 import type { FleetStatus } from '@dragonflylever/protocol'
 
 import { ExitCode, createFlagCommand } from '../flagCommand.js'
-import { OPERATOR_FLAGS, readTarget } from '../operators/operatorFlags.js'
+import { callEntry } from '../operators/callEntry.js'
+import { OPERATOR_FLAGS } from '../operators/operatorFlags.js'
 
 const FLAGS = { json: { type: 'boolean', help: 'print JSON' }, ...OPERATOR_FLAGS } as const
 
@@ -16,14 +17,8 @@
   minArguments: 0,
   maxArguments: 0,
   async execute (flags, output) {
-    const target = readTarget(flags, output)
-    if (target === undefined) return ExitCode.badInput
-    const { OperatorClient } = await import('../operators/operatorClient.js')
-    const result = await new OperatorClient(target).readStatus()
-    if (result.kind === 'failed') {
-      output.err(`status: ${result.message}`)
-      return ExitCode.failed
-    }
+    const result = await callEntry('status', flags, output, client => client.readStatus())
+    if (result.kind === 'ended') return result.exitCode
     if (flags.values.json === true) output.out(JSON.stringify(result.value, null, 2))
     else for (const line of formatStatus(result.value)) output.out(line)
     return ExitCode.ok
--- a/packages/cli/src/demo/demoFleet.ts
+++ b/packages/cli/src/demo/demoFleet.ts
@@ -1,9 +1,9 @@
 /**
  * A whole fleet within this process: an entry, agents in two regions, and the stand-ins of the platform.
  */
-import { AgentProcess, EntryProcess, getConfigurationKey } from '@dragonflylever/daemon'
+import { AgentProcess, EntryProcess } from '@dragonflylever/daemon'
 import { Lifecycle, createLogger } from '@dragonflylever/runtime'
-import { EndpointStandIn, StoreStandIn, WorkerStandIn, createAgentSettings, createEntrySettings, createSampleDeclarations, encodeFirstConfiguration } from '@dragonflylever/standins'
+import { EndpointStandIn, WorkerStandIn, createAgentSettings, createEntrySettings, openSampleStore } from '@dragonflylever/standins'
 
 /** Places of the demo's agents. */
 const PLACES = [
@@ -36,10 +36,8 @@
   }
 
   private async _open (): Promise<void> {
-    const store = await StoreStandIn.open()
+    const store = await openSampleStore()
     this._lifecycle.add('store', () => store.close())
-    const value = encodeFirstConfiguration(createSampleDeclarations())
-    store.engine.put({ key: getConfigurationKey('dragonflylever'), value, expect: { kind: 'any' } })
     const entrySettings = createEntrySettings({ id: 'entry-1', storeUrl: store.url })
     const entry = await EntryProcess.start(entrySettings, { logger: this._logger })
     this._lifecycle.add('entry', () => entry.stop())
--- /dev/null
+++ b/packages/cli/src/operators/callEntry.ts
@@ -0,0 +1,23 @@
+/**
+ * One call to the operators' port of the entry that the flags name.
+ */
+import type { ParsedFlags } from '@dragonflylever/runtime/flags'
+
+import type { CommandOutput } from '../command.js'
+import { ExitCode } from '../flagCommand.js'
+import type { CallResult, OperatorClient } from './operatorClient.js'
+import { readTarget } from './operatorFlags.js'
+
+/** The answer, or the exit code of a command whose error line is written. */
+export type EntryAnswer<T> = { readonly kind: 'ok', readonly value: T } | { readonly kind: 'ended', readonly exitCode: number }
+
+/** Calls the entry for a command; writes what went wrong. */
+export async function callEntry<T> (command: string, flags: ParsedFlags, output: CommandOutput, call: (client: OperatorClient) => Promise<CallResult<T>>): Promise<EntryAnswer<T>> {
+  const target = readTarget(flags, output)
+  if (target === undefined) return { kind: 'ended', exitCode: ExitCode.badInput }
+  const { OperatorClient } = await import('./operatorClient.js')
+  const result = await call(new OperatorClient(target))
+  if (result.kind === 'ok') return result
+  output.err(`${command}: ${result.message}`)
+  return { kind: 'ended', exitCode: ExitCode.failed }
+}
--- a/packages/cli/src/operators/explainQueue.ts
+++ b/packages/cli/src/operators/explainQueue.ts
@@ -6,18 +6,12 @@
 
 import type { CommandOutput } from '../command.js'
 import { ExitCode, getText } from '../flagCommand.js'
-import { readTarget } from './operatorFlags.js'
+import { callEntry } from './callEntry.js'
 
 /** Reads the queue of an entry and prints what concerns a class, and an organisation if one is named. */
 export async function explainQueue (className: string, flags: ParsedFlags, output: CommandOutput): Promise<number> {
-  const target = readTarget(flags, output)
-  if (target === undefined) return ExitCode.badInput
-  const { OperatorClient } = await import('./operatorClient.js')
-  const result = await new OperatorClient(target).readQueue()
-  if (result.kind === 'failed') {
-    output.err(`explain: ${result.message}`)
-    return ExitCode.failed
-  }
+  const result = await callEntry('explain', flags, output, client => client.readQueue())
+  if (result.kind === 'ended') return result.exitCode
   const report = selectReport(result.value, className, getText(flags, 'organisation'))
   if (flags.values.json === true) output.out(JSON.stringify(report, null, 2))
   else for (const line of formatReport(report, className)) output.out(line)
--- a/packages/daemon/test/observability/hops.test.ts
+++ b/packages/daemon/test/observability/hops.test.ts
@@ -7,7 +7,7 @@
 import type { Endpoint, EndpointOutcome, EndpointRequest } from '@dragonflylever/platform'
 import { createLogger } from '@dragonflylever/runtime'
 import { OtelTracer } from '@dragonflylever/runtime/otelTracer'
-import { StoreStandIn, createAgentSettings, createEntrySettings, createSampleDeclarations, encodeFirstConfiguration } from '@dragonflylever/standins'
+import { createAgentSettings, createEntrySettings, openSampleStore } from '@dragonflylever/standins'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import { request } from 'undici'
@@ -38,8 +38,7 @@
 
 /** Starts an entry and an agent with their spans recorded; metrics go to `metricsPort`. */
 async function startPath (t: ExecutionContext, spans: EndedSpan[], metricsPort?: number): Promise<{ url: string, endpoint: RecordingEndpoint }> {
-  const store = await StoreStandIn.open()
-  store.engine.put({ key: 'dragonflylever/config/current', value: encodeFirstConfiguration(createSampleDeclarations()), expect: { kind: 'any' } })
+  const store = await openSampleStore()
   const logger = createLogger({ level: 'silent', processId: 'test' })
   const settings = createEntrySettings({ id: 'entry-1', storeUrl: store.url })
   const metrics = metricsPort === undefined ? {} : { metrics: { host: '127.0.0.1', port: metricsPort } }
--- a/packages/daemon/test/security/keys.test.ts
+++ b/packages/daemon/test/security/keys.test.ts
@@ -3,7 +3,7 @@
  */
 import { RPC_PATH } from '@dragonflylever/protocol'
 import { RpcClient, createLogger } from '@dragonflylever/runtime'
-import { EndpointStandIn, OPERATORS_KEY, StoreStandIn, createAgentSettings, createEntrySettings, createSampleDeclarations, encodeFirstConfiguration } from '@dragonflylever/standins'
+import { EndpointStandIn, OPERATORS_KEY, createAgentSettings, createEntrySettings, openSampleStore } from '@dragonflylever/standins'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import { request } from 'undici'
@@ -25,8 +25,7 @@
 async function startSecured (t: ExecutionContext, operatorsKey: string | undefined = OPERATORS_KEY): Promise<Secured> {
   const logged: string[] = []
   const logger = createLogger({ level: 'debug', processId: 'test', destination: { write: (line: string) => { logged.push(line) } } })
-  const store = await StoreStandIn.open()
-  store.engine.put({ key: 'dragonflylever/config/current', value: encodeFirstConfiguration(createSampleDeclarations()), expect: { kind: 'any' } })
+  const store = await openSampleStore()
   const { operatorsKey: _, ...settings } = createEntrySettings({ id: 'entry-1', storeUrl: store.url })
   const keys = { organisationKeys: { guild: GUILD_KEY, canteens: CANTEENS_KEY }, ...(operatorsKey === '' ? {} : { operatorsKey }) }
   const entry = await EntryProcess.start({ ...settings, ...keys }, { logger })
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,5 @@
 export * from './blackboard.js'
 export * from './clusterKey.js'
-export * from './controllerLoop.js'
 export * from './flags.js'
 export * from './httpServer.js'
 export * from './lifecycle.js'
--- a/packages/standins/src/processFleet.ts
+++ b/packages/standins/src/processFleet.ts
@@ -1,14 +1,13 @@
 /**
  * A fleet of separate processes on loopback with the platform's stand-ins, for tests and benches.
  */
-import { createSampleDeclarations, createAgentSettings, createEntrySettings, encodeFirstConfiguration } from './sampleFleet.js'
+import { createAgentSettings, createEntrySettings } from './sampleFleet.js'
+import { openSampleStore } from './sampleStore.js'
 import { DaemonProcess } from './processHarness.js'
 import { EndpointStandIn } from './endpointStandIn.js'
-import { StoreStandIn } from './storeStandIn.js'
+import type { StoreStandIn } from './storeStandIn.js'
 import { WorkerStandIn } from './workerStandIn.js'
 
-const CONFIGURATION_KEY = 'dragonflylever/config/current'
-
 /** How many processes, and the daemon's compiled main module. */
 export interface ProcessFleetOptions {
   readonly binary: string
@@ -37,8 +36,7 @@
 
   /** Starts stand-ins, entries and agents. */
   static async start (options: ProcessFleetOptions): Promise<ProcessFleet> {
-    const store = await StoreStandIn.open()
-    store.engine.put({ key: CONFIGURATION_KEY, value: encodeFirstConfiguration(createSampleDeclarations()), expect: { kind: 'any' } })
+    const store = await openSampleStore()
     const fleet = new ProcessFleet(store, options.binary)
     for (let index = 1; index <= options.entries; index++) await fleet.addEntry(`entry-${index}`)
     for (let index = 1; index <= options.agents; index++) await fleet.addAgent(`agent-${index}`)
