--- a/packages/platform/src/endpoint.ts
+++ b/packages/adapters/src/endpoint.ts
@@ -19,7 +19,7 @@
   | { readonly kind: 'tooLarge', readonly message: string }
 
 export interface Endpoint {
-  /** Sends one request; `signal` aborts it. Never rejects. */
+  /** Sends one request; `signal` aborts it. Resolves once the endpoint has answered or let go of the request. Never rejects. */
   send (request: EndpointRequest, signal: AbortSignal): Promise<EndpointOutcome>
   close (): Promise<void>
 }
--- /dev/null
+++ b/packages/adapters/src/endpointConnection.ts
@@ -0,0 +1,72 @@
+/**
+ * One request over a connection of an endpoint's pool, with the sign that tells whether it was sent and whether the
+ * endpoint has let go of it.
+ */
+import { request as openRequest } from 'node:http'
+import type { Agent, ClientRequest, IncomingMessage, RequestOptions } from 'node:http'
+import type { Socket } from 'node:net'
+
+/** How long an endpoint may take to close its side of a connection that this side gave up, in milliseconds; then it is cut. */
+const CLOSE_WAIT_MS = 10_000
+/** Time to open a connection, in milliseconds; the endpoint is on the same host. */
+const CONNECT_TIMEOUT_MS = 1_000
+
+export class EndpointConnection {
+  private readonly _request: ClientRequest
+  private _isConnected = false
+  private _response: IncomingMessage | undefined
+
+  constructor (options: RequestOptions & { readonly agent: Agent }, body: Buffer) {
+    this._request = openRequest(options)
+    this._request.on('socket', socket => this._watchConnect(socket))
+    this._request.end(body.length > 0 ? body : undefined)
+  }
+
+  /** True when no connection was made, so that the endpoint got nothing. */
+  get isNotSent (): boolean {
+    return !this._isConnected
+  }
+
+  /** Resolves with the head of the answer; rejects when there will be none. */
+  readHead (signal: AbortSignal): Promise<IncomingMessage> {
+    return new Promise((resolve, reject) => {
+      const onAbort = (): void => reject(new Error('the request was aborted'))
+      signal.addEventListener('abort', onAbort, { once: true })
+      this._request.on('response', response => {
+        this._response = response
+        resolve(response)
+      })
+      this._request.on('error', reject)
+      if (signal.aborted) onAbort()
+    })
+  }
+
+  /**
+   * Gives the request up: closes this side of the connection and waits for the endpoint to close its own, which it does
+   * once it has noticed. Resolves after ten seconds at the latest.
+   */
+  async release (): Promise<void> {
+    const { socket } = this._request
+    if (socket === null || !this._isConnected) {
+      this._request.destroy()
+      return
+    }
+    if (socket.destroyed) return
+    const closed = new Promise<void>(resolve => socket.once('close', () => resolve()))
+    this._response?.resume()
+    socket.end()
+    const timer = setTimeout(() => socket.destroy(), CLOSE_WAIT_MS)
+    await closed
+    clearTimeout(timer)
+  }
+
+  private _watchConnect (socket: Socket): void {
+    if (!socket.connecting) {
+      this._isConnected = true
+      return
+    }
+    const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`)), CONNECT_TIMEOUT_MS)
+    socket.once('connect', () => { this._isConnected = true })
+    for (const event of ['connect', 'close']) socket.once(event, () => clearTimeout(timer))
+  }
+}
--- a/packages/platform/src/store.ts
+++ b/packages/adapters/src/store.ts
@@ -26,6 +26,8 @@
   readonly value: string
   readonly expect: Expectation
   readonly leaseId?: string
+  /** True for a write on which a process's authority rests; it has a call budget of its own. */
+  readonly isAuthority?: boolean
 }
 
 export type Unavailable = { readonly kind: 'unavailable', readonly message: string }
--- a/packages/platform/src/storeClient.ts
+++ b/packages/adapters/src/storeClient.ts
@@ -1,6 +1,7 @@
 /**
  * The store as the processes use it: a call budget, timeouts and a circuit around an adapter, calls counted by kind.
  * A call over the budget or against an open circuit is not sent, so its outcome is `unavailable` for writes as well.
+ * Calls that keep a process's authority have a budget of their own, so that a flood of other calls can't take it away.
  */
 import type { Random } from '@dragonflylever/core'
 
@@ -11,6 +12,8 @@
 const DEFAULT_RATE_PER_S = 10
 const DEFAULT_BURST = 40
 const DEFAULT_TIMEOUT_MS = 1_500
+/** Budget of lease calls and of writes on which authority rests: two duties renewed every 1.5 s and taken anew now and then. */
+const AUTHORITY_RATE = { ratePerS: 4, burst: 12 } as const
 
 /** Calls sent so far by kind, watches open now, and calls held back by the budget or the circuit. */
 export interface StoreUsage {
@@ -40,6 +43,7 @@
 export class StoreClient implements Store {
   private readonly _store: Store
   private readonly _bucket: TokenBucket
+  private readonly _authorityBucket: TokenBucket
   private readonly _circuit: Circuit
   private readonly _timeoutMs: number
   private readonly _usage = { reads: 0, writes: 0, leases: 0, watchesOpened: 0, openWatches: 0, overBudget: 0, heldByCircuit: 0 }
@@ -48,6 +52,7 @@
     const rate = { ratePerS: options.ratePerS ?? DEFAULT_RATE_PER_S, burst: options.burst ?? DEFAULT_BURST }
     this._store = options.store
     this._bucket = new TokenBucket(rate, performance.now())
+    this._authorityBucket = new TokenBucket(AUTHORITY_RATE, performance.now())
     this._circuit = new Circuit(options.random)
     this._timeoutMs = options.callTimeoutMs ?? DEFAULT_TIMEOUT_MS
   }
@@ -69,7 +74,7 @@
   }
 
   put (request: PutRequest): Promise<PutOutcome> {
-    return this._call<PutOutcome>('writes', () => this._store.put(request))
+    return this._call<PutOutcome>('writes', () => this._store.put(request), request.isAuthority === true)
   }
 
   putMany (requests: readonly PutRequest[]): Promise<PutManyOutcome> {
@@ -81,15 +86,15 @@
   }
 
   grantLease (ttlMs: number): Promise<LeaseOutcome> {
-    return this._call<LeaseOutcome>('leases', () => this._store.grantLease(ttlMs))
+    return this._call<LeaseOutcome>('leases', () => this._store.grantLease(ttlMs), true)
   }
 
   renewLease (leaseId: string): Promise<LeaseOutcome> {
-    return this._call<LeaseOutcome>('leases', () => this._store.renewLease(leaseId))
+    return this._call<LeaseOutcome>('leases', () => this._store.renewLease(leaseId), true)
   }
 
   revokeLease (leaseId: string): Promise<LeaseOutcome> {
-    return this._call<LeaseOutcome>('leases', () => this._store.revokeLease(leaseId))
+    return this._call<LeaseOutcome>('leases', () => this._store.revokeLease(leaseId), true)
   }
 
   watch (prefix: string, fromRevision: number, listener: WatchListener): Watch {
@@ -117,8 +122,8 @@
     return outcome.kind === 'ambiguous' ? { kind: 'unavailable', message: (outcome as Ambiguous).message } : outcome as T | Unavailable
   }
 
-  private async _call<T extends { kind: string }> (kind: Kind, call: () => Promise<T>): Promise<T | Unavailable | Ambiguous> {
-    const held = this._refuse()
+  private async _call<T extends { kind: string }> (kind: Kind, call: () => Promise<T>, isAuthority = false): Promise<T | Unavailable | Ambiguous> {
+    const held = this._refuse(isAuthority ? this._authorityBucket : this._bucket)
     if (held !== undefined) return held
     this._usage[kind]++
     const startedAt = performance.now()
@@ -129,13 +134,13 @@
     return outcome
   }
 
-  private _refuse (): Unavailable | undefined {
+  private _refuse (bucket: TokenBucket): Unavailable | undefined {
     const now = performance.now()
     if (!this._circuit.begin(now)) {
       this._usage.heldByCircuit++
       return { kind: 'unavailable', message: 'the store has not answered lately; not sent' }
     }
-    if (this._bucket.take(now)) return undefined
+    if (bucket.take(now)) return undefined
     this._circuit.release()
     this._usage.overBudget++
     return { kind: 'unavailable', message: 'over the call budget of this process; not sent' }
--- a/packages/bench/src/fleet/memoryFleet.ts
+++ b/packages/bench/src/fleet/memoryFleet.ts
@@ -5,7 +5,7 @@
 import { SeededRandom } from '@dragonflylever/core'
 import { FleetNode, createFleetFacts, getConfigurationKey } from '@dragonflylever/daemon'
 import type { FleetFacts } from '@dragonflylever/daemon'
-import { StoreClient } from '@dragonflylever/platform'
+import { StoreClient } from '@dragonflylever/adapters'
 import type { Configuration, Member } from '@dragonflylever/protocol'
 import { Blackboard, createLogger } from '@dragonflylever/runtime'
 import { MemoryPeers, MemoryStore, StoreEngine, createCallCounts, createSampleDeclarations } from '@dragonflylever/standins'
--- a/packages/cli/src/operators/operatorClient.ts
+++ b/packages/cli/src/operators/operatorClient.ts
@@ -1,7 +1,7 @@
 /**
  * Calls the operators' port of an entry.
  */
-import { describeCallFailure } from '@dragonflylever/platform'
+import { describeCallFailure } from '@dragonflylever/adapters'
 import { OperatorPath, applyOutcomeSchema, configurationAnswerSchema, fleetStatusSchema, historyAnswerSchema, queueReportSchema } from '@dragonflylever/protocol'
 import type { ApplyOutcome, ApplyRequest, ConfigurationAnswer, FleetStatus, HistoryEntry, QueueReport } from '@dragonflylever/protocol'
 import { request } from 'undici'
--- a/packages/cli/test/processes/running.test.ts
+++ b/packages/cli/test/processes/running.test.ts
@@ -1,7 +1,7 @@
 /**
  * The samples as separate processes, as docs/running.md starts them; ports are moved so that runs don't meet.
  */
-import { spawn } from 'node:child_process'
+import { spawn, spawnSync } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
 import { mkdtempSync, readFileSync, readdirSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -14,6 +14,7 @@
 
 const CLI = fileURLToPath(new URL('../../src/main.js', import.meta.url))
 const DAEMON = fileURLToPath(new URL('../../../../daemon/dist/src/main.js', import.meta.url))
+const ROOT = fileURLToPath(new URL('../../../../../', import.meta.url))
 const SAMPLES = fileURLToPath(new URL('../../../../../examples/crisp-works/', import.meta.url))
 const SAMPLE_PORT = 7100
 const FIRST_PORT = 10_000
@@ -86,6 +87,14 @@
   while (!(await runCli('status', '--json', '--profile', profile)).text.includes(`"${id}"`)) { /* ask again */ }
 }
 
+test('both binaries start by the names that the page uses, from the installed packages', t => {
+  for (const name of ['dragonflylever', 'dragonflyleverd']) {
+    const ran = spawnSync('npx', ['--no-install', name, '--version'], { cwd: ROOT, encoding: 'utf8' })
+    t.is(ran.status, 0, ran.stderr)
+    t.regex(ran.stdout, /^\d+\.\d+\.\d+/)
+  }
+})
+
 test('stand-ins that can\'t have a port say so and exit 1', async t => {
   const { port } = await startStandIns(t)
   for (const taken of [port, port - 1, port - WORKER_PORT_OFFSET]) {
--- a/packages/daemon/src/agent/agentProcess.ts
+++ b/packages/daemon/src/agent/agentProcess.ts
@@ -2,8 +2,8 @@
  * The agent role: the only door to its endpoint.
  */
 import { AttemptLedger, FairQueue } from '@dragonflylever/core'
-import { HttpEndpoint, HttpWorker } from '@dragonflylever/platform'
-import type { Endpoint, Worker } from '@dragonflylever/platform'
+import { HttpEndpoint, HttpWorker } from '@dragonflylever/adapters'
+import type { Endpoint, Worker } from '@dragonflylever/adapters'
 import { CallerLimit, DISPATCH_PATH } from '@dragonflylever/protocol'
 import type { AgentSettings, Member } from '@dragonflylever/protocol'
 import { Blackboard, Lifecycle, createPartLogger } from '@dragonflylever/runtime'
--- a/packages/daemon/src/agent/createTaskService.ts
+++ b/packages/daemon/src/agent/createTaskService.ts
@@ -2,7 +2,7 @@
  * Puts the agent's part in gangs together, when the agent has a worker.
  */
 import { TaskTable } from '@dragonflylever/core'
-import type { Worker } from '@dragonflylever/platform'
+import type { Worker } from '@dragonflylever/adapters'
 import type { AgentSettings, PeerRpc, RpcRegistry } from '@dragonflylever/protocol'
 import { createPartLogger } from '@dragonflylever/runtime'
 import type { Lifecycle, Logger } from '@dragonflylever/runtime'
--- a/packages/daemon/src/agent/slotRunner.ts
+++ b/packages/daemon/src/agent/slotRunner.ts
@@ -4,7 +4,7 @@
  */
 import { AttemptLedger, NotRunReason, UnknownReason } from '@dragonflylever/core'
 import type { Answer, QueuedRequest, RequestQueue, WithdrawResult } from '@dragonflylever/core'
-import type { Endpoint, EndpointOutcome, EndpointRequest } from '@dragonflylever/platform'
+import type { Endpoint, EndpointOutcome, EndpointRequest } from '@dragonflylever/adapters'
 
 /** How an attempt ended at this agent. */
 export type RunResult =
@@ -33,8 +33,6 @@
 }
 
 const SWEEP_MS = 20
-/** Time in which an endpoint notices that a request was broken off; its slot stays taken until then. */
-const ABORT_NOTICE_MS = 1_000
 
 export class SlotRunner {
   private readonly _parts: SlotRunnerParts
@@ -115,7 +113,6 @@
     const now = performance.now()
     this._parts.ledger.finish(attempt.attemptId, now)
     waiting.resolve(convertOutcome(outcome))
-    if (outcome.kind === 'lost') await new Promise(resolve => setTimeout(resolve, ABORT_NOTICE_MS))
     this._running--
     this._parts.queue.finish(attempt.queued, now - startedAt, now)
     this._pump()
--- a/packages/daemon/src/agent/taskRunner.ts
+++ b/packages/daemon/src/agent/taskRunner.ts
@@ -3,8 +3,8 @@
  * renewed by the planner, is valid; the worker's own lease ends it when the agent dies.
  */
 import type { AgentAnswer, AgentCommand, TaskIncarnation, TaskTable } from '@dragonflylever/core'
-import { TaskState, isHoldingState } from '@dragonflylever/platform'
-import type { TaskReport as WorkerReport, Worker } from '@dragonflylever/platform'
+import { TaskState, isHoldingState } from '@dragonflylever/adapters'
+import type { TaskReport as WorkerReport, Worker } from '@dragonflylever/adapters'
 import type { TaskCommandMessage, TaskReportMessage } from '@dragonflylever/protocol'
 import type { Logger } from '@dragonflylever/runtime'
 
--- a/packages/daemon/src/duties/dutyHolder.ts
+++ b/packages/daemon/src/duties/dutyHolder.ts
@@ -5,8 +5,8 @@
  */
 import { randomUUID } from 'node:crypto'
 
-import { putSettled } from '@dragonflylever/platform'
-import type { Store, StoredValue } from '@dragonflylever/platform'
+import { putSettled } from '@dragonflylever/adapters'
+import type { Store, StoredValue } from '@dragonflylever/adapters'
 import type { Logger } from '@dragonflylever/runtime'
 
 /** Time to live of a duty's lease in milliseconds. */
@@ -112,7 +112,7 @@
     const { store, duty, holder, getAddress } = this._options
     const record: DutyRecord = { holder, address: getAddress(), nonce: randomUUID() }
     const value = JSON.stringify(record)
-    const put = await putSettled(store, { key: this._key, value, expect: { kind: 'absent' }, leaseId }, stored => stored.value === value)
+    const put = await putSettled(store, { key: this._key, value, expect: { kind: 'absent' }, leaseId, isAuthority: true }, stored => stored.value === value)
     if (put.kind === 'ok' && !this._isClosed && performance.now() < validUntil) {
       this._hold(leaseId, put.modRevision, validUntil)
       return { kind: 'held', epoch: put.modRevision }
--- a/packages/daemon/src/entry/agentLink.ts
+++ b/packages/daemon/src/entry/agentLink.ts
@@ -3,7 +3,7 @@
  */
 import { NotRunReason, UnknownReason } from '@dragonflylever/core'
 import type { Answer } from '@dragonflylever/core'
-import { describeCallFailure, listHeaders } from '@dragonflylever/platform'
+import { describeCallFailure, listHeaders } from '@dragonflylever/adapters'
 import { CallerLimit, DISPATCH_PATH, DispatchHeader } from '@dragonflylever/protocol'
 import { Pool } from 'undici'
 import type { Dispatcher as UndiciDispatcher } from 'undici'
--- a/packages/daemon/src/entry/claimLease.ts
+++ b/packages/daemon/src/entry/claimLease.ts
@@ -2,7 +2,7 @@
  * The store lease under which an entry writes claims. A new one is taken each hour and none is renewed,
  * so that claims end by themselves and the store's state stays bounded.
  */
-import type { Store } from '@dragonflylever/platform'
+import type { Store } from '@dragonflylever/adapters'
 
 const MS_PER_HOUR = 3_600_000
 /** Time to live of a lease, in milliseconds: a claim lives at least a day. */
--- a/packages/daemon/src/entry/claimService.ts
+++ b/packages/daemon/src/entry/claimService.ts
@@ -6,7 +6,7 @@
 
 import { ClaimState, NotRunReason, UnknownReason, decideClaim, decodeClaim, encodeClaim, makeAnswered, makeNotRun, makeUnknown, selectKeptAnswer } from '@dragonflylever/core'
 import type { Answer, ClaimRecord, Outcome } from '@dragonflylever/core'
-import type { Expectation, Store, StoredValue } from '@dragonflylever/platform'
+import type { Expectation, Store, StoredValue } from '@dragonflylever/adapters'
 
 import type { CallerRequest } from './callerRequest.js'
 import type { ClaimWriteResult, ClaimWriter } from './claimWriter.js'
--- a/packages/daemon/src/entry/claimWriter.ts
+++ b/packages/daemon/src/entry/claimWriter.ts
@@ -3,8 +3,8 @@
  * one call is in flight at most, and calls keep a least distance.
  */
 import type { Random } from '@dragonflylever/core'
-import { MAX_PUTS_PER_CALL } from '@dragonflylever/platform'
-import type { Expectation, PutRequest, PutResult, Store, StoredValue } from '@dragonflylever/platform'
+import { MAX_PUTS_PER_CALL } from '@dragonflylever/adapters'
+import type { Expectation, PutRequest, PutResult, Store, StoredValue } from '@dragonflylever/adapters'
 
 import type { ClaimLease } from './claimLease.js'
 
--- a/packages/daemon/src/fleet/fleetNode.ts
+++ b/packages/daemon/src/fleet/fleetNode.ts
@@ -2,8 +2,8 @@
  * One process's part in the fleet: membership, the duty of its failure domain's registrar, configuration.
  */
 import type { Random } from '@dragonflylever/core'
-import { StoreClient } from '@dragonflylever/platform'
-import type { Store } from '@dragonflylever/platform'
+import { StoreClient } from '@dragonflylever/adapters'
+import type { Store } from '@dragonflylever/adapters'
 import type { DomainChange, Member, PeerRpc, RpcParams, RpcRegistry, RpcResultValue } from '@dragonflylever/protocol'
 import { createPartLogger } from '@dragonflylever/runtime'
 import type { Blackboard, Logger } from '@dragonflylever/runtime'
--- a/packages/daemon/src/fleet/registrarRounds.ts
+++ b/packages/daemon/src/fleet/registrarRounds.ts
@@ -2,7 +2,7 @@
  * What a registrar does besides keeping its list: finds the registrars of the other failure domains in the store, evens
  * out differences with them, and follows the accepted configuration in the store when it is the one of its region to do so.
  */
-import type { Store } from '@dragonflylever/platform'
+import type { Store } from '@dragonflylever/adapters'
 
 import { decodeDuty } from '../duties/dutyHolder.js'
 import type { DutyView } from '../duties/dutyHolder.js'
--- a/packages/daemon/src/jobs/createJobApi.ts
+++ b/packages/daemon/src/jobs/createJobApi.ts
@@ -1,7 +1,7 @@
 /**
  * Puts the calls for jobs of an entry together.
  */
-import type { Store } from '@dragonflylever/platform'
+import type { Store } from '@dragonflylever/adapters'
 import type { EntrySettings } from '@dragonflylever/protocol'
 import type { Blackboard } from '@dragonflylever/runtime'
 
--- a/packages/daemon/src/jobs/jobDirectory.ts
+++ b/packages/daemon/src/jobs/jobDirectory.ts
@@ -1,7 +1,7 @@
 /**
  * Entries' access to jobs in the store: accepted means durable.
  */
-import type { Store } from '@dragonflylever/platform'
+import type { Store } from '@dragonflylever/adapters'
 
 import { getCancelKey, getJobsPrefix, getRecordKey } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
--- a/packages/daemon/src/operators/acceptance.ts
+++ b/packages/daemon/src/operators/acceptance.ts
@@ -7,7 +7,7 @@
 import type { WorkerCapacity } from '@dragonflylever/core'
 import { MAX_CONFIGURATION_BYTES, MAX_HISTORY, acceptableDeclarationsSchema, compareDeclarations, makeFaultAt, parseDocument } from '@dragonflylever/protocol'
 import type { ApplyOutcome, ApplyRequest, Declarations, Fault } from '@dragonflylever/protocol'
-import type { Expectation, PutOutcome, Store, StoredValue } from '@dragonflylever/platform'
+import type { Expectation, PutOutcome, Store, StoredValue } from '@dragonflylever/adapters'
 import type { Logger } from '@dragonflylever/runtime'
 
 import type { ConfigurationHolder } from '../shared/configurationHolder.js'
--- a/packages/daemon/src/operators/configurationRecord.ts
+++ b/packages/daemon/src/operators/configurationRecord.ts
@@ -4,7 +4,7 @@
  */
 import { MAX_HISTORY } from '@dragonflylever/protocol'
 import type { ApplyRequest, Configuration, Declarations, HistoryEntry } from '@dragonflylever/protocol'
-import type { StoredValue } from '@dragonflylever/platform'
+import type { StoredValue } from '@dragonflylever/adapters'
 
 export interface ConfigurationRecord extends Configuration {
   /** Newest first; the first entry is the record's own. */
--- a/packages/daemon/src/operators/createOperatorServer.ts
+++ b/packages/daemon/src/operators/createOperatorServer.ts
@@ -2,7 +2,7 @@
  * Puts the operators' port of an entry together.
  */
 import type { EntrySettings, QueueReport } from '@dragonflylever/protocol'
-import type { Store } from '@dragonflylever/platform'
+import type { Store } from '@dragonflylever/adapters'
 import type { Blackboard, Logger } from '@dragonflylever/runtime'
 import { createPartLogger } from '@dragonflylever/runtime'
 
--- a/packages/daemon/src/operators/historyReader.ts
+++ b/packages/daemon/src/operators/historyReader.ts
@@ -2,7 +2,7 @@
  * Reads accepted revisions back from the store.
  */
 import type { HistoryEntry } from '@dragonflylever/protocol'
-import type { Store, Unavailable } from '@dragonflylever/platform'
+import type { Store, Unavailable } from '@dragonflylever/adapters'
 
 import { getConfigurationKey } from '../shared/configurationWatcher.js'
 import { decodeRecord, getHistoryKey } from './configurationRecord.js'
--- a/packages/daemon/src/planner/plannerDuty.ts
+++ b/packages/daemon/src/planner/plannerDuty.ts
@@ -1,7 +1,7 @@
 /**
  * The planner as a duty: this process tries to hold it, and runs a session for as long as it does.
  */
-import type { Store } from '@dragonflylever/platform'
+import type { Store } from '@dragonflylever/adapters'
 import type { PeerRpc, RpcRegistry } from '@dragonflylever/protocol'
 import type { Blackboard, Logger, Metrics } from '@dragonflylever/runtime'
 
--- a/packages/daemon/src/planner/plannerSession.ts
+++ b/packages/daemon/src/planner/plannerSession.ts
@@ -4,7 +4,7 @@
  */
 import { BlameLedger, GangPlanner, JobFailure, RunTimeEstimator, isOrphan, isRenewable, noteRenewal, advanceGang } from '@dragonflylever/core'
 import type { GangCommand, GangEvent, GangRecord, GangTimes, Guarantee, PlanAction, WorkerFacts } from '@dragonflylever/core'
-import type { Store, StoredValue, Watch, WatchEvent } from '@dragonflylever/platform'
+import type { Store, StoredValue, Watch, WatchEvent } from '@dragonflylever/adapters'
 import type { PeerRpc, RpcParams, RpcResultValue, TaskReportMessage } from '@dragonflylever/protocol'
 import type { Logger, Metrics } from '@dragonflylever/runtime'
 
--- a/packages/daemon/src/shared/configurationWatcher.ts
+++ b/packages/daemon/src/shared/configurationWatcher.ts
@@ -2,7 +2,7 @@
  * Follows the accepted configuration in the store: one read, then a watch. The watch is opened anew at intervals from the
  * revision after the last one seen, so that one that stalls or skips costs no more than the interval.
  */
-import type { Store, StoredValue, Watch, WatchEvent } from '@dragonflylever/platform'
+import type { Store, StoredValue, Watch, WatchEvent } from '@dragonflylever/adapters'
 
 import type { ConfigurationHolder } from './configurationHolder.js'
 
--- a/packages/daemon/src/shared/fleetFacts.ts
+++ b/packages/daemon/src/shared/fleetFacts.ts
@@ -1,8 +1,8 @@
 /**
  * Facts on the blackboard of every process.
  */
-import { StoreHealth } from '@dragonflylever/platform'
-import type { StoreUsage } from '@dragonflylever/platform'
+import { StoreHealth } from '@dragonflylever/adapters'
+import type { StoreUsage } from '@dragonflylever/adapters'
 import type { Configuration, Member } from '@dragonflylever/protocol'
 
 import type { DutyView } from '../duties/dutyHolder.js'
--- a/packages/daemon/src/shared/statusSource.ts
+++ b/packages/daemon/src/shared/statusSource.ts
@@ -2,7 +2,7 @@
  * What an entry can say of the fleet from its own memory and its members' word, without the store.
  */
 import type { FleetStatus, ProcessStatus } from '@dragonflylever/protocol'
-import type { Store } from '@dragonflylever/platform'
+import type { Store } from '@dragonflylever/adapters'
 import type { Blackboard } from '@dragonflylever/runtime'
 
 import type { FleetFacts, MemberView } from './fleetFacts.js'
--- a/packages/daemon/test/duties/dutyHolder.test.ts
+++ b/packages/daemon/test/duties/dutyHolder.test.ts
@@ -3,7 +3,7 @@
  */
 import { EpochFence, SeededRandom } from '@dragonflylever/core'
 import { DutyHolder } from '@dragonflylever/daemon'
-import { StoreClient } from '@dragonflylever/platform'
+import { StoreClient } from '@dragonflylever/adapters'
 import { createLogger } from '@dragonflylever/runtime'
 import { MemoryStore, StoreEngine } from '@dragonflylever/standins'
 import FakeTimers from '@sinonjs/fake-timers'
--- a/packages/daemon/test/observability/hops.test.ts
+++ b/packages/daemon/test/observability/hops.test.ts
@@ -4,7 +4,7 @@
 import { createSocket } from 'node:dgram'
 import type { AddressInfo } from 'node:net'
 
-import type { Endpoint, EndpointOutcome, EndpointRequest } from '@dragonflylever/platform'
+import type { Endpoint, EndpointOutcome, EndpointRequest } from '@dragonflylever/adapters'
 import { createLogger } from '@dragonflylever/runtime'
 import { OtelTracer } from '@dragonflylever/runtime/otelTracer'
 import { createAgentSettings, createEntrySettings, openSampleStore } from '@dragonflylever/standins'
--- a/packages/daemon/test/operators/acceptanceProperty.test.ts
+++ b/packages/daemon/test/operators/acceptanceProperty.test.ts
@@ -3,7 +3,7 @@
  */
 import { MemoryStore, StoreEngine, createSampleDeclarations } from '@dragonflylever/standins'
 import type { ApplyOutcome, ApplyRequest } from '@dragonflylever/protocol'
-import type { GetOutcome, PutOutcome, PutRequest } from '@dragonflylever/platform'
+import type { GetOutcome, PutOutcome, PutRequest } from '@dragonflylever/adapters'
 import { Blackboard, createLogger } from '@dragonflylever/runtime'
 import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
--- a/packages/daemon/test/properties/simulatedAgent.ts
+++ b/packages/daemon/test/properties/simulatedAgent.ts
@@ -4,7 +4,7 @@
 import { createHash } from 'node:crypto'
 
 import { AttemptLedger, FifoQueue, NotRunReason } from '@dragonflylever/core'
-import type { Endpoint, EndpointOutcome, EndpointRequest } from '@dragonflylever/platform'
+import type { Endpoint, EndpointOutcome, EndpointRequest } from '@dragonflylever/adapters'
 import type { Member } from '@dragonflylever/protocol'
 
 import { SlotRunner } from '../../src/index.js'
--- a/packages/daemon/test/properties/simulatedEntry.ts
+++ b/packages/daemon/test/properties/simulatedEntry.ts
@@ -4,7 +4,7 @@
  */
 import { FifoQueue, SeededRandom, TwoChoicesRouter } from '@dragonflylever/core'
 import type { Outcome } from '@dragonflylever/core'
-import type { Store } from '@dragonflylever/platform'
+import type { Store } from '@dragonflylever/adapters'
 import type { PeerRpc } from '@dragonflylever/protocol'
 
 import { AgentTable, ClaimLease, ClaimService, ClaimWriter, DirectService, Dispatcher } from '../../src/index.js'
--- a/packages/standins/src/memoryStore.ts
+++ b/packages/standins/src/memoryStore.ts
@@ -2,8 +2,8 @@
  * The key-value stand-in within the process: the `Store` interface straight over an engine, with faults.
  * Several may share one engine, as several processes share one store.
  */
-import { StoreHealth } from '@dragonflylever/platform'
-import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, Unavailable, Watch, WatchEvent, WatchListener } from '@dragonflylever/platform'
+import { StoreHealth } from '@dragonflylever/adapters'
+import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, Unavailable, Watch, WatchEvent, WatchListener } from '@dragonflylever/adapters'
 
 import { StoreEngine } from './storeEngine.js'
 import { createCallCounts, createStoreFaults } from './storeFaults.js'
--- a/packages/standins/src/memoryWorker.ts
+++ b/packages/standins/src/memoryWorker.ts
@@ -1,7 +1,7 @@
 /**
  * The worker stand-in within the process: the `Worker` interface straight over an engine, with faults.
  */
-import type { TaskOrder, TaskReport, TaskShape, Worker, WorkerOutcome } from '@dragonflylever/platform'
+import type { TaskOrder, TaskReport, TaskShape, Worker, WorkerOutcome } from '@dragonflylever/adapters'
 
 import { WORKER_CAPACITY } from './sampleFleet.js'
 import { WorkerEngine } from './workerEngine.js'
--- a/packages/standins/src/storeEngine.ts
+++ b/packages/standins/src/storeEngine.ts
@@ -1,8 +1,8 @@
 /**
  * State of the key-value stand-in: revisions, conditional writes, leases, watches. In memory, no I/O.
  */
-import { encodeBytes } from '@dragonflylever/platform'
-import type { Expectation, PutRequest, PutResult, StoredValue, WatchEvent } from '@dragonflylever/platform'
+import { encodeBytes } from '@dragonflylever/adapters'
+import type { Expectation, PutRequest, PutResult, StoredValue, WatchEvent } from '@dragonflylever/adapters'
 
 interface Lease {
   readonly ttlMs: number
--- a/packages/standins/src/storeStandIn.ts
+++ b/packages/standins/src/storeStandIn.ts
@@ -4,8 +4,8 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
-import { EtcdPath, decodeBytes, encodeBytes } from '@dragonflylever/platform'
-import type { EtcdCompare, EtcdKeyValue, EtcdRangeRequest, EtcdRangeResponse, EtcdRequestOp, EtcdResponseOp, EtcdTxnRequest, EtcdTxnResponse, StoredValue, WatchEvent } from '@dragonflylever/platform'
+import { EtcdPath, decodeBytes, encodeBytes } from '@dragonflylever/adapters'
+import type { EtcdCompare, EtcdKeyValue, EtcdRangeRequest, EtcdRangeResponse, EtcdRequestOp, EtcdResponseOp, EtcdTxnRequest, EtcdTxnResponse, StoredValue, WatchEvent } from '@dragonflylever/adapters'
 
 import { listen, readJson, sendJson } from './httpStandIn.js'
 import { StoreEngine } from './storeEngine.js'
--- a/packages/standins/src/workerEngine.ts
+++ b/packages/standins/src/workerEngine.ts
@@ -1,8 +1,8 @@
 /**
  * State of the worker stand-in: resources, tasks under leases, faults, and a record of what ran. In memory, no I/O.
  */
-import { TaskState, isHoldingState } from '@dragonflylever/platform'
-import type { TaskOrder, TaskReport, TaskShape, WorkerOutcome } from '@dragonflylever/platform'
+import { TaskState, isHoldingState } from '@dragonflylever/adapters'
+import type { TaskOrder, TaskReport, TaskShape, WorkerOutcome } from '@dragonflylever/adapters'
 
 /** What the worker does wrong now. */
 export interface WorkerFaults {
--- a/packages/standins/src/workerStandIn.ts
+++ b/packages/standins/src/workerStandIn.ts
@@ -4,8 +4,8 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
-import { WorkerPath } from '@dragonflylever/platform'
-import type { TaskOrder, TaskShape, WorkerOutcome } from '@dragonflylever/platform'
+import { WorkerPath } from '@dragonflylever/adapters'
+import type { TaskOrder, TaskShape, WorkerOutcome } from '@dragonflylever/adapters'
 
 import { listen, readJson, sendJson } from './httpStandIn.js'
 import { MemoryWorker } from './memoryWorker.js'
--- a/packages/standins/test/storeClient.test.ts
+++ b/packages/standins/test/storeClient.test.ts
@@ -2,7 +2,7 @@
  * The store client: budget, circuit, timeouts, settled writes.
  */
 import { SeededRandom } from '@dragonflylever/core'
-import { StoreClient, StoreHealth, putSettled } from '@dragonflylever/platform'
+import { StoreClient, StoreHealth, putSettled } from '@dragonflylever/adapters'
 import { MemoryStore } from '@dragonflylever/standins'
 import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
@@ -19,6 +19,17 @@
   t.is(client.usage.overBudget, 7)
 })
 
+test.serial('a flood of claims leaves renewals and duty writes their own budget', async t => {
+  const { memory, client } = createClient(10, 40)
+  const lease = await client.grantLease(5_000)
+  t.is(lease.kind, 'ok')
+  for (let index = 0; index < 1_000; index++) await client.put({ key: `claim-${index}`, value: 'v', expect: { kind: 'absent' } })
+  t.true(client.usage.overBudget > 0)
+  if (lease.kind === 'ok') t.is((await client.renewLease(lease.leaseId)).kind, 'ok')
+  t.is((await client.put({ key: 'duty', value: 'me', expect: { kind: 'absent' }, isAuthority: true })).kind, 'ok')
+  t.true(memory.counts.writes < 50)
+})
+
 test.serial('an outage opens the circuit, few probes go out, and the first answer closes it', async t => {
   const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
   t.teardown(() => clock.uninstall())
