--- a/packages/adapters/src/etcdStore.ts
+++ b/packages/adapters/src/etcdStore.ts
@@ -9,7 +9,7 @@
 import { EtcdWatch } from './etcdWatch.js'
 import { describeCallFailure } from './notSent.js'
 import { StoreHealth } from './store.js'
-import type { Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, PutResult, RemoveOutcome, Store, StoredValue, Watch, WatchListener } from './store.js'
+import type { Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, PutResult, RemoveOutcome, Store, StoredValue, TransactOutcome, Transaction, Watch, WatchListener } from './store.js'
 
 const CALL_TIMEOUT_MS = 1_000
 const CONNECTIONS = 4
@@ -75,6 +75,14 @@
     return result.kind === 'ok' ? { kind: 'ok' } : result
   }
 
+  async transact (transaction: Transaction): Promise<TransactOutcome> {
+    const outcome = await this._write(encodeTransaction(transaction))
+    if (outcome.kind !== 'ok') return outcome
+    if (outcome.value.succeeded === true) return { kind: 'ok', modRevision: Number(outcome.value.header.revision) }
+    const found = (outcome.value.responses ?? []).flatMap(response => 'response_range' in response ? response.response_range.kvs ?? [] : [])
+    return { kind: 'conflict', current: found.map(decodeKeyValue) }
+  }
+
   async grantLease (ttlMs: number): Promise<LeaseOutcome> {
     return this._callLease(EtcdPath.grant, { TTL: String(Math.ceil(ttlMs / MS_PER_S)), ID: '0' })
   }
@@ -168,6 +176,18 @@
   }
 }
 
+function encodeTransaction (transaction: Transaction): EtcdTxnRequest {
+  const puts = transaction.puts.map(({ key, value, leaseId }) => {
+    const lease = leaseId === undefined ? {} : { lease: leaseId }
+    return { request_put: { key: encodeBytes(key), value: encodeBytes(value), ...lease } }
+  })
+  return {
+    compare: transaction.expect.map(({ key, modRevision }) => ({ target: 'MOD', result: 'EQUAL', key: encodeBytes(key), mod_revision: String(modRevision) } as const)),
+    success: [...puts, ...transaction.removes.map(key => ({ request_delete_range: { key: encodeBytes(key) } }))],
+    failure: transaction.expect.map(({ key }) => ({ request_range: { key: encodeBytes(key) } }))
+  }
+}
+
 function decodePut (response: EtcdTxnResponse): PutResult {
   if (response.succeeded === true) return { kind: 'ok', modRevision: Number(response.header.revision) }
   const range = response.responses?.[0]
--- a/packages/adapters/src/store.ts
+++ b/packages/adapters/src/store.ts
@@ -30,6 +30,19 @@
   readonly isAuthority?: boolean
 }
 
+/** One change of several keys that takes effect as a whole or not at all. */
+export interface Transaction {
+  /** Revision that each key must have; 0 means that the key must be absent. */
+  readonly expect: ReadonlyArray<{ readonly key: string, readonly modRevision: number }>
+  readonly puts: ReadonlyArray<{ readonly key: string, readonly value: string, readonly leaseId?: string }>
+  readonly removes: readonly string[]
+}
+
+/** Result of a transaction that the store decided; a conflict brings the expected keys that exist. */
+export type TransactResult =
+  | { readonly kind: 'ok', readonly modRevision: number }
+  | { readonly kind: 'conflict', readonly current: readonly StoredValue[] }
+
 export type Unavailable = { readonly kind: 'unavailable', readonly message: string }
 export type Ambiguous = { readonly kind: 'ambiguous', readonly message: string }
 
@@ -43,6 +56,7 @@
 
 export type PutOutcome = PutResult | Unavailable | Ambiguous
 export type PutManyOutcome = { readonly kind: 'ok', readonly results: readonly PutResult[] } | Unavailable | Ambiguous
+export type TransactOutcome = TransactResult | Unavailable | Ambiguous
 export type RemoveOutcome = { readonly kind: 'ok' } | { readonly kind: 'conflict', readonly current: StoredValue | undefined } | Unavailable | Ambiguous
 
 /** `expired`: the lease is gone for good. */
@@ -76,6 +90,8 @@
   /** Decides several writes one by one within one call; at most `MAX_PUTS_PER_CALL`. */
   putMany (requests: readonly PutRequest[]): Promise<PutManyOutcome>
   remove (key: string, expect: Expectation): Promise<RemoveOutcome>
+  /** Makes a change of several keys; at most `MAX_KEYS_PER_TRANSACTION` in all. */
+  transact (transaction: Transaction): Promise<TransactOutcome>
   grantLease (ttlMs: number): Promise<LeaseOutcome>
   renewLease (leaseId: string): Promise<LeaseOutcome>
   revokeLease (leaseId: string): Promise<LeaseOutcome>
@@ -86,3 +102,6 @@
 
 /** Bound of `putMany`, below the usual limit of 128 operations in a transaction. */
 export const MAX_PUTS_PER_CALL = 40
+
+/** Bound of `transact`: expectations, puts and removes together, as the users' platform states it. */
+export const MAX_KEYS_PER_TRANSACTION = 32
--- a/packages/adapters/src/storeClient.ts
+++ b/packages/adapters/src/storeClient.ts
@@ -6,7 +6,7 @@
 import type { Random } from '@dragonflylever/core'
 
 import { Circuit } from './circuit.js'
-import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, StoreHealth, Unavailable, Watch, WatchListener } from './store.js'
+import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, StoreHealth, TransactOutcome, Transaction, Unavailable, Watch, WatchListener } from './store.js'
 import { TokenBucket } from './tokenBucket.js'
 
 const DEFAULT_RATE_PER_S = 10
@@ -85,6 +85,10 @@
     return this._call<RemoveOutcome>('writes', () => this._store.remove(key, expect))
   }
 
+  transact (transaction: Transaction): Promise<TransactOutcome> {
+    return this._call<TransactOutcome>('writes', () => this._store.transact(transaction))
+  }
+
   grantLease (ttlMs: number): Promise<LeaseOutcome> {
     return this._call<LeaseOutcome>('leases', () => this._store.grantLease(ttlMs), true)
   }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,7 @@
 export * from './blackboard.js'
 export * from './clusterKey.js'
 export * from './flags.js'
+export * from './httpClient.js'
 export * from './httpServer.js'
 export * from './lifecycle.js'
 export * from './logger.js'
--- a/packages/standins/src/memoryStore.ts
+++ b/packages/standins/src/memoryStore.ts
@@ -3,7 +3,7 @@
  * Several may share one engine, as several processes share one store.
  */
 import { StoreHealth } from '@dragonflylever/adapters'
-import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, Unavailable, Watch, WatchEvent, WatchListener } from '@dragonflylever/adapters'
+import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, TransactOutcome, Transaction, Unavailable, Watch, WatchEvent, WatchListener } from '@dragonflylever/adapters'
 
 import { StoreEngine } from './storeEngine.js'
 import { createCallCounts, createStoreFaults } from './storeFaults.js'
@@ -61,6 +61,10 @@
     return this._write(() => this.engine.remove(key, expect))
   }
 
+  async transact (transaction: Transaction): Promise<TransactOutcome> {
+    return this._write<TransactOutcome>(() => this.engine.transact(transaction))
+  }
+
   async grantLease (ttlMs: number): Promise<LeaseOutcome> {
     return this._callLease(() => ({ kind: 'ok', leaseId: this.engine.grantLease(ttlMs), ttlMs }))
   }
--- a/packages/standins/src/storeEngine.ts
+++ b/packages/standins/src/storeEngine.ts
@@ -2,7 +2,7 @@
  * State of the key-value stand-in: revisions, conditional writes, leases, watches. In memory, no I/O.
  */
 import { encodeBytes } from '@dragonflylever/adapters'
-import type { Expectation, PutRequest, PutResult, StoredValue, WatchEvent } from '@dragonflylever/adapters'
+import type { Expectation, PutRequest, PutResult, StoredValue, TransactResult, Transaction, WatchEvent } from '@dragonflylever/adapters'
 
 interface Lease {
   readonly ttlMs: number
@@ -65,6 +65,17 @@
     return { kind: 'ok', modRevision: this._revision }
   }
 
+  /** Decides one change of several keys; all of it takes effect under one revision a key. */
+  transact (transaction: Transaction): TransactResult {
+    this.expire()
+    const isMetHere = transaction.expect.every(({ key, modRevision }) => (this._rows.get(key)?.modRevision ?? 0) === modRevision)
+    const hasLeases = transaction.puts.every(({ leaseId }) => leaseId === undefined || this._leases.has(leaseId))
+    if (!isMetHere || !hasLeases) return { kind: 'conflict', current: transaction.expect.flatMap(({ key }) => this._rows.get(key) ?? []) }
+    for (const put of transaction.puts) this._write({ ...put, expect: { kind: 'any' } }, this._rows.get(put.key))
+    for (const key of transaction.removes) this._delete(key)
+    return { kind: 'ok', modRevision: this._revision }
+  }
+
   hasLease (leaseId: string): boolean {
     this.expire()
     return this._leases.has(leaseId)
