--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['packages/*/dist/test/**/*.test.js'],
+  files: ['packages/*/dist/test/**/*.test.js', 'platform/dist/test/**/*.test.js'],
   timeout: '120s',
   concurrency: 5
 }
--- a/packages/adapters/src/circuit.ts
+++ b/packages/adapters/src/circuit.ts
@@ -13,14 +13,16 @@
 
 export class Circuit {
   private readonly _random: Random
+  private readonly _maxPauseMs: number
   private _failures = 0
   private _pauseMs = FIRST_PAUSE_MS
   private _closedUntil = 0
   private _isProbing = false
   private _health: StoreHealth = StoreHealth.up
 
-  constructor (random: Random) {
+  constructor (random: Random, maxPauseMs = MAX_PAUSE_MS) {
     this._random = random
+    this._maxPauseMs = maxPauseMs
   }
 
   get health (): StoreHealth {
@@ -53,7 +55,7 @@
     this._failures++
     this._isProbing = false
     this._closedUntil = now + this._pauseMs * (0.5 + this._random.sample())
-    this._pauseMs = Math.min(MAX_PAUSE_MS, this._pauseMs * 2)
+    this._pauseMs = Math.min(this._maxPauseMs, this._pauseMs * 2)
     if (this._failures >= FAILURES_TO_OPEN) this._health = StoreHealth.down
   }
 }
--- a/packages/adapters/src/storeClient.ts
+++ b/packages/adapters/src/storeClient.ts
@@ -36,6 +36,8 @@
   /** Calls that it may make at once. */
   readonly burst?: number
   readonly callTimeoutMs?: number
+  /** Longest pause before a store that gave no answers is tried again, in milliseconds. */
+  readonly maxPauseMs?: number
 }
 
 type Kind = 'reads' | 'writes' | 'leases'
@@ -53,7 +55,7 @@
     this._store = options.store
     this._bucket = new TokenBucket(rate, performance.now())
     this._authorityBucket = new TokenBucket(AUTHORITY_RATE, performance.now())
-    this._circuit = new Circuit(options.random)
+    this._circuit = new Circuit(options.random, options.maxPauseMs)
     this._timeoutMs = options.callTimeoutMs ?? DEFAULT_TIMEOUT_MS
   }
 
--- /dev/null
+++ b/packages/core/src/graphs/fleetSketch.ts
@@ -0,0 +1,61 @@
+/**
+ * What is free at each worker during one planning pass, less what is held back for steps that wait for capacity.
+ */
+import type { TaskNeeds } from './graphTypes.js'
+import type { StepState } from './jobState.js'
+import { countFits, returnNeeds, takeNeeds } from './workerState.js'
+import type { WorkerState } from './workerState.js'
+
+/** Places held for one step: tasks by worker. */
+export type HeldPlaces = ReadonlyMap<WorkerState, number>
+
+interface Free {
+  cpuMillis: number
+  memoryMb: number
+  accelerators: number
+}
+
+export class FleetSketch {
+  readonly workers: readonly WorkerState[]
+  private readonly _free = new Map<WorkerState, Free>()
+  private readonly _held = new Map<StepState, HeldPlaces>()
+
+  constructor (workers: readonly WorkerState[]) {
+    this.workers = workers
+    for (const worker of workers) this._free.set(worker, worker.computeFree())
+  }
+
+  getFree (worker: WorkerState): TaskNeeds {
+    return this._free.get(worker) ?? { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+  }
+
+  /** Returns how many tasks of a step fit at a worker. */
+  countFits (worker: WorkerState, step: StepState): number {
+    return countFits(this.getFree(worker), step.spec)
+  }
+
+  /** Takes the place of tasks. */
+  take (worker: WorkerState, needs: TaskNeeds & { readonly isFilling?: boolean }, count = 1): void {
+    const free = this._free.get(worker)
+    if (free !== undefined) for (let index = 0; index < count; index++) takeNeeds(free, needs)
+  }
+
+  /** Gives the place of a task back. */
+  return (worker: WorkerState, needs: TaskNeeds & { readonly isFilling?: boolean }, count = 1): void {
+    const free = this._free.get(worker)
+    if (free !== undefined) for (let index = 0; index < count; index++) returnNeeds(free, needs)
+  }
+
+  /** Holds places for a step, so that later steps of the pass don't take them. */
+  hold (step: StepState, places: HeldPlaces): void {
+    this._held.set(step, places)
+    for (const [worker, count] of places) this.take(worker, step.spec, count)
+  }
+
+  /** Gives the held places of a step back. */
+  release (step: StepState): void {
+    const places = this._held.get(step)
+    this._held.delete(step)
+    if (places !== undefined) for (const [worker, count] of places) this.return(worker, step.spec, count)
+  }
+}
--- /dev/null
+++ b/packages/core/src/graphs/graphPass.ts
@@ -0,0 +1,187 @@
+/**
+ * One planning pass: takes back starts that were not confirmed, gives waiting steps their places in order, and makes room for
+ * guaranteed work of priority 0.
+ */
+import { FleetSketch } from './fleetSketch.js'
+import type { PlannerPolicy } from './graphPlanner.js'
+import { RunPhase, isActive, listTasks } from './jobState.js'
+import type { JobState, RunState, StepState } from './jobState.js'
+import { CORES_PER_ACCELERATOR } from './owedOrder.js'
+import { RackPlacement } from './placement.js'
+import type { PlannerLog } from './plannerLog.js'
+import type { PlannerTimes } from './plannerTimes.js'
+import { chooseReclaim } from './reclaimChoice.js'
+import type { RunLedger } from './runLedger.js'
+import type { RunTimes } from './runTimes.js'
+import { listWaitingSteps } from './waitingStep.js'
+import type { WaitingOrder, WaitingStep } from './waitingStep.js'
+import type { WorkerBook } from './workerBook.js'
+import type { WorkerState } from './workerState.js'
+import type { WorkerTrust } from './workerTrust.js'
+
+/** What a pass works with. */
+export interface PlanPassParts {
+  readonly book: WorkerBook
+  readonly ledger: RunLedger
+  readonly trust: WorkerTrust
+  readonly runTimes: RunTimes
+  readonly order: WaitingOrder
+  readonly times: PlannerTimes
+  readonly log: PlannerLog
+}
+
+interface Hold {
+  readonly places: ReadonlyMap<WorkerState, number>
+  readonly until: number
+}
+
+const MS_PER_S = 1_000
+const MILLIS_PER_CORE = 1_000
+/** A hold ends when its step has not come to its place within this many bounds for taking capacity back. */
+const HOLD_BOUNDS = 2
+
+export class PlanPass {
+  private readonly _parts: PlanPassParts
+  private readonly _placement: RackPlacement
+  private readonly _holds = new Map<StepState, Hold>()
+  private _policy: PlannerPolicy = { queues: [], guarantees: [] }
+  private _now = 0
+
+  constructor (parts: PlanPassParts) {
+    this._parts = parts
+    this._placement = new RackPlacement({
+      isEligible: (worker, step) => this._isEligible(worker, step),
+      getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
+      isPatienceOver: waiting => this._isPatienceOver(waiting)
+    })
+  }
+
+  /** Runs the pass over all jobs. */
+  run (jobs: readonly JobState[], policy: PlannerPolicy, now: number): void {
+    this._policy = policy
+    this._now = now
+    for (const job of jobs) this._takeBackUnconfirmed(job)
+    const waiting = this._parts.order.sort(jobs.flatMap(job => listWaitingSteps(job, now)), now)
+    if (waiting.length === 0) return
+    const sketch = new FleetSketch(this._parts.book.list())
+    this._applyHolds(sketch, waiting)
+    const guaranteed = this._findGuaranteed(jobs)
+    for (const one of waiting) this._placeStep(one, sketch, guaranteed)
+  }
+
+  /** Core-seconds of all of a job's tasks. */
+  computeWork (job: JobState): number {
+    return job.graph.steps.reduce((sum, step) => {
+      const cores = step.cpuMillis / MILLIS_PER_CORE + step.accelerators * CORES_PER_ACCELERATOR
+      return sum + step.count * cores * step.estimatedMs / MS_PER_S
+    }, 0)
+  }
+
+  private _takeBackUnconfirmed (job: JobState): void {
+    for (const task of listTasks(job)) {
+      for (const run of task.runs) {
+        if (run.phase !== RunPhase.assigned || this._now - run.assignedAt < this._parts.times.startConfirmMs) continue
+        if (run.task.step.spec.isGang) this._parts.ledger.stopStep(run.task.step, 'a member of the gang was not started in time', this._now)
+        else this._parts.ledger.stop(run, 'the start was not confirmed in time', this._now)
+      }
+    }
+  }
+
+  private _placeStep (waiting: WaitingStep, sketch: FleetSketch, guaranteed: ReadonlySet<JobState>): void {
+    const { step } = waiting
+    sketch.release(step)
+    const placed = this._placement.place(waiting, sketch)
+    for (const { worker } of placed) sketch.take(worker, step.spec)
+    if (placed.length > 0) this._parts.ledger.begin(placed.map(one => ({ ...one, ticket: undefined })), this._now)
+    if (placed.length === waiting.tasks.length) {
+      this._holds.delete(step)
+      return
+    }
+    const left = waiting.tasks.filter(task => task.runs.length === 0)
+    if (guaranteed.has(step.job)) this._reclaim({ ...waiting, tasks: left }, sketch)
+  }
+
+  private _reclaim (waiting: WaitingStep, sketch: FleetSketch): void {
+    const { step } = waiting
+    const held = this._holds.get(step)
+    if (held !== undefined) return sketch.hold(step, held.places)
+    const plan = chooseReclaim(waiting, sketch, {
+      isEligible: (worker, one) => this._isEligible(worker, one),
+      getTaskLimit: (worker, one) => this._getTaskLimit(worker, one),
+      getVictimWeight: run => this._getVictimWeight(run),
+      checkpointMs: this._parts.times.checkpointMs
+    }, this._now)
+    if (plan === undefined) return
+    this._parts.log.note('capacity taken back', { step: step.name, victims: plan.victims.map(run => run.task.name), loss: Math.round(plan.loss), waitedMs: this._now - waiting.since })
+    for (const run of plan.victims) this._parts.ledger.stop(run, `capacity taken back for ${step.name}`, this._now)
+    this._holds.set(step, { places: plan.places, until: this._now + HOLD_BOUNDS * this._parts.times.reclaimMs })
+    sketch.hold(step, plan.places)
+  }
+
+  private _applyHolds (sketch: FleetSketch, waiting: readonly WaitingStep[]): void {
+    const steps = new Set(waiting.map(one => one.step))
+    for (const [step, hold] of this._holds) {
+      const isUsable = [...hold.places.keys()].every(worker => this._isEligible(worker, step))
+      if (!steps.has(step) || this._now > hold.until || !isUsable) this._holds.delete(step)
+      else sketch.hold(step, hold.places)
+    }
+  }
+
+  /** Jobs of priority 0 whose organisation has not more of them than its guarantee covers. */
+  private _findGuaranteed (jobs: readonly JobState[]): Set<JobState> {
+    const byOrganisation = new Map<string, JobState[]>()
+    for (const job of jobs) {
+      if (!isActive(job) || this._getPriority(job) !== 0) continue
+      byOrganisation.set(job.graph.organisation, [...byOrganisation.get(job.graph.organisation) ?? [], job])
+    }
+    const guaranteed = new Set<JobState>()
+    for (const { organisation, accelerators } of this._policy.guarantees) {
+      const own = (byOrganisation.get(organisation) ?? []).sort((a, b) => a.graph.acceptedAt - b.graph.acceptedAt)
+      let used = 0
+      for (const job of own) {
+        used += countAccelerators(job)
+        if (used <= accelerators) guaranteed.add(job)
+      }
+    }
+    return guaranteed
+  }
+
+  private _getPriority (job: JobState): number {
+    const { queue } = job.graph
+    return this._policy.queues.find(one => one.name === queue.name)?.priority ?? queue.priority
+  }
+
+  private _getVictimWeight (run: RunState): number {
+    const { job, spec } = run.task.step
+    if (spec.isLongRunning) return Infinity
+    return this._getPriority(job) > 0 ? 1 : Infinity
+  }
+
+  private _isEligible (worker: WorkerState, step: StepState): boolean {
+    const { report } = worker
+    if (report === undefined || report.isDraining || !this._parts.book.isInTouch(worker, this._now)) return false
+    if (report.service !== step.job.graph.queue.service) return false
+    const { requiredLabel } = step.spec
+    if (requiredLabel !== undefined && !report.labels.includes(requiredLabel)) return false
+    return !this._parts.trust.isAvoided(worker.key.id, this._now)
+  }
+
+  private _getTaskLimit (worker: WorkerState, step: StepState): number {
+    const onProbation = this._parts.trust.isOnProbation(worker.key.id) ? Math.max(0, 1 - worker.runs.size) : Infinity
+    const { maxPerWorker } = step.spec
+    if (maxPerWorker === undefined) return onProbation
+    let here = 0
+    for (const run of worker.runs) if (run.task.step === step) here++
+    return Math.min(onProbation, Math.max(0, maxPerWorker - here))
+  }
+
+  /** Waiting longer than the detour costs is worse than the detour. */
+  private _isPatienceOver (waiting: WaitingStep): boolean {
+    const detourMs = this._parts.runTimes.estimate(waiting.step) * (this._parts.times.remoteFactor - 1)
+    return this._now - waiting.since > detourMs
+  }
+}
+
+function countAccelerators (job: JobState): number {
+  return job.graph.steps.reduce((sum, step) => sum + step.count * step.accelerators, 0)
+}
--- /dev/null
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -0,0 +1,203 @@
+/**
+ * The planner of job graphs: takes jobs, cancellations and workers' reports, decides what starts and stops where, and says
+ * what has to be stored. It does no I/O and holds no clock. A start may go out once `acceptDurable` has covered its version.
+ */
+import { JobPhase, isFinalPhase } from './graphTypes.js'
+import type { JobGraph, QueuePolicy, TaskNeeds } from './graphTypes.js'
+import { encodeProgress, restoreJob } from './jobProgress.js'
+import { addOccurrence, countOccurrences, isActive, isTimed, listTasks, markChanged } from './jobState.js'
+import type { JobState, WorkerKey } from './jobState.js'
+import { listOrders } from './orderList.js'
+import { OwedOrder } from './owedOrder.js'
+import { PlanPass } from './graphPass.js'
+import type { PlannerLog } from './plannerLog.js'
+import type { PlannerTimes } from './plannerTimes.js'
+import { RunLedger } from './runLedger.js'
+import { RunTimes } from './runTimes.js'
+import type { TaskName } from './taskName.js'
+import type { WaitingOrder } from './waitingStep.js'
+import { WorkerBook } from './workerBook.js'
+import type { WorkerOrders, WorkerReport } from './workerReport.js'
+import type { WorkerState } from './workerState.js'
+import { WorkerTrust } from './workerTrust.js'
+
+/** What is guaranteed to an organisation. */
+export interface OrganisationGuarantee {
+  readonly organisation: string
+  /** Accelerators for its jobs of priority 0, at all times. */
+  readonly accelerators: number
+}
+
+/** What operators declare, as far as the planner needs it. */
+export interface PlannerPolicy {
+  readonly queues: readonly QueuePolicy[]
+  readonly guarantees: readonly OrganisationGuarantee[]
+}
+
+/** Parts and settings of a planner. */
+export interface GraphPlannerOptions {
+  readonly times: PlannerTimes
+  readonly log: PlannerLog
+  /** Returns the time of day in milliseconds since 1970. */
+  readonly getWallTime: () => number
+  /** Order of waiting steps; by what is owed when absent. */
+  readonly createOrder?: (runTimes: RunTimes) => WaitingOrder
+}
+
+/** A job whose state has to be stored. */
+export interface DirtyJob {
+  readonly jobId: string
+  readonly version: number
+  readonly phase: JobPhase
+  readonly queue: string
+  readonly organisation: string
+  /** The progress record. */
+  readonly record: string
+}
+
+export class GraphPlanner {
+  private readonly _options: GraphPlannerOptions
+  private readonly _jobs = new Map<string, JobState>()
+  private readonly _trust = new WorkerTrust()
+  private readonly _runTimes = new RunTimes()
+  private readonly _ledger: RunLedger
+  private readonly _book: WorkerBook
+  private readonly _pass: PlanPass
+  private _policy: PlannerPolicy = { queues: [], guarantees: [] }
+
+  constructor (options: GraphPlannerOptions) {
+    const { log, times, getWallTime } = options
+    this._options = options
+    this._ledger = new RunLedger({ log, trust: this._trust, runTimes: this._runTimes, getWallTime, getWorker: run => this._book.get(run.worker) })
+    this._book = new WorkerBook({ log, times, ledger: this._ledger, getNeeds: name => this._getNeeds(name) })
+    const order = options.createOrder?.(this._runTimes) ?? new OwedOrder({ runTimes: this._runTimes, getWallTime })
+    this._pass = new PlanPass({ book: this._book, ledger: this._ledger, trust: this._trust, runTimes: this._runTimes, order, times, log })
+  }
+
+  /** Number of jobs that have not ended. */
+  get activeCount (): number {
+    let count = 0
+    for (const job of this._jobs.values()) if (isActive(job)) count++
+    return count
+  }
+
+  listWorkers (): WorkerState[] {
+    return this._book.list()
+  }
+
+  getJob (jobId: string): JobState | undefined {
+    return this._jobs.get(jobId)
+  }
+
+  setPolicy (policy: PlannerPolicy): void {
+    this._policy = policy
+  }
+
+  /** Takes a job up, with its progress when it has begun. A job that is known stays as it is. */
+  addJob (graph: JobGraph, progress: string | undefined, now: number): void {
+    if (this._jobs.has(graph.id)) return
+    const job = restoreJob(graph, progress, now)
+    this._jobs.set(graph.id, job)
+    this._options.log.note('job taken up', { job: graph.id, queue: graph.queue.name, organisation: graph.organisation, phase: job.phase, ageMs: this._options.getWallTime() - graph.acceptedAt })
+    if (!isTimed(graph) && !job.occurrences.has(0)) addOccurrence(job, 0)
+    for (const task of listTasks(job)) for (const run of [...task.runs]) this._book.adopt(run, now)
+    if (isFinalPhase(job.phase)) for (const task of listTasks(job)) for (const run of task.runs) this._ledger.stop(run, `job ${job.phase}`, now)
+    else this._runTimes.learnWork(graph.queue.name, this._pass.computeWork(job))
+  }
+
+  /** Cancels a job; one that has ended stays so. */
+  cancelJob (jobId: string, now: number): void {
+    const job = this._jobs.get(jobId)
+    if (job !== undefined) this._ledger.endJob(job, JobPhase.cancelled, 'cancelled by its consumer', now)
+  }
+
+  /** Takes a worker's report over; false when a later life of the worker is known. */
+  acceptReport (report: WorkerReport, now: number): boolean {
+    return this._book.accept(report, now) !== undefined
+  }
+
+  /** Does what time brings and places what can start. */
+  plan (now: number): void {
+    this._addDueOccurrences()
+    this._book.expire(now)
+    this._pass.run([...this._jobs.values()], this._policy, now)
+  }
+
+  /** Returns when the next occurrence of a job is due, as wall time; undefined when none is. */
+  getNextDueAt (): number | undefined {
+    let next: number | undefined
+    for (const job of this._jobs.values()) {
+      const { repeat } = job.graph
+      if (repeat === undefined || !isActive(job) || job.occurrences.size >= repeat.count) continue
+      const dueAt = repeat.firstRunAt + job.occurrences.size * repeat.intervalMs
+      if (next === undefined || dueAt < next) next = dueAt
+    }
+    return next
+  }
+
+  /** Lists the jobs whose state has changed since it was last stored. */
+  listDirty (): DirtyJob[] {
+    const dirty: DirtyJob[] = []
+    for (const job of this._jobs.values()) {
+      if (job.version <= job.durableVersion) continue
+      const { id, queue, organisation } = job.graph
+      dirty.push({ jobId: id, version: job.version, phase: job.phase, queue: queue.name, organisation, record: encodeProgress(job) })
+    }
+    return dirty
+  }
+
+  /** Notes that a job's state of this version is stored. */
+  acceptDurable (jobId: string, version: number): void {
+    const job = this._jobs.get(jobId)
+    if (job !== undefined) job.durableVersion = Math.max(job.durableVersion, version)
+  }
+
+  /** True when there is something to start, stop or pace at a worker that its last report doesn't know of. */
+  hasOrders (key: WorkerKey): boolean {
+    const worker = this._book.get(key)
+    if (worker === undefined) return false
+    const { starts, stops, paces } = listOrders(worker, false)
+    return starts.length + stops.length + paces.length > 0
+  }
+
+  /** Says what is wanted of a worker, given what its last report knew; permits its lease to be extended. */
+  answerReport (key: WorkerKey, receivedAt: number, mayGrant: boolean): WorkerOrders | undefined {
+    const worker = this._book.get(key)
+    if (worker === undefined) return undefined
+    const mayExtend = mayGrant && worker.report?.isReachable === true
+    if (mayExtend) this._book.grant(worker, receivedAt)
+    const orders = listOrders(worker, mayExtend)
+    for (const run of worker.runs) run.toldPace = run.pace
+    return orders
+  }
+
+  /** Forgets jobs that ended long ago; returns their ids. */
+  removeOld (now: number): string[] {
+    const removed: string[] = []
+    for (const [jobId, job] of this._jobs) {
+      const isOld = job.endedAt !== undefined && this._options.getWallTime() - job.endedAt > this._options.times.retentionMs && now - job.takenAt > this._options.times.retentionMs
+      if (!isOld || listTasks(job).some(task => task.runs.length > 0)) continue
+      this._jobs.delete(jobId)
+      removed.push(jobId)
+    }
+    return removed
+  }
+
+  private _addDueOccurrences (): void {
+    const wallTime = this._options.getWallTime()
+    for (const job of this._jobs.values()) {
+      const { repeat } = job.graph
+      if (repeat === undefined || !isActive(job)) continue
+      for (let number = 0; number < countOccurrences(job.graph); number++) {
+        if (job.occurrences.has(number)) continue
+        if (repeat.firstRunAt + number * repeat.intervalMs > wallTime) break
+        addOccurrence(job, number)
+        markChanged(job)
+      }
+    }
+  }
+
+  private _getNeeds (name: TaskName): TaskNeeds | undefined {
+    return this._jobs.get(name.jobId)?.graph.steps[name.step]
+  }
+}
--- /dev/null
+++ b/packages/core/src/graphs/jobProgress.ts
@@ -0,0 +1,115 @@
+/**
+ * The durable record of a job's progress: compact JSON in which only steps that were begun appear. Restoring it gives the
+ * state at the moment of writing; what ran then is taken for running until its worker tells.
+ */
+import { JobPhase } from './graphTypes.js'
+import type { JobGraph } from './graphTypes.js'
+import { RunPhase, addOccurrence, createJobState, markChanged } from './jobState.js'
+import type { JobState, RunState, StepState, TaskState } from './jobState.js'
+
+/** A run: number, worker's id, worker's birth. */
+type RunRecord = readonly [number, string, number]
+/** A task: done (0 or 1), failures, last run, checkpoint, runs, workers that it failed on. */
+type TaskRecord = readonly [number, number, number, string, readonly RunRecord[], readonly string[]]
+
+interface StepRecord {
+  /** Failed runs of a gang, and the number of the last of them. */
+  readonly failures: number
+  readonly failedRun: number
+  readonly tasks: readonly TaskRecord[]
+}
+
+interface ProgressRecord {
+  readonly phase: JobPhase
+  readonly endedAt?: number
+  /** By `OCCURRENCE.STEP`. */
+  readonly steps: Readonly<Record<string, StepRecord>>
+}
+
+/** Encodes a job's progress. */
+export function encodeProgress (job: JobState): string {
+  const steps: Record<string, StepRecord> = {}
+  for (const [occurrence, list] of job.occurrences) {
+    for (const step of list) if (isBegun(step)) steps[`${occurrence}.${step.index}`] = encodeStep(step)
+  }
+  const record: ProgressRecord = { phase: job.phase, ...(job.endedAt === undefined ? {} : { endedAt: job.endedAt }), steps }
+  return JSON.stringify(record)
+}
+
+/** Restores a job from its record; without one it has not begun. */
+export function restoreJob (graph: JobGraph, text: string | undefined, now: number): JobState {
+  const job = createJobState(graph, now)
+  if (text === undefined) return job
+  const record = JSON.parse(text) as ProgressRecord
+  job.phase = record.phase
+  job.endedAt = record.endedAt
+  for (const [key, stepRecord] of Object.entries(record.steps)) {
+    const [occurrence, index] = key.split('.').map(Number)
+    const step = getStep(job, occurrence ?? 0, index ?? 0)
+    if (step !== undefined) restoreStep(step, stepRecord, now)
+  }
+  for (const steps of job.occurrences.values()) if (steps.every(step => step.remaining === 0)) job.doneOccurrences++
+  markChanged(job)
+  job.durableVersion = job.version
+  return job
+}
+
+function isBegun (step: StepState): boolean {
+  return step.tasks.some(task => task.lastRun > 0)
+}
+
+function encodeStep (step: StepState): StepRecord {
+  return { failures: step.gangFailures, failedRun: step.failedRun, tasks: step.tasks.map(encodeTask) }
+}
+
+function encodeTask (task: TaskState): TaskRecord {
+  const runs = task.runs.map(run => [run.number, run.worker.id, run.worker.born] as const)
+  return [task.isDone ? 1 : 0, task.failures, task.lastRun, task.checkpoint, runs, [...task.failedOn]]
+}
+
+function getStep (job: JobState, occurrence: number, index: number): StepState | undefined {
+  const steps = job.occurrences.get(occurrence) ?? addOccurrence(job, occurrence)
+  return steps[index]
+}
+
+function restoreStep (step: StepState, record: StepRecord, now: number): void {
+  step.gangFailures = record.failures
+  step.failedRun = record.failedRun
+  for (const [index, taskRecord] of record.tasks.entries()) {
+    const task = step.tasks[index]
+    if (task !== undefined) restoreTask(task, taskRecord, now)
+  }
+  step.remaining = step.tasks.filter(task => !task.isDone).length
+}
+
+function restoreTask (task: TaskState, record: TaskRecord, now: number): void {
+  const [done, failures, lastRun, checkpoint, runs, failedOn] = record
+  task.isDone = done === 1
+  task.failures = failures
+  task.lastRun = lastRun
+  task.checkpoint = checkpoint
+  for (const workerId of failedOn) task.failedOn.add(workerId)
+  for (const [number, id, born] of runs) task.runs.push(createRun(task, number, { id, born }, 0, now, undefined))
+}
+
+/** Creates the state of a run that was just decided. */
+export function createRun (task: TaskState, number: number, worker: { id: string, born: number }, version: number, now: number, ticket: string | undefined): RunState {
+  return {
+    task,
+    number,
+    worker,
+    version,
+    assignedAt: now,
+    ticket,
+    phase: RunPhase.assigned,
+    runningSince: undefined,
+    stoppingSince: undefined,
+    stopReason: '',
+    percent: 0,
+    percentMovedAt: now,
+    usage: 0,
+    pace: 100,
+    toldPace: 100,
+    startCheckpoint: task.checkpoint
+  }
+}
--- /dev/null
+++ b/packages/core/src/graphs/orderList.ts
@@ -0,0 +1,39 @@
+/**
+ * The orders of a worker: what it should start and stop that its last report doesn't show yet.
+ */
+import { RunPhase, isActive } from './jobState.js'
+import type { RunState } from './jobState.js'
+import { makeRunKey } from './workerBook.js'
+import { OrderStatus } from './workerReport.js'
+import type { OrderListing, StartOrder, WorkerOrders } from './workerReport.js'
+import type { WorkerState } from './workerState.js'
+
+const STOP_STATUSES: ReadonlySet<OrderStatus | undefined> = new Set([OrderStatus.stopping, OrderStatus.barred])
+
+/** Lists the orders; repeats those that the report doesn't know of. */
+export function listOrders (worker: WorkerState, mayExtend: boolean): WorkerOrders {
+  const orders = new Map<string, OrderListing>()
+  for (const order of worker.report?.orders ?? []) orders.set(makeRunKey(order), order)
+  const starts: StartOrder[] = []
+  const stops: Array<{ task: string, run: number }> = []
+  const paces: Array<{ task: string, run: number, percent: number }> = []
+  for (const run of worker.runs) {
+    const name = { task: run.task.name, run: run.number }
+    const status = orders.get(makeRunKey(name))?.status
+    if (run.phase === RunPhase.stopping && !STOP_STATUSES.has(status)) stops.push(name)
+    if (run.phase === RunPhase.assigned && status === undefined && isStartable(run)) starts.push(makeStart(run))
+    if (run.phase === RunPhase.running && run.pace !== run.toldPace) paces.push({ ...name, percent: run.pace })
+  }
+  for (const [key, stray] of worker.strays) if (!STOP_STATUSES.has(orders.get(key)?.status)) stops.push({ task: stray.task, run: stray.run })
+  return { key: worker.key, mayExtend, seen: worker.seen, starts, stops, paces }
+}
+
+/** A start goes out only once it is stored and while its job may start tasks. */
+function isStartable (run: RunState): boolean {
+  const { job } = run.task.step
+  return job.durableVersion >= run.version && isActive(job)
+}
+
+function makeStart (run: RunState): StartOrder {
+  return { task: run.task.name, run: run.number, payload: run.task.step.job.graph.payload, checkpoint: run.startCheckpoint, ticket: run.ticket }
+}
--- /dev/null
+++ b/packages/core/src/graphs/owedOrder.ts
@@ -0,0 +1,85 @@
+/**
+ * Orders waiting steps by what is owed: priority 0 first, by the time left to its objective; the rest by value per capacity,
+ * where work that can still meet its objective goes before work that can't.
+ */
+import type { QueuePolicy } from './graphTypes.js'
+import type { RunTimes } from './runTimes.js'
+import type { WaitingOrder, WaitingStep } from './waitingStep.js'
+
+/** Value of a job in time by priority, from the users' tables of requests; a lower priority counts as the last. */
+const VALUE_BY_PRIORITY = [4, 3, 1] as const
+/** Part of a job's value that doesn't grow with its work, and the factor of the rest; from the users' rules on benefit. */
+const FIXED_VALUE = 0.3
+const VALUE_PER_WORK = 0.7
+/** A GPU counts as so many cores in the users' rules on prices. */
+export const CORES_PER_ACCELERATOR = 8
+/** Objectives up to this factor late still earn; from the users' rules on benefit. */
+const LATE_FACTOR = 3
+const MS_PER_S = 1_000
+const MILLIS_PER_CORE = 1_000
+
+/** What an order needs to know. */
+export interface OwedOrderParts {
+  readonly runTimes: RunTimes
+  /** Returns the time of day in milliseconds since 1970. */
+  readonly getWallTime: () => number
+}
+
+export class OwedOrder implements WaitingOrder {
+  private readonly _parts: OwedOrderParts
+
+  constructor (parts: OwedOrderParts) {
+    this._parts = parts
+  }
+
+  sort (steps: readonly WaitingStep[]): WaitingStep[] {
+    const ranked = steps.map(step => ({ step, rank: this._rank(step) }))
+    ranked.sort((a, b) => a.rank.tier - b.rank.tier || a.rank.key - b.rank.key)
+    return ranked.map(({ step }) => step)
+  }
+
+  private _rank (waiting: WaitingStep): { tier: number, key: number } {
+    const { job } = waiting.step
+    const { queue } = job.graph
+    const chainMs = this._computeChain(waiting)
+    const ageMs = this._parts.getWallTime() - this._getStart(waiting)
+    const objectiveMs = queue.stretch * chainMs + queue.targetLatencyMs
+    const slackMs = objectiveMs - ageMs - chainMs
+    if (queue.priority === 0) return { tier: 0, key: slackMs }
+    const isLost = LATE_FACTOR * objectiveMs < ageMs + chainMs
+    return { tier: isLost ? 2 : 1, key: -this._computeDensity(waiting, queue) }
+  }
+
+  private _getStart (waiting: WaitingStep): number {
+    const { graph } = waiting.step.job
+    return graph.repeat === undefined ? graph.acceptedAt : graph.repeat.firstRunAt + waiting.step.occurrence * graph.repeat.intervalMs
+  }
+
+  /** Work that is still ahead of the job on its longest chain. */
+  private _computeChain (waiting: WaitingStep): number {
+    const steps = waiting.step.job.occurrences.get(waiting.step.occurrence) ?? []
+    const ends: number[] = []
+    for (const step of steps) {
+      const own = step.remaining === 0 ? 0 : this._parts.runTimes.estimate(step)
+      ends.push(own + Math.max(0, ...step.spec.after.map(index => ends[index] ?? 0)))
+    }
+    return Math.max(...ends)
+  }
+
+  private _computeDensity (waiting: WaitingStep, queue: QueuePolicy): number {
+    const coreSeconds = this._computeWork(waiting)
+    const mean = this._parts.runTimes.getMeanWork(queue.name) ?? coreSeconds
+    const share = mean === 0 ? 1 : coreSeconds / mean
+    const worth = VALUE_BY_PRIORITY[Math.min(queue.priority, VALUE_BY_PRIORITY.length - 1)] ?? 1
+    return worth * (FIXED_VALUE + VALUE_PER_WORK * Math.min(share, 4)) / Math.max(coreSeconds, 0.001)
+  }
+
+  /** Core-seconds that the occurrence still takes. */
+  private _computeWork (waiting: WaitingStep): number {
+    const steps = waiting.step.job.occurrences.get(waiting.step.occurrence) ?? []
+    return steps.reduce((sum, step) => {
+      const cores = step.spec.cpuMillis / MILLIS_PER_CORE + step.spec.accelerators * CORES_PER_ACCELERATOR
+      return sum + step.remaining * cores * this._parts.runTimes.estimate(step) / MS_PER_S
+    }, 0)
+  }
+}
--- /dev/null
+++ b/packages/core/src/graphs/placement.ts
@@ -0,0 +1,124 @@
+/**
+ * Finds workers for the tasks of a step: near the data, in one rack where the step asks for it, tightest fit first, so that
+ * whole workers stay free for wide tasks.
+ */
+import type { FleetSketch } from './fleetSketch.js'
+import type { StepState, TaskState } from './jobState.js'
+import type { WaitingStep } from './waitingStep.js'
+import { countFits } from './workerState.js'
+import type { WorkerState } from './workerState.js'
+
+/** A task with its worker. */
+export interface PlacedTask {
+  readonly task: TaskState
+  readonly worker: WorkerState
+}
+
+/** What a placement needs to know. */
+export interface PlacementParts {
+  /** True when a worker may run tasks of a step at all, whatever is free. */
+  readonly isEligible: (worker: WorkerState, step: StepState) => boolean
+  /** Most further tasks of the step that a worker may get, whatever is free. */
+  readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
+  /** True when the step has waited for its rack for so long that a slower place is better. */
+  readonly isPatienceOver: (waiting: WaitingStep) => boolean
+}
+
+/** Finds places in a sketch, without taking them. */
+export interface Placement {
+  /** Returns the tasks that can start; of a gang all or none. */
+  place (waiting: WaitingStep, sketch: FleetSketch): PlacedTask[]
+}
+
+export class RackPlacement implements Placement {
+  private readonly _parts: PlacementParts
+
+  constructor (parts: PlacementParts) {
+    this._parts = parts
+  }
+
+  place (waiting: WaitingStep, sketch: FleetSketch): PlacedTask[] {
+    const { step, tasks } = waiting
+    const eligible = sketch.workers.filter(worker => this._parts.isEligible(worker, step))
+    for (const group of this._listGroups(waiting, eligible, sketch)) {
+      const placed = this._fill(tasks, group, sketch, step)
+      if (placed.length === tasks.length) return placed
+      if (!step.spec.isGang && !step.spec.isSameRack && placed.length > 0) return placed
+    }
+    return []
+  }
+
+  /** Groups of workers to try, best first. */
+  private _listGroups (waiting: WaitingStep, eligible: readonly WorkerState[], sketch: FleetSketch): WorkerState[][] {
+    const { spec } = waiting.step
+    const isOver = this._parts.isPatienceOver(waiting)
+    if (!spec.isSameRack) return this._listDataGroups(waiting, eligible, isOver)
+    const racks = groupByRack(eligible)
+    const near = spec.dataRack === undefined ? undefined : racks.get(spec.dataRack)
+    const others = [...racks.values()].filter(group => group !== near).sort((a, b) => countRoom(a, waiting.step, sketch) - countRoom(b, waiting.step, sketch))
+    const isWide = [...racks.values()].every(group => countCapacity(group, waiting.step) < waiting.tasks.length)
+    if (near !== undefined && !isOver && countCapacity(near, waiting.step) >= waiting.tasks.length) return [near]
+    return [...(near === undefined ? [] : [near]), ...others, ...(isWide || isOver ? [[...eligible]] : [])]
+  }
+
+  private _listDataGroups (waiting: WaitingStep, eligible: readonly WorkerState[], isOver: boolean): WorkerState[][] {
+    const { dataRack, isGang } = waiting.step.spec
+    if (dataRack === undefined) return [[...eligible]]
+    const near = eligible.filter(worker => worker.report?.rack === dataRack)
+    const canHold = countCapacity(near, waiting.step) >= (isGang ? waiting.tasks.length : 1)
+    if (!canHold) return [[...eligible]]
+    return isOver ? [near, [...eligible]] : [near]
+  }
+
+  /** Gives each task the worker with the least room to spare; returns those that found one. */
+  private _fill (tasks: readonly TaskState[], group: readonly WorkerState[], sketch: FleetSketch, step: StepState): PlacedTask[] {
+    const room = new Map(group.map(worker => [worker, Math.min(sketch.countFits(worker, step), this._parts.getTaskLimit(worker, step))]))
+    const placed: PlacedTask[] = []
+    for (const task of tasks) {
+      const worker = pickTightest(task, room, sketch)
+      if (worker === undefined) continue
+      room.set(worker, (room.get(worker) ?? 0) - 1)
+      placed.push({ task, worker })
+    }
+    return placed
+  }
+}
+
+/** Prefers workers on which the task has not failed, then the one with the fewest places left. */
+function pickTightest (task: TaskState, room: ReadonlyMap<WorkerState, number>, sketch: FleetSketch): WorkerState | undefined {
+  let best: WorkerState | undefined
+  let bestScore = Infinity
+  for (const [worker, count] of room) {
+    if (count < 1) continue
+    const free = sketch.getFree(worker)
+    const score = (task.failedOn.has(worker.key.id) ? 1_000_000 : 0) + free.accelerators * 1_000 + free.cpuMillis / 1_000
+    if (score >= bestScore) continue
+    best = worker
+    bestScore = score
+  }
+  return best
+}
+
+function groupByRack (workers: readonly WorkerState[]): Map<string, WorkerState[]> {
+  const racks = new Map<string, WorkerState[]>()
+  for (const worker of workers) {
+    const rack = worker.report?.rack ?? ''
+    const group = racks.get(rack) ?? []
+    group.push(worker)
+    racks.set(rack, group)
+  }
+  return racks
+}
+
+function countRoom (workers: readonly WorkerState[], step: StepState, sketch: FleetSketch): number {
+  return workers.reduce((sum, worker) => sum + sketch.countFits(worker, step), 0)
+}
+
+/** Counts the tasks of a step that workers could hold if they were empty. */
+function countCapacity (workers: readonly WorkerState[], step: StepState): number {
+  return workers.reduce((sum, worker) => sum + countWhole(worker, step), 0)
+}
+
+function countWhole (worker: WorkerState, step: StepState): number {
+  return Math.min(countFits(worker.capacity, step.spec), step.spec.maxPerWorker ?? Infinity)
+}
--- /dev/null
+++ b/packages/core/src/graphs/reclaimChoice.ts
@@ -0,0 +1,150 @@
+/**
+ * Chooses what has to stop so that a step of priority 0 gets its guaranteed capacity in time, at the least work lost.
+ * Answers the load in which borrowers fill the fleet and a guaranteed job arrives.
+ */
+import type { FleetSketch } from './fleetSketch.js'
+import { RunPhase } from './jobState.js'
+import type { RunState, StepState } from './jobState.js'
+import { CORES_PER_ACCELERATOR } from './owedOrder.js'
+import type { WaitingStep } from './waitingStep.js'
+import { countFits, returnNeeds } from './workerState.js'
+import type { WorkerState } from './workerState.js'
+
+/** What to stop, and where the step will then have its places. */
+export interface ReclaimPlan {
+  readonly victims: readonly RunState[]
+  readonly places: ReadonlyMap<WorkerState, number>
+  /** Core-seconds of work that is lost. */
+  readonly loss: number
+}
+
+/** What a choice needs to know. */
+export interface ReclaimParts {
+  readonly isEligible: (worker: WorkerState, step: StepState) => boolean
+  readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
+  /** Weight of stopping a run; Infinity when it must not be stopped. */
+  readonly getVictimWeight: (run: RunState) => number
+  /** Work between two checkpoints, in milliseconds. */
+  readonly checkpointMs: number
+}
+
+/** Runs that stop together: one task's, or a whole gang. */
+interface VictimGroup {
+  readonly runs: readonly RunState[]
+  readonly loss: number
+}
+
+interface Free {
+  cpuMillis: number
+  memoryMb: number
+  accelerators: number
+}
+
+const MS_PER_S = 1_000
+const MILLIS_PER_CORE = 1_000
+/** Each stop costs a restart, counted as this many core-seconds beside the lost work, so that few are stopped. */
+const STOP_COST = 2
+
+/** Finds the cheapest way to make room; undefined when there is none. */
+export function chooseReclaim (waiting: WaitingStep, sketch: FleetSketch, parts: ReclaimParts, now: number): ReclaimPlan | undefined {
+  const { step } = waiting
+  const eligible = sketch.workers.filter(worker => parts.isEligible(worker, step))
+  const plans = listSets(eligible, step).map(set => planFor(waiting, set, sketch, parts, now)).filter(plan => plan !== undefined)
+  plans.sort((a, b) => a.loss - b.loss)
+  return plans[0]
+}
+
+function listSets (eligible: readonly WorkerState[], step: StepState): WorkerState[][] {
+  if (!step.spec.isSameRack) return [[...eligible]]
+  const racks = new Map<string, WorkerState[]>()
+  for (const worker of eligible) racks.set(worker.report?.rack ?? '', [...racks.get(worker.report?.rack ?? '') ?? [], worker])
+  const near = step.spec.dataRack === undefined ? undefined : racks.get(step.spec.dataRack)
+  return near === undefined ? [...racks.values()] : [near, ...[...racks.values()].filter(set => set !== near)]
+}
+
+function planFor (waiting: WaitingStep, set: readonly WorkerState[], sketch: FleetSketch, parts: ReclaimParts, now: number): ReclaimPlan | undefined {
+  const { step, tasks } = waiting
+  const free = new Map<WorkerState, Free>()
+  for (const worker of set) free.set(worker, { ...sketch.getFree(worker) })
+  const count = (worker: WorkerState): number => Math.min(countFits(free.get(worker) as Free, step.spec), parts.getTaskLimit(worker, step))
+  const countAll = (): number => set.reduce((sum, worker) => sum + count(worker), 0)
+  // What is being stopped already will be free soon.
+  for (const worker of set) for (const run of worker.runs) if (run.phase === RunPhase.stopping) returnNeeds(free.get(worker) as Free, run.task.step.spec)
+  const groups = listGroups(set, parts, now)
+  const chosen: VictimGroup[] = []
+  while (countAll() < tasks.length) {
+    const next = pickNext(groups, set, free, count)
+    if (next === undefined) return undefined
+    chosen.push(next)
+    groups.splice(groups.indexOf(next), 1)
+    giveBack(next, free)
+  }
+  const places = new Map<WorkerState, number>()
+  let left = tasks.length
+  for (const worker of [...set].sort((a, b) => count(a) - count(b))) {
+    const here = Math.min(left, count(worker))
+    if (here > 0) places.set(worker, here)
+    left -= here
+  }
+  return { victims: chosen.flatMap(group => group.runs), places, loss: chosen.reduce((sum, group) => sum + group.loss, 0) }
+}
+
+/** The group that gains the most places for its loss; without any gain, the one that frees most for its loss. */
+function pickNext (groups: readonly VictimGroup[], set: readonly WorkerState[], free: Map<WorkerState, Free>, count: (worker: WorkerState) => number): VictimGroup | undefined {
+  let best: VictimGroup | undefined
+  let bestScore = -Infinity
+  for (const group of groups) {
+    const touched = set.filter(worker => group.runs.some(run => worker.runs.has(run)))
+    if (touched.length === 0) continue
+    const before = touched.reduce((sum, worker) => sum + count(worker), 0)
+    giveBack(group, free)
+    const gained = touched.reduce((sum, worker) => sum + count(worker), 0) - before
+    takeBack(group, free)
+    const size = group.runs.reduce((sum, run) => sum + run.task.step.spec.accelerators, 0) + 0.1
+    const score = gained > 0 ? 1_000 + gained / (group.loss + STOP_COST) : size / (group.loss + STOP_COST) / 1_000
+    if (score <= bestScore) continue
+    best = group
+    bestScore = score
+  }
+  return best
+}
+
+function giveBack (group: VictimGroup, free: ReadonlyMap<WorkerState, Free>): void {
+  for (const [worker, room] of free) for (const run of group.runs) if (worker.runs.has(run)) returnNeeds(room, run.task.step.spec)
+}
+
+function takeBack (group: VictimGroup, free: ReadonlyMap<WorkerState, Free>): void {
+  for (const [worker, room] of free) {
+    for (const run of group.runs) {
+      if (!worker.runs.has(run)) continue
+      const { spec } = run.task.step
+      returnNeeds(room, { cpuMillis: -spec.cpuMillis, memoryMb: -spec.memoryMb, accelerators: -spec.accelerators, isFilling: spec.isFilling })
+    }
+  }
+}
+
+function listGroups (set: readonly WorkerState[], parts: ReclaimParts, now: number): VictimGroup[] {
+  const groups: VictimGroup[] = []
+  const seen = new Set<RunState>()
+  for (const worker of set) {
+    for (const run of worker.runs) {
+      if (seen.has(run) || run.phase === RunPhase.stopping) continue
+      const runs = run.task.step.spec.isGang ? run.task.step.tasks.flatMap(task => task.runs) : [run]
+      for (const one of runs) seen.add(one)
+      const weight = Math.max(...runs.map(parts.getVictimWeight))
+      if (weight === Infinity) continue
+      const loss = runs.reduce((sum, one) => sum + computeLoss(one, parts.checkpointMs, now), 0)
+      groups.push({ runs, loss: loss * weight })
+    }
+  }
+  return groups
+}
+
+/** Core-seconds that a stop of the run throws away. */
+export function computeLoss (run: RunState, checkpointMs: number, now: number): number {
+  if (run.runningSince === undefined) return 0
+  const { spec } = run.task.step
+  const ranMs = now - run.runningSince
+  const unsavedMs = spec.isCheckpointing ? Math.min(ranMs, checkpointMs) : ranMs
+  return unsavedMs / MS_PER_S * (spec.cpuMillis / MILLIS_PER_CORE + spec.accelerators * CORES_PER_ACCELERATOR)
+}
--- /dev/null
+++ b/packages/core/src/graphs/runLedger.ts
@@ -0,0 +1,167 @@
+/**
+ * Changes of runs and of the steps and jobs that hang on them. All changes that must be stored go through here.
+ */
+import { JobPhase, RunEnd, isFinalPhase } from './graphTypes.js'
+import { createRun } from './jobProgress.js'
+import { RunPhase, countOccurrences, isActive, listTasks, markChanged } from './jobState.js'
+import type { JobState, RunState, StepState, TaskState } from './jobState.js'
+import type { PlannerLog } from './plannerLog.js'
+import type { RunTimes } from './runTimes.js'
+import type { WorkerState } from './workerState.js'
+import type { WorkerTrust } from './workerTrust.js'
+
+/** What a ledger works with. */
+export interface RunLedgerParts {
+  readonly log: PlannerLog
+  readonly trust: WorkerTrust
+  readonly runTimes: RunTimes
+  /** Returns the time of day in milliseconds since 1970. */
+  readonly getWallTime: () => number
+  /** Returns a worker by the key of a run. */
+  readonly getWorker: (run: RunState) => WorkerState | undefined
+}
+
+export class RunLedger {
+  private readonly _parts: RunLedgerParts
+
+  constructor (parts: RunLedgerParts) {
+    this._parts = parts
+  }
+
+  /** Decides to start tasks together; members of a gang share the run number. */
+  begin (placed: ReadonlyArray<{ readonly task: TaskState, readonly worker: WorkerState, readonly ticket: string | undefined }>, now: number): RunState[] {
+    const first = placed[0]
+    if (first === undefined) return []
+    const { step } = first.task
+    const { job } = step
+    markChanged(job)
+    const gangRun = Math.max(...step.tasks.map(task => task.lastRun)) + 1
+    return placed.map(({ task, worker, ticket }) => {
+      task.lastRun = step.spec.isGang ? gangRun : task.lastRun + 1
+      const run = createRun(task, task.lastRun, worker.key, job.version, now, ticket)
+      task.runs.push(run)
+      worker.runs.add(run)
+      this._parts.log.note('run assigned', { task: task.name, run: run.number, worker: worker.key.id, checkpoint: task.checkpoint })
+      return run
+    })
+  }
+
+  /** Notes that a worker has begun a run. */
+  noteRunning (run: RunState, now: number): void {
+    if (run.phase === RunPhase.assigned) run.phase = RunPhase.running
+    if (run.runningSince !== undefined) return
+    run.runningSince = now
+    run.percentMovedAt = now
+    const { job } = run.task.step
+    this._parts.log.note('run begun', { task: run.task.name, run: run.number, worker: run.worker.id, afterMs: now - run.assignedAt })
+    if (job.phase !== JobPhase.queued) return
+    job.phase = JobPhase.running
+    markChanged(job)
+  }
+
+  /** Asks that a run ends; it counts until its end is known. */
+  stop (run: RunState, reason: string, now: number): void {
+    if (run.phase === RunPhase.stopping) return
+    run.phase = RunPhase.stopping
+    run.stoppingSince = now
+    run.stopReason = reason
+    this._parts.log.note('run stopping', { task: run.task.name, run: run.number, worker: run.worker.id, reason })
+  }
+
+  /** Asks that all runs of a step end. */
+  stopStep (step: StepState, reason: string, now: number): void {
+    for (const task of step.tasks) for (const run of task.runs) this.stop(run, reason, now)
+  }
+
+  /** Takes over how a run ended at its worker. */
+  end (run: RunState, how: RunEnd, checkpoint: string, now: number): void {
+    const { task } = run
+    this._remove(run)
+    if (checkpoint !== '') saveCheckpoint(task, checkpoint)
+    this._parts.log.note('run ended', { task: task.name, run: run.number, worker: run.worker.id, how, forMs: run.runningSince === undefined ? 0 : now - run.runningSince, reason: run.stopReason })
+    if (how === RunEnd.done) this._finish(run, now)
+    else if (how === RunEnd.failed) this._fail(run, now)
+    else this._interrupt(run, now)
+  }
+
+  /** Takes a run for gone without an end: its order had no effect, or its worker can't run it any more. */
+  lose (run: RunState, reason: string, now: number): void {
+    this._remove(run)
+    this._parts.log.note('run lost', { task: run.task.name, run: run.number, worker: run.worker.id, reason })
+    this._interrupt(run, now)
+  }
+
+  /** Ends a job; what still runs is stopped. */
+  endJob (job: JobState, phase: JobPhase, reason: string, now: number): void {
+    if (isFinalPhase(job.phase)) return
+    job.phase = phase
+    job.endedAt = this._parts.getWallTime()
+    markChanged(job)
+    this._parts.log.note('job ended', { job: job.graph.id, phase, reason, forMs: job.endedAt - job.graph.acceptedAt })
+    for (const task of listTasks(job)) for (const run of task.runs) this.stop(run, `job ${phase}`, now)
+  }
+
+  private _remove (run: RunState): void {
+    const { runs } = run.task
+    const index = runs.indexOf(run)
+    if (index >= 0) runs.splice(index, 1)
+    this._parts.getWorker(run)?.runs.delete(run)
+    markChanged(run.task.step.job)
+  }
+
+  private _finish (run: RunState, now: number): void {
+    const { step } = run.task
+    this._parts.trust.recordDone(run, now)
+    if (run.startCheckpoint === '' && run.runningSince !== undefined) this._parts.runTimes.learn(step, now - run.runningSince)
+    const tasks = step.spec.isGang ? step.tasks : [run.task]
+    for (const task of tasks) this._markDone(task, now)
+    if (step.remaining === 0) this._finishStep(step, now)
+  }
+
+  private _markDone (task: TaskState, now: number): void {
+    if (task.isDone) return
+    task.isDone = true
+    task.step.remaining--
+    for (const run of task.runs) this.stop(run, 'the task is done', now)
+  }
+
+  private _finishStep (step: StepState, now: number): void {
+    const { job } = step
+    const steps = job.occurrences.get(step.occurrence) ?? []
+    if (steps.some(other => other.remaining > 0)) return
+    job.doneOccurrences++
+    if (job.doneOccurrences >= countOccurrences(job.graph)) this.endJob(job, JobPhase.completed, 'all tasks are done', now)
+  }
+
+  private _fail (run: RunState, now: number): void {
+    const { task } = run
+    const { step } = task
+    task.failedOn.add(run.worker.id)
+    this._parts.trust.recordFailure(run, now)
+    if (step.spec.isGang) this._failGang(run, now)
+    else if (!step.spec.isLongRunning) task.failures++
+    const failures = step.spec.isGang ? step.gangFailures : task.failures
+    const { job } = step
+    if (!step.spec.isLongRunning && isActive(job) && failures >= job.graph.queue.maxAttempts) this.endJob(job, JobPhase.failed, `${task.name} failed ${failures} times`, now)
+  }
+
+  /** The members of one run that fail count as one failure. */
+  private _failGang (run: RunState, now: number): void {
+    const { step } = run.task
+    if (!step.spec.isLongRunning && step.failedRun < run.number) step.gangFailures++
+    step.failedRun = Math.max(step.failedRun, run.number)
+    this.stopStep(step, 'a member of the gang failed', now)
+  }
+
+  private _interrupt (run: RunState, now: number): void {
+    const { step } = run.task
+    if (step.spec.isGang && step.remaining > 0) this.stopStep(step, 'a member of the gang ended', now)
+    step.readySince ??= now
+  }
+}
+
+/** A checkpoint of one member of a gang is valid for all. */
+function saveCheckpoint (task: TaskState, checkpoint: string): void {
+  const tasks = task.step.spec.isGang ? task.step.tasks : [task]
+  for (const one of tasks) one.checkpoint = checkpoint
+}
--- a/packages/daemon/src/duties/dutyHolder.ts
+++ b/packages/daemon/src/duties/dutyHolder.ts
@@ -7,13 +7,20 @@
 
 import { putSettled } from '@dragonflylever/adapters'
 import type { Store, StoredValue } from '@dragonflylever/adapters'
-import type { Logger } from '@dragonflylever/runtime'
+import { measureAge, readClocks } from '@dragonflylever/runtime'
+import type { ClockReading, Logger } from '@dragonflylever/runtime'
 
 /** Time to live of a duty's lease in milliseconds. */
 export const DUTY_TTL_MS = 5_000
 const MARGIN_MS = 1_000
 const RENEW_INTERVAL_MS = 1_500
 
+/** How a duty's lease is kept, in milliseconds. */
+export interface DutyTimes {
+  readonly ttlMs: number
+  readonly renewIntervalMs: number
+}
+
 /** Who holds a duty, as the store has it. */
 export interface DutyRecord {
   readonly holder: string
@@ -39,6 +46,13 @@
   readonly logger: Logger
   /** Called when the duty is lost; not after `release`. */
   readonly onLost: () => void
+  /** Five seconds, renewed each 1.5 s, when absent. */
+  readonly times?: DutyTimes
+  /**
+   * True when every act of the holder is conditional on the duty's key. Then the duty lasts until the store says that it is
+   * gone, so that an outage of the store ends nothing; `provenAgeMs` tells what may still be promised.
+   */
+  readonly isFencedByStore?: boolean
 }
 
 /** Outcome of an attempt to take a duty. */
@@ -64,6 +78,7 @@
   private _epoch: number | undefined
   private _leaseId: string | undefined
   private _validUntil = 0
+  private _provenAt: ClockReading | undefined
   private _renewal: NodeJS.Timeout | undefined
   private _taking: Promise<TakeOutcome> | undefined
   private _isRenewing = false
@@ -76,10 +91,26 @@
 
   /** Epoch under which this process may act at this moment; undefined when it may not. */
   get epoch (): number | undefined {
-    if (this._epoch !== undefined && performance.now() >= this._validUntil) this._lose('its lease ran out here')
+    const isOver = this._epoch !== undefined && this._options.isFencedByStore !== true && performance.now() >= this._validUntil
+    if (isOver) this._lose('its lease ran out here')
     return this._epoch
   }
 
+  /** Age of the last proof that this process holds the duty, in milliseconds; Infinity when it doesn't. */
+  get provenAgeMs (): number {
+    return this._epoch === undefined || this._provenAt === undefined ? Infinity : measureAge(this._provenAt, readClocks())
+  }
+
+  /** Notes that the store accepted a write, begun at this reading, that was conditional on the duty's key. */
+  noteProof (begunAt: ClockReading): void {
+    if (this._provenAt === undefined || begunAt.monotonicMs > this._provenAt.monotonicMs) this._provenAt = begunAt
+  }
+
+  /** Notes that the store said the duty's key has changed. */
+  noteLoss (): void {
+    if (this._epoch !== undefined) this._lose('the store has another holder')
+  }
+
   /** Takes the duty when nobody holds it: one read when somebody does, three calls when nobody does. */
   take (): Promise<TakeOutcome> {
     this._taking ??= this._take().finally(() => { this._taking = undefined })
@@ -102,18 +133,19 @@
     const found = await store.get(this._key)
     if (found.kind !== 'ok') return found
     if (found.value !== undefined) return { kind: 'other', view: decodeDuty(duty, found.value) }
-    const startedAt = performance.now()
-    const lease = await store.grantLease(DUTY_TTL_MS)
+    const begunAt = readClocks()
+    const lease = await store.grantLease(this._options.times?.ttlMs ?? DUTY_TTL_MS)
     if (lease.kind !== 'ok') return { kind: 'unavailable', message: lease.kind === 'expired' ? 'the lease ran out' : lease.message }
-    return this._claim(lease.leaseId, startedAt + lease.ttlMs - MARGIN_MS)
+    return this._claim(lease.leaseId, begunAt, begunAt.monotonicMs + lease.ttlMs - MARGIN_MS)
   }
 
-  private async _claim (leaseId: string, validUntil: number): Promise<TakeOutcome> {
+  private async _claim (leaseId: string, begunAt: ClockReading, validUntil: number): Promise<TakeOutcome> {
     const { store, duty, holder, getAddress } = this._options
     const record: DutyRecord = { holder, address: getAddress(), nonce: randomUUID() }
     const value = JSON.stringify(record)
     const put = await putSettled(store, { key: this._key, value, expect: { kind: 'absent' }, leaseId, isAuthority: true }, stored => stored.value === value)
     if (put.kind === 'ok' && !this._isClosed && performance.now() < validUntil) {
+      this._provenAt = begunAt
       this._hold(leaseId, put.modRevision, validUntil)
       return { kind: 'held', epoch: put.modRevision }
     }
@@ -126,19 +158,22 @@
     this._leaseId = leaseId
     this._epoch = epoch
     this._validUntil = validUntil
-    this._renewal = setInterval(() => { void this._renew() }, RENEW_INTERVAL_MS)
+    this._renewal = setInterval(() => { void this._renew() }, this._options.times?.renewIntervalMs ?? RENEW_INTERVAL_MS)
     this._options.logger.info({ duty: this._options.duty, epoch }, 'duty taken')
   }
 
   private async _renew (): Promise<void> {
     const leaseId = this._leaseId
     if (this.epoch === undefined || leaseId === undefined || this._isRenewing) return
-    const startedAt = performance.now()
+    const begunAt = readClocks()
     this._isRenewing = true
     const outcome = await this._options.store.renewLease(leaseId)
     this._isRenewing = false
     if (this._leaseId !== leaseId || this.epoch === undefined) return
-    if (outcome.kind === 'ok') this._validUntil = Math.max(this._validUntil, startedAt + outcome.ttlMs - MARGIN_MS)
+    if (outcome.kind === 'ok') {
+      this._validUntil = Math.max(this._validUntil, begunAt.monotonicMs + outcome.ttlMs - MARGIN_MS)
+      this.noteProof(begunAt)
+    }
     if (outcome.kind === 'expired') this._lose('the store ended its lease')
   }
 
--- /dev/null
+++ b/packages/daemon/src/jobAgent/jobAgentProcess.ts
@@ -0,0 +1,125 @@
+/**
+ * The role agent for job graphs: keeps the worker beside it, reports to the planner, and is a candidate for the planner's duty.
+ */
+import type { RunWorker, Store } from '@dragonflylever/adapters'
+import type { FleetPolicy, PlannerTimes } from '@dragonflylever/core/graphs/index'
+import type { PeerRpc } from '@dragonflylever/protocol'
+import { Lifecycle, createPartLogger } from '@dragonflylever/runtime'
+import type { Logger, Metrics } from '@dragonflylever/runtime'
+
+import { PolicyFollower } from '../jobEntry/policyFollower.js'
+import type { GraphKeys } from '../jobPlanner/graphKeys.js'
+import { PlannerCandidate } from '../jobPlanner/plannerCandidate.js'
+import { ControlServer } from '../shared/controlServer.js'
+import { PlannerLink } from './plannerLink.js'
+import type { WorkerAnnouncement } from './workerKeeper.js'
+import { WorkerTable } from './workerTable.js'
+
+const NODE_RETRY_MS = 500
+
+/** What an agent works with. */
+export interface JobAgentParts {
+  readonly name: string
+  readonly region: string
+  /** Where other processes call this one. */
+  readonly address: string
+  /** Unique per start of the process. */
+  readonly start: string
+  readonly store: Store
+  readonly prefix: string
+  readonly keys: GraphKeys
+  readonly policyKey: string
+  readonly decodePolicy: (text: string) => FleetPolicy | undefined
+  readonly peers: PeerRpc
+  readonly clusterKey: string
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly times: PlannerTimes
+  /** Pause before this process tries for the planner's duty, in milliseconds. */
+  readonly plannerDelayMs: number
+  readonly openWorker: (announcement: WorkerAnnouncement) => RunWorker
+}
+
+export class JobAgentProcess {
+  readonly workers: WorkerTable
+  private readonly _parts: JobAgentParts
+  private readonly _lifecycle = new Lifecycle()
+  private readonly _control: ControlServer
+  private readonly _candidate: PlannerCandidate
+  private readonly _link: PlannerLink
+  private readonly _policy: PolicyFollower
+  private _isStopping = false
+
+  constructor (parts: JobAgentParts) {
+    this._parts = parts
+    const { store, prefix, keys, name, address, peers, logger, metrics, times } = parts
+    this._control = new ControlServer({ clusterKey: parts.clusterKey })
+    this._policy = new PolicyFollower({ store, key: parts.policyKey, decode: parts.decodePolicy, logger: createPartLogger(logger, 'config') })
+    this._candidate = new PlannerCandidate({
+      store,
+      prefix,
+      keys,
+      name,
+      address,
+      peers,
+      logger: createPartLogger(logger, 'planner'),
+      metrics,
+      times,
+      delayMs: parts.plannerDelayMs,
+      getPolicy: () => this._policy.index,
+      onSession: isOpen => this._onSession(isOpen),
+      onPlanner: () => this._link.onPlannerChange()
+    })
+    this.workers = new WorkerTable({
+      region: parts.region,
+      authorityMs: times.authorityMs,
+      logger: createPartLogger(logger, 'worker'),
+      openWorker: parts.openWorker,
+      onChange: () => this._link.notify()
+    })
+    this._link = new PlannerLink({
+      peers,
+      agent: name,
+      address,
+      start: parts.start,
+      logger: createPartLogger(logger, 'link'),
+      getPlanner: () => this._candidate.planner,
+      collect: () => this.workers.collect(),
+      accept: (orders, epoch, collected) => this.workers.order(orders, epoch, collected)
+    })
+    this._lifecycle.add('control', () => this._control.close())
+    this._lifecycle.add('workers', () => this.workers.close())
+    this._lifecycle.add('link', () => this._link.close())
+    this._lifecycle.add('declarations', () => this._policy.close())
+  }
+
+  async open (): Promise<void> {
+    await this._control.open(this._parts.address)
+    void this._register()
+    await this._candidate.open(this._control.rpc)
+  }
+
+  /** Gives the planner's duty up first, so that another process takes it at once. */
+  async close (): Promise<void> {
+    this._isStopping = true
+    await this._candidate.close()
+    await this._lifecycle.close()
+  }
+
+  /** Declarations are followed only while they are needed here. */
+  private _onSession (isOpen: boolean): void {
+    if (isOpen) void this._policy.open()
+    else if (!this._isStopping) this._policy.close()
+  }
+
+  /** Tells where this process is, for planners that it can't read from the store. */
+  private async _register (): Promise<void> {
+    const { store, keys, name, address, logger } = this._parts
+    while (!this._isStopping) {
+      const outcome = await store.put({ key: keys.getNode(name), value: address, expect: { kind: 'any' } })
+      if (outcome.kind === 'ok') return
+      logger.debug({ outcome: outcome.kind }, 'address not stored yet')
+      await new Promise(resolve => setTimeout(resolve, NODE_RETRY_MS))
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/jobEntry/jobEntryProcess.ts
@@ -0,0 +1,58 @@
+/**
+ * The role entry for job graphs: follows declarations and states, answers consumers' calls, says whether it is ready.
+ */
+import type { Store } from '@dragonflylever/adapters'
+import type { FleetPolicy } from '@dragonflylever/core/graphs/index'
+import { Lifecycle, createPartLogger } from '@dragonflylever/runtime'
+import type { Logger, Metrics } from '@dragonflylever/runtime'
+
+import type { GraphKeys } from '../jobPlanner/graphKeys.js'
+import { JobFront } from './jobFront.js'
+import { JobStates } from './jobStates.js'
+import { PolicyFollower } from './policyFollower.js'
+
+/** What an entry works with. */
+export interface JobEntryParts {
+  readonly store: Store
+  readonly keys: GraphKeys
+  /** Key of the declarations, and how they are read. */
+  readonly policyKey: string
+  readonly decodePolicy: (text: string) => FleetPolicy | undefined
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+export class JobEntryProcess {
+  readonly front: JobFront
+  private readonly _lifecycle = new Lifecycle()
+  private readonly _policy: PolicyFollower
+  private readonly _states: JobStates
+  private _isStopping = false
+
+  constructor (parts: JobEntryParts) {
+    const { store, keys, logger, metrics } = parts
+    this._policy = new PolicyFollower({ store, key: parts.policyKey, decode: parts.decodePolicy, logger: createPartLogger(logger, 'config') })
+    this._states = new JobStates({ store, keys, logger: createPartLogger(logger, 'states') })
+    this.front = new JobFront({ store, keys, states: this._states, logger: createPartLogger(logger, 'front'), metrics, getPolicy: () => this._policy.index })
+    this._lifecycle.add('declarations', () => this._policy.close())
+    this._lifecycle.add('states', () => this._states.close())
+  }
+
+  /** True while new connections should come here. */
+  get isReady (): boolean {
+    return !this._isStopping && this.front.isReady
+  }
+
+  async open (): Promise<void> {
+    await Promise.all([this._policy.open(), this._states.open()])
+  }
+
+  /** Says not ready from now on; calls are still answered. */
+  beginStop (): void {
+    this._isStopping = true
+  }
+
+  async close (): Promise<void> {
+    await this._lifecycle.close()
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/jobEntry/jobFront.ts
@@ -0,0 +1,196 @@
+/**
+ * Answers consumers' calls for jobs. A job is accepted once it is stored; a refusal promises that it never runs; everything
+ * that can't be decided in time is said to be undecided.
+ */
+import type { Store, TransactOutcome, Transaction } from '@dragonflylever/adapters'
+import { JobPhase } from '@dragonflylever/core/graphs/index'
+import type { JobGraph, PolicyIndex, RoutedQueue, StepSpec } from '@dragonflylever/core/graphs/index'
+import type { Logger, Metrics } from '@dragonflylever/runtime'
+
+import { decodeState } from '../jobPlanner/graphKeys.js'
+import type { GraphKeys, JobStateRecord } from '../jobPlanner/graphKeys.js'
+import type { JobStates } from './jobStates.js'
+
+/** What a consumer hands in. */
+export interface JobDraft {
+  readonly payload: string
+  readonly steps: readonly StepSpec[]
+  readonly repeat: JobGraph['repeat']
+}
+
+/** One call of a consumer. */
+export interface FrontCall {
+  readonly host: string
+  readonly path: string
+  readonly key: string | undefined
+  /** When the consumer stops waiting, on the monotonic clock. */
+  readonly deadlineAt: number
+}
+
+/** Why a call was refused; each promises that nothing was stored. */
+export const Refusal = {
+  /** No declarations are known here yet. */
+  notReady: 'notReady',
+  unknownKey: 'unknownKey',
+  unknownQueue: 'unknownQueue',
+  invalid: 'invalid',
+  storeAway: 'storeAway',
+  stopping: 'stopping'
+} as const
+export type Refusal = typeof Refusal[keyof typeof Refusal]
+
+/** How a call is answered. */
+export type FrontAnswer =
+  | { readonly kind: 'accepted' }
+  | { readonly kind: 'state', readonly phase: JobPhase }
+  | { readonly kind: 'waiting', readonly count: number }
+  | { readonly kind: 'noSuchJob' }
+  | { readonly kind: 'refused', readonly reason: Refusal, readonly message: string, readonly retryAfterMs: number }
+  /** The store did not say in time whether the call took effect. */
+  | { readonly kind: 'undecided', readonly message: string }
+
+/** What a front works with. */
+export interface JobFrontParts {
+  readonly store: Store
+  readonly keys: GraphKeys
+  readonly states: JobStates
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly getPolicy: () => PolicyIndex | undefined
+}
+
+const JOB_ID = /^[0-9a-f]{16}$/
+const RETRY_MS = 50
+/** Left of a consumer's time for the answer's way back, in milliseconds. */
+const ANSWER_MARGIN_MS = 150
+/** When a consumer may come back after the store was away; other entries may reach it, and its outages last seconds. */
+const STORE_RETRY_AFTER_MS = 1_000
+/** First declarations are there within seconds of a start. */
+const NOT_READY_RETRY_AFTER_MS = 1_000
+
+type Admission =
+  | { readonly kind: 'admitted', readonly queue: RoutedQueue, readonly organisation: string, readonly rest: string }
+  | Extract<FrontAnswer, { kind: 'refused' }>
+
+export class JobFront {
+  private readonly _parts: JobFrontParts
+
+  constructor (parts: JobFrontParts) {
+    this._parts = parts
+  }
+
+  /** True once calls can be answered. */
+  get isReady (): boolean {
+    return this._parts.getPolicy() !== undefined
+  }
+
+  /** Finds the queue of a call and checks its key; used before the body is read. */
+  admit (call: FrontCall): Admission {
+    const index = this._parts.getPolicy()
+    if (index === undefined) return makeRefusal(Refusal.notReady, 'no declarations are known here yet', NOT_READY_RETRY_AFTER_MS)
+    const queue = index.findQueue(call.host, call.path)
+    if (queue === undefined) return makeRefusal(Refusal.unknownQueue, `no queue takes ${call.host}${call.path}`)
+    const checked = index.checkKey(queue, call.key)
+    if (checked.kind === 'unknown') return makeRefusal(Refusal.unknownKey, 'the key belongs to no organisation')
+    return { kind: 'admitted', queue, organisation: checked.kind === 'organisation' ? checked.name : '', rest: call.path.slice(queue.prefix.length) }
+  }
+
+  /** Accepts a job. The same id is one job, whatever comes with it the second time. */
+  async submit (call: FrontCall, draft: JobDraft): Promise<FrontAnswer> {
+    const admission = this.admit(call)
+    if (admission.kind !== 'admitted') return admission
+    const { queue, organisation, rest: id } = admission
+    if (!JOB_ID.test(id)) return makeRefusal(Refusal.invalid, 'a job id has 16 hexadecimal digits')
+    if (this._parts.states.get(id) !== undefined) return { kind: 'accepted' }
+    const graph = makeGraph(id, organisation, queue, draft)
+    const answer = await this._store(call, graph)
+    this._parts.logger.info({ job: id, queue: queue.name, organisation, version: this._parts.getPolicy()?.policy.version, tasks: draft.steps.reduce((sum, step) => sum + step.count, 0), answer }, 'submission answered')
+    return answer
+  }
+
+  /** Tells a job's state. */
+  async getState (call: FrontCall): Promise<FrontAnswer> {
+    const admission = this.admit(call)
+    if (admission.kind !== 'admitted') return admission
+    if (admission.rest === '') return { kind: 'waiting', count: this._parts.states.countWaiting(admission.queue.name) }
+    const known = this._parts.states.get(admission.rest)
+    if (known !== undefined) return { kind: 'state', phase: known.phase }
+    return this._readState(call, admission.rest)
+  }
+
+  /** Cancels a job; one that has ended stays as it is. */
+  async cancel (call: FrontCall): Promise<FrontAnswer> {
+    const admission = this.admit(call)
+    if (admission.kind !== 'admitted') return admission
+    const id = admission.rest
+    const state = await this.getState(call)
+    if (state.kind !== 'state') return state
+    const key = this._parts.keys.getCancel(id)
+    const outcome = await this._settle(call, { expect: [{ key, modRevision: 0 }], puts: [{ key, value: '1' }], removes: [] })
+    const answer = outcome.kind === 'ok' || outcome.kind === 'conflict' ? { kind: 'accepted' } as const : makeUndecided(outcome)
+    this._parts.logger.info({ job: id, phase: state.phase, answer }, 'cancellation answered')
+    return answer
+  }
+
+  private async _store (call: FrontCall, graph: JobGraph): Promise<FrontAnswer> {
+    const { keys, states } = this._parts
+    const state: JobStateRecord = { phase: JobPhase.queued, queue: graph.queue.name, organisation: graph.organisation, isTimed: graph.repeat !== undefined, acceptedAt: graph.acceptedAt }
+    const specKey = keys.getSpec(graph.id)
+    const stateKey = keys.getState(graph.id)
+    const outcome = await this._settle(call, {
+      expect: [{ key: specKey, modRevision: 0 }, { key: stateKey, modRevision: 0 }],
+      puts: [{ key: specKey, value: JSON.stringify(graph) }, { key: stateKey, value: JSON.stringify(state) }],
+      removes: []
+    })
+    if (outcome.kind === 'ok') {
+      states.note(graph.id, state)
+      return { kind: 'accepted' }
+    }
+    // The id is taken: by this call's own write whose answer was lost, or by an earlier call. It is one job either way.
+    if (outcome.kind === 'conflict') return { kind: 'accepted' }
+    return makeUndecided(outcome)
+  }
+
+  /** Repeats a conditional write until the store has decided it or the consumer's time is over. */
+  private async _settle (call: FrontCall, transaction: Transaction): Promise<TransactOutcome> {
+    let isAmbiguous = false
+    for (;;) {
+      const outcome = await this._parts.store.transact(transaction)
+      if (outcome.kind === 'ok' || outcome.kind === 'conflict') return outcome
+      if (outcome.kind === 'ambiguous') isAmbiguous = true
+      this._parts.metrics.count('store_retries')
+      const isOver = performance.now() + RETRY_MS + ANSWER_MARGIN_MS > call.deadlineAt
+      if (isOver || (!isAmbiguous && outcome.kind === 'unavailable')) return isAmbiguous ? { kind: 'ambiguous', message: outcome.message } : outcome
+      await new Promise(resolve => setTimeout(resolve, RETRY_MS))
+    }
+  }
+
+  private async _readState (call: FrontCall, jobId: string): Promise<FrontAnswer> {
+    for (;;) {
+      const outcome = await this._parts.store.get(this._parts.keys.getState(jobId))
+      if (outcome.kind === 'ok') {
+        const state = outcome.value === undefined ? undefined : decodeState(outcome.value.value)
+        if (state === undefined) return { kind: 'noSuchJob' }
+        this._parts.states.note(jobId, state)
+        return { kind: 'state', phase: state.phase }
+      }
+      if (performance.now() + RETRY_MS + ANSWER_MARGIN_MS > call.deadlineAt) return makeRefusal(Refusal.storeAway, `the state is not known here and the store does not answer: ${outcome.message}`, STORE_RETRY_AFTER_MS)
+      await new Promise(resolve => setTimeout(resolve, RETRY_MS))
+    }
+  }
+}
+
+function makeGraph (id: string, organisation: string, queue: RoutedQueue, draft: JobDraft): JobGraph {
+  const { name, service, priority, maxAttempts, stretch, targetLatencyMs, advice } = queue
+  const policy = { name, service, priority, maxAttempts, stretch, targetLatencyMs, ...(advice === undefined ? {} : { advice }) }
+  return { id, organisation, queue: policy, payload: draft.payload, steps: draft.steps, ...(draft.repeat === undefined ? {} : { repeat: draft.repeat }), acceptedAt: Date.now() }
+}
+
+function makeRefusal (reason: Refusal, message: string, retryAfterMs = 0): Extract<FrontAnswer, { kind: 'refused' }> {
+  return { kind: 'refused', reason, message, retryAfterMs }
+}
+
+function makeUndecided (outcome: { readonly kind: 'unavailable' | 'ambiguous', readonly message: string }): FrontAnswer {
+  if (outcome.kind === 'unavailable') return makeRefusal(Refusal.storeAway, outcome.message, STORE_RETRY_AFTER_MS)
+  return { kind: 'undecided', message: outcome.message }
+}
--- /dev/null
+++ b/packages/daemon/src/jobEntry/jobStates.ts
@@ -0,0 +1,86 @@
+/**
+ * States of jobs as an entry shows them: followed in the store, answered from memory.
+ */
+import { PrefixFollower } from '@dragonflylever/adapters'
+import type { Store, StoredValue, WatchEvent } from '@dragonflylever/adapters'
+import { JobPhase, isFinalPhase } from '@dragonflylever/core/graphs/index'
+import type { Logger } from '@dragonflylever/runtime'
+
+import { decodeState } from '../jobPlanner/graphKeys.js'
+import type { GraphKeys, JobStateRecord } from '../jobPlanner/graphKeys.js'
+
+/** What the states are read from. */
+export interface JobStatesParts {
+  readonly store: Store
+  readonly keys: GraphKeys
+  readonly logger: Logger
+}
+
+export class JobStates {
+  private readonly _parts: JobStatesParts
+  private readonly _follower: PrefixFollower
+  private readonly _states = new Map<string, JobStateRecord>()
+  private _isFollowing = false
+
+  constructor (parts: JobStatesParts) {
+    this._parts = parts
+    this._follower = new PrefixFollower({
+      store: parts.store,
+      prefix: parts.keys.states,
+      onList: values => { for (const value of values) this._take(value) },
+      onEvents: events => this._takeEvents(events),
+      onHealth: (isFollowing, message) => {
+        this._isFollowing = isFollowing
+        if (isFollowing) parts.logger.info({ known: this._states.size }, 'job states followed')
+        else parts.logger.warn({ message, known: this._states.size }, 'job states not followed, answering from memory')
+      }
+    })
+  }
+
+  get isFollowing (): boolean {
+    return this._isFollowing
+  }
+
+  open (): Promise<void> {
+    return this._follower.open()
+  }
+
+  close (): void {
+    this._follower.close()
+  }
+
+  get (jobId: string): JobStateRecord | undefined {
+    return this._states.get(jobId)
+  }
+
+  /** Notes a state that this process wrote or read itself; a final state stays. */
+  note (jobId: string, state: JobStateRecord): void {
+    const known = this._states.get(jobId)
+    if (known !== undefined && isFinalPhase(known.phase)) return
+    if (known !== undefined && known.phase === JobPhase.running && state.phase === JobPhase.queued) return
+    this._states.set(jobId, state)
+  }
+
+  /** Counts the jobs of a queue that wait without any task begun; timed jobs wait for their times and don't count. */
+  countWaiting (queue: string): number {
+    let count = 0
+    for (const state of this._states.values()) if (state.queue === queue && state.phase === JobPhase.queued && !state.isTimed) count++
+    return count
+  }
+
+  private _takeEvents (events: readonly WatchEvent[]): void {
+    for (const event of events) {
+      if (event.kind === 'put') this._take(event.value)
+      else this._states.delete(event.key.slice(this._parts.keys.states.length))
+    }
+  }
+
+  private _take (value: StoredValue): void {
+    const state = decodeState(value.value)
+    if (state === undefined) {
+      this._parts.logger.error({ key: value.key, revision: value.modRevision }, 'job state unreadable, ignored')
+      return
+    }
+    this.note(value.key.slice(this._parts.keys.states.length), state)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/jobEntry/policyFollower.ts
@@ -0,0 +1,66 @@
+/**
+ * Follows the declarations in the store. Within a process the version never goes back.
+ */
+import { PrefixFollower } from '@dragonflylever/adapters'
+import type { Store, StoredValue } from '@dragonflylever/adapters'
+import { PolicyIndex } from '@dragonflylever/core/graphs/index'
+import type { FleetPolicy } from '@dragonflylever/core/graphs/index'
+import type { Logger } from '@dragonflylever/runtime'
+
+/** What a follower works with. */
+export interface PolicyFollowerParts {
+  readonly store: Store
+  /** Key of the declarations. */
+  readonly key: string
+  /** Decodes the declarations; undefined when they can't be used. */
+  readonly decode: (text: string) => FleetPolicy | undefined
+  readonly logger: Logger
+  readonly onChange?: (index: PolicyIndex) => void
+}
+
+export class PolicyFollower {
+  private readonly _parts: PolicyFollowerParts
+  private readonly _follower: PrefixFollower
+  private _index: PolicyIndex | undefined
+
+  constructor (parts: PolicyFollowerParts) {
+    this._parts = parts
+    this._follower = new PrefixFollower({
+      store: parts.store,
+      prefix: parts.key,
+      onList: values => { for (const value of values) this._take(value) },
+      onEvents: events => { for (const event of events) if (event.kind === 'put') this._take(event.value) },
+      onHealth: (isFollowing, message) => {
+        if (isFollowing) parts.logger.info({ key: parts.key }, 'declarations followed')
+        else parts.logger.warn({ key: parts.key, message, version: this._index?.policy.version }, 'declarations not followed')
+      }
+    })
+  }
+
+  /** The declarations in force here; undefined before the first. */
+  get index (): PolicyIndex | undefined {
+    return this._index
+  }
+
+  open (): Promise<void> {
+    return this._follower.open()
+  }
+
+  close (): void {
+    this._follower.close()
+  }
+
+  private _take (stored: StoredValue): void {
+    if (stored.key !== this._parts.key) return
+    const policy = this._parts.decode(stored.value)
+    const { logger } = this._parts
+    if (policy === undefined) {
+      logger.error({ key: stored.key, revision: stored.modRevision, version: this._index?.policy.version }, 'declarations unreadable, the last ones stay in force')
+      return
+    }
+    if (this._index !== undefined && policy.version <= this._index.policy.version) return
+    this._index = new PolicyIndex(policy)
+    logger.info({ version: policy.version, revision: stored.modRevision, queues: policy.queues.length, organisations: policy.organisations.length }, 'declarations in force')
+    this._parts.onChange?.(this._index)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -0,0 +1,215 @@
+/**
+ * One holder's time as planner of job graphs: takes the jobs up from the store, feeds the planner, stores what it decides and
+ * answers the agents. It ends when the duty is lost; the next holder begins anew.
+ */
+import { PrefixFollower } from '@dragonflylever/adapters'
+import type { Store, StoredValue, WatchEvent } from '@dragonflylever/adapters'
+import { GraphPlanner, JobPhase } from '@dragonflylever/core/graphs/index'
+import type { DirtyJob, PlannerTimes, PolicyIndex } from '@dragonflylever/core/graphs/index'
+import type { PeerRpc, RpcParams, RpcResultValue } from '@dragonflylever/protocol'
+import type { ClockReading, Logger, Metrics } from '@dragonflylever/runtime'
+
+import { AgentDesk } from './agentDesk.js'
+import { decodeGraph, decodeState } from './graphKeys.js'
+import type { GraphKeys, JobStateRecord } from './graphKeys.js'
+import { ProgressWriter } from './progressWriter.js'
+
+/** Distance of the rounds that find what time alone brings, in milliseconds. */
+const TICK_MS = 200
+/** Reports and jobs that come within this time are planned together, in milliseconds. */
+const PLAN_DELAY_MS = 4
+const RETRY_MS = 150
+const REMOVE_INTERVAL_MS = 5_000
+/** Agents that have not reported by then are told who plans, in milliseconds. */
+const ANNOUNCE_DELAYS_MS = [400, 1_200, 3_000, 6_000]
+const ANNOUNCE_TIMEOUT_MS = 1_000
+
+/** What a session works with. */
+export interface GraphSessionParts {
+  readonly store: Store
+  readonly keys: GraphKeys
+  readonly dutyKey: string
+  readonly epoch: number
+  /** Control address of this process. */
+  readonly address: string
+  readonly peers: PeerRpc
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly times: PlannerTimes
+  readonly mayGrant: () => boolean
+  readonly getPolicy: () => PolicyIndex | undefined
+  readonly onProof: (begunAt: ClockReading) => void
+  readonly onFenced: () => void
+}
+
+export class GraphSession {
+  private readonly _parts: GraphSessionParts
+  private readonly _planner: GraphPlanner
+  private readonly _desk: AgentDesk
+  private readonly _writer: ProgressWriter
+  private readonly _progress = new Map<string, StoredValue>()
+  private readonly _states = new Map<string, JobStateRecord>()
+  private readonly _timers: NodeJS.Timeout[] = []
+  private _follower: PrefixFollower | undefined
+  private _planning: NodeJS.Timeout | undefined
+  private _isLoaded = false
+  private _isClosed = false
+
+  constructor (parts: GraphSessionParts) {
+    this._parts = parts
+    const { store, keys, dutyKey, epoch, logger, onProof, onFenced } = parts
+    this._planner = new GraphPlanner({ times: parts.times, getWallTime: () => Date.now(), log: { note: (event, fields) => logger.info(fields, event) } })
+    this._desk = new AgentDesk({ planner: this._planner, epoch, mayGrant: parts.mayGrant, onReports: () => this._schedulePlan() })
+    this._writer = new ProgressWriter({
+      store,
+      keys,
+      dutyKey,
+      epoch,
+      logger,
+      listDirty: () => this._planner.listDirty(),
+      makeState: job => this._makeState(job),
+      onDurable: jobs => this._acceptDurable(jobs),
+      onProof,
+      onFenced
+    })
+  }
+
+  get planner (): GraphPlanner {
+    return this._planner
+  }
+
+  /** Takes the jobs up and begins to plan. */
+  async open (): Promise<void> {
+    await this._load()
+    if (this._isClosed) return
+    const { store, keys } = this._parts
+    this._follower = new PrefixFollower({
+      store,
+      prefix: keys.input,
+      onList: values => this._takeInput(values),
+      onEvents: events => this._takeInput(listPuts(events))
+    })
+    await this._follower.open()
+    this._timers.push(setInterval(() => this._schedulePlan(), TICK_MS))
+    this._timers.push(setInterval(() => { void this._removeOld() }, REMOVE_INTERVAL_MS))
+    for (const delayMs of ANNOUNCE_DELAYS_MS) this._timers.push(setTimeout(() => { void this._announce() }, delayMs))
+  }
+
+  /** Takes an agent's reports; the answer may be held back. */
+  async takeReports (params: RpcParams<'workerReports'>): Promise<RpcResultValue<'workerReports'>> {
+    if (!this._isLoaded || this._isClosed) return { orders: [] }
+    return this._desk.take(params)
+  }
+
+  close (): void {
+    this._isClosed = true
+    for (const timer of this._timers) clearInterval(timer)
+    clearTimeout(this._planning)
+    this._follower?.close()
+    this._writer.close()
+    this._desk.close()
+  }
+
+  private async _load (): Promise<void> {
+    const { store, keys, logger } = this._parts
+    while (!this._isClosed) {
+      const records = await store.list(keys.progress)
+      const states = await store.list(keys.states)
+      if (records.kind === 'ok' && states.kind === 'ok') {
+        for (const value of records.values) this._progress.set(value.key.slice(keys.progress.length), value)
+        for (const value of states.values) this._noteState(value.key.slice(keys.states.length), value)
+        logger.info({ epoch: this._parts.epoch, records: records.values.length, states: states.values.length }, 'records read')
+        return
+      }
+      await new Promise(resolve => setTimeout(resolve, RETRY_MS))
+    }
+  }
+
+  private _noteState (jobId: string, value: StoredValue): void {
+    const state = decodeState(value.value)
+    if (state === undefined) return
+    this._states.set(jobId, state)
+    this._writer.note(jobId, this._progress.get(jobId)?.modRevision ?? 0, state.phase)
+  }
+
+  private _takeInput (values: readonly StoredValue[]): void {
+    const now = performance.now()
+    const cancelled: string[] = []
+    for (const value of values) {
+      const name = this._parts.keys.parseInput(value.key)
+      if (name === undefined) continue
+      if (name.kind === 'cancel') cancelled.push(name.jobId)
+      else this._takeSpec(name.jobId, value, now)
+    }
+    for (const jobId of cancelled) this._planner.cancelJob(jobId, now)
+    this._isLoaded = true
+    this._schedulePlan()
+  }
+
+  private _takeSpec (jobId: string, value: StoredValue, now: number): void {
+    const graph = decodeGraph(value.value)
+    if (graph === undefined) {
+      this._parts.logger.error({ job: jobId, revision: value.modRevision }, 'job unreadable, left alone')
+      return
+    }
+    if (!this._states.has(jobId)) this._writer.note(jobId, this._progress.get(jobId)?.modRevision ?? 0, JobPhase.queued)
+    if (!this._states.has(jobId)) this._states.set(jobId, { phase: JobPhase.queued, queue: graph.queue.name, organisation: graph.organisation, isTimed: graph.repeat !== undefined, acceptedAt: graph.acceptedAt })
+    this._planner.addJob(graph, this._progress.get(jobId)?.value, now)
+    this._progress.delete(jobId)
+  }
+
+  private _schedulePlan (): void {
+    if (this._isClosed || !this._isLoaded) return
+    this._planning ??= setTimeout(() => {
+      this._planning = undefined
+      this._plan()
+    }, PLAN_DELAY_MS)
+  }
+
+  private _plan (): void {
+    const startedAt = performance.now()
+    const policy = this._parts.getPolicy()?.policy
+    if (policy !== undefined) {
+      const guarantees = policy.organisations.map(one => ({ organisation: one.name, accelerators: one.guaranteedAccelerators }))
+      this._planner.setPolicy({ queues: policy.queues, guarantees })
+    }
+    this._planner.plan(startedAt)
+    this._writer.flush()
+    this._desk.releaseReady()
+    this._parts.metrics.time('plan_ms', performance.now() - startedAt)
+    this._parts.metrics.gauge('jobs_active', this._planner.activeCount)
+  }
+
+  private _makeState (job: DirtyJob): JobStateRecord | undefined {
+    const known = this._states.get(job.jobId)
+    if (known === undefined) return undefined
+    const state = { ...known, phase: job.phase }
+    this._states.set(job.jobId, state)
+    return state
+  }
+
+  private _acceptDurable (jobs: readonly DirtyJob[]): void {
+    for (const job of jobs) this._planner.acceptDurable(job.jobId, job.version)
+    this._desk.releaseReady()
+  }
+
+  private async _removeOld (): Promise<void> {
+    const removed = this._planner.removeOld(performance.now())
+    for (const jobId of removed) this._states.delete(jobId)
+    if (removed.length > 0) await this._writer.remove(removed)
+  }
+
+  /** Tells agents that have not reported who plans; they may be cut off from the store. */
+  private async _announce (): Promise<void> {
+    const { store, keys, peers, epoch, address, logger } = this._parts
+    const listed = await store.list(keys.nodes)
+    if (listed.kind !== 'ok' || this._isClosed) return
+    const missing = listed.values.filter(value => !this._desk.hasAgent(value.key.slice(keys.nodes.length)))
+    if (missing.length > 0) logger.info({ epoch, agents: missing.length }, 'telling silent agents who plans')
+    await Promise.all(missing.map(value => peers.call(value.value, 'plannerChanged', { epoch, address }, ANNOUNCE_TIMEOUT_MS)))
+  }
+}
+
+function listPuts (events: readonly WatchEvent[]): StoredValue[] {
+  return events.flatMap(event => event.kind === 'put' ? [event.value] : [])
+}
--- a/packages/protocol/src/rpcMessages.ts
+++ b/packages/protocol/src/rpcMessages.ts
@@ -6,10 +6,12 @@
 import { GangMethods } from './gangMessages.js'
 import { configurationEnvelope, newsSchema, summarySchema } from './fleetMessages.js'
 import { memberSchema } from './members.js'
+import { RunMethods } from './runMessages.js'
 
 /** Every RPC method by name. */
 export const RpcMethods = {
   ...GangMethods,
+  ...RunMethods,
   /** A process tells of itself; the answer brings configuration that is newer than the sender's. */
   heartbeat: {
     params: z.object({ member: memberSchema, revision: z.number().int(), isForwarded: z.boolean().optional() }),
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,5 @@
 export * from './blackboard.js'
+export * from './clockReading.js'
 export * from './clusterKey.js'
 export * from './flags.js'
 export * from './httpClient.js'
