--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -3,7 +3,7 @@
  * what has to be stored. It does no I/O and holds no clock. A start may go out once `acceptDurable` has covered its version.
  */
 import { JobPhase, isFinalPhase } from './graphTypes.js'
-import type { JobGraph, QueuePolicy, TaskNeeds } from './graphTypes.js'
+import type { JobGraph, QueuePolicy, StepSpec, TaskNeeds } from './graphTypes.js'
 import { encodeProgress, restoreJob } from './jobProgress.js'
 import { addOccurrence, countOccurrences, isActive, isTimed, listTasks, markChanged } from './jobState.js'
 import type { JobState, WorkerKey } from './jobState.js'
@@ -98,7 +98,7 @@
     if (this._jobs.has(graph.id)) return
     const job = restoreJob(graph, progress, now)
     this._jobs.set(graph.id, job)
-    this._options.log.note('job taken up', { job: graph.id, queue: graph.queue.name, organisation: graph.organisation, phase: job.phase, ageMs: this._options.getWallTime() - graph.acceptedAt })
+    this._options.log.note('job taken up', { job: graph.id, queue: graph.queue.name, organisation: graph.organisation, phase: job.phase, priority: graph.queue.priority, steps: graph.steps.map(describeStep), ageMs: this._options.getWallTime() - graph.acceptedAt })
     if (!isTimed(graph) && !job.occurrences.has(0)) addOccurrence(job, 0)
     for (const task of listTasks(job)) for (const run of [...task.runs]) this._book.adopt(run, now)
     if (isFinalPhase(job.phase)) for (const task of listTasks(job)) for (const run of task.runs) this._ledger.stop(run, `job ${job.phase}`, now)
@@ -201,3 +201,21 @@
     return this._jobs.get(name.jobId)?.graph.steps[name.step]
   }
 }
+
+/** Describes a step in a line of the log: tasks, needs of one, declared time, and what binds its place. */
+function describeStep (step: StepSpec): string {
+  const marks = [
+    step.isGang ? 'gang' : '',
+    step.isSameRack ? 'same rack' : '',
+    step.dataRack === undefined ? '' : `data in ${step.dataRack}`,
+    step.requiredLabel === undefined ? '' : `label ${step.requiredLabel}`,
+    step.maxPerWorker === undefined ? '' : `${step.maxPerWorker} per worker`,
+    step.isCheckpointing ? 'checkpoints' : '',
+    step.isSpeculative ? 'speculative' : '',
+    step.isLongRunning ? 'long-running' : '',
+    step.isFilling ? 'filling' : '',
+    step.latencyTargetMs === undefined ? '' : `target ${step.latencyTargetMs} ms`,
+    step.after.length === 0 ? '' : `after ${step.after.join('+')}`
+  ]
+  return [`${step.count} x ${step.cpuMillis} millis, ${step.memoryMb} MB, ${step.accelerators} accelerators, ${step.estimatedMs} ms`, ...marks.filter(mark => mark !== '')].join(', ')
+}
