--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -80,7 +80,10 @@
   private _takeBackUnconfirmed (job: JobState): void {
     for (const task of listTasks(job)) {
       for (const run of task.runs) {
-        if (run.phase !== RunPhase.assigned || this._now - run.assignedAt < this._parts.times.startConfirmMs) continue
+        const worker = this._parts.book.get(run.worker)
+        // A worker that has not reported to this planner yet may run what is in the records.
+        if (run.phase !== RunPhase.assigned || worker === undefined || worker.firstContactAt === undefined) continue
+        if (this._now - Math.max(run.assignedAt, worker.firstContactAt) < this._parts.times.startConfirmMs) continue
         if (run.task.step.spec.isGang) this._parts.ledger.stopStep(run.task.step, 'a member of the gang was not started in time', this._now)
         else this._parts.ledger.stop(run, 'the start was not confirmed in time', this._now)
       }
--- a/packages/core/src/graphs/workerState.ts
+++ b/packages/core/src/graphs/workerState.ts
@@ -27,6 +27,8 @@
   report: WorkerReport | undefined
   /** When the last report came, on the planner's clock. */
   contactAt = -Infinity
+  /** When the first report came; undefined before. */
+  firstContactAt: number | undefined
   /** Until when its runs may live without further contact, on the planner's clock. */
   aliveUntil: number
   /** Until when a draining worker surely stays, on the planner's clock. */
@@ -56,6 +58,7 @@
   update (report: WorkerReport, now: number): void {
     this.report = report
     this.contactAt = now
+    this.firstContactAt ??= now
     this.drainsUntil = report.isDraining ? now + (report.drainLeftMs ?? 0) : undefined
   }
 
--- /dev/null
+++ b/packages/daemon/test/graphs/graphNode.ts
@@ -0,0 +1,155 @@
+/**
+ * One agent with its worker in a simulated fleet, and one entry. All parts are the real ones but sockets, store and worker.
+ */
+import { SeededRandom } from '@dragonflylever/core'
+import type { PlannerTimes } from '@dragonflylever/core/graphs/index'
+import { StoreClient } from '@dragonflylever/adapters'
+import { FORMER_PLANNER_MS, PlannerCandidate } from '@dragonflylever/daemon/jobPlanner/plannerCandidate'
+import { GraphKeys } from '@dragonflylever/daemon/jobPlanner/graphKeys'
+import { PlannerLink } from '@dragonflylever/daemon/jobAgent/plannerLink'
+import { WorkerTable } from '@dragonflylever/daemon/jobAgent/workerTable'
+import type { WorkerAnnouncement } from '@dragonflylever/daemon/jobAgent/workerKeeper'
+import { NoMetrics, createLogger } from '@dragonflylever/runtime'
+import type { Logger } from '@dragonflylever/runtime'
+import { MemoryRunWorker, MemoryStore, createRunWorkerFaults } from '@dragonflylever/standins'
+import type { MemoryPeers, RunWorkerEngine, RunWorkerFaults, StoreEngine } from '@dragonflylever/standins'
+
+export const PREFIX = 'p'
+export const KEYS = new GraphKeys(PREFIX)
+export const LEASE_MAX_MS = 6_000
+
+export const TIMES: PlannerTimes = {
+  authorityMs: LEASE_MAX_MS,
+  slowestClock: 0.98,
+  authorityMarginMs: 500,
+  formerPlannerMs: FORMER_PLANNER_MS,
+  contactMs: 2_500,
+  startConfirmMs: 1_800,
+  stopGraceMs: 400,
+  reclaimMs: 2_900,
+  remoteFactor: 3,
+  checkpointMs: 2_000,
+  earlyMs: 250,
+  retentionMs: 240_000,
+  harmMs: 4_000,
+  noticeMs: 5_500
+}
+
+/** A store client of one process over the shared engine. */
+export function createClient (memory: MemoryStore): StoreClient {
+  return new StoreClient({ store: memory, random: new SeededRandom(1), ratePerS: 200, burst: 400, callTimeoutMs: 1_100, maxPauseMs: 500 })
+}
+
+/** What a node is made of. */
+export interface GraphNodeOptions {
+  readonly index: number
+  readonly life: number
+  readonly store: StoreEngine
+  readonly peers: MemoryPeers
+  readonly worker: RunWorkerEngine
+  readonly announce: () => WorkerAnnouncement
+  readonly onLine?: (line: string) => void
+}
+
+export class GraphNode {
+  readonly address: string
+  readonly memory: MemoryStore
+  readonly workerFaults: RunWorkerFaults = createRunWorkerFaults()
+  readonly candidate: PlannerCandidate
+  private readonly _options: GraphNodeOptions
+  private readonly _link: PlannerLink
+  private readonly _table: WorkerTable
+  private readonly _beat: NodeJS.Timeout
+  private _isCut = false
+
+  constructor (options: GraphNodeOptions) {
+    this._options = options
+    const { index, life, peers, worker } = options
+    this.address = `10.0.0.${index}:${life}`
+    this.memory = new MemoryStore({ engine: options.store })
+    const store = createClient(this.memory)
+    const logger = this._createLogger()
+    const client = peers.createClient(this.address)
+    this.candidate = new PlannerCandidate({
+      store,
+      prefix: PREFIX,
+      keys: KEYS,
+      name: `agent-${index}`,
+      address: this.address,
+      peers: client,
+      logger,
+      metrics: new NoMetrics(),
+      times: TIMES,
+      delayMs: 50 * index,
+      getPolicy: () => undefined,
+      onSession: () => {},
+      onPlanner: () => this._link.onPlannerChange()
+    })
+    this._table = new WorkerTable({
+      region: 'r',
+      authorityMs: LEASE_MAX_MS,
+      logger,
+      openWorker: () => new MemoryRunWorker(worker, this.workerFaults),
+      onChange: () => this._link.notify()
+    })
+    this._link = new PlannerLink({
+      peers: client,
+      agent: `agent-${index}`,
+      address: this.address,
+      start: String(life),
+      logger,
+      getPlanner: () => this.candidate.planner,
+      collect: () => this._table.collect(),
+      accept: (orders, epoch, collected) => this._table.order(orders, epoch, collected)
+    })
+    this._beat = setInterval(() => { if (!this.workerFaults.isCut) this._table.accept(options.announce()) }, 500)
+    void store.put({ key: KEYS.getNode(`agent-${index}`), value: this.address, expect: { kind: 'any' } })
+    void this.candidate.open(peers.open(this.address))
+  }
+
+  get isPlanner (): boolean {
+    return this.candidate.session !== undefined
+  }
+
+  /** Cuts the node off from everything, as a stopped or frozen process is, or brings it back. */
+  setFrozen (isFrozen: boolean): void {
+    this.setStoreCut(isFrozen)
+    this.setPeersCut(isFrozen)
+    this.workerFaults.isCut = isFrozen
+  }
+
+  setStoreCut (isCut: boolean): void {
+    this.memory.faults.isDown = isCut
+  }
+
+  setPeersCut (isCut: boolean): void {
+    if (this._isCut === isCut) return
+    this._isCut = isCut
+    this._options.peers.setDown(this.address, isCut)
+  }
+
+  /** Ends the node without a word. */
+  kill (): void {
+    this.setFrozen(true)
+    this._stop()
+    void this.candidate.close()
+  }
+
+  /** Stops the node as it is asked to. */
+  async close (): Promise<void> {
+    await this.candidate.close()
+    this._stop()
+  }
+
+  private _stop (): void {
+    clearInterval(this._beat)
+    this._link.close()
+    this._table.close()
+  }
+
+  private _createLogger (): Logger {
+    const { onLine, index } = this._options
+    if (onLine === undefined) return createLogger({ level: 'silent', processId: 'test' })
+    return createLogger({ level: 'debug', processId: `agent-${index}`, destination: { write: line => onLine(line) } })
+  }
+}
--- /dev/null
+++ b/packages/daemon/test/graphs/graphWitness.ts
@@ -0,0 +1,74 @@
+/**
+ * Watches what truly happens at the workers and notes each broken promise.
+ */
+import { parseTaskName } from '@dragonflylever/core/graphs/index'
+import type { StepSpec } from '@dragonflylever/core/graphs/index'
+import type { RunWitness } from '@dragonflylever/standins'
+
+export class GraphWitness implements RunWitness {
+  readonly violations: string[] = []
+  /** Tasks with a run that ended well. */
+  readonly done = new Set<string>()
+  /** Runs that failed, by task. */
+  readonly failures = new Map<string, number>()
+  readonly ends = new Map<string, number>()
+  starts = 0
+  private readonly _alive = new Map<string, Set<string>>()
+  private readonly _seenDone = new Set<string>()
+  private readonly _steps = new Map<string, readonly StepSpec[]>()
+  private readonly _refused = new Set<string>()
+
+  /** Tells what steps a job has. */
+  addJob (jobId: string, steps: readonly StepSpec[]): void {
+    this._steps.set(jobId, steps)
+  }
+
+  /** Tells that all tries to hand a job in were refused. */
+  noteRefused (jobId: string): void {
+    this._refused.add(jobId)
+  }
+
+  onStart (worker: string, task: string, run: number): void {
+    this.starts++
+    const name = parseTaskName(task)
+    const alive = this._alive.get(task) ?? new Set<string>()
+    this._alive.set(task, alive)
+    if (alive.size > 0) this._note(`${task} runs twice at once: ${[...alive].join(', ')} and run ${run} at ${worker}`)
+    if (this._seenDone.has(task)) this._note(`${task} started at ${worker} as run ${run} after its end was taken over`)
+    if (name === undefined || !this._steps.has(name.jobId)) this._note(`${task} belongs to no job`)
+    else this._checkOrder(name.jobId, name.occurrence, name.step, task)
+    if (name !== undefined && this._refused.has(name.jobId)) this._note(`${task} started although its job was refused`)
+    alive.add(`run ${run} at ${worker}`)
+  }
+
+  onEnd (worker: string, task: string, run: number, how: string | undefined): void {
+    this._alive.get(task)?.delete(`run ${run} at ${worker}`)
+    if (how === 'done') this.done.add(task)
+    if (how === 'failed') this.failures.set(task, (this.failures.get(task) ?? 0) + 1)
+    this.ends.set(how ?? 'crashed', (this.ends.get(how ?? 'crashed') ?? 0) + 1)
+  }
+
+  onSeen (_worker: string, task: string, _run: number, how: string): void {
+    if (how === 'done') this._seenDone.add(task)
+  }
+
+  /** Counts the runs of a job that are alive. */
+  countAlive (jobId: string): number {
+    let count = 0
+    for (const [task, alive] of this._alive) if (task.startsWith(`${jobId}.`)) count += alive.size
+    return count
+  }
+
+  private _checkOrder (jobId: string, occurrence: number, index: number, task: string): void {
+    const steps = this._steps.get(jobId) ?? []
+    for (const before of steps[index]?.after ?? []) {
+      for (let number = 0; number < (steps[before]?.count ?? 0); number++) {
+        if (!this.done.has(`${jobId}.${occurrence}.${before}.${number}`)) this._note(`${task} started before ${before}.${number} was done`)
+      }
+    }
+  }
+
+  private _note (text: string): void {
+    this.violations.push(`${Math.round(performance.now())} ms: ${text}`)
+  }
+}
--- /dev/null
+++ b/packages/daemon/test/graphs/graphWorld.ts
@@ -0,0 +1,262 @@
+/**
+ * A small fleet under a paused clock: agents with workers, one store, one entry, and faults on demand. The planner, the duty,
+ * the agents' keepers and the store client are the real ones.
+ */
+import { JobPhase, PolicyIndex } from '@dragonflylever/core/graphs/index'
+import type { RoutedQueue, StepSpec } from '@dragonflylever/core/graphs/index'
+import { JobFront } from '@dragonflylever/daemon/jobEntry/jobFront'
+import type { FrontAnswer, FrontCall } from '@dragonflylever/daemon/jobEntry/jobFront'
+import { JobStates } from '@dragonflylever/daemon/jobEntry/jobStates'
+import type { WorkerAnnouncement } from '@dragonflylever/daemon/jobAgent/workerKeeper'
+import { NoMetrics, createLogger } from '@dragonflylever/runtime'
+import { GangHall, MemoryPeers, MemoryStore, RunWorkerEngine, StoreEngine } from '@dragonflylever/standins'
+import type { RunBehaviour } from '@dragonflylever/standins'
+
+import { GraphNode, KEYS, LEASE_MAX_MS, createClient } from './graphNode.js'
+import { GraphWitness } from './graphWitness.js'
+
+export const CAPACITY = { cpuMillis: 8_000, memoryMb: 8_000, accelerators: 8 } as const
+const WORKERS_PER_RACK = 2
+const CALL_MS = 3_000
+const MAX_ATTEMPTS = 3
+const EXPIRE_MS = 100
+const LOGGER = createLogger({ level: 'silent', processId: 'test' })
+
+/** A job of the world, with how its tasks behave. */
+export interface WorldJob {
+  readonly id: string
+  readonly priority: number
+  readonly steps: readonly StepSpec[]
+  readonly durationMs: number
+  /** Runs of each task that fail first. */
+  readonly failures: number
+}
+
+/** Makes a step; what isn't given is plain. */
+export function makeStep (given: Partial<StepSpec> = {}): StepSpec {
+  return {
+    count: 1,
+    cpuMillis: 1_000,
+    memoryMb: 1_000,
+    accelerators: 1,
+    estimatedMs: 2_000,
+    after: [],
+    isCheckpointing: false,
+    isGang: false,
+    isSameRack: false,
+    isSpeculative: false,
+    isLongRunning: false,
+    isFilling: false,
+    mayMiss: 0,
+    ...given
+  }
+}
+
+/** Makes a queue of a priority. */
+export function makeQueue (priority: number): RoutedQueue {
+  return { name: `q${priority}`, service: 's', priority, maxAttempts: MAX_ATTEMPTS, stretch: 3, targetLatencyMs: 1_000, host: 'h', prefix: `/q${priority}/`, isOpen: false }
+}
+
+interface Place {
+  readonly engine: RunWorkerEngine
+  node: GraphNode
+  life: number
+  beats: number
+}
+
+export class GraphWorld {
+  readonly witness = new GraphWitness()
+  readonly store = new StoreEngine()
+  readonly lines: string[] = []
+  readonly accepted = new Set<string>()
+  readonly cancelled = new Set<string>()
+  readonly states: JobStates
+  readonly entryMemory: MemoryStore
+  private readonly _peers = new MemoryPeers()
+  private readonly _hall = new GangHall()
+  private readonly _jobs = new Map<string, WorldJob>()
+  private readonly _front: JobFront
+  private readonly _places: Place[]
+  private readonly _keepsLines: boolean
+  private readonly _expiry: NodeJS.Timeout
+
+  constructor (workers: number, keepsLines = false) {
+    this._keepsLines = keepsLines
+    this._places = Array.from({ length: workers }, (_, index) => this._makePlace(index))
+    this.entryMemory = new MemoryStore({ engine: this.store })
+    const client = createClient(this.entryMemory)
+    this.states = new JobStates({ store: client, keys: KEYS, logger: LOGGER })
+    const index = new PolicyIndex({
+      version: 1,
+      queues: [0, 1, 2].map(makeQueue),
+      organisations: [{ name: 'o', keys: ['k'], guaranteedAccelerators: 8 }],
+      limits: { maxBodyBytes: 1_000_000, maxHeaderBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
+    })
+    this._front = new JobFront({ store: client, keys: KEYS, states: this.states, logger: LOGGER, metrics: new NoMetrics(), getPolicy: () => index })
+    void this.states.open()
+    this._expiry = setInterval(() => this.store.expire(), EXPIRE_MS)
+  }
+
+  get size (): number {
+    return this._places.length
+  }
+
+  /** Hands a job in. */
+  async submit (job: WorldJob): Promise<FrontAnswer> {
+    this._jobs.set(job.id, job)
+    this.witness.addJob(job.id, job.steps)
+    const answer = await this._front.submit(this._makeCall(job), { payload: 'p', steps: job.steps, repeat: undefined })
+    if (answer.kind === 'accepted') this.accepted.add(job.id)
+    if (answer.kind === 'refused') this.witness.noteRefused(job.id)
+    return answer
+  }
+
+  /** Asks for a job's cancellation. */
+  async cancel (jobId: string): Promise<void> {
+    const job = this._jobs.get(jobId)
+    if (job === undefined) return
+    const answer = await this._front.cancel(this._makeCall(job))
+    if (answer.kind !== 'refused' && answer.kind !== 'noSuchJob') this.cancelled.add(jobId)
+  }
+
+  getNode (index: number): GraphNode {
+    return this._getPlace(index).node
+  }
+
+  /** Index of the node that plans; the first when none does. */
+  findPlanner (): number {
+    return Math.max(0, this._places.findIndex(place => place.node.isPlanner))
+  }
+
+  /** Kills a node's process; another one starts in its place after a while. */
+  restartNode (index: number, afterMs: number): void {
+    const place = this._getPlace(index)
+    place.node.kill()
+    setTimeout(() => {
+      place.life++
+      place.node = this._makeNode(index % this._places.length, place)
+    }, afterMs)
+  }
+
+  /** Stops a node as an operator does; another process starts in its place. */
+  async stopNode (index: number, afterMs: number): Promise<void> {
+    const place = this._getPlace(index)
+    await place.node.close()
+    setTimeout(() => {
+      place.life++
+      place.node = this._makeNode(index % this._places.length, place)
+    }, afterMs)
+  }
+
+  getWorker (index: number): RunWorkerEngine {
+    return this._getPlace(index).engine
+  }
+
+  crashWorker (index: number): void {
+    const place = this._getPlace(index)
+    place.beats = 0
+    place.engine.crash()
+  }
+
+  setStoreDown (isDown: boolean): void {
+    for (const { node } of this._places) node.setStoreCut(isDown)
+    this.entryMemory.faults.isDown = isDown
+  }
+
+  /** Names what is wrong at the end, when all faults have been over for long. */
+  listFaults (): string[] {
+    const faults = [...this.witness.violations]
+    for (const jobId of this.accepted) {
+      const job = this._jobs.get(jobId) as WorldJob
+      const phase = this.states.get(jobId)?.phase
+      const tasks = job.steps.flatMap((step, index) => Array.from({ length: step.count }, (_, number) => `${jobId}.0.${index}.${number}`))
+      const isDone = tasks.every(task => this.witness.done.has(task))
+      if (phase === JobPhase.completed && !isDone) faults.push(`${jobId} is shown as completed, and is not`)
+      if (phase === JobPhase.failed && !this._hasCause(job)) faults.push(`${jobId} is shown as failed without cause`)
+      if (phase === JobPhase.cancelled && !this.cancelled.has(jobId)) faults.push(`${jobId} is shown as cancelled, and nobody asked for it`)
+      if (phase === undefined || phase === JobPhase.queued || phase === JobPhase.running) faults.push(`${jobId} was accepted and has no end: ${phase}`)
+      if (this.witness.countAlive(jobId) > 0) faults.push(`${jobId} still runs`)
+    }
+    return faults
+  }
+
+  close (): void {
+    clearInterval(this._expiry)
+    for (const { node } of this._places) node.kill()
+    this.states.close()
+  }
+
+  /** True when a task, or a gang as a whole, has failed as often as its queue allows. */
+  private _hasCause (job: WorldJob): boolean {
+    return job.steps.some((step, index) => {
+      const failed = Array.from({ length: step.count }, (_, number) => this.witness.failures.get(`${job.id}.0.${index}.${number}`) ?? 0)
+      const sum = failed.reduce((total, one) => total + one, 0)
+      return step.isGang ? sum >= MAX_ATTEMPTS : Math.max(...failed) >= MAX_ATTEMPTS
+    })
+  }
+
+  private _makeCall (job: WorldJob): FrontCall {
+    return { host: 'h', path: `/q${job.priority}/${job.id}`, key: 'k', deadlineAt: performance.now() + CALL_MS }
+  }
+
+  private _makePlace (index: number): Place {
+    const engine = new RunWorkerEngine({
+      id: `w${index}`,
+      capacity: CAPACITY,
+      hall: this._hall,
+      witness: this.witness,
+      getBehaviour: task => this._getBehaviour(task),
+      leaseMaxMs: LEASE_MAX_MS,
+      stopGraceMs: 400,
+      gangTimeoutMs: 3_000,
+      checkpointMs: 2_000,
+      clockRate: index % 2 === 0 ? 1 : 0.98
+    })
+    const place: Place = { engine, node: undefined as never, life: 1, beats: 0 }
+    place.node = this._makeNode(index, place)
+    return place
+  }
+
+  private _makeNode (index: number, place: Place): GraphNode {
+    return new GraphNode({
+      index,
+      life: place.life,
+      store: this.store,
+      peers: this._peers,
+      worker: place.engine,
+      announce: () => this._announce(index, place),
+      ...(this._keepsLines ? { onLine: (line: string) => { this.lines.push(`${Math.round(performance.now())} ${line.trim()}`) } } : {})
+    })
+  }
+
+  private _announce (index: number, place: Place): WorkerAnnouncement {
+    return {
+      id: `w${index}`,
+      born: place.engine.born,
+      address: `10.1.0.${index}:1`,
+      service: 's',
+      rack: `r${Math.floor(index / WORKERS_PER_RACK)}`,
+      labels: ['a', `r${Math.floor(index / WORKERS_PER_RACK)}`],
+      failureDomain: 'd',
+      capacity: CAPACITY,
+      isDraining: false,
+      drainLeftMs: undefined,
+      clockMs: place.engine.clockMs,
+      sequence: ++place.beats
+    }
+  }
+
+  private _getBehaviour (task: string): RunBehaviour | undefined {
+    const [jobId, , step] = task.split('.')
+    const job = this._jobs.get(jobId ?? '')
+    const spec = job?.steps[Number(step)]
+    if (job === undefined || spec === undefined) return undefined
+    const members = spec.isGang ? Array.from({ length: spec.count }, (_, index) => `${jobId}.0.${step}.${index}`) : [task]
+    const failed = members.reduce((sum, member) => sum + (this.witness.failures.get(member) ?? 0), 0)
+    return { durationMs: job.durationMs, isFailing: failed < job.failures, gangSize: spec.isGang ? spec.count : undefined, isCheckpointing: spec.isCheckpointing, needs: spec }
+  }
+
+  private _getPlace (index: number): Place {
+    return this._places[index % this._places.length] as Place
+  }
+}
--- a/packages/standins/src/memoryStore.ts
+++ b/packages/standins/src/memoryStore.ts
@@ -83,15 +83,18 @@
   watch (prefix: string, fromRevision: number, listener: WatchListener): Watch {
     this.counts.watches++
     const send = (events: readonly WatchEvent[]): void => {
-      if (!this.faults.isDown && !this.faults.skipWatchEvents && events.length > 0) listener.onEvents(events)
+      if (!this._watches.has(watch) || events.length === 0 || this.faults.skipWatchEvents) return
+      if (!this.faults.isDown) return listener.onEvents(events)
+      watch.close()
+      listener.onEnd('the store is down')
     }
     const stop = this.engine.subscribe(event => {
       const key = event.kind === 'put' ? event.value.key : event.key
       if (key.startsWith(prefix)) queueMicrotask(() => send([event]))
     })
-    queueMicrotask(() => this.faults.isDown ? listener.onEnd('the store is down') : send(this.engine.readHistory(prefix, fromRevision)))
     const watch = { close: () => { stop(); this._watches.delete(watch) } }
     this._watches.add(watch)
+    queueMicrotask(() => this.faults.isDown ? listener.onEnd('the store is down') : send(this.engine.readHistory(prefix, fromRevision)))
     return watch
   }
 
--- /dev/null
+++ b/packages/standins/src/runs/runWorkerEngine.ts
@@ -0,0 +1,213 @@
+/**
+ * A worker that runs tasks under one lease, without any I/O: capacity, run numbers, fencing, gangs, checkpoints, ends that are
+ * listed until they are seen. Its clock is its own and begins anew with each life.
+ */
+import { StartRefusal } from '@dragonflylever/adapters'
+import type { HoldRequest, HoldResult, RunOutcome, RunStart } from '@dragonflylever/adapters'
+import { RunEnd, formatStepName, parseTaskName } from '@dragonflylever/core/graphs/index'
+import type { EndListing, RunListing } from '@dragonflylever/core/graphs/index'
+
+import type { GangHall, GangMember } from './gangHall.js'
+import type { RunBehaviour, RunWitness } from './runBehaviour.js'
+
+/** What a worker is made of; times in milliseconds. */
+export interface RunWorkerEngineOptions {
+  readonly id: string
+  readonly capacity: { readonly cpuMillis: number, readonly memoryMb: number, readonly accelerators: number }
+  readonly hall: GangHall
+  readonly witness: RunWitness
+  readonly getBehaviour: (task: string) => RunBehaviour | undefined
+  readonly leaseMaxMs: number
+  readonly stopGraceMs: number
+  readonly gangTimeoutMs: number
+  readonly checkpointMs: number
+  /** Speed of its clock against true time. */
+  readonly clockRate: number
+}
+
+interface Run {
+  readonly task: string
+  readonly number: number
+  readonly behaviour: RunBehaviour
+  readonly member: GangMember | undefined
+  savedMs: number
+  begunAt: number | undefined
+  timer: NodeJS.Timeout | undefined
+  isStopping: boolean
+}
+
+const CHECKPOINT_PREFIX = 'saved-'
+
+export class RunWorkerEngine {
+  /** Runs that fail here, whatever they are; for faults. */
+  isFailing = false
+  born = 1
+  private readonly _options: RunWorkerEngineOptions
+  private readonly _runs = new Map<string, Run>()
+  private readonly _highest = new Map<string, number>()
+  private _ended: EndListing[] = []
+  private _endCount = 0
+  private _epoch = 0
+  private _leaseUntil = 0
+  private _startedAt = performance.now()
+  private _lapse: NodeJS.Timeout | undefined
+  private _waiters: Array<() => void> = []
+
+  constructor (options: RunWorkerEngineOptions) {
+    this._options = options
+  }
+
+  get clockMs (): number {
+    return Math.floor((performance.now() - this._startedAt) * this._options.clockRate)
+  }
+
+  get runCount (): number {
+    return this._runs.size
+  }
+
+  /** Ends this life without a word; the next one knows nothing. */
+  crash (): void {
+    for (const run of [...this._runs.values()]) this._drop(run, undefined)
+    this._highest.clear()
+    this._ended = []
+    this._endCount = 0
+    this._epoch = 0
+    this._leaseUntil = 0
+    clearTimeout(this._lapse)
+    this._startedAt = performance.now()
+    this.born++
+    this._wake()
+  }
+
+  start (start: RunStart): RunOutcome {
+    if (!this._acceptEpoch(start.epoch)) return this._refuse(StartRefusal.fenced)
+    if (start.leaseUntil <= this.clockMs) return this._refuse(StartRefusal.late)
+    const present = this._runs.get(start.task)
+    if (present?.number === start.run) {
+      this._extend(start.leaseUntil)
+      return { kind: 'ok', clockMs: this.clockMs }
+    }
+    const behaviour = this._options.getBehaviour(start.task)
+    if (behaviour === undefined) return this._refuse(StartRefusal.invalid)
+    if (present !== undefined || start.run <= (this._highest.get(start.task) ?? 0)) return this._refuse(StartRefusal.old)
+    if (!this._hasRoom(behaviour)) return this._refuse(StartRefusal.room)
+    this._extend(start.leaseUntil)
+    this._begin(start, behaviour)
+    return { kind: 'ok', clockMs: this.clockMs }
+  }
+
+  stop (task: string, number: number, epoch: number): RunOutcome {
+    if (!this._acceptEpoch(epoch)) return this._refuse(StartRefusal.fenced)
+    this._highest.set(task, Math.max(number, this._highest.get(task) ?? 0))
+    const run = this._runs.get(task)
+    if (run !== undefined && run.number <= number && !run.isStopping) {
+      run.isStopping = true
+      clearTimeout(run.timer)
+      run.timer = setTimeout(() => this._end(run, RunEnd.stopped), this._options.stopGraceMs)
+    }
+    return { kind: 'ok', clockMs: this.clockMs }
+  }
+
+  /** Lists; waits for an end when there is none to list yet. */
+  async hold (request: HoldRequest): Promise<RunOutcome<HoldResult>> {
+    if (!this._acceptEpoch(request.epoch)) return this._refuse(StartRefusal.fenced)
+    if (request.leaseUntil !== undefined) this._extend(request.leaseUntil)
+    for (const end of this._ended) if (end.number <= request.seen) this._options.witness.onSeen(this._options.id, end.task, end.run, end.how)
+    this._ended = this._ended.filter(end => end.number > request.seen)
+    if (this._ended.length === 0 && request.waitMs > 0) await this._wait(request.waitMs)
+    return { kind: 'ok', clockMs: this.clockMs, born: this.born, running: [...this._runs.values()].map(run => this._list(run)), ended: [...this._ended] }
+  }
+
+  private _acceptEpoch (epoch: number): boolean {
+    if (epoch < this._epoch) return false
+    this._epoch = epoch
+    return true
+  }
+
+  private _refuse (reason: StartRefusal): Extract<RunOutcome, { kind: 'refused' }> {
+    return { kind: 'refused', reason, clockMs: this.clockMs }
+  }
+
+  private _hasRoom (behaviour: RunBehaviour): boolean {
+    const { capacity } = this._options
+    const all = [...this._runs.values()].map(run => run.behaviour.needs)
+    const sum = (pick: (needs: RunBehaviour['needs']) => number): number => all.reduce((total, needs) => total + pick(needs), pick(behaviour.needs))
+    return sum(one => one.cpuMillis) <= capacity.cpuMillis && sum(one => one.memoryMb) <= capacity.memoryMb && sum(one => one.accelerators) <= capacity.accelerators
+  }
+
+  private _begin (start: RunStart, behaviour: RunBehaviour): void {
+    const savedMs = start.checkpoint === '' ? 0 : Number(start.checkpoint.slice(CHECKPOINT_PREFIX.length))
+    const name = parseTaskName(start.task)
+    const step = name === undefined ? start.task : formatStepName(name.jobId, name.occurrence, name.step)
+    const member: GangMember | undefined = behaviour.gangSize === undefined ? undefined : { task: start.task, begin: () => this._work(run), end: how => this._end(run, how) }
+    const run: Run = { task: start.task, number: start.run, behaviour, member, savedMs, begunAt: undefined, timer: undefined, isStopping: false }
+    this._runs.set(start.task, run)
+    this._options.witness.onStart(this._options.id, start.task, start.run, start.checkpoint)
+    if (member === undefined || behaviour.gangSize === undefined) return this._work(run)
+    run.timer = setTimeout(() => this._end(run, RunEnd.alone), this._options.gangTimeoutMs)
+    this._options.hall.join(step, start.run, behaviour.gangSize, member)
+  }
+
+  private _work (run: Run): void {
+    if (run.isStopping) return
+    clearTimeout(run.timer)
+    run.begunAt = performance.now()
+    const isFailing = this.isFailing || run.behaviour.isFailing
+    const leftMs = Math.max(1, run.behaviour.durationMs - run.savedMs)
+    run.timer = setTimeout(() => this._end(run, isFailing ? RunEnd.failed : RunEnd.done), isFailing ? leftMs / 2 : leftMs)
+  }
+
+  private _end (run: Run, how: RunEnd): void {
+    if (this._runs.get(run.task) !== run) return
+    this._ended.push({ number: ++this._endCount, task: run.task, run: run.number, how, checkpoint: this._makeCheckpoint(run) })
+    this._highest.set(run.task, Math.max(run.number, this._highest.get(run.task) ?? 0))
+    this._drop(run, how)
+    this._wake()
+  }
+
+  private _drop (run: Run, how: RunEnd | undefined): void {
+    this._runs.delete(run.task)
+    clearTimeout(run.timer)
+    this._options.witness.onEnd(this._options.id, run.task, run.number, how)
+    const name = parseTaskName(run.task)
+    if (run.member !== undefined && name !== undefined) this._options.hall.leave(formatStepName(name.jobId, name.occurrence, name.step), run.number, run.member, how === RunEnd.done ? 'done' : 'broken')
+  }
+
+  private _extend (until: number): void {
+    const bounded = Math.min(until, this.clockMs + this._options.leaseMaxMs)
+    if (bounded <= this._leaseUntil) return
+    this._leaseUntil = bounded
+    clearTimeout(this._lapse)
+    this._lapse = setTimeout(() => { for (const run of [...this._runs.values()]) this._end(run, RunEnd.lapsed) }, (bounded - this.clockMs) / this._options.clockRate)
+  }
+
+  private _list (run: Run): RunListing {
+    const ranMs = run.begunAt === undefined ? 0 : performance.now() - run.begunAt
+    const percent = Math.floor(Math.min(99, (run.savedMs + ranMs) / run.behaviour.durationMs * 100))
+    return { task: run.task, run: run.number, checkpoint: this._makeCheckpoint(run), percent, usage: 0 }
+  }
+
+  private _makeCheckpoint (run: Run): string {
+    const { durationMs, isCheckpointing } = run.behaviour
+    if (!isCheckpointing) return ''
+    const workedMs = run.begunAt === undefined ? 0 : performance.now() - run.begunAt
+    const savedMs = Math.min(durationMs, run.savedMs + Math.floor(workedMs / this._options.checkpointMs) * this._options.checkpointMs)
+    return savedMs === 0 ? '' : `${CHECKPOINT_PREFIX}${savedMs}`
+  }
+
+  private async _wait (ms: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, ms)
+      this._waiters.push(() => {
+        clearTimeout(timer)
+        resolve()
+      })
+    })
+  }
+
+  private _wake (): void {
+    const waiters = this._waiters
+    this._waiters = []
+    for (const wake of waiters) wake()
+  }
+}
--- a/packages/standins/src/storeEngine.ts
+++ b/packages/standins/src/storeEngine.ts
@@ -71,8 +71,9 @@
     const isMetHere = transaction.expect.every(({ key, modRevision }) => (this._rows.get(key)?.modRevision ?? 0) === modRevision)
     const hasLeases = transaction.puts.every(({ leaseId }) => leaseId === undefined || this._leases.has(leaseId))
     if (!isMetHere || !hasLeases) return { kind: 'conflict', current: transaction.expect.flatMap(({ key }) => this._rows.get(key) ?? []) }
-    for (const put of transaction.puts) this._write({ ...put, expect: { kind: 'any' } }, this._rows.get(put.key))
-    for (const key of transaction.removes) this._delete(key)
+    this._revision++
+    for (const put of transaction.puts) this._write({ ...put, expect: { kind: 'any' } }, this._rows.get(put.key), this._revision)
+    for (const key of transaction.removes) this._delete(key, this._revision)
     return { kind: 'ok', modRevision: this._revision }
   }
 
@@ -124,8 +125,8 @@
     return () => { this._listeners.delete(listener) }
   }
 
-  private _write (request: PutRequest, current: Row | undefined): void {
-    this._revision++
+  private _write (request: PutRequest, current: Row | undefined, revision = this._revision + 1): void {
+    this._revision = revision
     if (current?.leaseId !== undefined) this._leases.get(current.leaseId)?.keys.delete(request.key)
     if (request.leaseId !== undefined) this._leases.get(request.leaseId)?.keys.add(request.key)
     const createRevision = current?.createRevision ?? this._revision
@@ -134,9 +135,9 @@
     this._notify({ kind: 'put', value: row })
   }
 
-  private _delete (key: string): void {
+  private _delete (key: string, revision = this._revision + 1): void {
     if (!this._rows.delete(key)) return
-    this._revision++
+    this._revision = revision
     this._notify({ kind: 'removed', key, modRevision: this._revision })
   }
 
