--- a/packages/core/src/graphs/jobProgress.ts
+++ b/packages/core/src/graphs/jobProgress.ts
@@ -5,10 +5,10 @@
 import { JobPhase } from './graphTypes.js'
 import type { JobGraph } from './graphTypes.js'
 import { RunPhase, addOccurrence, createJobState, markChanged } from './jobState.js'
-import type { JobState, RunState, StepState, TaskState } from './jobState.js'
+import type { JobState, RunState, StepState, TaskState, WorkerPlace } from './jobState.js'
 
-/** A run: number, worker's id, worker's birth. */
-type RunRecord = readonly [number, string, number]
+/** A run: number, worker's id, worker's birth, worker's address. */
+type RunRecord = readonly [number, string, number, string]
 /** A task: done (0 or 1), failures, last run, checkpoint, runs, workers that it failed on. */
 type TaskRecord = readonly [number, number, number, string, readonly RunRecord[], readonly string[]]
 
@@ -63,7 +63,7 @@
 }
 
 function encodeTask (task: TaskState): TaskRecord {
-  const runs = task.runs.map(run => [run.number, run.worker.id, run.worker.born] as const)
+  const runs = task.runs.map(run => [run.number, run.worker.id, run.worker.born, run.worker.address] as const)
   return [task.isDone ? 1 : 0, task.failures, task.lastRun, task.checkpoint, runs, [...task.failedOn]]
 }
 
@@ -89,11 +89,11 @@
   task.lastRun = lastRun
   task.checkpoint = checkpoint
   for (const workerId of failedOn) task.failedOn.add(workerId)
-  for (const [number, id, born] of runs) task.runs.push(createRun(task, number, { id, born }, 0, now, undefined))
+  for (const [number, id, born, address] of runs) task.runs.push(createRun(task, number, { id, born, address }, 0, now, undefined))
 }
 
 /** Creates the state of a run that was just decided. */
-export function createRun (task: TaskState, number: number, worker: { id: string, born: number }, version: number, now: number, ticket: string | undefined): RunState {
+export function createRun (task: TaskState, number: number, worker: WorkerPlace, version: number, now: number, ticket: string | undefined): RunState {
   return {
     task,
     number,
--- a/packages/core/src/graphs/jobState.ts
+++ b/packages/core/src/graphs/jobState.ts
@@ -12,6 +12,11 @@
   readonly born: number
 }
 
+/** Where one life of a worker is. A later life at the same address means that this one is over. */
+export interface WorkerPlace extends WorkerKey {
+  readonly address: string
+}
+
 /** Where a run stands. It counts against its worker's capacity in each of these. */
 export const RunPhase = {
   /** Decided; the order goes out once that is durable. */
@@ -27,7 +32,7 @@
 export interface RunState {
   readonly task: TaskState
   readonly number: number
-  readonly worker: WorkerKey
+  readonly worker: WorkerPlace
   /** The job's version from which on the run is in its record. */
   readonly version: number
   readonly assignedAt: number
--- a/packages/core/src/graphs/orderList.ts
+++ b/packages/core/src/graphs/orderList.ts
@@ -25,7 +25,7 @@
     if (run.phase === RunPhase.running && run.pace !== run.toldPace) paces.push({ ...name, percent: run.pace })
   }
   for (const [key, stray] of worker.strays) if (!STOP_STATUSES.has(orders.get(key)?.status)) stops.push({ task: stray.task, run: stray.run })
-  return { key: worker.key, mayExtend, seen: worker.seen, starts, stops, paces }
+  return { key: { id: worker.key.id, born: worker.key.born }, mayExtend, seen: worker.seen, starts, stops, paces }
 }
 
 /** A start goes out only once it is stored and while its job may start tasks. */
--- a/packages/core/src/graphs/runLedger.ts
+++ b/packages/core/src/graphs/runLedger.ts
@@ -38,7 +38,7 @@
     const gangRun = Math.max(...step.tasks.map(task => task.lastRun)) + 1
     return placed.map(({ task, worker, ticket }) => {
       task.lastRun = step.spec.isGang ? gangRun : task.lastRun + 1
-      const run = createRun(task, task.lastRun, worker.key, job.version, now, ticket)
+      const run = createRun(task, task.lastRun, worker.place, job.version, now, ticket)
       task.runs.push(run)
       worker.runs.add(run)
       this._parts.log.note('run assigned', { task: task.name, run: run.number, worker: worker.key.id, checkpoint: task.checkpoint })
--- a/packages/core/src/graphs/workerBook.ts
+++ b/packages/core/src/graphs/workerBook.ts
@@ -63,7 +63,7 @@
     if (known !== undefined && known.key.born > report.key.born) return undefined
     if (known !== undefined && known.key.born < report.key.born) this._forget(known, 'it started anew', now)
     this._endEarlierLives(report, now)
-    const worker = this.get(report.key) ?? new WorkerState(report.key, now)
+    const worker = this.get(report.key) ?? new WorkerState({ ...report.key, address: report.address }, now)
     if (!this._workers.has(report.key.id)) this._parts.log.note('worker joined', { worker: report.key.id, born: report.key.born, rack: report.rack, failureDomain: report.failureDomain })
     this._workers.set(report.key.id, worker)
     if (worker.report?.isDraining !== true && report.isDraining) this._parts.log.note('worker draining', { worker: report.key.id, leftMs: report.drainLeftMs })
@@ -100,7 +100,7 @@
 
   private _endEarlierLives (report: WorkerReport, now: number): void {
     for (const other of this.list()) {
-      if (other.key.id === report.key.id || other.report?.address !== report.address) continue
+      if (other.key.id === report.key.id || other.place.address !== report.address) continue
       if (other.key.born < report.key.born) this._forget(other, `another worker started at its address: ${report.key.id}`, now)
     }
   }
--- a/packages/core/src/graphs/workerState.ts
+++ b/packages/core/src/graphs/workerState.ts
@@ -2,7 +2,7 @@
  * A worker as the planner knows it: facts, runs, what is free, and until when its runs may live without further contact.
  */
 import type { TaskNeeds } from './graphTypes.js'
-import type { JobState, RunState, WorkerKey } from './jobState.js'
+import type { JobState, RunState, WorkerPlace } from './jobState.js'
 import type { WorkerReport } from './workerReport.js'
 
 /** A run at the worker that belongs to nothing the planner wants; it is stopped, and counts until it is gone. */
@@ -20,7 +20,7 @@
 }
 
 export class WorkerState {
-  readonly key: WorkerKey
+  readonly place: WorkerPlace
   readonly runs = new Set<RunState>()
   readonly strays = new Map<string, StrayRun>()
   /** Last report; undefined for a worker known only from records. */
@@ -39,11 +39,15 @@
   readonly takenEnds: TakenEnd[] = []
   private _seen = 0
 
-  constructor (key: WorkerKey, aliveUntil: number) {
-    this.key = key
+  constructor (place: WorkerPlace, aliveUntil: number) {
+    this.place = place
     this.aliveUntil = aliveUntil
   }
 
+  get key (): WorkerPlace {
+    return this.place
+  }
+
   /** Ends up to this number are durable. */
   get seen (): number {
     while (this.takenEnds[0] !== undefined && isDurable(this.takenEnds[0])) this._seen = Math.max(this._seen, this.takenEnds.shift()?.number ?? 0)
--- /dev/null
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -0,0 +1,70 @@
+/**
+ * Single decisions of the planner of job graphs, each under the load that it answers.
+ */
+import test from 'ava'
+
+import { PlannerHarness, makeQueue, makeStep } from './plannerHarness.js'
+
+const URGENT = makeQueue({ name: 'urgent', priority: 0, stretch: 1.5, targetLatencyMs: 600 })
+
+test('a worker that starts anew at the address of another frees its runs at once, also for a new planner', t => {
+  const harness = new PlannerHarness([1, 1])
+  harness.add('a', [makeStep({ accelerators: 8 })])
+  harness.run(300)
+  const first = harness.find('a.0.0.0')
+  t.truthy(first)
+  if (first === undefined) return
+  harness.replaceWorker(first, 'other')
+  harness.replacePlanner()
+  harness.run(300)
+  t.is(harness.find('a.0.0.0')?.running[0]?.run, 2)
+})
+
+test('followers start only after all their predecessors are done', t => {
+  const harness = new PlannerHarness([2])
+  harness.add('a', [makeStep({ count: 2 }), makeStep({ after: [0] })])
+  harness.run(300)
+  t.is(harness.find('a.0.1.0'), undefined)
+  harness.end('a.0.0.0', 'done')
+  harness.run(300)
+  t.is(harness.find('a.0.1.0'), undefined)
+  harness.end('a.0.0.1', 'done')
+  harness.run(300)
+  t.truthy(harness.find('a.0.1.0'))
+})
+
+test('a gang that wants one rack waits for it while another gang has it', t => {
+  const harness = new PlannerHarness([2, 1])
+  harness.add('a', [makeStep({ count: 2, accelerators: 8, isGang: true, isSameRack: true })])
+  harness.run(300)
+  harness.add('b', [makeStep({ count: 2, accelerators: 8, isGang: true, isSameRack: true })])
+  harness.run(300)
+  t.is(harness.find('a.0.0.0')?.rack, 'r0')
+  t.is(harness.find('b.0.0.0'), undefined)
+})
+
+test('guaranteed work takes capacity back from borrowers at the least work lost', t => {
+  const harness = new PlannerHarness([2])
+  harness.planner.setPolicy({ queues: [URGENT, makeQueue()], guarantees: [{ organisation: 'o', accelerators: 8 }] })
+  harness.add('old', [makeStep({ accelerators: 8, estimatedMs: 20_000 })])
+  harness.run(5_000)
+  harness.add('young', [makeStep({ accelerators: 8, estimatedMs: 20_000 })])
+  harness.run(500)
+  harness.add('urgent', [makeStep({ accelerators: 8, estimatedMs: 2_000 })], { queue: URGENT })
+  harness.run(2_900)
+  t.truthy(harness.find('urgent.0.0.0'))
+  t.truthy(harness.find('old.0.0.0'))
+  t.is(harness.find('young.0.0.0'), undefined)
+})
+
+test('a task that failed as often as its queue allows ends its job, and the rest is stopped', t => {
+  const harness = new PlannerHarness([3])
+  harness.add('a', [makeStep({ count: 2 })], { queue: makeQueue({ maxAttempts: 2 }) })
+  harness.run(300)
+  harness.end('a.0.0.0', 'failed')
+  harness.run(300)
+  harness.end('a.0.0.0', 'failed')
+  harness.run(300)
+  t.is(harness.planner.getJob('a')?.phase, 'failed')
+  t.is(harness.find('a.0.0.1'), undefined)
+})
--- /dev/null
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -0,0 +1,195 @@
+/**
+ * A planner with workers that do what they are told at once, for tests of single decisions.
+ */
+import { GraphPlanner } from '@dragonflylever/core/graphs/index'
+import type { EndListing, GraphPlannerOptions, JobGraph, OrderListing, PlannerTimes, QueuePolicy, RunEnd, RunListing, StepSpec, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
+
+export const TIMES: PlannerTimes = {
+  authorityMs: 6_000,
+  slowestClock: 0.98,
+  authorityMarginMs: 500,
+  formerPlannerMs: 2_000,
+  contactMs: 2_500,
+  startConfirmMs: 1_800,
+  stopGraceMs: 400,
+  reclaimMs: 2_900,
+  remoteFactor: 3,
+  checkpointMs: 2_000,
+  earlyMs: 250,
+  retentionMs: 240_000,
+  harmMs: 4_000,
+  noticeMs: 5_500
+}
+
+const CAPACITY = { cpuMillis: 128_000, memoryMb: 524_288, accelerators: 8 }
+const WALL_START = 1_700_000_000_000
+
+/** A worker of the harness. */
+export interface FakeWorker {
+  readonly id: string
+  readonly rack: string
+  born: number
+  address: string
+  running: RunListing[]
+  ended: EndListing[]
+  orders: OrderListing[]
+  ends: number
+  isDraining: boolean
+  drainLeftMs: number | undefined
+  lists: number
+}
+
+/** Makes a queue. */
+export function makeQueue (given: Partial<QueuePolicy> = {}): QueuePolicy {
+  return { name: 'q', service: 's', priority: 1, maxAttempts: 3, stretch: 3, targetLatencyMs: 1_000, ...given }
+}
+
+/** Makes a step; what isn't given is plain. */
+export function makeStep (given: Partial<StepSpec> = {}): StepSpec {
+  return {
+    count: 1,
+    cpuMillis: 1_000,
+    memoryMb: 1_000,
+    accelerators: 1,
+    estimatedMs: 5_000,
+    after: [],
+    isCheckpointing: false,
+    isGang: false,
+    isSameRack: false,
+    isSpeculative: false,
+    isLongRunning: false,
+    isFilling: false,
+    mayMiss: 0,
+    ...given
+  }
+}
+
+export class PlannerHarness {
+  now = 1_000
+  planner: GraphPlanner
+  readonly notes: Array<{ readonly event: string, readonly fields: Readonly<Record<string, unknown>> }> = []
+  readonly workers: FakeWorker[]
+  readonly records = new Map<string, string>()
+  private readonly _graphs = new Map<string, JobGraph>()
+  private readonly _given: Partial<GraphPlannerOptions>
+
+  /** `racks` has the number of workers of each rack. */
+  constructor (racks: readonly number[], given: Partial<GraphPlannerOptions> = {}) {
+    this._given = given
+    this.planner = this._createPlanner()
+    this.workers = racks.flatMap((count, rack) => Array.from({ length: count }, (_, index) => makeWorker(`w${rack}${index}`, `r${rack}`)))
+  }
+
+  get wallTime (): number {
+    return WALL_START + this.now
+  }
+
+  /** Hands a job in. */
+  add (id: string, steps: readonly StepSpec[], given: Partial<JobGraph> = {}): void {
+    const graph = { id, organisation: 'o', queue: makeQueue(), payload: '', steps, acceptedAt: this.wallTime, ...given }
+    this._graphs.set(id, graph)
+    this.planner.addJob(graph, undefined, this.now)
+  }
+
+  /** Lets time pass in which all workers report, the planner plans, and what it decides is stored and carried out. */
+  run (ms: number, stepMs = 100): void {
+    for (const end = this.now + ms; this.now < end; this.now += stepMs) this.runTurn()
+  }
+
+  /** One turn: reports, plan, store, orders. */
+  runTurn (): void {
+    for (const worker of this.workers) this.planner.acceptReport(this.report(worker), this.now)
+    this.planner.plan(this.now)
+    this.store()
+    for (const worker of this.workers) {
+      const orders = this.planner.answerReport({ id: worker.id, born: worker.born }, this.now, true)
+      if (orders !== undefined) this._execute(worker, orders)
+    }
+  }
+
+  /** Stores what has changed. */
+  store (): void {
+    for (const job of this.planner.listDirty()) {
+      this.records.set(job.jobId, job.record)
+      this.planner.acceptDurable(job.jobId, job.version)
+    }
+  }
+
+  /** Ends a run as the worker would. */
+  end (task: string, how: RunEnd, checkpoint = ''): void {
+    for (const worker of this.workers) {
+      const run = worker.running.find(one => one.task === task)
+      if (run === undefined) continue
+      worker.running = worker.running.filter(one => one !== run)
+      worker.ended.push({ number: ++worker.ends, task, run: run.run, how, checkpoint })
+      return
+    }
+    throw new Error(`${task} does not run`)
+  }
+
+  /** Returns the worker that runs a task. */
+  find (task: string): FakeWorker | undefined {
+    return this.workers.find(worker => worker.running.some(run => run.task === task))
+  }
+
+  /** Sets how far a task has come. */
+  setPercent (task: string, percent: number): void {
+    for (const worker of this.workers) worker.running = worker.running.map(run => run.task === task ? { ...run, percent } : run)
+  }
+
+  /** Starts a worker anew, under another id at the same address. */
+  replaceWorker (worker: FakeWorker, id: string): FakeWorker {
+    const next = { ...makeWorker(id, worker.rack), address: worker.address, born: worker.born + 1 }
+    this.workers.splice(this.workers.indexOf(worker), 1, next)
+    return next
+  }
+
+  /** Lets another planner take over from the records. */
+  replacePlanner (): void {
+    this.planner = this._createPlanner()
+    for (const [id, graph] of this._graphs) this.planner.addJob(graph, this.records.get(id), this.now)
+  }
+
+  listNotes (event: string): Array<Readonly<Record<string, unknown>>> {
+    return this.notes.filter(note => note.event === event).map(note => note.fields)
+  }
+
+  report (worker: FakeWorker): WorkerReport {
+    const { id, born, address, rack, running, ended, orders, isDraining, drainLeftMs } = worker
+    return {
+      key: { id, born },
+      address,
+      service: 's',
+      rack,
+      labels: ['a', rack],
+      failureDomain: 'd',
+      region: 'r',
+      capacity: CAPACITY,
+      isDraining,
+      drainLeftMs,
+      isReachable: true,
+      leaseLeftMs: 0,
+      listNumber: ++worker.lists,
+      running,
+      ended,
+      orders
+    }
+  }
+
+  private _createPlanner (): GraphPlanner {
+    return new GraphPlanner({ times: TIMES, log: { note: (event, fields) => { this.notes.push({ event, fields }) } }, getWallTime: () => this.wallTime, ...this._given })
+  }
+
+  private _execute (worker: FakeWorker, orders: WorkerOrders): void {
+    worker.ended = worker.ended.filter(end => end.number > orders.seen)
+    for (const { task, run, checkpoint } of orders.starts) worker.running.push({ task, run, checkpoint, percent: 0, usage: 0 })
+    for (const { task, run } of orders.stops) {
+      if (worker.running.some(one => one.task === task && one.run === run)) this.end(task, 'stopped')
+      else worker.orders.push({ task, run, status: 'barred', reason: '' })
+    }
+  }
+}
+
+function makeWorker (id: string, rack: string): FakeWorker {
+  return { id, rack, born: 1, address: `${id}:1`, running: [], ended: [], orders: [], ends: 0, isDraining: false, drainLeftMs: undefined, lists: 0 }
+}
