--- a/packages/daemon/src/jobAgent/jobAgentProcess.ts
+++ b/packages/daemon/src/jobAgent/jobAgentProcess.ts
@@ -11,6 +11,9 @@
 import type { GraphKeys } from '../jobPlanner/graphKeys.js'
 import { PlannerCandidate } from '../jobPlanner/plannerCandidate.js'
 import { ControlServer } from '../shared/controlServer.js'
+import type { PathHandler } from '../shared/controlServer.js'
+import type { NodeRecord } from '../storeRelay/nodeDirectory.js'
+import { RELAY_PATH } from '../storeRelay/relayedCaller.js'
 import { PlannerLink } from './plannerLink.js'
 import type { WorkerAnnouncement } from './workerKeeper.js'
 import { WorkerTable } from './workerTable.js'
@@ -38,6 +41,8 @@
   /** Pause before this process tries for the planner's duty, in milliseconds. */
   readonly plannerDelayMs: number
   readonly openWorker: (announcement: WorkerAnnouncement) => RunWorker
+  /** Passes calls to the store on for other processes. */
+  readonly relay: PathHandler
 }
 
 export class JobAgentProcess {
@@ -54,6 +59,7 @@
     this._parts = parts
     const { store, prefix, keys, name, address, peers, logger, metrics, times } = parts
     this._control = new ControlServer({ clusterKey: parts.clusterKey })
+    this._control.add(RELAY_PATH, parts.relay)
     this._policy = new PolicyFollower({ store, key: parts.policyKey, decode: parts.decodePolicy, logger: createPartLogger(logger, 'config') })
     this._candidate = new PlannerCandidate({
       store,
@@ -114,9 +120,10 @@
 
   /** Tells where this process is, for planners that it can't read from the store. */
   private async _register (): Promise<void> {
-    const { store, keys, name, address, logger } = this._parts
+    const { store, keys, name, address, region, logger } = this._parts
+    const record: NodeRecord = { address, region }
     while (!this._isStopping) {
-      const outcome = await store.put({ key: keys.getNode(name), value: address, expect: { kind: 'any' } })
+      const outcome = await store.put({ key: keys.getNode(name), value: JSON.stringify(record), expect: { kind: 'any' } })
       if (outcome.kind === 'ok') return
       logger.debug({ outcome: outcome.kind }, 'address not stored yet')
       await new Promise(resolve => setTimeout(resolve, NODE_RETRY_MS))
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -9,6 +9,7 @@
 import type { PeerRpc, RpcParams, RpcResultValue } from '@dragonflylever/protocol'
 import type { ClockReading, Logger, Metrics } from '@dragonflylever/runtime'
 
+import { decodeNode } from '../storeRelay/nodeDirectory.js'
 import { AgentDesk } from './agentDesk.js'
 import { decodeGraph, decodeState } from './graphKeys.js'
 import type { GraphKeys, JobStateRecord } from './graphKeys.js'
@@ -206,7 +207,8 @@
     if (listed.kind !== 'ok' || this._isClosed) return
     const missing = listed.values.filter(value => !this._desk.hasAgent(value.key.slice(keys.nodes.length)))
     if (missing.length > 0) logger.info({ epoch, agents: missing.length }, 'telling silent agents who plans')
-    await Promise.all(missing.map(value => peers.call(value.value, 'plannerChanged', { epoch, address }, ANNOUNCE_TIMEOUT_MS)))
+    const addresses = missing.flatMap(value => decodeNode(value.value)?.address ?? [])
+    await Promise.all(addresses.map(one => peers.call(one, 'plannerChanged', { epoch, address }, ANNOUNCE_TIMEOUT_MS)))
   }
 }
 
--- /dev/null
+++ b/packages/daemon/src/storeRelay/nodeDirectory.ts
@@ -0,0 +1,68 @@
+/**
+ * Addresses of the agents, read from the store now and then; those of the same region come first.
+ */
+import type { Store } from '@dragonflylever/adapters'
+import type { Logger } from '@dragonflylever/runtime'
+import { z } from 'zod'
+
+import type { GraphKeys } from '../jobPlanner/graphKeys.js'
+
+const nodeSchema = z.object({ address: z.string(), region: z.string() })
+/** Where a process is. */
+export type NodeRecord = z.infer<typeof nodeSchema>
+
+const REFRESH_MS = 10_000
+const RETRY_MS = 500
+
+/** What a directory works with. */
+export interface NodeDirectoryParts {
+  readonly store: Store
+  readonly keys: GraphKeys
+  readonly region: string
+  readonly logger: Logger
+}
+
+export class NodeDirectory {
+  private readonly _parts: NodeDirectoryParts
+  private _addresses: readonly string[] = []
+  private _timer: NodeJS.Timeout | undefined
+  private _isClosed = false
+
+  constructor (parts: NodeDirectoryParts) {
+    this._parts = parts
+    void this._refresh()
+  }
+
+  /** Addresses of agents, those of this region first. */
+  get addresses (): readonly string[] {
+    return this._addresses
+  }
+
+  close (): void {
+    this._isClosed = true
+    clearTimeout(this._timer)
+  }
+
+  private async _refresh (): Promise<void> {
+    const { store, keys, region } = this._parts
+    const listed = await store.list(keys.nodes)
+    if (this._isClosed) return
+    if (listed.kind === 'ok') {
+      const nodes = listed.values.flatMap(value => decodeNode(value.value) ?? [])
+      const near = nodes.filter(node => node.region === region)
+      this._addresses = [...near, ...nodes.filter(node => node.region !== region)].map(node => node.address)
+    }
+    const isEmpty = this._addresses.length === 0
+    this._timer = setTimeout(() => { void this._refresh() }, isEmpty ? RETRY_MS : REFRESH_MS)
+  }
+}
+
+/** Decodes a node's record; undefined when it is none. */
+export function decodeNode (text: string): NodeRecord | undefined {
+  try {
+    const checked = nodeSchema.safeParse(JSON.parse(text))
+    return checked.success ? checked.data : undefined
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/storeRelay/relayHandler.ts
@@ -0,0 +1,49 @@
+/**
+ * Passes calls to the store on for processes that can't reach it.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+
+import { readWhole } from '@dragonflylever/runtime'
+import type { HttpCaller, Logger } from '@dragonflylever/runtime'
+import { z } from 'zod'
+
+import { RELAY_FAILED } from './relayedCaller.js'
+
+const MAX_BODY_BYTES = 2 * 1024 * 1024
+const requestSchema = z.object({ method: z.enum(['GET', 'POST', 'DELETE']), path: z.string(), body: z.string().optional(), timeoutMs: z.number().min(1).max(60_000) })
+
+/** What a handler works with. */
+export interface RelayHandlerParts {
+  /** Calls the store directly; never over another agent. */
+  readonly direct: HttpCaller
+  readonly storeAddress: string
+  readonly logger: Logger
+}
+
+/** Creates the handler of the relay's path. */
+export function createRelayHandler (parts: RelayHandlerParts): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
+  return async (request, response) => {
+    const read = await readWhole(request, { maxBytes: MAX_BODY_BYTES })
+    const checked = requestSchema.safeParse(read.kind === 'whole' ? parseJson(read.body.toString('utf8')) : undefined)
+    if (!checked.success) return send(response, 400, 'expected a call to the store')
+    const { method, path, body, timeoutMs } = checked.data
+    const outcome = await parts.direct.call({ address: parts.storeAddress, method, path, timeoutMs, ...(body === undefined ? {} : { body }) })
+    if (outcome.kind === 'answered') return send(response, outcome.status, outcome.body)
+    parts.logger.info({ method, message: outcome.message }, 'store not reached for another process')
+    send(response, RELAY_FAILED, outcome.message)
+  }
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+function send (response: ServerResponse, status: number, text: string): void {
+  const body = Buffer.from(text)
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': body.length })
+  response.end(body)
+}
--- a/packages/daemon/test/graphs/graphNode.ts
+++ b/packages/daemon/test/graphs/graphNode.ts
@@ -103,7 +103,7 @@
       accept: (orders, epoch, collected) => this._table.order(orders, epoch, collected)
     })
     this._beat = setInterval(() => { if (!this.workerFaults.isCut) this._table.accept(options.announce()) }, 500)
-    void store.put({ key: KEYS.getNode(`agent-${index}`), value: this.address, expect: { kind: 'any' } })
+    void store.put({ key: KEYS.getNode(`agent-${index}`), value: JSON.stringify({ address: this.address, region: 'r' }), expect: { kind: 'any' } })
     void this.candidate.open(peers.open(this.address))
   }
 
--- /dev/null
+++ b/packages/daemon/test/storeRelay/relayedCaller.test.ts
@@ -0,0 +1,81 @@
+/**
+ * The way around to a store that serves other hosts only.
+ */
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+import { RELAY_PATH, RelayedCaller } from '@dragonflylever/daemon/storeRelay/relayedCaller'
+import { createRelayHandler } from '@dragonflylever/daemon/storeRelay/relayHandler'
+import { HttpClient, createLogger } from '@dragonflylever/runtime'
+import type { HttpCall, HttpCaller, HttpOutcome } from '@dragonflylever/runtime'
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+
+const LOGGER = createLogger({ level: 'silent', processId: 't' })
+const CALL: HttpCall = { address: 'store', method: 'POST', path: '/x', body: '{"a":1}', timeoutMs: 500 }
+
+/** A way to the store whose answers a test sets. */
+class ScriptedCaller implements HttpCaller {
+  calls = 0
+  answer: HttpOutcome
+
+  constructor (answer: HttpOutcome) {
+    this.answer = answer
+  }
+
+  async call (): Promise<HttpOutcome> {
+    this.calls++
+    return this.answer
+  }
+
+  close (): void {}
+}
+
+function makeAnswer (status: number, body = ''): HttpOutcome {
+  return { kind: 'answered', status, headers: {}, body }
+}
+
+/** Opens an agent that passes calls on to the given way. */
+async function openRelay (t: ExecutionContext, direct: HttpCaller): Promise<string> {
+  const handle = createRelayHandler({ direct, storeAddress: 'store', logger: LOGGER })
+  const server = createServer((request, response) => { void (request.url === RELAY_PATH ? handle(request, response) : response.end()) })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => { server.closeAllConnections(); server.close() })
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+function createCaller (t: ExecutionContext, direct: HttpCaller, relays: readonly string[]): RelayedCaller {
+  const peers = new HttpClient({ maxConnections: 2, maxAnswerBytes: 10_000 })
+  const caller = new RelayedCaller({ direct, peers, logger: LOGGER, listRelays: () => relays })
+  t.teardown(() => caller.close())
+  return caller
+}
+
+test('a call that the store turns away is passed on by an agent that it serves', async t => {
+  const far = new ScriptedCaller(makeAnswer(412, '{"items":[]}'))
+  for (const answer of [makeAnswer(503), makeAnswer(429), { kind: 'lost', message: 'x' }, { kind: 'notSent', message: 'x' }] as HttpOutcome[]) {
+    const caller = createCaller(t, new ScriptedCaller(answer), [await openRelay(t, far)])
+    t.like(await caller.call(CALL), { kind: 'answered', status: 412, body: '{"items":[]}' })
+  }
+})
+
+test('while the direct way fails, calls take the way around first and probe now and then', async t => {
+  const near = new ScriptedCaller({ kind: 'lost', message: 'x' })
+  const caller = createCaller(t, near, [await openRelay(t, new ScriptedCaller(makeAnswer(200)))])
+  for (let count = 0; count < 5; count++) t.like(await caller.call(CALL), { status: 200 })
+  t.is(near.calls, 1)
+})
+
+test('when no agent reaches the store either, the direct outcome stands and agents are left alone for a while', async t => {
+  const far = new ScriptedCaller({ kind: 'lost', message: 'x' })
+  const caller = createCaller(t, new ScriptedCaller({ kind: 'notSent', message: 'down' }), [await openRelay(t, far)])
+  for (let count = 0; count < 5; count++) t.like(await caller.call(CALL), { kind: 'notSent' })
+  t.is(far.calls, 1)
+})
+
+test('a call that is no call to the store is refused by an agent', async t => {
+  const client = new HttpClient({ maxConnections: 1, maxAnswerBytes: 1_000 })
+  t.teardown(() => client.close())
+  const address = await openRelay(t, new ScriptedCaller(makeAnswer(200)))
+  t.like(await client.call({ address, method: 'POST', path: RELAY_PATH, body: '{"method":"PUT"}', timeoutMs: 500 }), { status: 400 })
+})
--- a/packages/runtime/src/httpClient.ts
+++ b/packages/runtime/src/httpClient.ts
@@ -38,7 +38,13 @@
   readonly maxAnswerBytes: number
 }
 
-export class HttpClient {
+/** Makes HTTP calls. Never rejects. */
+export interface HttpCaller {
+  call (call: HttpCall): Promise<HttpOutcome>
+  close (): void
+}
+
+export class HttpClient implements HttpCaller {
   private readonly _agent: Agent
   private readonly _options: HttpClientOptions
 
@@ -47,7 +53,6 @@
     this._agent = new Agent({ keepAlive: true, maxSockets: options.maxConnections })
   }
 
-  /** Makes a call. Never rejects. */
   call (call: HttpCall): Promise<HttpOutcome> {
     const { host, port } = parseAddress(call.address)
     const body = call.body === undefined ? undefined : Buffer.from(call.body)
--- a/packages/standins/src/runs/memoryRunWorker.ts
+++ b/packages/standins/src/runs/memoryRunWorker.ts
@@ -58,7 +58,9 @@
     if (this._faults.isCut) return this._wait(CALL_LIMIT_MS)
     if (this._faults.lateOrders > 0) {
       this._faults.lateOrders--
-      setTimeout(carryOut, this._faults.lateMs)
+      const { born } = this._engine
+      // What waits at a worker goes with its life.
+      setTimeout(() => { if (this._engine.born === born) carryOut() }, this._faults.lateMs)
       return this._wait(CALL_LIMIT_MS)
     }
     const outcome = carryOut()
--- a/packages/standins/src/runs/runBehaviour.ts
+++ b/packages/standins/src/runs/runBehaviour.ts
@@ -18,6 +18,6 @@
   onStart (worker: string, task: string, run: number, checkpoint: string): void
   /** A run is no more; `how` is undefined when its worker crashed. */
   onEnd (worker: string, task: string, run: number, how: string | undefined): void
-  /** The worker was told that an end is stored. */
+  /** The worker was told that an end is stored, and its lease has not run out since that end. */
   onSeen (worker: string, task: string, run: number, how: string): void
 }
--- a/packages/standins/src/runs/runWorkerEngine.ts
+++ b/packages/standins/src/runs/runWorkerEngine.ts
@@ -47,6 +47,9 @@
   private readonly _highest = new Map<string, number>()
   private _ended: EndListing[] = []
   private _endCount = 0
+  /** How often the lease ran out, and how often it had when each end came. */
+  private _lapses = 0
+  private readonly _lapsesAtEnd = new Map<number, number>()
   private _epoch = 0
   private _leaseUntil = 0
   private _startedAt = performance.now()
@@ -112,7 +115,7 @@
   async hold (request: HoldRequest): Promise<RunOutcome<HoldResult>> {
     if (!this._acceptEpoch(request.epoch)) return this._refuse(StartRefusal.fenced)
     if (request.leaseUntil !== undefined) this._extend(request.leaseUntil)
-    for (const end of this._ended) if (end.number <= request.seen) this._options.witness.onSeen(this._options.id, end.task, end.run, end.how)
+    for (const end of this._ended) if (end.number <= request.seen && this._lapsesAtEnd.get(end.number) === this._lapses) this._options.witness.onSeen(this._options.id, end.task, end.run, end.how)
     this._ended = this._ended.filter(end => end.number > request.seen)
     if (this._ended.length === 0 && request.waitMs > 0) await this._wait(request.waitMs)
     return { kind: 'ok', clockMs: this.clockMs, born: this.born, running: [...this._runs.values()].map(run => this._list(run)), ended: [...this._ended] }
@@ -159,6 +162,7 @@
 
   private _end (run: Run, how: RunEnd): void {
     if (this._runs.get(run.task) !== run) return
+    this._lapsesAtEnd.set(this._endCount + 1, this._lapses)
     this._ended.push({ number: ++this._endCount, task: run.task, run: run.number, how, checkpoint: this._makeCheckpoint(run) })
     this._highest.set(run.task, Math.max(run.number, this._highest.get(run.task) ?? 0))
     this._drop(run, how)
@@ -178,7 +182,12 @@
     if (bounded <= this._leaseUntil) return
     this._leaseUntil = bounded
     clearTimeout(this._lapse)
-    this._lapse = setTimeout(() => { for (const run of [...this._runs.values()]) this._end(run, RunEnd.lapsed) }, (bounded - this.clockMs) / this._options.clockRate)
+    this._lapse = setTimeout(() => this._endLease(), (bounded - this.clockMs) / this._options.clockRate)
+  }
+
+  private _endLease (): void {
+    this._lapses++
+    for (const run of [...this._runs.values()]) this._end(run, RunEnd.lapsed)
   }
 
   private _list (run: Run): RunListing {
