Answer undecided submissions within a second, take any place while half of the fleet is free, and wait for places that come in time

Held to the end: in a silent outage a submission was tried until the consumer's time was over; it is answered as undecided after 0.9 s now. Work thrown away: guaranteed work stopped others at once, also when enough of them would have ended within the time that it has.

--- a/packages/core/src/graphs/fleetSketch.ts
+++ b/packages/core/src/graphs/fleetSketch.ts
@@ -25,6 +25,13 @@
     for (const worker of workers) this._free.set(worker, worker.computeFree())
   }
 
+  /** Returns a sketch of its own with the same places taken. */
+  copy (): FleetSketch {
+    const copy = new FleetSketch(this.workers)
+    for (const [worker, free] of this._free) copy._free.set(worker, { ...free })
+    return copy
+  }
+
   getFree (worker: WorkerState): TaskNeeds {
     return this._free.get(worker) ?? { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
   }
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -37,6 +37,13 @@
 
 const MS_PER_S = 1_000
 const MILLIS_PER_CORE = 1_000
+/** Progress below this says too little of the time that is left. */
+const MIN_TELLING_PERCENT = 10
+/** After this long a job of which nothing runs takes any place, while half of the fleet is free; the users allow it 3 s. */
+const IDLE_PATIENCE_MS = 1_500
+const IDLE_SHARE = 0.5
+/** Time from an order to stop until a start in its place, beside the stop itself, in milliseconds. */
+const RECLAIM_ORDER_MS = 700
 /** A hold ends when its step has not come to its place within this many bounds for taking capacity back. */
 const HOLD_BOUNDS = 2
 
@@ -46,6 +53,8 @@
   private readonly _holds = new Map<StepState, Hold>()
   private _policy: PlannerPolicy = { queues: [], guarantees: [] }
   private _now = 0
+  private _isIdle = false
+  private readonly _urgent = new Set<StepState>()
 
   constructor (parts: PlanPassParts) {
     this._parts = parts
@@ -64,6 +73,7 @@
     const waiting = this._parts.order.sort(jobs.flatMap(job => listWaitingSteps(job, now)), now)
     if (waiting.length === 0) return
     const sketch = new FleetSketch(this._parts.book.list())
+    this._noteIdle(waiting)
     this._applyHolds(sketch, waiting)
     const guaranteed = this._findGuaranteed(jobs)
     for (const one of waiting) this._placeStep(one, sketch, guaranteed)
@@ -108,6 +118,8 @@
     const { step } = waiting
     const held = this._holds.get(step)
     if (held !== undefined) return sketch.hold(step, held.places)
+    const coming = this._findComing(waiting, sketch)
+    if (coming !== undefined) return sketch.hold(step, coming)
     const plan = chooseReclaim(waiting, sketch, {
       isEligible: (worker, one) => this._isEligible(worker, one),
       getTaskLimit: (worker, one) => this._getTaskLimit(worker, one),
@@ -121,6 +133,52 @@
     sketch.hold(step, plan.places)
   }
 
+  /** Places that will be free soon enough without stopping anything; undefined when there aren't enough. */
+  private _findComing (waiting: WaitingStep, sketch: FleetSketch): Map<WorkerState, number> | undefined {
+    const { step } = waiting
+    const { queue } = step.job.graph
+    const ownMs = this._parts.runTimes.estimate(step)
+    const slackMs = (queue.stretch - 1) * ownMs + queue.targetLatencyMs
+    const waitMs = Math.min(this._parts.times.reclaimMs, slackMs) - this._parts.times.stopGraceMs - RECLAIM_ORDER_MS
+    const until = waiting.since + waitMs
+    if (this._now >= until) return undefined
+    const future = sketch.copy()
+    for (const worker of sketch.workers) {
+      for (const run of worker.runs) if (this._predictEnd(run) < until) future.return(worker, run.task.step.spec)
+    }
+    const placed = this._placement.place(waiting, future)
+    if (placed.length < waiting.tasks.length) return undefined
+    const places = new Map<WorkerState, number>()
+    for (const { worker } of placed) places.set(worker, (places.get(worker) ?? 0) + 1)
+    return places
+  }
+
+  /** Predicts when a run ends, on the planner's clock: from its progress, or from what its like took. */
+  private _predictEnd (run: RunState): number {
+    if (run.phase === RunPhase.stopping) return (run.stoppingSince ?? this._now) + this._parts.times.stopGraceMs
+    if (run.runningSince === undefined) return Infinity
+    const elapsedMs = this._now - run.runningSince
+    const isTelling = run.percent >= MIN_TELLING_PERCENT && run.percent < 100
+    if (isTelling) return run.percentMovedAt + (run.percentMovedAt - run.runningSince) * (100 - run.percent) / run.percent
+    return this._now + Math.max(0, this._parts.runTimes.estimate(run.task.step) - elapsedMs)
+  }
+
+  /** Notes whether much of the fleet is free, and the steps whose job has waited long with nothing running. */
+  private _noteIdle (waiting: readonly WaitingStep[]): void {
+    let used = 0
+    let all = 0
+    for (const worker of this._parts.book.list()) {
+      all += worker.capacity.accelerators
+      for (const run of worker.runs) used += run.task.step.spec.accelerators
+    }
+    this._isIdle = used < all * IDLE_SHARE
+    this._urgent.clear()
+    for (const { step, since } of waiting) {
+      const isRunning = listTasks(step.job).some(task => task.runs.length > 0)
+      if (this._isIdle && !isRunning && this._now - since > IDLE_PATIENCE_MS) this._urgent.add(step)
+    }
+  }
+
   private _applyHolds (sketch: FleetSketch, waiting: readonly WaitingStep[]): void {
     const steps = new Set(waiting.map(one => one.step))
     for (const [step, hold] of this._holds) {
@@ -166,11 +224,11 @@
     if (report.service !== step.job.graph.queue.service) return false
     const { requiredLabel } = step.spec
     if (requiredLabel !== undefined && !report.labels.includes(requiredLabel)) return false
-    return !this._parts.trust.isAvoided(worker.key.id, this._now)
+    return this._urgent.has(step) || !this._parts.trust.isAvoided(worker.key.id, this._now)
   }
 
   private _getTaskLimit (worker: WorkerState, step: StepState): number {
-    const onProbation = this._parts.trust.isOnProbation(worker.key.id) ? Math.max(0, 1 - worker.runs.size) : Infinity
+    const onProbation = this._parts.trust.isOnProbation(worker.key.id) && !this._urgent.has(step) ? Math.max(0, 1 - worker.runs.size) : Infinity
     const { maxPerWorker } = step.spec
     if (maxPerWorker === undefined) return onProbation
     let here = 0
@@ -181,7 +239,7 @@
   /** Waiting longer than the detour costs is worse than the detour. */
   private _isPatienceOver (waiting: WaitingStep): boolean {
     const detourMs = this._parts.runTimes.estimate(waiting.step) * (this._parts.times.remoteFactor - 1)
-    return this._now - waiting.since > detourMs
+    return this._now - waiting.since > detourMs || this._urgent.has(waiting.step)
   }
 }
 
--- a/packages/core/src/graphs/runLedger.ts
+++ b/packages/core/src/graphs/runLedger.ts
@@ -35,6 +35,7 @@
     const { step } = first.task
     const { job } = step
     markChanged(job)
+    step.readySince = undefined
     const gangRun = Math.max(...step.tasks.map(task => task.lastRun)) + 1
     return placed.map(({ task, worker, ticket }) => {
       task.lastRun = step.spec.isGang ? gangRun : task.lastRun + 1
--- a/packages/daemon/src/jobEntry/jobFront.ts
+++ b/packages/daemon/src/jobEntry/jobFront.ts
@@ -63,6 +63,8 @@
 const RETRY_MS = 50
 /** Left of a consumer's time for the answer's way back, in milliseconds. */
 const ANSWER_MARGIN_MS = 150
+/** How long a call waits for the store to decide; consumers come again, at another entry, sooner than the store is back. */
+const DECISION_MS = 900
 /** When a consumer may come back after the store was away; other entries may reach it, and its outages last seconds. */
 const STORE_RETRY_AFTER_MS = 1_000
 /** First declarations are there within seconds of a start. */
@@ -153,19 +155,21 @@
 
   /** Repeats a conditional write until the store has decided it or the consumer's time is over. */
   private async _settle (call: FrontCall, transaction: Transaction): Promise<TransactOutcome> {
+    const giveUpAt = computeGiveUp(call)
     let isAmbiguous = false
     for (;;) {
       const outcome = await this._parts.store.transact(transaction)
       if (outcome.kind === 'ok' || outcome.kind === 'conflict') return outcome
       if (outcome.kind === 'ambiguous') isAmbiguous = true
       this._parts.metrics.count('store_retries')
-      const isOver = performance.now() + RETRY_MS + ANSWER_MARGIN_MS > call.deadlineAt
+      const isOver = performance.now() + RETRY_MS > giveUpAt
       if (isOver || (!isAmbiguous && outcome.kind === 'unavailable')) return isAmbiguous ? { kind: 'ambiguous', message: outcome.message } : outcome
       await new Promise(resolve => setTimeout(resolve, RETRY_MS))
     }
   }
 
   private async _readState (call: FrontCall, jobId: string): Promise<FrontAnswer> {
+    const giveUpAt = computeGiveUp(call)
     for (;;) {
       const outcome = await this._parts.store.get(this._parts.keys.getState(jobId))
       if (outcome.kind === 'ok') {
@@ -174,12 +178,16 @@
         this._parts.states.note(jobId, state)
         return { kind: 'state', phase: state.phase }
       }
-      if (performance.now() + RETRY_MS + ANSWER_MARGIN_MS > call.deadlineAt) return makeRefusal(Refusal.storeAway, `the state is not known here and the store does not answer: ${outcome.message}`, STORE_RETRY_AFTER_MS)
+      if (performance.now() + RETRY_MS > giveUpAt) return makeRefusal(Refusal.storeAway, `the state is not known here and the store does not answer: ${outcome.message}`, STORE_RETRY_AFTER_MS)
       await new Promise(resolve => setTimeout(resolve, RETRY_MS))
     }
   }
 }
 
+function computeGiveUp (call: FrontCall): number {
+  return Math.min(call.deadlineAt - ANSWER_MARGIN_MS, performance.now() + DECISION_MS)
+}
+
 function makeGraph (id: string, organisation: string, queue: RoutedQueue, draft: JobDraft): JobGraph {
   const { name, service, priority, maxAttempts, stretch, targetLatencyMs, advice } = queue
   const policy = { name, service, priority, maxAttempts, stretch, targetLatencyMs, ...(advice === undefined ? {} : { advice }) }
--- a/packages/daemon/src/storeRelay/relayedCaller.ts
+++ b/packages/daemon/src/storeRelay/relayedCaller.ts
@@ -14,7 +14,7 @@
 /** Agents asked for one call. */
 const MAX_RELAYS = 2
 /** Added to a call's limit for the way over the agent. */
-const RELAY_MARGIN_MS = 150
+const RELAY_MARGIN_MS = 100
 /** Statuses by which the store says that it does nothing for this host now. */
 const TURNED_AWAY = new Set([429, 503])
 /** Status by which an agent says that it can't reach the store either. */
@@ -74,7 +74,10 @@
     const relays = this._parts.listRelays()
     if (performance.now() < this._relaysAwayUntil) return undefined
     const request: RelayRequest = { method: call.method, path: call.path, timeoutMs: call.timeoutMs, ...(call.body === undefined ? {} : { body: call.body }) }
+    const startedAt = performance.now()
     for (let count = 0; count < Math.min(MAX_RELAYS, relays.length); count++) {
+      // A second agent is asked only when the first said soon that it can't help.
+      if (performance.now() - startedAt > RELAY_MARGIN_MS) break
       const address = relays[this._relayIndex % relays.length]
       if (address === undefined) return undefined
       const outcome = await this._parts.peers.call({
