--- a/packages/daemon/src/jobAgent/jobAgentProcess.ts
+++ b/packages/daemon/src/jobAgent/jobAgentProcess.ts
@@ -89,6 +89,7 @@
       address,
       start: parts.start,
       logger: createPartLogger(logger, 'link'),
+      metrics,
       getPlanner: () => this._candidate.planner,
       collect: () => this.workers.collect(),
       accept: (orders, epoch, collected) => this.workers.order(orders, epoch, collected)
--- a/packages/daemon/src/jobAgent/plannerLink.ts
+++ b/packages/daemon/src/jobAgent/plannerLink.ts
@@ -3,7 +3,7 @@
  */
 import type { PeerRpc, WorkerOrdersMessage } from '@dragonflylever/protocol'
 import type { WorkerReport } from '@dragonflylever/core/graphs/index'
-import type { Logger } from '@dragonflylever/runtime'
+import type { Logger, Metrics } from '@dragonflylever/runtime'
 
 import type { DutyView } from '../duties/dutyHolder.js'
 
@@ -23,6 +23,7 @@
   /** Unique per start of the process. */
   readonly start: string
   readonly logger: Logger
+  readonly metrics: Metrics
   readonly getPlanner: () => DutyView | undefined
   readonly collect: () => CollectedReports
   readonly accept: (orders: readonly WorkerOrdersMessage[], epoch: number, collected: CollectedReports) => void
@@ -37,7 +38,6 @@
 export class PlannerLink {
   private readonly _parts: PlannerLinkParts
   private _number = 0
-  private _open = 0
   private _epoch = 0
   private _timer: NodeJS.Timeout | undefined
   private _isClosed = false
@@ -75,10 +75,10 @@
     const number = ++this._number
     const collected = this._parts.collect()
     const { agent, address, start, peers } = this._parts
-    this._open++
+    const startedAt = performance.now()
     const params = { agent, address, start, number, waitMs: WAIT_MS, reports: collected.reports as never }
     const outcome = await peers.call(planner.address, 'workerReports', params, WAIT_MS + CALL_MARGIN_MS)
-    this._open--
+    this._parts.metrics.time('report_ms', performance.now() - startedAt, { outcome: outcome.kind })
     if (this._isClosed) return
     const isAnswered = outcome.kind === 'ok' && outcome.value.epoch !== undefined
     if (outcome.kind === 'ok' && outcome.value.epoch !== undefined && outcome.value.epoch >= this._epoch) {
--- a/packages/daemon/src/jobPlanner/graphKeys.ts
+++ b/packages/daemon/src/jobPlanner/graphKeys.ts
@@ -3,7 +3,7 @@
  */
 import { JobPhase } from '@dragonflylever/core/graphs/index'
 import type { JobGraph } from '@dragonflylever/core/graphs/index'
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** What consumers are shown of a job; kept longer than the job itself, so that its id stays taken. */
 const stateSchema = z.object({
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -59,7 +59,7 @@
   constructor (parts: GraphSessionParts) {
     this._parts = parts
     const { store, keys, dutyKey, epoch, logger, onProof, onFenced } = parts
-    this._planner = new GraphPlanner({ times: parts.times, getWallTime: () => Date.now(), log: { note: (event, fields) => logger.info(fields, event) } })
+    this._planner = new GraphPlanner({ times: parts.times, getWallTime: () => Date.now(), log: { note: (event, fields) => this._note(event, fields) } })
     this._desk = new AgentDesk({ planner: this._planner, epoch, mayGrant: parts.mayGrant, onReports: () => this._schedulePlan() })
     this._writer = new ProgressWriter({
       store,
@@ -111,6 +111,12 @@
     this._desk.close()
   }
 
+  private _note (event: string, fields: Readonly<Record<string, unknown>>): void {
+    this._parts.logger.info(fields, event)
+    this._parts.metrics.count('planner_decisions', 1, { event })
+    if (event === 'run begun' && typeof fields['afterMs'] === 'number') this._parts.metrics.time('start_ms', fields['afterMs'])
+  }
+
   private async _load (): Promise<void> {
     const { store, keys, logger } = this._parts
     while (!this._isClosed) {
--- a/packages/daemon/src/storeRelay/nodeDirectory.ts
+++ b/packages/daemon/src/storeRelay/nodeDirectory.ts
@@ -3,7 +3,7 @@
  */
 import type { Store } from '@dragonflylever/adapters'
 import type { Logger } from '@dragonflylever/runtime'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import type { GraphKeys } from '../jobPlanner/graphKeys.js'
 
--- a/packages/daemon/src/storeRelay/relayHandler.ts
+++ b/packages/daemon/src/storeRelay/relayHandler.ts
@@ -5,7 +5,7 @@
 
 import { readWhole } from '@dragonflylever/runtime'
 import type { HttpCaller, Logger } from '@dragonflylever/runtime'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { RELAY_FAILED } from './relayedCaller.js'
 
--- a/packages/daemon/test/graphs/graphNode.ts
+++ b/packages/daemon/test/graphs/graphNode.ts
@@ -98,6 +98,7 @@
       address: this.address,
       start: String(life),
       logger,
+      metrics: new NoMetrics(),
       getPlanner: () => this.candidate.planner,
       collect: () => this._table.collect(),
       accept: (orders, epoch, collected) => this._table.order(orders, epoch, collected)
--- a/packages/protocol/src/declarations.ts
+++ b/packages/protocol/src/declarations.ts
@@ -1,7 +1,7 @@
 /**
  * What operators declare: classes of work with targets, organisations with guarantees. Schema and types.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/
 const DURATION_PATTERN = /^(\d+)(ms|s|m|h)$/
--- a/packages/protocol/src/fleetMessages.ts
+++ b/packages/protocol/src/fleetMessages.ts
@@ -1,7 +1,7 @@
 /**
  * What processes tell each other of membership and configuration.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { memberSchema } from './members.js'
 
--- a/packages/protocol/src/gangMessages.ts
+++ b/packages/protocol/src/gangMessages.ts
@@ -1,7 +1,7 @@
 /**
  * Messages between the planner and the agents that run tasks of gangs.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const id = z.object({ jobId: z.string(), incarnation: z.number().int(), task: z.number().int() })
 const shape = z.object({ accelerators: z.number(), cores: z.number(), memoryGb: z.number() })
--- a/packages/protocol/src/jobs.ts
+++ b/packages/protocol/src/jobs.ts
@@ -1,7 +1,7 @@
 /**
  * Jobs as callers submit them and as entries tell of them.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { Adjacency, parseDuration } from './declarations.js'
 
--- a/packages/protocol/src/members.ts
+++ b/packages/protocol/src/members.ts
@@ -1,7 +1,7 @@
 /**
  * Members of the fleet as processes tell each other of them.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const agentFactsSchema = z.object({
   rack: z.string(),
--- a/packages/protocol/src/operatorMessages.ts
+++ b/packages/protocol/src/operatorMessages.ts
@@ -1,7 +1,7 @@
 /**
  * Messages between the command line and the operators' port of an entry.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Paths of the operators' port. */
 export const OperatorPath = {
--- a/packages/protocol/src/profile.ts
+++ b/packages/protocol/src/profile.ts
@@ -1,7 +1,7 @@
 /**
  * Where the command line finds the operators' port and key: schema and type. The file is JSON with comments.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const profileSchema = z.strictObject({
   /** Operators' port of an entry. */
--- a/packages/protocol/src/queueReport.ts
+++ b/packages/protocol/src/queueReport.ts
@@ -3,7 +3,7 @@
  */
 import { NotRunReason } from '@dragonflylever/core'
 import type { QueueReport } from '@dragonflylever/core'
-import { z } from 'zod'
+import * as z from 'zod'
 
 export type { GroupReport, QueueReport, ShedReport } from '@dragonflylever/core'
 
--- a/packages/protocol/src/rpcMessages.ts
+++ b/packages/protocol/src/rpcMessages.ts
@@ -1,7 +1,7 @@
 /**
  * JSON-RPC methods between processes: parameters and results, checked on arrival.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { GangMethods } from './gangMessages.js'
 import { configurationEnvelope, newsSchema, summarySchema } from './fleetMessages.js'
--- a/packages/protocol/src/runMessages.ts
+++ b/packages/protocol/src/runMessages.ts
@@ -1,7 +1,7 @@
 /**
  * Messages between agents and the planner of job graphs. The shapes are those of `core/graphs/workerReport.ts`.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const whole = z.number().int()
 const needs = z.object({ cpuMillis: z.number(), memoryMb: z.number(), accelerators: z.number() })
--- a/packages/protocol/src/schemaKeys.ts
+++ b/packages/protocol/src/schemaKeys.ts
@@ -1,7 +1,7 @@
 /**
  * Walks the schemas of documents: the keys that each object may hold.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** A key of a document, as a path in which `*` stands for any name or index. */
 export type SchemaPath = readonly string[]
--- a/packages/protocol/src/settings.ts
+++ b/packages/protocol/src/settings.ts
@@ -3,7 +3,7 @@
  */
 import { isIP } from 'node:net'
 
-import { z } from 'zod'
+import * as z from 'zod'
 
 const id = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, 'expected letters, digits, dots, hyphens and underscores, at most 64')
 const MAX_PORT = 65_535
