Move work off workers that leave, and free a life's runs once it has ended

A stop at a worker saves the work of checkpointing tasks, so that these also are the cheapest to stop for guaranteed work.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -70,6 +70,7 @@
     this._policy = policy
     this._now = now
     for (const job of jobs) this._takeBackUnconfirmed(job)
+    for (const worker of this._parts.book.list()) this._evacuate(worker)
     const waiting = this._parts.order.sort(jobs.flatMap(job => listWaitingSteps(job, now)), now)
     if (waiting.length === 0) return
     const sketch = new FleetSketch(this._parts.book.list())
@@ -100,6 +101,18 @@
     }
   }
 
+  /** Stops at a worker that leaves what can't end there in time; a stop saves the work of tasks that make checkpoints. */
+  private _evacuate (worker: WorkerState): void {
+    const { drainsUntil } = worker
+    if (drainsUntil === undefined) return
+    for (const run of worker.runs) {
+      const { step } = run.task
+      if (run.phase === RunPhase.stopping || this._predictEnd(run) <= drainsUntil) continue
+      if (step.spec.isGang) this._parts.ledger.stopStep(step, 'a worker of the gang leaves', this._now)
+      else this._parts.ledger.stop(run, 'its worker leaves', this._now)
+    }
+  }
+
   private _placeStep (waiting: WaitingStep, sketch: FleetSketch, guaranteed: ReadonlySet<JobState>): void {
     const { step } = waiting
     sketch.release(step)
--- a/packages/core/src/graphs/reclaimChoice.ts
+++ b/packages/core/src/graphs/reclaimChoice.ts
@@ -44,6 +44,8 @@
 const MILLIS_PER_CORE = 1_000
 /** Each stop costs a restart, counted as this many core-seconds beside the lost work, so that few are stopped. */
 const STOP_COST = 2
+/** Time to take up saved work, as a share of the time between two checkpoints: 100 to 250 ms of 2 s at the users' workers. */
+const RESUME_SHARE = 0.125
 
 /** Finds the cheapest way to make room; undefined when there is none. */
 export function chooseReclaim (waiting: WaitingStep, sketch: FleetSketch, parts: ReclaimParts, now: number): ReclaimPlan | undefined {
@@ -145,6 +147,7 @@
   if (run.runningSince === undefined) return 0
   const { spec } = run.task.step
   const ranMs = now - run.runningSince
-  const unsavedMs = spec.isCheckpointing ? Math.min(ranMs, checkpointMs) : ranMs
+  // A stop saves the work; what is lost is the time to take it up again, well below the time between two checkpoints.
+  const unsavedMs = spec.isCheckpointing ? Math.min(ranMs, checkpointMs * RESUME_SHARE) : ranMs
   return unsavedMs / MS_PER_S * (spec.cpuMillis / MILLIS_PER_CORE + spec.accelerators * CORES_PER_ACCELERATOR)
 }
--- a/packages/core/src/graphs/workerBook.ts
+++ b/packages/core/src/graphs/workerBook.ts
@@ -63,6 +63,7 @@
     if (known !== undefined && known.key.born > report.key.born) return undefined
     if (known !== undefined && known.key.born < report.key.born) this._forget(known, 'it started anew', now)
     this._endEarlierLives(report, now)
+    if (report.isOver) return this._acceptEnd(report, now)
     const worker = this.get(report.key) ?? new WorkerState({ ...report.key, address: report.address }, now)
     if (!this._workers.has(report.key.id)) this._parts.log.note('worker joined', { worker: report.key.id, born: report.key.born, rack: report.rack, failureDomain: report.failureDomain })
     this._workers.set(report.key.id, worker)
@@ -75,6 +76,15 @@
     return worker
   }
 
+  /** Takes the last word of a life that is over: ends that it listed count, the other runs are gone. */
+  private _acceptEnd (report: WorkerReport, now: number): undefined {
+    const worker = this.get(report.key)
+    if (worker === undefined) return undefined
+    this._takeEnds(worker, report.ended, now)
+    this._forget(worker, 'it left', now)
+    return undefined
+  }
+
   /** Notes that an answer permits the worker's lease to be extended. */
   grant (worker: WorkerState, receivedAt: number): void {
     worker.aliveUntil = Math.max(worker.aliveUntil, receivedAt + computeAuthority(this._parts.times))
--- a/packages/core/src/graphs/workerReport.ts
+++ b/packages/core/src/graphs/workerReport.ts
@@ -64,6 +64,8 @@
   readonly isDraining: boolean
   /** Least time that is left to a draining worker, in milliseconds. */
   readonly drainLeftMs: number | undefined
+  /** True when this life of the worker has surely ended; nothing runs there any more. */
+  readonly isOver: boolean
   /** False while the worker leaves the agent's calls unanswered. */
   readonly isReachable: boolean
   /** How long its runs may live on without any further extension, in milliseconds; an upper bound. */
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -127,3 +127,33 @@
   t.truthy(harness.find('urgent.0.0.0'))
   t.is(harness.listNotes('capacity taken back').length, 0)
 })
+
+test('what can\'t end at a worker that leaves moves at once, and what can ends there', t => {
+  const harness = new PlannerHarness([1, 1])
+  harness.add('long', [makeStep({ accelerators: 4, estimatedMs: 20_000, isCheckpointing: true })])
+  harness.add('short', [makeStep({ accelerators: 4, estimatedMs: 2_000 })])
+  harness.run(300)
+  const worker = harness.find('long.0.0.0')
+  t.is(harness.find('short.0.0.0'), worker)
+  if (worker === undefined) return
+  worker.isDraining = true
+  worker.drainLeftMs = 3_000
+  harness.run(400)
+  t.not(harness.find('long.0.0.0'), undefined)
+  t.not(harness.find('long.0.0.0'), worker)
+  t.is(harness.find('short.0.0.0'), worker)
+})
+
+test('a life that is over frees its runs at once, after the ends that it listed', t => {
+  const harness = new PlannerHarness([1, 1])
+  harness.add('a', [makeStep({ count: 2, accelerators: 4 })])
+  harness.run(300)
+  const worker = harness.find('a.0.0.0')
+  if (worker === undefined) return t.fail()
+  harness.end('a.0.0.0', 'done')
+  harness.planner.acceptReport({ ...harness.report(worker), isOver: true }, harness.now)
+  harness.workers.splice(harness.workers.indexOf(worker), 1)
+  harness.run(300)
+  t.is(harness.find('a.0.0.1')?.running[0]?.run, 2)
+  t.is(harness.find('a.0.0.0'), undefined)
+})
--- a/packages/core/test/graphs/plannerHarness.ts
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -168,6 +168,7 @@
       capacity: CAPACITY,
       isDraining,
       drainLeftMs,
+      isOver: false,
       isReachable: true,
       leaseLeftMs: 0,
       listNumber: ++worker.lists,
--- a/packages/daemon/src/jobAgent/workerKeeper.ts
+++ b/packages/daemon/src/jobAgent/workerKeeper.ts
@@ -64,6 +64,8 @@
   private _listNumber = 0
   private _holdCount = 0
   private _failedCalls = 0
+  private _isLeaving = false
+  private _isOver = false
   private _isClosed = false
   private _wake: (() => void) | undefined
 
@@ -86,6 +88,22 @@
     if (isNews) this._parts.onChange()
   }
 
+  /** True when this life of the worker has surely ended. */
+  get isOver (): boolean {
+    return this._isOver
+  }
+
+  /** Notes that the worker said that it ends; it is over once nobody listens at its address. */
+  noteLeave (): void {
+    this._isLeaving = true
+  }
+
+  /** Notes that another life of the worker was heard of. */
+  noteOver (): void {
+    this._isOver = true
+    this._isClosed = true
+  }
+
   /** Reads the worker's clock before a report is sent; the answer's permission counts from there. */
   readClock (): number {
     return this._clock.estimate(performance.now())
@@ -105,6 +123,7 @@
       capacity,
       isDraining,
       drainLeftMs,
+      isOver: this._isOver,
       isReachable: this._failedCalls < UNREACHABLE_CALLS,
       leaseLeftMs: this._clock.computeLeaseLeft(performance.now()),
       listNumber: this._listNumber,
@@ -192,6 +211,10 @@
       if (leaseUntil !== undefined && outcome.kind !== 'notSent') this._clock.noteLease(leaseUntil)
       this._noteClock(outcome)
       if (outcome.kind === 'otherLife') return this._parts.onOtherLife()
+      if (outcome.kind === 'notSent' && this._isLeaving) {
+        this.noteOver()
+        return this._parts.onChange()
+      }
       const hasChanged = outcome.kind === 'ok' && this._takeList(outcome, holdNumber)
       if (outcome.kind !== 'ok') await this._pause(RETRY_PAUSE_MS)
       else if (!hasChanged && waitMs === 0) await this._pause(UNSEEN_PAUSE_MS)
--- a/packages/daemon/src/jobAgent/workerTable.ts
+++ b/packages/daemon/src/jobAgent/workerTable.ts
@@ -55,10 +55,10 @@
     this._parts.onChange()
   }
 
-  /** Drops a worker that said that it leaves. */
-  remove (id: string): void {
-    this._drop(id, 'it left')
-    this._parts.onChange()
+  /** Notes that a worker said that it ends; it is told of until it is over, and a while longer. */
+  noteLeave (id: string): void {
+    this._parts.logger.info({ worker: id }, 'worker leaves')
+    this._kept.get(id)?.keeper.noteLeave()
   }
 
   /** Collects the reports of all workers. */
--- a/packages/protocol/src/runMessages.ts
+++ b/packages/protocol/src/runMessages.ts
@@ -19,6 +19,7 @@
   capacity: needs,
   isDraining: z.boolean(),
   drainLeftMs: z.number().optional(),
+  isOver: z.boolean(),
   isReachable: z.boolean(),
   leaseLeftMs: z.number(),
   listNumber: whole,
