--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -44,6 +44,8 @@
 const IDLE_SHARE = 0.5
 /** Time from an order to stop until a start in its place, beside the stop itself, in milliseconds. */
 const RECLAIM_ORDER_MS = 700
+/** Work of priority 0 beyond its guarantee may stop other work that loses at most this share of what it does itself. */
+const BEYOND_GUARANTEE_SHARE = 0.5
 /** A hold ends when its step has not come to its place within this many bounds for taking capacity back. */
 const HOLD_BOUNDS = 2
 
@@ -124,10 +126,10 @@
       return
     }
     const left = waiting.tasks.filter(task => task.runs.length === 0)
-    if (guaranteed.has(step.job)) this._reclaim({ ...waiting, tasks: left }, sketch)
+    if (this._getPriority(step.job) === 0) this._reclaim({ ...waiting, tasks: left }, sketch, guaranteed.has(step.job))
   }
 
-  private _reclaim (waiting: WaitingStep, sketch: FleetSketch): void {
+  private _reclaim (waiting: WaitingStep, sketch: FleetSketch, isGuaranteed: boolean): void {
     const { step } = waiting
     const held = this._holds.get(step)
     if (held !== undefined) return sketch.hold(step, held.places)
@@ -140,12 +142,20 @@
       checkpointMs: this._parts.times.checkpointMs
     }, this._now)
     if (plan === undefined) return
+    if (!isGuaranteed && plan.loss > this._computeStepWork(waiting) * BEYOND_GUARANTEE_SHARE) return
     this._parts.log.note('capacity taken back', { step: step.name, victims: plan.victims.map(run => run.task.name), loss: Math.round(plan.loss), waitedMs: this._now - waiting.since })
     for (const run of plan.victims) this._parts.ledger.stop(run, `capacity taken back for ${step.name}`, this._now)
     this._holds.set(step, { places: plan.places, until: this._now + HOLD_BOUNDS * this._parts.times.reclaimMs })
     sketch.hold(step, plan.places)
   }
 
+  /** Core-seconds of the waiting tasks. */
+  private _computeStepWork (waiting: WaitingStep): number {
+    const { spec } = waiting.step
+    const cores = spec.cpuMillis / MILLIS_PER_CORE + spec.accelerators * CORES_PER_ACCELERATOR
+    return waiting.tasks.length * cores * this._parts.runTimes.estimate(waiting.step) / MS_PER_S
+  }
+
   /** Places that will be free soon enough without stopping anything; undefined when there aren't enough. */
   private _findComing (waiting: WaitingStep, sketch: FleetSketch): Map<WorkerState, number> | undefined {
     const { step } = waiting
