--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -45,7 +45,7 @@
 /** Time from an order to stop until a start in its place, beside the stop itself, in milliseconds. */
 const RECLAIM_ORDER_MS = 700
 /** Work of priority 0 beyond its guarantee may stop other work that loses at most this share of what it does itself. */
-const BEYOND_GUARANTEE_SHARE = 0.5
+const BEYOND_GUARANTEE_SHARE = 0.1
 /** A hold ends when its step has not come to its place within this many bounds for taking capacity back. */
 const HOLD_BOUNDS = 2
 
