Move runs that stand still, and keep new work off their workers

A run moves once it has stood for as long as the work that a stop throws away took, so that it never wastes more than twice what waiting would.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -46,6 +46,8 @@
 const RECLAIM_ORDER_MS = 700
 /** Work of priority 0 beyond its guarantee may stop other work that loses at most this share of what it does itself. */
 const BEYOND_GUARANTEE_SHARE = 0.1
+/** Progress is listed each second; this long without any, beyond what two steps of it take, means that a run stands still. */
+const STALL_MS = 2_000
 /** A hold ends when its step has not come to its place within this many bounds for taking capacity back. */
 const HOLD_BOUNDS = 2
 
@@ -72,7 +74,10 @@
     this._policy = policy
     this._now = now
     for (const job of jobs) this._takeBackUnconfirmed(job)
-    for (const worker of this._parts.book.list()) this._evacuate(worker)
+    for (const worker of this._parts.book.list()) {
+      this._evacuate(worker)
+      this._moveStalled(worker)
+    }
     const waiting = this._parts.order.sort(jobs.flatMap(job => listWaitingSteps(job, now)), now)
     if (waiting.length === 0) return
     const sketch = new FleetSketch(this._parts.book.list())
@@ -115,6 +120,26 @@
     }
   }
 
+  /**
+   * Moves runs that stand still. Waiting may still be cheaper than beginning anew, so that a run moves once it has stood still for
+   * as long as the work that a stop throws away took; meanwhile its worker gets nothing new.
+   */
+  private _moveStalled (worker: WorkerState): void {
+    for (const run of worker.runs) {
+      const { spec } = run.task.step
+      if (run.phase !== RunPhase.running || run.runningSince === undefined || spec.isLongRunning || run.percent === 0) continue
+      const stalledMs = Math.min(this._now, worker.listedAt) - run.percentMovedAt
+      const msPerPercent = (run.percentMovedAt - run.runningSince) / run.percent
+      if (stalledMs < STALL_MS + msPerPercent * 2) continue
+      this._parts.trust.recordStall(run, this._now)
+      const ranMs = run.percentMovedAt - run.runningSince
+      const lostMs = spec.isCheckpointing ? Math.min(ranMs, this._parts.times.checkpointMs) : ranMs
+      if (stalledMs < lostMs) continue
+      if (spec.isGang) this._parts.ledger.stopStep(run.task.step, 'a member of the gang stands still', this._now)
+      else this._parts.ledger.stop(run, 'it stands still', this._now)
+    }
+  }
+
   private _placeStep (waiting: WaitingStep, sketch: FleetSketch, guaranteed: ReadonlySet<JobState>): void {
     const { step } = waiting
     sketch.release(step)
--- a/packages/core/src/graphs/workerState.ts
+++ b/packages/core/src/graphs/workerState.ts
@@ -29,6 +29,8 @@
   report: WorkerReport | undefined
   /** When the last report came, on the planner's clock. */
   contactAt = -Infinity
+  /** When a list came that was newer than the one before, on the planner's clock. */
+  listedAt = -Infinity
   /** When the first report came; undefined before. */
   firstContactAt: number | undefined
   /** Until when its runs may live without further contact, on the planner's clock. */
@@ -65,6 +67,7 @@
 
   /** Takes a newer report over. */
   update (report: WorkerReport, now: number): void {
+    if (report.listNumber > (this.report?.listNumber ?? 0)) this.listedAt = now
     this.report = report
     this.contactAt = now
     this.firstContactAt ??= now
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -175,3 +175,22 @@
   harness.run(2_000)
   t.is(harness.find('next.0.0.0'), undefined)
 })
+
+test('a run that stands still moves once it has stood for as long as the work that it loses took, and its worker gets nothing new', t => {
+  const harness = new PlannerHarness([1, 1])
+  harness.add('a', [makeStep({ accelerators: 4, estimatedMs: 10_000 })])
+  harness.run(300)
+  const worker = harness.find('a.0.0.0')
+  for (let percent = 10; percent <= 40; percent += 10) {
+    harness.setPercent('a.0.0.0', percent)
+    harness.run(1_000)
+  }
+  harness.run(1_600)
+  t.is(harness.find('a.0.0.0'), worker)
+  harness.add('b', [makeStep({ accelerators: 4 })])
+  harness.run(300)
+  t.not(harness.find('b.0.0.0'), worker)
+  harness.run(1_500)
+  t.truthy(harness.find('a.0.0.0'))
+  t.not(harness.find('a.0.0.0'), worker)
+})
