--- a/packages/daemon/src/jobEntry/jobEntryProcess.ts
+++ b/packages/daemon/src/jobEntry/jobEntryProcess.ts
@@ -43,6 +43,11 @@
     return !this._isStopping && this.front.isReady
   }
 
+  /** Version of the declarations in force here; undefined before the first. */
+  get version (): number | undefined {
+    return this._policy.index?.policy.version
+  }
+
   async open (): Promise<void> {
     await Promise.all([this._policy.open(), this._states.open()])
   }
--- a/packages/daemon/src/storeRelay/relayedCaller.ts
+++ b/packages/daemon/src/storeRelay/relayedCaller.ts
@@ -57,8 +57,9 @@
     this._probedAt = performance.now()
     const outcome = await this._parts.direct.call(call)
     const isServed = outcome.kind === 'answered' && !TURNED_AWAY.has(outcome.status)
+    if (call.signal?.aborted === true) return outcome
     this._noteDirect(isServed, outcome)
-    if (isServed || call.signal?.aborted === true) return outcome
+    if (isServed) return outcome
     const relayed = await this._callRelays(call)
     if (relayed !== undefined) return relayed
     return outcome
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -13,6 +13,17 @@
   readonly destination?: pino.DestinationStream
 }
 
+/** Lines that wait for a slow reader; beyond them lines are dropped, so that writing never blocks. */
+const MAX_WAITING_BYTES = 1024 * 1024
+
+/** Opens standard output for a log that never blocks its process; `flushSync` writes what waits, at the end of the process. */
+export function openLogOutput (): LogOutput {
+  return pino.destination({ dest: 1, sync: false, maxLength: MAX_WAITING_BYTES })
+}
+
+/** Where a log goes, and what waits to be written. */
+export type LogOutput = pino.DestinationStream & { flushSync (): void }
+
 /** Creates the log of a process. */
 export function createLogger (options: LoggerOptions): Logger {
   const settings = { level: options.level, base: { process: options.processId } }
