Wait for a place that comes when a stop would lose much, and longer for single starts

After a restart of all processes 17 starts were taken back after 1.8 s, while their agents were still starting.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -39,11 +39,15 @@
 const MILLIS_PER_CORE = 1_000
 /** Progress below this says too little of the time that is left. */
 const MIN_TELLING_PERCENT = 10
+/** A task on its own has no others that wait for it; agents that just started take seconds of processor time to answer. */
+const SINGLE_CONFIRM_FACTOR = 2
 /** After this long a job of which nothing runs takes any place, while half of the fleet is free; the users allow it 3 s. */
 const IDLE_PATIENCE_MS = 1_500
 const IDLE_SHARE = 0.5
 /** Time from an order to stop until a start in its place, beside the stop itself, in milliseconds. */
 const RECLAIM_ORDER_MS = 700
+/** Core-seconds whose loss is worth more than one urgent job in time, by the users' prices (0.003 each) and values (0.8 of 4 late). */
+const COSTLY_LOSS = 400
 /** Work of priority 0 beyond its guarantee may stop other work that loses at most this share of what it does itself. */
 const BEYOND_GUARANTEE_SHARE = 0.1
 /** Progress is listed each second; this long without any, beyond what two steps of it take, means that a run stands still. */
@@ -101,7 +105,8 @@
         const worker = this._parts.book.get(run.worker)
         // A worker that has not reported to this planner yet may run what is in the records.
         if (run.phase !== RunPhase.assigned || worker === undefined || worker.firstContactAt === undefined) continue
-        if (this._now - Math.max(run.assignedAt, worker.firstContactAt) < this._parts.times.startConfirmMs) continue
+        const limitMs = this._parts.times.startConfirmMs * (run.task.step.spec.isGang ? 1 : SINGLE_CONFIRM_FACTOR)
+        if (this._now - Math.max(run.assignedAt, worker.firstContactAt) < limitMs) continue
         if (run.task.step.spec.isGang) this._parts.ledger.stopStep(run.task.step, 'a member of the gang was not started in time', this._now)
         else this._parts.ledger.stop(run, 'the start was not confirmed in time', this._now)
       }
@@ -158,14 +163,14 @@
     const { step } = waiting
     const held = this._holds.get(step)
     if (held !== undefined) return sketch.hold(step, held.places)
-    const coming = this._findComing(waiting, sketch)
-    if (coming !== undefined) return sketch.hold(step, coming)
     const plan = chooseReclaim(waiting, sketch, {
       isEligible: (worker, one) => this._isEligible(worker, one),
       getTaskLimit: (worker, one) => this._getTaskLimit(worker, one),
       getVictimWeight: run => this._getVictimWeight(run),
       checkpointMs: this._parts.times.checkpointMs
     }, this._now)
+    const coming = this._findComing(waiting, sketch, plan !== undefined && plan.loss > COSTLY_LOSS)
+    if (coming !== undefined) return sketch.hold(step, coming)
     if (plan === undefined) return
     if (!isGuaranteed && plan.loss > this._computeStepWork(waiting) * BEYOND_GUARANTEE_SHARE) return
     this._parts.log.note('capacity taken back', { step: step.name, victims: plan.victims.map(run => run.task.name), loss: Math.round(plan.loss), waitedMs: this._now - waiting.since })
@@ -181,13 +186,17 @@
     return waiting.tasks.length * cores * this._parts.runTimes.estimate(waiting.step) / MS_PER_S
   }
 
-  /** Places that will be free soon enough without stopping anything; undefined when there aren't enough. */
-  private _findComing (waiting: WaitingStep, sketch: FleetSketch): Map<WorkerState, number> | undefined {
+  /**
+   * Places that will be free soon enough without stopping anything; undefined when there aren't enough. While a stop is cheap, soon
+   * enough is in time for the objective; else it is within the bound for taking capacity back, though late.
+   */
+  private _findComing (waiting: WaitingStep, sketch: FleetSketch, isStopCostly: boolean): Map<WorkerState, number> | undefined {
     const { step } = waiting
     const { queue } = step.job.graph
     const ownMs = this._parts.runTimes.estimate(step)
     const slackMs = (queue.stretch - 1) * ownMs + queue.targetLatencyMs
-    const waitMs = Math.min(this._parts.times.reclaimMs, slackMs) - this._parts.times.stopGraceMs - RECLAIM_ORDER_MS
+    const { reclaimMs } = this._parts.times
+    const waitMs = (isStopCostly ? reclaimMs : Math.min(reclaimMs, slackMs)) - this._parts.times.stopGraceMs - RECLAIM_ORDER_MS
     const until = waiting.since + waitMs
     if (this._now >= until) return undefined
     const future = sketch.copy()
