Follow the declarations anew in each session of a planner, and drop settings that nothing reads

A process that planned a second time kept the declarations of its first session: its follower stayed closed. The test opens a closed follower again.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -20,7 +20,7 @@
 import type { WorkerTrust } from './workerTrust.js'
 
 /** What a pass works with. */
-export interface PlanPassParts {
+export interface GraphPassParts {
   readonly book: WorkerBook
   readonly ledger: RunLedger
   readonly trust: WorkerTrust
@@ -55,8 +55,8 @@
 /** A hold ends when its step has not come to its place within this many bounds for taking capacity back. */
 const HOLD_BOUNDS = 2
 
-export class PlanPass {
-  private readonly _parts: PlanPassParts
+export class GraphPass {
+  private readonly _parts: GraphPassParts
   private readonly _placement: RackPlacement
   private readonly _holds = new Map<StepState, Hold>()
   private _policy: PlannerPolicy = { queues: [], guarantees: [] }
@@ -64,7 +64,7 @@
   private _isIdle = false
   private readonly _urgent = new Set<StepState>()
 
-  constructor (parts: PlanPassParts) {
+  constructor (parts: GraphPassParts) {
     this._parts = parts
     this._placement = new RackPlacement({
       isEligible: (worker, step) => this._isEligible(worker, step),
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -9,7 +9,7 @@
 import type { JobState, WorkerKey } from './jobState.js'
 import { listOrders } from './orderList.js'
 import { OwedOrder } from './owedOrder.js'
-import { PlanPass } from './graphPass.js'
+import { GraphPass } from './graphPass.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { PlannerTimes } from './plannerTimes.js'
 import { RunLedger } from './runLedger.js'
@@ -18,7 +18,6 @@
 import type { WaitingOrder } from './waitingStep.js'
 import { WorkerBook } from './workerBook.js'
 import type { WorkerOrders, WorkerReport } from './workerReport.js'
-import type { WorkerState } from './workerState.js'
 import { WorkerTrust } from './workerTrust.js'
 
 /** What is guaranteed to an organisation. */
@@ -62,7 +61,7 @@
   private readonly _runTimes = new RunTimes()
   private readonly _ledger: RunLedger
   private readonly _book: WorkerBook
-  private readonly _pass: PlanPass
+  private readonly _pass: GraphPass
   private _policy: PlannerPolicy = { queues: [], guarantees: [] }
   private _provenAt = -Infinity
 
@@ -72,7 +71,7 @@
     this._ledger = new RunLedger({ log, trust: this._trust, runTimes: this._runTimes, getWallTime, getWorker: run => this._book.get(run.worker) })
     this._book = new WorkerBook({ log, times, ledger: this._ledger, getNeeds: name => this._getNeeds(name) })
     const order = options.createOrder?.(this._runTimes) ?? new OwedOrder({ runTimes: this._runTimes, getWallTime })
-    this._pass = new PlanPass({ book: this._book, ledger: this._ledger, trust: this._trust, runTimes: this._runTimes, order, times, log })
+    this._pass = new GraphPass({ book: this._book, ledger: this._ledger, trust: this._trust, runTimes: this._runTimes, order, times, log })
   }
 
   /** Number of jobs that have not ended. */
@@ -82,10 +81,6 @@
     return count
   }
 
-  listWorkers (): WorkerState[] {
-    return this._book.list()
-  }
-
   getJob (jobId: string): JobState | undefined {
     return this._jobs.get(jobId)
   }
@@ -129,18 +124,6 @@
     this._pass.run([...this._jobs.values()], this._policy, now)
   }
 
-  /** Returns when the next occurrence of a job is due, as wall time; undefined when none is. */
-  getNextDueAt (): number | undefined {
-    let next: number | undefined
-    for (const job of this._jobs.values()) {
-      const { repeat } = job.graph
-      if (repeat === undefined || !isActive(job) || job.occurrences.size >= repeat.count) continue
-      const dueAt = repeat.firstRunAt + job.occurrences.size * repeat.intervalMs
-      if (next === undefined || dueAt < next) next = dueAt
-    }
-    return next
-  }
-
   /** Lists the jobs whose state has changed since it was last stored. */
   listDirty (): DirtyJob[] {
     const dirty: DirtyJob[] = []
--- a/packages/core/src/graphs/plannerTimes.ts
+++ b/packages/core/src/graphs/plannerTimes.ts
@@ -24,14 +24,8 @@
   readonly remoteFactor: number
   /** Work between two checkpoints. */
   readonly checkpointMs: number
-  /** How early a timed occurrence may begin. */
-  readonly earlyMs: number
   /** How long an ended job stays in memory and in the store. */
   readonly retentionMs: number
-  /** Longest that a task which serves may be over its target. */
-  readonly harmMs: number
-  /** Time over which tasks that were taken away count as missing. */
-  readonly noticeMs: number
 }
 
 /** Returns how long a worker's runs may live after an answer, on the planner's clock. */
--- a/packages/daemon/src/jobEntry/policyFollower.ts
+++ b/packages/daemon/src/jobEntry/policyFollower.ts
@@ -20,21 +20,11 @@
 
 export class PolicyFollower {
   private readonly _parts: PolicyFollowerParts
-  private readonly _follower: PrefixFollower
+  private _follower: PrefixFollower | undefined
   private _index: PolicyIndex | undefined
 
   constructor (parts: PolicyFollowerParts) {
     this._parts = parts
-    this._follower = new PrefixFollower({
-      store: parts.store,
-      prefix: parts.key,
-      onList: values => { for (const value of values) this._take(value) },
-      onEvents: events => { for (const event of events) if (event.kind === 'put') this._take(event.value) },
-      onHealth: (isFollowing, message) => {
-        if (isFollowing) parts.logger.info({ key: parts.key }, 'declarations followed')
-        else parts.logger.warn({ key: parts.key, message, version: this._index?.policy.version }, 'declarations not followed')
-      }
-    })
   }
 
   /** The declarations in force here; undefined before the first. */
@@ -42,12 +32,30 @@
     return this._index
   }
 
+  /** Begins to follow; may be called again after `close`. */
   open (): Promise<void> {
+    this.close()
+    this._follower = this._createFollower()
     return this._follower.open()
   }
 
   close (): void {
-    this._follower.close()
+    this._follower?.close()
+    this._follower = undefined
+  }
+
+  private _createFollower (): PrefixFollower {
+    const parts = this._parts
+    return new PrefixFollower({
+      store: parts.store,
+      prefix: parts.key,
+      onList: values => { for (const value of values) this._take(value) },
+      onEvents: events => { for (const event of events) if (event.kind === 'put') this._take(event.value) },
+      onHealth: (isFollowing, message) => {
+        if (isFollowing) parts.logger.info({ key: parts.key }, 'declarations followed')
+        else parts.logger.warn({ key: parts.key, message, version: this._index?.policy.version }, 'declarations not followed')
+      }
+    })
   }
 
   private _take (stored: StoredValue): void {
--- a/packages/daemon/test/graphs/graphNode.ts
+++ b/packages/daemon/test/graphs/graphNode.ts
@@ -29,10 +29,7 @@
   reclaimMs: 2_900,
   remoteFactor: 3,
   checkpointMs: 2_000,
-  earlyMs: 250,
-  retentionMs: 240_000,
-  harmMs: 4_000,
-  noticeMs: 5_500
+  retentionMs: 240_000
 }
 
 /** A store client of one process over the shared engine. */
--- /dev/null
+++ b/packages/daemon/test/jobEntry/policyFollower.test.ts
@@ -0,0 +1,44 @@
+/**
+ * Declarations as a process follows them.
+ */
+import { PolicyFollower } from '@dragonflylever/daemon/jobEntry/policyFollower'
+import type { FleetPolicy } from '@dragonflylever/core/graphs/index'
+import { createLogger } from '@dragonflylever/runtime'
+import { MemoryStore } from '@dragonflylever/standins'
+import test from 'ava'
+
+const LIMITS = { maxBodyBytes: 1, maxHeaderBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+
+function decode (text: string): FleetPolicy | undefined {
+  const version = Number(text)
+  return Number.isNaN(version) ? undefined : { version, queues: [], organisations: [], limits: LIMITS }
+}
+
+function createFollower (store: MemoryStore): PolicyFollower {
+  return new PolicyFollower({ store, key: 'c', decode, logger: createLogger({ level: 'silent', processId: 't' }) })
+}
+
+test('the version in force never goes back, and what can\'t be read changes nothing', async t => {
+  const store = new MemoryStore()
+  const follower = createFollower(store)
+  await follower.open()
+  t.teardown(() => follower.close())
+  for (const [value, expected] of [['5', 5], ['x', 5], ['4', 5], ['9', 9]] as const) {
+    await store.put({ key: 'c', value, expect: { kind: 'any' } })
+    await new Promise(resolve => setTimeout(resolve, 5))
+    t.is(follower.index?.policy.version, expected)
+  }
+})
+
+test('a follower that was closed follows again from what is in the store then', async t => {
+  const store = new MemoryStore()
+  await store.put({ key: 'c', value: '1', expect: { kind: 'any' } })
+  const follower = createFollower(store)
+  await follower.open()
+  follower.close()
+  await store.put({ key: 'c', value: '2', expect: { kind: 'any' } })
+  t.is(follower.index?.policy.version, 1)
+  await follower.open()
+  t.teardown(() => follower.close())
+  t.is(follower.index?.policy.version, 2)
+})
