--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -3,12 +3,12 @@
  * guaranteed work of priority 0.
  */
 import { FleetSketch } from './fleetSketch.js'
-import type { PlannerPolicy } from './graphPlanner.js'
 import { RunPhase, isActive, listTasks } from './jobState.js'
 import type { JobState, RunState, StepState } from './jobState.js'
 import { CORES_PER_ACCELERATOR } from './owedOrder.js'
 import { RackPlacement } from './placement.js'
 import type { PlannerLog } from './plannerLog.js'
+import type { PlannerPolicy } from './plannerPolicy.js'
 import type { PlannerTimes } from './plannerTimes.js'
 import { chooseReclaim } from './reclaimChoice.js'
 import type { RunLedger } from './runLedger.js'
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -3,7 +3,7 @@
  * what has to be stored. It does no I/O and holds no clock. A start may go out once `acceptDurable` has covered its version.
  */
 import { JobPhase, isFinalPhase } from './graphTypes.js'
-import type { JobGraph, QueuePolicy, StepSpec, TaskNeeds } from './graphTypes.js'
+import type { JobGraph, StepSpec, TaskNeeds } from './graphTypes.js'
 import { encodeProgress, restoreJob } from './jobProgress.js'
 import { addOccurrence, countOccurrences, isActive, isTimed, listTasks, markChanged } from './jobState.js'
 import type { JobState, WorkerKey } from './jobState.js'
@@ -11,6 +11,7 @@
 import { OwedOrder } from './owedOrder.js'
 import { GraphPass } from './graphPass.js'
 import type { PlannerLog } from './plannerLog.js'
+import type { PlannerPolicy } from './plannerPolicy.js'
 import type { PlannerTimes } from './plannerTimes.js'
 import { RunLedger } from './runLedger.js'
 import { RunTimes } from './runTimes.js'
@@ -20,19 +21,6 @@
 import type { WorkerOrders, WorkerReport } from './workerReport.js'
 import { WorkerTrust } from './workerTrust.js'
 
-/** What is guaranteed to an organisation. */
-export interface OrganisationGuarantee {
-  readonly organisation: string
-  /** Accelerators for its jobs of priority 0, at all times. */
-  readonly accelerators: number
-}
-
-/** What operators declare, as far as the planner needs it. */
-export interface PlannerPolicy {
-  readonly queues: readonly QueuePolicy[]
-  readonly guarantees: readonly OrganisationGuarantee[]
-}
-
 /** Parts and settings of a planner. */
 export interface GraphPlannerOptions {
   readonly times: PlannerTimes
--- a/packages/daemon/src/jobPlanner/graphKeys.ts
+++ b/packages/daemon/src/jobPlanner/graphKeys.ts
@@ -3,6 +3,7 @@
  */
 import { JobPhase } from '@dragonflylever/core/graphs/index'
 import type { JobGraph } from '@dragonflylever/core/graphs/index'
+import { parseJson } from '@dragonflylever/protocol'
 import * as z from 'zod'
 
 /** What consumers are shown of a job; kept longer than the job itself, so that its id stays taken. */
@@ -123,11 +124,3 @@
   const checked = stateSchema.safeParse(parseJson(text))
   return checked.success ? checked.data : undefined
 }
-
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
--- a/packages/daemon/src/storeRelay/nodeDirectory.ts
+++ b/packages/daemon/src/storeRelay/nodeDirectory.ts
@@ -2,6 +2,7 @@
  * Addresses of the agents, read from the store now and then; those of the same region come first.
  */
 import type { Store } from '@dragonflylever/adapters'
+import { parseJson } from '@dragonflylever/protocol'
 import type { Logger } from '@dragonflylever/runtime'
 import * as z from 'zod'
 
@@ -59,10 +60,6 @@
 
 /** Decodes a node's record; undefined when it is none. */
 export function decodeNode (text: string): NodeRecord | undefined {
-  try {
-    const checked = nodeSchema.safeParse(JSON.parse(text))
-    return checked.success ? checked.data : undefined
-  } catch {
-    return undefined
-  }
+  const checked = nodeSchema.safeParse(parseJson(text))
+  return checked.success ? checked.data : undefined
 }
--- a/packages/daemon/src/storeRelay/relayHandler.ts
+++ b/packages/daemon/src/storeRelay/relayHandler.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 
+import { parseJson } from '@dragonflylever/protocol'
 import { readWhole } from '@dragonflylever/runtime'
 import type { HttpCaller, Logger } from '@dragonflylever/runtime'
 import * as z from 'zod'
@@ -34,14 +35,6 @@
   }
 }
 
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
-
 function send (response: ServerResponse, status: number, text: string): void {
   const body = Buffer.from(text)
   response.writeHead(status, { 'content-type': 'application/json', 'content-length': body.length })
--- a/packages/runtime/src/rpcClient.ts
+++ b/packages/runtime/src/rpcClient.ts
@@ -1,7 +1,7 @@
 /**
  * Calls JSON-RPC methods of other processes over HTTP POST.
  */
-import { DispatchHeader, RPC_PATH, RpcMethods } from '@dragonflylever/protocol'
+import { DispatchHeader, RPC_PATH, RpcMethods, parseJson } from '@dragonflylever/protocol'
 import type { PeerRpc, RpcMethodName, RpcOutcome, RpcParams, RpcResultValue } from '@dragonflylever/protocol'
 import { createJSONRPCRequest, isJSONRPCResponse } from 'json-rpc-2.0'
 
@@ -46,11 +46,3 @@
   if (!checked.success) return { kind: 'failed', message: `${method}: bad result: ${checked.error.issues[0]?.message}` }
   return { kind: 'ok', value: checked.data as RpcResultValue<M> }
 }
-
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
--- a/packages/runtime/src/rpcServer.ts
+++ b/packages/runtime/src/rpcServer.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 
-import { RpcMethods, DispatchHeader } from '@dragonflylever/protocol'
+import { RpcMethods, DispatchHeader, parseJson } from '@dragonflylever/protocol'
 import type { RpcHandler, RpcMethodName, RpcParams, RpcRegistry } from '@dragonflylever/protocol'
 import { JSONRPCErrorException, JSONRPCServer, isJSONRPCRequest } from 'json-rpc-2.0'
 
@@ -50,14 +50,6 @@
   }
 }
 
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
-
 /** Writes a JSON answer. */
 export function sendJson (response: ServerResponse, status: number, value: unknown): void {
   const body = Buffer.from(JSON.stringify(value))
