--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -1,6 +1,7 @@
 /**
  * Single decisions of the planner of job graphs, each under the load that it answers.
  */
+import { ArrivalOrder } from '@dragonflylever/core/graphs/index'
 import test from 'ava'
 
 import { PlannerHarness, makeQueue, makeStep } from './plannerHarness.js'
@@ -210,3 +211,43 @@
   t.truthy(harness.find('urgent.0.0.0'))
   t.is(harness.listNotes('capacity taken back').length, 0)
 })
+
+test('a worker that fails different jobs in a row gets nothing for a while, then one run that proves it', t => {
+  const harness = new PlannerHarness([1, 1])
+  for (const id of ['a', 'b']) {
+    harness.add(id, [makeStep({ accelerators: 8, requiredLabel: 'r0' })], { queue: makeQueue({ maxAttempts: 1 }) })
+    harness.run(300)
+    harness.end(`${id}.0.0.0`, 'failed')
+    harness.run(300)
+  }
+  harness.add('c', [makeStep({ count: 2, accelerators: 8 })])
+  harness.run(600)
+  t.is(harness.find('c.0.0.0')?.rack, 'r1')
+  t.is(harness.find('c.0.0.1'), undefined)
+  harness.run(6_000)
+  t.is(harness.find('c.0.0.1')?.rack, 'r0')
+  harness.end('c.0.0.1', 'done')
+  harness.add('d', [makeStep({ count: 2, accelerators: 4 })])
+  harness.run(600)
+  t.deepEqual(['d.0.0.0', 'd.0.0.1'].map(task => harness.find(task)?.rack), ['r0', 'r0'])
+})
+
+test('urgent work goes first, and among the rest what is worth more for its capacity; the baseline goes by arrival', t => {
+  for (const [createOrder, expected] of [[undefined, 'urgent'], [() => new ArrivalOrder(), 'large']] as const) {
+    const harness = new PlannerHarness([1], createOrder === undefined ? {} : { createOrder })
+    harness.add('running', [makeStep({ accelerators: 8 })])
+    harness.run(300)
+    harness.add('large', [makeStep({ accelerators: 8, estimatedMs: 50_000 })])
+    harness.now += 10
+    harness.add('small', [makeStep({ accelerators: 8, estimatedMs: 1_000 })])
+    harness.now += 10
+    harness.add('urgent', [makeStep({ accelerators: 8, estimatedMs: 2_000 })], { queue: URGENT })
+    harness.end('running.0.0.0', 'done')
+    harness.run(100)
+    t.is(harness.listNotes('run assigned')[1]?.['task'], `${expected}.0.0.0`)
+    if (expected !== 'urgent') continue
+    harness.end('urgent.0.0.0', 'done')
+    harness.run(300)
+    t.truthy(harness.find('small.0.0.0'))
+  }
+})
