Let one piece of code serve where the new planner had written it twice, and drop what nothing reads

One formula for core-seconds in place of four, one grouping by rack, one type of free capacity, one saving of checkpoints, one key of a run, one constant for the slowest clock, one state of an accepted job; stopping a run with its gang is one call. Gone: settings of followers, refusals and counts that nothing used.

--- a/packages/core/src/graphs/fleetSketch.ts
+++ b/packages/core/src/graphs/fleetSketch.ts
@@ -4,20 +4,14 @@
 import type { TaskNeeds } from './graphTypes.js'
 import type { StepState } from './jobState.js'
 import { countFits, returnNeeds, takeNeeds } from './workerState.js'
-import type { WorkerState } from './workerState.js'
+import type { FreeCapacity, WorkerState } from './workerState.js'
 
 /** Places held for one step: tasks by worker. */
 export type HeldPlaces = ReadonlyMap<WorkerState, number>
 
-interface Free {
-  cpuMillis: number
-  memoryMb: number
-  accelerators: number
-}
-
 export class FleetSketch {
   readonly workers: readonly WorkerState[]
-  private readonly _free = new Map<WorkerState, Free>()
+  private readonly _free = new Map<WorkerState, FreeCapacity>()
   private readonly _held = new Map<StepState, HeldPlaces>()
 
   constructor (workers: readonly WorkerState[]) {
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -2,10 +2,11 @@
  * One planning pass: takes back starts that were not confirmed, gives waiting steps their places in order, and makes room for
  * guaranteed work of priority 0.
  */
+import { computeCoreSeconds } from './coreSeconds.js'
 import { FleetSketch } from './fleetSketch.js'
+import type { HeldPlaces } from './fleetSketch.js'
 import { RunPhase, isActive, listTasks } from './jobState.js'
 import type { JobState, RunState, StepState } from './jobState.js'
-import { CORES_PER_ACCELERATOR } from './owedOrder.js'
 import { RackPlacement } from './placement.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { PlannerPolicy } from './plannerPolicy.js'
@@ -31,12 +32,10 @@
 }
 
 interface Hold {
-  readonly places: ReadonlyMap<WorkerState, number>
+  readonly places: HeldPlaces
   readonly until: number
 }
 
-const MS_PER_S = 1_000
-const MILLIS_PER_CORE = 1_000
 /** Progress below this says too little of the time that is left. */
 const MIN_TELLING_PERCENT = 10
 /** A task on its own has no others that wait for it; agents that just started take seconds of processor time to answer. */
@@ -61,7 +60,6 @@
   private readonly _holds = new Map<StepState, Hold>()
   private _policy: PlannerPolicy = { queues: [], guarantees: [] }
   private _now = 0
-  private _isIdle = false
   private readonly _urgent = new Set<StepState>()
 
   constructor (parts: GraphPassParts) {
@@ -85,7 +83,7 @@
     const waiting = this._parts.order.sort(jobs.flatMap(job => listWaitingSteps(job, now)), now)
     if (waiting.length === 0) return
     const sketch = new FleetSketch(this._parts.book.list())
-    this._noteIdle(waiting)
+    this._noteUrgent(waiting)
     this._applyHolds(sketch, waiting)
     const guaranteed = this._findGuaranteed(jobs)
     for (const one of waiting) this._placeStep(one, sketch, guaranteed)
@@ -93,10 +91,7 @@
 
   /** Core-seconds of all of a job's tasks. */
   computeWork (job: JobState): number {
-    return job.graph.steps.reduce((sum, step) => {
-      const cores = step.cpuMillis / MILLIS_PER_CORE + step.accelerators * CORES_PER_ACCELERATOR
-      return sum + step.count * cores * step.estimatedMs / MS_PER_S
-    }, 0)
+    return job.graph.steps.reduce((sum, step) => sum + step.count * computeCoreSeconds(step, step.estimatedMs), 0)
   }
 
   private _takeBackUnconfirmed (job: JobState): void {
@@ -107,8 +102,7 @@
         if (run.phase !== RunPhase.assigned || worker === undefined || worker.firstContactAt === undefined) continue
         const limitMs = this._parts.times.startConfirmMs * (run.task.step.spec.isGang ? 1 : SINGLE_CONFIRM_FACTOR)
         if (this._now - Math.max(run.assignedAt, worker.firstContactAt) < limitMs) continue
-        if (run.task.step.spec.isGang) this._parts.ledger.stopStep(run.task.step, 'a member of the gang was not started in time', this._now)
-        else this._parts.ledger.stop(run, 'the start was not confirmed in time', this._now)
+        this._parts.ledger.stopWithGang(run, 'the start was not confirmed in time', 'a member of the gang was not started in time', this._now)
       }
     }
   }
@@ -118,10 +112,8 @@
     const { drainsUntil } = worker
     if (drainsUntil === undefined) return
     for (const run of worker.runs) {
-      const { step } = run.task
       if (run.phase === RunPhase.stopping || this._predictEnd(run) <= drainsUntil) continue
-      if (step.spec.isGang) this._parts.ledger.stopStep(step, 'a worker of the gang leaves', this._now)
-      else this._parts.ledger.stop(run, 'its worker leaves', this._now)
+      this._parts.ledger.stopWithGang(run, 'its worker leaves', 'a worker of the gang leaves', this._now)
     }
   }
 
@@ -140,8 +132,7 @@
       const ranMs = run.percentMovedAt - run.runningSince
       const lostMs = spec.isCheckpointing ? Math.min(ranMs, this._parts.times.checkpointMs) : ranMs
       if (stalledMs < lostMs) continue
-      if (spec.isGang) this._parts.ledger.stopStep(run.task.step, 'a member of the gang stands still', this._now)
-      else this._parts.ledger.stop(run, 'it stands still', this._now)
+      this._parts.ledger.stopWithGang(run, 'it stands still', 'a member of the gang stands still', this._now)
     }
   }
 
@@ -181,9 +172,7 @@
 
   /** Core-seconds of the waiting tasks. */
   private _computeStepWork (waiting: WaitingStep): number {
-    const { spec } = waiting.step
-    const cores = spec.cpuMillis / MILLIS_PER_CORE + spec.accelerators * CORES_PER_ACCELERATOR
-    return waiting.tasks.length * cores * this._parts.runTimes.estimate(waiting.step) / MS_PER_S
+    return waiting.tasks.length * computeCoreSeconds(waiting.step.spec, this._parts.runTimes.estimate(waiting.step))
   }
 
   /**
@@ -220,19 +209,19 @@
     return this._now + Math.max(0, this._parts.runTimes.estimate(run.task.step) - elapsedMs)
   }
 
-  /** Notes whether much of the fleet is free, and the steps whose job has waited long with nothing running. */
-  private _noteIdle (waiting: readonly WaitingStep[]): void {
+  /** While much of the fleet is free, notes the steps whose job has waited long with nothing running. */
+  private _noteUrgent (waiting: readonly WaitingStep[]): void {
     let used = 0
     let all = 0
     for (const worker of this._parts.book.list()) {
       all += worker.capacity.accelerators
       for (const run of worker.runs) used += run.task.step.spec.accelerators
     }
-    this._isIdle = used < all * IDLE_SHARE
     this._urgent.clear()
+    if (used >= all * IDLE_SHARE) return
     for (const { step, since } of waiting) {
       const isRunning = listTasks(step.job).some(task => task.runs.length > 0)
-      if (this._isIdle && !isRunning && this._now - since > IDLE_PATIENCE_MS) this._urgent.add(step)
+      if (!isRunning && this._now - since > IDLE_PATIENCE_MS) this._urgent.add(step)
     }
   }
 
--- a/packages/core/src/graphs/jobState.ts
+++ b/packages/core/src/graphs/jobState.ts
@@ -149,3 +149,9 @@
 export function listTasks (job: JobState): TaskState[] {
   return [...job.occurrences.values()].flatMap(steps => steps.flatMap(step => step.tasks))
 }
+
+/** Saves a checkpoint, if there is one; that of one member of a gang is valid for all. */
+export function saveCheckpoint (task: TaskState, checkpoint: string): void {
+  if (checkpoint === '') return
+  for (const one of task.step.spec.isGang ? task.step.tasks : [task]) one.checkpoint = checkpoint
+}
--- a/packages/core/src/graphs/owedOrder.ts
+++ b/packages/core/src/graphs/owedOrder.ts
@@ -2,6 +2,7 @@
  * Orders waiting steps by what is owed: priority 0 first, by the time left to its objective; the rest by value per capacity,
  * where work that can still meet its objective goes before work that can't.
  */
+import { computeCoreSeconds } from './coreSeconds.js'
 import type { QueuePolicy } from './graphTypes.js'
 import type { RunTimes } from './runTimes.js'
 import type { WaitingOrder, WaitingStep } from './waitingStep.js'
@@ -11,12 +12,8 @@
 /** Part of a job's value that doesn't grow with its work, and the factor of the rest; from the users' rules on benefit. */
 const FIXED_VALUE = 0.3
 const VALUE_PER_WORK = 0.7
-/** A GPU counts as so many cores in the users' rules on prices. */
-export const CORES_PER_ACCELERATOR = 8
 /** Objectives up to this factor late still earn; from the users' rules on benefit. */
 const LATE_FACTOR = 3
-const MS_PER_S = 1_000
-const MILLIS_PER_CORE = 1_000
 
 /** What an order needs to know. */
 export interface OwedOrderParts {
@@ -77,9 +74,6 @@
   /** Core-seconds that the occurrence still takes. */
   private _computeWork (waiting: WaitingStep): number {
     const steps = waiting.step.job.occurrences.get(waiting.step.occurrence) ?? []
-    return steps.reduce((sum, step) => {
-      const cores = step.spec.cpuMillis / MILLIS_PER_CORE + step.spec.accelerators * CORES_PER_ACCELERATOR
-      return sum + step.remaining * cores * this._parts.runTimes.estimate(step) / MS_PER_S
-    }, 0)
+    return steps.reduce((sum, step) => sum + step.remaining * computeCoreSeconds(step.spec, this._parts.runTimes.estimate(step)), 0)
   }
 }
--- a/packages/core/src/graphs/placement.ts
+++ b/packages/core/src/graphs/placement.ts
@@ -99,7 +99,8 @@
   return best
 }
 
-function groupByRack (workers: readonly WorkerState[]): Map<string, WorkerState[]> {
+/** Groups workers by their rack. */
+export function groupByRack (workers: readonly WorkerState[]): Map<string, WorkerState[]> {
   const racks = new Map<string, WorkerState[]>()
   for (const worker of workers) {
     const rack = worker.report?.rack ?? ''
--- a/packages/core/src/graphs/plannerLog.ts
+++ b/packages/core/src/graphs/plannerLog.ts
@@ -5,8 +5,3 @@
   /** `event` is a short fixed text; the fields say what was decided upon. */
   note (event: string, fields: Readonly<Record<string, unknown>>): void
 }
-
-/** Drops all notes. */
-export class NoPlannerLog implements PlannerLog {
-  note (): void {}
-}
--- a/packages/core/src/graphs/reclaimChoice.ts
+++ b/packages/core/src/graphs/reclaimChoice.ts
@@ -2,13 +2,14 @@
  * Chooses what has to stop so that a step of priority 0 gets its guaranteed capacity in time, at the least work lost.
  * Answers the load in which borrowers fill the fleet and a guaranteed job arrives.
  */
+import { computeCoreSeconds } from './coreSeconds.js'
 import type { FleetSketch } from './fleetSketch.js'
 import { RunPhase } from './jobState.js'
 import type { RunState, StepState } from './jobState.js'
-import { CORES_PER_ACCELERATOR } from './owedOrder.js'
+import { groupByRack } from './placement.js'
 import type { WaitingStep } from './waitingStep.js'
-import { countFits, returnNeeds } from './workerState.js'
-import type { WorkerState } from './workerState.js'
+import { countFits, returnNeeds, takeNeeds } from './workerState.js'
+import type { FreeCapacity, WorkerState } from './workerState.js'
 
 /** What to stop, and where the step will then have its places. */
 export interface ReclaimPlan {
@@ -34,14 +35,6 @@
   readonly loss: number
 }
 
-interface Free {
-  cpuMillis: number
-  memoryMb: number
-  accelerators: number
-}
-
-const MS_PER_S = 1_000
-const MILLIS_PER_CORE = 1_000
 /** Each stop costs a restart, counted as this many core-seconds beside the lost work, so that few are stopped. */
 const STOP_COST = 2
 /** Time to take up saved work, as a share of the time between two checkpoints: 100 to 250 ms of 2 s at the users' workers. */
@@ -58,20 +51,19 @@
 
 function listSets (eligible: readonly WorkerState[], step: StepState): WorkerState[][] {
   if (!step.spec.isSameRack) return [[...eligible]]
-  const racks = new Map<string, WorkerState[]>()
-  for (const worker of eligible) racks.set(worker.report?.rack ?? '', [...racks.get(worker.report?.rack ?? '') ?? [], worker])
+  const racks = groupByRack(eligible)
   const near = step.spec.dataRack === undefined ? undefined : racks.get(step.spec.dataRack)
   return near === undefined ? [...racks.values()] : [near, ...[...racks.values()].filter(set => set !== near)]
 }
 
 function planFor (waiting: WaitingStep, set: readonly WorkerState[], sketch: FleetSketch, parts: ReclaimParts, now: number): ReclaimPlan | undefined {
   const { step, tasks } = waiting
-  const free = new Map<WorkerState, Free>()
+  const free = new Map<WorkerState, FreeCapacity>()
   for (const worker of set) free.set(worker, { ...sketch.getFree(worker) })
-  const count = (worker: WorkerState): number => Math.min(countFits(free.get(worker) as Free, step.spec), parts.getTaskLimit(worker, step))
+  const count = (worker: WorkerState): number => Math.min(countFits(free.get(worker) as FreeCapacity, step.spec), parts.getTaskLimit(worker, step))
   const countAll = (): number => set.reduce((sum, worker) => sum + count(worker), 0)
   // What is being stopped already will be free soon.
-  for (const worker of set) for (const run of worker.runs) if (run.phase === RunPhase.stopping) returnNeeds(free.get(worker) as Free, run.task.step.spec)
+  for (const worker of set) for (const run of worker.runs) if (run.phase === RunPhase.stopping) returnNeeds(free.get(worker) as FreeCapacity, run.task.step.spec)
   const groups = listGroups(set, parts, now)
   const chosen: VictimGroup[] = []
   while (countAll() < tasks.length) {
@@ -92,7 +84,7 @@
 }
 
 /** The group that gains the most places for its loss; without any gain, the one that frees most for its loss. */
-function pickNext (groups: readonly VictimGroup[], set: readonly WorkerState[], free: Map<WorkerState, Free>, count: (worker: WorkerState) => number): VictimGroup | undefined {
+function pickNext (groups: readonly VictimGroup[], set: readonly WorkerState[], free: Map<WorkerState, FreeCapacity>, count: (worker: WorkerState) => number): VictimGroup | undefined {
   let best: VictimGroup | undefined
   let bestScore = -Infinity
   for (const group of groups) {
@@ -111,18 +103,12 @@
   return best
 }
 
-function giveBack (group: VictimGroup, free: ReadonlyMap<WorkerState, Free>): void {
+function giveBack (group: VictimGroup, free: ReadonlyMap<WorkerState, FreeCapacity>): void {
   for (const [worker, room] of free) for (const run of group.runs) if (worker.runs.has(run)) returnNeeds(room, run.task.step.spec)
 }
 
-function takeBack (group: VictimGroup, free: ReadonlyMap<WorkerState, Free>): void {
-  for (const [worker, room] of free) {
-    for (const run of group.runs) {
-      if (!worker.runs.has(run)) continue
-      const { spec } = run.task.step
-      returnNeeds(room, { cpuMillis: -spec.cpuMillis, memoryMb: -spec.memoryMb, accelerators: -spec.accelerators, isFilling: spec.isFilling })
-    }
-  }
+function takeBack (group: VictimGroup, free: ReadonlyMap<WorkerState, FreeCapacity>): void {
+  for (const [worker, room] of free) for (const run of group.runs) if (worker.runs.has(run)) takeNeeds(room, run.task.step.spec)
 }
 
 function listGroups (set: readonly WorkerState[], parts: ReclaimParts, now: number): VictimGroup[] {
@@ -143,11 +129,11 @@
 }
 
 /** Core-seconds that a stop of the run throws away. */
-export function computeLoss (run: RunState, checkpointMs: number, now: number): number {
+function computeLoss (run: RunState, checkpointMs: number, now: number): number {
   if (run.runningSince === undefined) return 0
   const { spec } = run.task.step
   const ranMs = now - run.runningSince
   // A stop saves the work; what is lost is the time to take it up again, well below the time between two checkpoints.
   const unsavedMs = spec.isCheckpointing ? Math.min(ranMs, checkpointMs * RESUME_SHARE) : ranMs
-  return unsavedMs / MS_PER_S * (spec.cpuMillis / MILLIS_PER_CORE + spec.accelerators * CORES_PER_ACCELERATOR)
+  return computeCoreSeconds(spec, unsavedMs)
 }
--- a/packages/core/src/graphs/runLedger.ts
+++ b/packages/core/src/graphs/runLedger.ts
@@ -3,7 +3,7 @@
  */
 import { JobPhase, RunEnd, isFinalPhase } from './graphTypes.js'
 import { createRun } from './jobProgress.js'
-import { RunPhase, countOccurrences, isActive, listTasks, markChanged } from './jobState.js'
+import { RunPhase, countOccurrences, isActive, listTasks, markChanged, saveCheckpoint } from './jobState.js'
 import type { JobState, RunState, StepState, TaskState } from './jobState.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { RunTimes } from './runTimes.js'
@@ -39,7 +39,7 @@
     const gangRun = Math.max(...step.tasks.map(task => task.lastRun)) + 1
     return placed.map(({ task, worker, ticket }) => {
       task.lastRun = step.spec.isGang ? gangRun : task.lastRun + 1
-      const run = createRun(task, task.lastRun, worker.place, job.version, now, ticket)
+      const run = createRun(task, task.lastRun, worker.key, job.version, now, ticket)
       task.runs.push(run)
       worker.runs.add(run)
       this._parts.log.note('run assigned', { task: task.name, run: run.number, worker: worker.key.id, checkpoint: task.checkpoint })
@@ -74,11 +74,17 @@
     for (const task of step.tasks) for (const run of task.runs) this.stop(run, reason, now)
   }
 
+  /** Asks that a run ends, and with it its gang, each for its own reason. */
+  stopWithGang (run: RunState, reason: string, gangReason: string, now: number): void {
+    if (run.task.step.spec.isGang) this.stopStep(run.task.step, gangReason, now)
+    else this.stop(run, reason, now)
+  }
+
   /** Takes over how a run ended at its worker. */
   end (run: RunState, how: RunEnd, checkpoint: string, now: number): void {
     const { task } = run
     this._remove(run)
-    if (checkpoint !== '') saveCheckpoint(task, checkpoint)
+    saveCheckpoint(task, checkpoint)
     this._parts.log.note('run ended', { task: task.name, run: run.number, worker: run.worker.id, how, forMs: run.runningSince === undefined ? 0 : now - run.runningSince, reason: run.stopReason })
     if (how === RunEnd.done) this._finish(run, now)
     else if (how === RunEnd.failed) this._fail(run, now)
@@ -160,9 +166,3 @@
     step.readySince ??= now
   }
 }
-
-/** A checkpoint of one member of a gang is valid for all. */
-function saveCheckpoint (task: TaskState, checkpoint: string): void {
-  const tasks = task.step.spec.isGang ? task.step.tasks : [task]
-  for (const one of tasks) one.checkpoint = checkpoint
-}
--- a/packages/core/src/graphs/workerBook.ts
+++ b/packages/core/src/graphs/workerBook.ts
@@ -3,7 +3,7 @@
  * can't live any more; a later birth under the same id or address ends the earlier life at once.
  */
 import type { TaskNeeds } from './graphTypes.js'
-import { RunPhase } from './jobState.js'
+import { RunPhase, saveCheckpoint } from './jobState.js'
 import type { RunState, WorkerKey } from './jobState.js'
 import type { PlannerLog } from './plannerLog.js'
 import { computeAuthority } from './plannerTimes.js'
@@ -94,7 +94,7 @@
   expire (now: number): void {
     for (const worker of this.list()) {
       if (now < worker.aliveUntil) continue
-      if (now - worker.contactAt < this._parts.times.contactMs && worker.report?.isReachable === true) continue
+      if (this.isInTouch(worker, now)) continue
       const wasKnown = worker.runs.size > 0 || worker.strays.size > 0
       for (const run of [...worker.runs]) this._parts.ledger.lose(run, 'its worker was silent for longer than a run lives', now)
       worker.strays.clear()
@@ -110,7 +110,7 @@
 
   private _endEarlierLives (report: WorkerReport, now: number): void {
     for (const other of this.list()) {
-      if (other.key.id === report.key.id || other.place.address !== report.address) continue
+      if (other.key.id === report.key.id || other.key.address !== report.address) continue
       if (other.key.born < report.key.born) this._forget(other, `another worker started at its address: ${report.key.id}`, now)
     }
   }
@@ -187,7 +187,7 @@
 
 function noteProgress (run: RunState, listing: RunListing, now: number): void {
   run.usage = listing.usage
-  if (listing.checkpoint !== '') for (const task of run.task.step.spec.isGang ? run.task.step.tasks : [run.task]) task.checkpoint = listing.checkpoint
+  saveCheckpoint(run.task, listing.checkpoint)
   if (listing.percent === run.percent) return
   run.percent = listing.percent
   run.percentMovedAt = now
--- a/packages/core/src/graphs/workerState.ts
+++ b/packages/core/src/graphs/workerState.ts
@@ -22,7 +22,7 @@
 }
 
 export class WorkerState {
-  readonly place: WorkerPlace
+  readonly key: WorkerPlace
   readonly runs = new Set<RunState>()
   readonly strays = new Map<string, StrayRun>()
   /** Last report; undefined for a worker known only from records. */
@@ -43,15 +43,11 @@
   readonly takenEnds: TakenEnd[] = []
   private _seen = 0
 
-  constructor (place: WorkerPlace, aliveUntil: number) {
-    this.place = place
+  constructor (key: WorkerPlace, aliveUntil: number) {
+    this.key = key
     this.aliveUntil = aliveUntil
   }
 
-  get key (): WorkerPlace {
-    return this.place
-  }
-
   /**
    * Returns the number up to which the worker may forget its ends: each is stored, or changes nothing as a planner says that
    * was proven to hold the duty since.
@@ -83,21 +79,22 @@
   }
 }
 
-interface MutableNeeds {
+/** What is free; changed in place while tasks are placed. */
+export interface FreeCapacity {
   cpuMillis: number
   memoryMb: number
   accelerators: number
 }
 
 /** Takes what a task needs from what is free; the processors of a filling task don't count. */
-export function takeNeeds (free: MutableNeeds, needs: TaskNeeds & { readonly isFilling?: boolean }): void {
+export function takeNeeds (free: FreeCapacity, needs: TaskNeeds & { readonly isFilling?: boolean }): void {
   free.cpuMillis -= needs.isFilling === true ? 0 : needs.cpuMillis
   free.memoryMb -= needs.memoryMb
   free.accelerators -= needs.accelerators
 }
 
 /** Gives back what a task needs. */
-export function returnNeeds (free: MutableNeeds, needs: TaskNeeds & { readonly isFilling?: boolean }): void {
+export function returnNeeds (free: FreeCapacity, needs: TaskNeeds & { readonly isFilling?: boolean }): void {
   free.cpuMillis += needs.isFilling === true ? 0 : needs.cpuMillis
   free.memoryMb += needs.memoryMb
   free.accelerators += needs.accelerators
--- a/packages/daemon/src/jobAgent/orderTable.ts
+++ b/packages/daemon/src/jobAgent/orderTable.ts
@@ -1,7 +1,7 @@
 /**
  * The orders that an agent knows of, each with where it stands. A stop bars its run for good.
  */
-import { OrderStatus } from '@dragonflylever/core/graphs/index'
+import { OrderStatus, makeRunKey } from '@dragonflylever/core/graphs/index'
 import type { EndListing, OrderListing, RunListing } from '@dragonflylever/core/graphs/index'
 
 /** How long an order that is settled stays known, in milliseconds; the planner repeats what it still wants. */
@@ -22,8 +22,8 @@
 
   /** Notes a start; false when the run is known already. */
   beginStart (task: string, run: number): boolean {
-    if (this._orders.has(makeKey(task, run))) return false
-    this._orders.set(makeKey(task, run), { task, run, status: OrderStatus.sending, reason: '', stopAnsweredAt: undefined, settledAt: undefined })
+    if (this._orders.has(makeRunKey({ task, run }))) return false
+    this._orders.set(makeRunKey({ task, run }), { task, run, status: OrderStatus.sending, reason: '', stopAnsweredAt: undefined, settledAt: undefined })
     return true
   }
 
@@ -59,7 +59,7 @@
 
   /** A stopped run that a later list doesn't show is gone; returns whether there was one. */
   settleStops (running: readonly RunListing[], holdNumber: number): boolean {
-    const listed = new Set(running.map(one => makeKey(one.task, one.run)))
+    const listed = new Set(running.map(makeRunKey))
     let hasSettled = false
     for (const [key, order] of this._orders) {
       if (order.status !== OrderStatus.stopping || order.stopAnsweredAt === undefined) continue
@@ -73,7 +73,7 @@
 
   /** Forgets orders whose runs have ended; the list of ends tells of those. */
   dropEnded (ended: readonly EndListing[]): void {
-    for (const end of ended) this._orders.delete(makeKey(end.task, end.run))
+    for (const end of ended) this._orders.delete(makeRunKey(end))
   }
 
   /** True while an order waits for its answer or for a list. */
@@ -89,10 +89,6 @@
   }
 
   private _get (task: string, run: number): Order | undefined {
-    return this._orders.get(makeKey(task, run))
+    return this._orders.get(makeRunKey({ task, run }))
   }
 }
-
-function makeKey (task: string, run: number): string {
-  return `${task}/${run}`
-}
--- a/packages/daemon/src/jobAgent/workerClock.ts
+++ b/packages/daemon/src/jobAgent/workerClock.ts
@@ -4,7 +4,7 @@
  */
 
 /** A worker's clock may be this much slower than true time, by the platform's protocol. */
-const SLOWEST_CLOCK = 0.98
+export const SLOWEST_CLOCK = 0.98
 
 export class WorkerClock {
   private _clockMs = 0
--- a/packages/daemon/src/jobEntry/jobFront.ts
+++ b/packages/daemon/src/jobEntry/jobFront.ts
@@ -3,12 +3,11 @@
  * that can't be decided in time is said to be undecided.
  */
 import type { Store, TransactOutcome, Transaction } from '@dragonflylever/adapters'
-import { JobPhase } from '@dragonflylever/core/graphs/index'
-import type { JobGraph, PolicyIndex, RoutedQueue, StepSpec } from '@dragonflylever/core/graphs/index'
+import type { JobGraph, JobPhase, PolicyIndex, RoutedQueue, StepSpec } from '@dragonflylever/core/graphs/index'
 import type { Logger, Metrics } from '@dragonflylever/runtime'
 
-import { decodeState } from '../jobPlanner/graphKeys.js'
-import type { GraphKeys, JobStateRecord } from '../jobPlanner/graphKeys.js'
+import { createQueuedState, decodeState } from '../jobPlanner/graphKeys.js'
+import type { GraphKeys } from '../jobPlanner/graphKeys.js'
 import type { JobStates } from './jobStates.js'
 
 /** What a consumer hands in. */
@@ -34,8 +33,7 @@
   unknownKey: 'unknownKey',
   unknownQueue: 'unknownQueue',
   invalid: 'invalid',
-  storeAway: 'storeAway',
-  stopping: 'stopping'
+  storeAway: 'storeAway'
 } as const
 export type Refusal = typeof Refusal[keyof typeof Refusal]
 
@@ -136,7 +134,7 @@
 
   private async _store (call: FrontCall, graph: JobGraph): Promise<FrontAnswer> {
     const { keys, states } = this._parts
-    const state: JobStateRecord = { phase: JobPhase.queued, queue: graph.queue.name, organisation: graph.organisation, isTimed: graph.repeat !== undefined, acceptedAt: graph.acceptedAt }
+    const state = createQueuedState(graph)
     const specKey = keys.getSpec(graph.id)
     const stateKey = keys.getState(graph.id)
     const outcome = await this._settle(call, {
--- a/packages/daemon/src/jobEntry/jobStates.ts
+++ b/packages/daemon/src/jobEntry/jobStates.ts
@@ -20,7 +20,6 @@
   private readonly _parts: JobStatesParts
   private readonly _follower: PrefixFollower
   private readonly _states = new Map<string, JobStateRecord>()
-  private _isFollowing = false
 
   constructor (parts: JobStatesParts) {
     this._parts = parts
@@ -30,17 +29,12 @@
       onList: values => { for (const value of values) this._take(value) },
       onEvents: events => this._takeEvents(events),
       onHealth: (isFollowing, message) => {
-        this._isFollowing = isFollowing
         if (isFollowing) parts.logger.info({ known: this._states.size }, 'job states followed')
         else parts.logger.warn({ message, known: this._states.size }, 'job states not followed, answering from memory')
       }
     })
   }
 
-  get isFollowing (): boolean {
-    return this._isFollowing
-  }
-
   open (): Promise<void> {
     return this._follower.open()
   }
--- a/packages/daemon/src/jobEntry/policyFollower.ts
+++ b/packages/daemon/src/jobEntry/policyFollower.ts
@@ -15,7 +15,6 @@
   /** Decodes the declarations; undefined when they can't be used. */
   readonly decode: (text: string) => FleetPolicy | undefined
   readonly logger: Logger
-  readonly onChange?: (index: PolicyIndex) => void
 }
 
 export class PolicyFollower {
@@ -69,6 +68,5 @@
     if (this._index !== undefined && policy.version <= this._index.policy.version) return
     this._index = new PolicyIndex(policy)
     logger.info({ version: policy.version, revision: stored.modRevision, queues: policy.queues.length, organisations: policy.organisations.length }, 'declarations in force')
-    this._parts.onChange?.(this._index)
   }
 }
--- a/packages/daemon/src/jobPlanner/agentDesk.ts
+++ b/packages/daemon/src/jobPlanner/agentDesk.ts
@@ -26,18 +26,14 @@
 export class AgentDesk {
   private readonly _parts: AgentDeskParts
   private readonly _held = new Map<string, HeldReport>()
-  /** Addresses of the agents that have reported. */
-  private readonly _agents = new Map<string, string>()
+  /** Names of the agents that have reported. */
+  private readonly _agents = new Set<string>()
 
   constructor (parts: AgentDeskParts) {
     this._parts = parts
   }
 
-  /** Number of agents that have reported to this session. */
-  get agentCount (): number {
-    return this._agents.size
-  }
-
+  /** True when an agent has reported to this session. */
   hasAgent (agent: string): boolean {
     return this._agents.has(agent)
   }
@@ -45,7 +41,7 @@
   /** Takes reports over; resolves with the orders. */
   take (params: RpcParams<'workerReports'>): Promise<RpcResultValue<'workerReports'>> {
     const receivedAt = performance.now()
-    this._agents.set(params.agent, params.address)
+    this._agents.add(params.agent)
     const held = this._held.get(params.agent)
     if (held !== undefined && held.start === params.start && held.number > params.number) return Promise.resolve({ epoch: this._parts.epoch, orders: [] })
     if (held !== undefined) this._answer(params.agent, held, [])
--- a/packages/daemon/src/jobPlanner/graphKeys.ts
+++ b/packages/daemon/src/jobPlanner/graphKeys.ts
@@ -1,7 +1,7 @@
 /**
  * Keys and records of job graphs in the store.
  */
-import { JobPhase } from '@dragonflylever/core/graphs/index'
+import { JobPhase, isTimed } from '@dragonflylever/core/graphs/index'
 import type { JobGraph } from '@dragonflylever/core/graphs/index'
 import { parseJson } from '@dragonflylever/protocol'
 import * as z from 'zod'
@@ -113,6 +113,11 @@
   }
 }
 
+/** Creates the state of a job that was just accepted. */
+export function createQueuedState (graph: JobGraph): JobStateRecord {
+  return { phase: JobPhase.queued, queue: graph.queue.name, organisation: graph.organisation, isTimed: isTimed(graph), acceptedAt: graph.acceptedAt }
+}
+
 /** Decodes a job; undefined when the text is none. */
 export function decodeGraph (text: string): JobGraph | undefined {
   const checked = graphSchema.safeParse(parseJson(text))
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -4,14 +4,14 @@
  */
 import { PrefixFollower } from '@dragonflylever/adapters'
 import type { Store, StoredValue, WatchEvent } from '@dragonflylever/adapters'
-import { GraphPlanner, JobPhase } from '@dragonflylever/core/graphs/index'
+import { GraphPlanner } from '@dragonflylever/core/graphs/index'
 import type { DirtyJob, PlannerTimes, PolicyIndex } from '@dragonflylever/core/graphs/index'
 import type { PeerRpc, RpcParams, RpcResultValue } from '@dragonflylever/protocol'
 import type { ClockReading, Logger, Metrics } from '@dragonflylever/runtime'
 
 import { decodeNode } from '../storeRelay/nodeDirectory.js'
 import { AgentDesk } from './agentDesk.js'
-import { decodeGraph, decodeState } from './graphKeys.js'
+import { createQueuedState, decodeGraph, decodeState } from './graphKeys.js'
 import type { GraphKeys, JobStateRecord } from './graphKeys.js'
 import { ProgressWriter } from './progressWriter.js'
 
@@ -159,8 +159,11 @@
       this._parts.logger.error({ job: jobId, revision: value.modRevision }, 'job unreadable, left alone')
       return
     }
-    if (!this._states.has(jobId)) this._writer.note(jobId, this._progress.get(jobId)?.modRevision ?? 0, JobPhase.queued)
-    if (!this._states.has(jobId)) this._states.set(jobId, { phase: JobPhase.queued, queue: graph.queue.name, organisation: graph.organisation, isTimed: graph.repeat !== undefined, acceptedAt: graph.acceptedAt })
+    if (!this._states.has(jobId)) {
+      const state = createQueuedState(graph)
+      this._states.set(jobId, state)
+      this._writer.note(jobId, this._progress.get(jobId)?.modRevision ?? 0, state.phase)
+    }
     this._planner.addJob(graph, this._progress.get(jobId)?.value, now)
     this._progress.delete(jobId)
   }
