--- a/packages/daemon/test/entry/badInput.test.ts
+++ b/packages/daemon/test/entry/badInput.test.ts
@@ -149,3 +149,44 @@
   const answer = await callRaw(entry.port, paths.map(path => makeHead([...GOOD, 'content-length: 0'], `POST /v1/call${path} HTTP/1.1`)).join(''), 3)
   t.deepEqual(answer.match(/\r\n\r\n(\/[^H]*)/g)?.map(text => text.trim()), paths)
 })
+
+test('a caller whose body is too large reads the whole refusal while it still writes, and may use the connection again', async t => {
+  const { port, served } = await openEntry(t)
+  const socket = connect(port, '127.0.0.1')
+  const errors: Error[] = []
+  socket.on('error', error => errors.push(error))
+  let received = ''
+  socket.on('data', chunk => { received += String(chunk) })
+  const bodyBytes = CallerLimit.requestBodyBytes + 1
+  socket.write(makeHead([...GOOD, `content-length: ${bodyBytes}`]))
+  await once(socket, 'data')
+  const piece = Buffer.alloc(64 * 1024, 'x')
+  for (let sent = 0; sent < bodyBytes; sent += piece.length) {
+    socket.write(piece.subarray(0, Math.min(piece.length, bodyBytes - sent)))
+    await new Promise(resolve => setImmediate(resolve))
+  }
+  socket.write(`${makeHead([...GOOD, 'content-length: 1'])}x`)
+  while (!received.includes('HTTP/1.1 200') && !socket.closed) await Promise.race([once(socket, 'data'), once(socket, 'close')])
+  socket.destroy()
+  t.deepEqual(errors, [])
+  t.regex(received, /^HTTP\/1\.1 413 /)
+  t.is(served.length, 1)
+})
+
+test('a caller that goes on and on with a refused body is cut off', async t => {
+  const { port } = await openEntry(t)
+  const socket = connect(port, '127.0.0.1')
+  socket.on('error', () => {})
+  socket.resume()
+  socket.write(makeHead([...GOOD, 'transfer-encoding: chunked']))
+  const piece = Buffer.alloc(1024 * 1024, 'x')
+  let sent = 0
+  while (!socket.closed && sent < 64 * piece.length) {
+    socket.write(`${piece.length.toString(16)}\r\n`)
+    socket.write(piece)
+    socket.write('\r\n')
+    sent += piece.length
+    await new Promise(resolve => setTimeout(resolve, 1))
+  }
+  t.true(socket.closed)
+})
