--- a/packages/adapters/src/runWorker.ts
+++ b/packages/adapters/src/runWorker.ts
@@ -2,7 +2,7 @@
  * A worker as its agent calls it: starts and stops runs of tasks, and lists them. Everything that runs there lives under one
  * lease, an absolute time of the worker's own clock.
  */
-import type { EndListing, RunListing } from '@dragonflylever/core/graphs/index'
+import type { EndListing, RunListing, StartRefusal } from '@dragonflylever/core/graphs/index'
 
 /** A start of one run. */
 export interface RunStart {
@@ -28,22 +28,6 @@
   readonly waitMs: number
 }
 
-/** Why a start was refused. */
-export const StartRefusal = {
-  /** A later planner has been here. */
-  fenced: 'fenced',
-  /** A run of the task that is not lower was stopped here or ended here. */
-  old: 'old',
-  /** The lease that the start carried is over. */
-  late: 'late',
-  room: 'room',
-  ticket: 'ticket',
-  /** The worker is not well and has done nothing. */
-  unhealthy: 'unhealthy',
-  invalid: 'invalid'
-} as const
-export type StartRefusal = typeof StartRefusal[keyof typeof StartRefusal]
-
 /** `otherLife`: another life of the worker answered. `lost`: the order may have been carried out, or may be yet. */
 export type RunOutcome<T = object> =
   | ({ readonly kind: 'ok', readonly clockMs: number } & T)
--- a/packages/core/src/graphs/runLedger.ts
+++ b/packages/core/src/graphs/runLedger.ts
@@ -7,6 +7,7 @@
 import type { JobState, RunState, StepState, TaskState } from './jobState.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { RunTimes } from './runTimes.js'
+import { StartRefusal } from './workerReport.js'
 import type { WorkerState } from './workerState.js'
 import type { WorkerTrust } from './workerTrust.js'
 
@@ -98,6 +99,12 @@
     this._interrupt(run, now)
   }
 
+  /** Takes a run for gone whose start the worker refused. */
+  refuse (run: RunState, reason: string, now: number): void {
+    if (reason === StartRefusal.unhealthy) this._parts.trust.recordRefusal(run, now)
+    this.lose(run, `refused: ${reason}`, now)
+  }
+
   /** Ends a job; what still runs is stopped. */
   endJob (job: JobState, phase: JobPhase, reason: string, now: number): void {
     if (isFinalPhase(job.phase)) return
--- a/packages/core/src/graphs/workerBook.ts
+++ b/packages/core/src/graphs/workerBook.ts
@@ -169,8 +169,9 @@
       const run = findRun(worker, order)
       if (run === undefined) continue
       if (order.status === OrderStatus.accepted) this._parts.ledger.noteRunning(run, now)
-      if (order.status === OrderStatus.barred) this._parts.ledger.lose(run, run.stopReason, now)
-      if (order.status === OrderStatus.refused) this._parts.ledger.lose(run, `refused: ${order.reason}`, now)
+      if (order.status === OrderStatus.barred && order.reason !== '') this._parts.ledger.refuse(run, order.reason, now)
+      else if (order.status === OrderStatus.barred) this._parts.ledger.lose(run, run.stopReason, now)
+      if (order.status === OrderStatus.refused) this._parts.ledger.refuse(run, order.reason, now)
     }
   }
 }
--- a/packages/core/src/graphs/workerReport.ts
+++ b/packages/core/src/graphs/workerReport.ts
@@ -41,12 +41,28 @@
 } as const
 export type OrderStatus = typeof OrderStatus[keyof typeof OrderStatus]
 
+/** Why a start was refused. */
+export const StartRefusal = {
+  /** A later planner has been here. */
+  fenced: 'fenced',
+  /** A run of the task that is not lower was stopped here or ended here. */
+  old: 'old',
+  /** The lease that the start carried is over. */
+  late: 'late',
+  room: 'room',
+  ticket: 'ticket',
+  /** The worker is not well and has done nothing. */
+  unhealthy: 'unhealthy',
+  invalid: 'invalid'
+} as const
+export type StartRefusal = typeof StartRefusal[keyof typeof StartRefusal]
+
 /** An order that the agent knows of. */
 export interface OrderListing {
   readonly task: string
   readonly run: number
   readonly status: OrderStatus
-  /** Why it was refused; else empty. */
+  /** Why a start was refused, also where the run was barred after that; else empty. */
   readonly reason: string
 }
 
--- a/packages/core/src/graphs/workerTrust.ts
+++ b/packages/core/src/graphs/workerTrust.ts
@@ -1,6 +1,7 @@
 /**
  * Judges workers by what their runs did. Answers the load of workers that fail or stall all that they start while they look
- * healthy: two failures of different jobs in a row keep new work away, for longer each time; then one run proves the worker.
+ * healthy, or refuse starts: two failures of different jobs in a row, a run that stands still or one such refusal keep new work away,
+ * for longer each time; then one run proves the worker.
  */
 import type { RunState } from './jobState.js'
 
@@ -45,6 +46,11 @@
     this._avoid(this._getStanding(run.worker.id), now)
   }
 
+  /** Notes a start that the worker refused because it is not well; it would refuse the next one too. */
+  recordRefusal (run: RunState, now: number): void {
+    this._avoid(this._getStanding(run.worker.id), now)
+  }
+
   /** True while a worker is to get nothing new. */
   isAvoided (workerId: string, now: number): boolean {
     return now < (this._standings.get(workerId)?.avoidUntil ?? 0)
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -5,6 +5,7 @@
 import test from 'ava'
 
 import { PlannerHarness, makeQueue, makeStep } from './plannerHarness.js'
+import type { FakeWorker } from './plannerHarness.js'
 
 const URGENT = makeQueue({ name: 'urgent', priority: 0, stretch: 1.5, targetLatencyMs: 600 })
 
@@ -232,6 +233,20 @@
   t.deepEqual(['d.0.0.0', 'd.0.0.1'].map(task => harness.find(task)?.rack), ['r0', 'r0'])
 })
 
+test('a worker that refuses starts because it is not well gets nothing more for a while', t => {
+  const harness = new PlannerHarness([1, 1])
+  const sick = harness.workers[0] as FakeWorker
+  sick.refusesStarts = true
+  harness.add('a', [makeStep({ count: 2, accelerators: 1 })])
+  harness.run(2_000)
+  t.deepEqual(['a.0.0.0', 'a.0.0.1'].map(task => harness.find(task)?.rack), ['r1', 'r1'])
+  t.is(harness.listNotes('run lost').length, 2)
+  sick.refusesStarts = false
+  harness.add('b', [makeStep({ count: 2, accelerators: 8 })])
+  harness.run(6_000)
+  t.is(harness.find('b.0.0.0')?.rack, 'r0')
+})
+
 test('urgent work goes first, and among the rest what is worth more for its capacity; the baseline goes by arrival', t => {
   for (const [createOrder, expected] of [[undefined, 'urgent'], [() => new ArrivalOrder(), 'large']] as const) {
     const harness = new PlannerHarness([1], createOrder === undefined ? {} : { createOrder })
--- a/packages/core/test/graphs/plannerHarness.ts
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -1,7 +1,7 @@
 /**
  * A planner with workers that do what they are told at once, for tests of single decisions.
  */
-import { GraphPlanner } from '@dragonflylever/core/graphs/index'
+import { GraphPlanner, StartRefusal } from '@dragonflylever/core/graphs/index'
 import type { EndListing, GraphPlannerOptions, JobGraph, OrderListing, PlannerTimes, QueuePolicy, RunEnd, RunListing, StepSpec, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
 
 export const TIMES: PlannerTimes = {
@@ -34,6 +34,8 @@
   isDraining: boolean
   drainLeftMs: number | undefined
   lists: number
+  /** Refuses starts as a worker that is not well does. */
+  refusesStarts: boolean
 }
 
 /** Makes a queue. */
@@ -181,7 +183,10 @@
 
   private _execute (worker: FakeWorker, orders: WorkerOrders): void {
     worker.ended = worker.ended.filter(end => end.number > orders.seen)
-    for (const { task, run, checkpoint } of orders.starts) worker.running.push({ task, run, checkpoint, percent: 0, usage: 0 })
+    for (const { task, run, checkpoint } of orders.starts) {
+      if (worker.refusesStarts) worker.orders.push({ task, run, status: 'refused', reason: StartRefusal.unhealthy })
+      else worker.running.push({ task, run, checkpoint, percent: 0, usage: 0 })
+    }
     for (const { task, run } of orders.stops) {
       if (worker.running.some(one => one.task === task && one.run === run)) this.end(task, 'stopped')
       else worker.orders.push({ task, run, status: 'barred', reason: '' })
@@ -190,5 +195,5 @@
 }
 
 function makeWorker (id: string, rack: string): FakeWorker {
-  return { id, rack, born: 1, address: `${id}:1`, running: [], ended: [], orders: [], ends: 0, isDraining: false, drainLeftMs: undefined, lists: 0 }
+  return { id, rack, born: 1, address: `${id}:1`, running: [], ended: [], orders: [], ends: 0, isDraining: false, drainLeftMs: undefined, lists: 0, refusesStarts: false }
 }
--- a/packages/daemon/src/jobAgent/orderTable.ts
+++ b/packages/daemon/src/jobAgent/orderTable.ts
@@ -27,12 +27,13 @@
     return true
   }
 
-  /** Notes a stop; false when one is under way or done. */
-  beginStop (task: string, run: number): boolean {
+  /** Notes a stop, with why the start was refused if it was; false when one is under way or done. */
+  beginStop (task: string, run: number, refusal = ''): boolean {
     this.beginStart(task, run)
     const order = this._get(task, run)
     if (order === undefined || order.status === OrderStatus.stopping || order.status === OrderStatus.barred) return false
     order.status = OrderStatus.stopping
+    order.reason = refusal
     order.settledAt = undefined
     return true
   }
--- a/packages/daemon/src/jobAgent/workerKeeper.ts
+++ b/packages/daemon/src/jobAgent/workerKeeper.ts
@@ -2,9 +2,8 @@
  * Keeps one life of a worker: carries out its orders, extends its lease as far as the planner's answers permit, and lists what
  * runs and what ended there. It decides nothing about work.
  */
-import { StartRefusal } from '@dragonflylever/adapters'
 import type { HoldResult, RunOutcome, RunWorker } from '@dragonflylever/adapters'
-import { OrderStatus } from '@dragonflylever/core/graphs/index'
+import { OrderStatus, StartRefusal } from '@dragonflylever/core/graphs/index'
 import type { EndListing, RunListing, StartOrder, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
 import type { Logger } from '@dragonflylever/runtime'
 
@@ -166,7 +165,7 @@
         this._parts.logger.warn({ task, run, worker: this._announcement.id, reason: outcome.reason, wasUnanswered }, 'start refused')
         // An earlier try without an answer may still be carried out, and a run that was there has an end to tell. The list
         // that follows a stop settles both.
-        if (wasUnanswered || outcome.reason === StartRefusal.old) this._beginStop(task, run)
+        if (wasUnanswered || outcome.reason === StartRefusal.old) this._beginStop(task, run, outcome.reason)
         else this._orders.set(task, run, OrderStatus.refused, outcome.reason)
         break
       }
@@ -182,8 +181,8 @@
     this._parts.onChange()
   }
 
-  private _beginStop (task: string, run: number): void {
-    if (this._orders.beginStop(task, run)) void this._stop(task, run)
+  private _beginStop (task: string, run: number, refusal: string): void {
+    if (this._orders.beginStop(task, run, refusal)) void this._stop(task, run)
   }
 
   private async _stop (task: string, run: number): Promise<void> {
--- a/packages/daemon/test/graphs/graphWorld.ts
+++ b/packages/daemon/test/graphs/graphWorld.ts
@@ -163,6 +163,15 @@
     this.entryMemory.faults.isDown = isDown
   }
 
+  /** Cuts some nodes off from the store and from all others, or mends it; among themselves they go on. */
+  setSplit (indices: readonly number[], isCut: boolean): void {
+    const inside = indices.map(index => this._getPlace(index))
+    for (const { node } of inside) {
+      node.setStoreCut(isCut)
+      for (const other of this._places) if (!inside.includes(other)) this._peers.setCut(node.address, other.node.address, isCut)
+    }
+  }
+
   /** Names what is wrong at the end, when all faults have been over for long. */
   listFaults (): string[] {
     const faults = [...this.witness.violations]
--- a/packages/standins/src/runs/memoryRunWorker.ts
+++ b/packages/standins/src/runs/memoryRunWorker.ts
@@ -2,6 +2,7 @@
  * A worker within the process, behind calls that may be lost, late or silent.
  */
 import type { HoldRequest, HoldResult, RunOutcome, RunStart, RunWorker } from '@dragonflylever/adapters'
+import { StartRefusal } from '@dragonflylever/core/graphs/index'
 
 import type { RunWorkerEngine } from './runWorkerEngine.js'
 
@@ -14,6 +15,8 @@
   /** The next orders of this number get no answer and are carried out after `lateMs`. */
   lateOrders: number
   lateMs: number
+  /** The next orders of this number after those are refused as by a worker that is not well. */
+  refuseOrders: number
 }
 
 const CALL_LIMIT_MS = 400
@@ -21,7 +24,7 @@
 
 /** Makes faults of which none is on. */
 export function createRunWorkerFaults (): RunWorkerFaults {
-  return { isCut: false, loseAnswers: 0, lateOrders: 0, lateMs: 4_000 }
+  return { isCut: false, loseAnswers: 0, lateOrders: 0, lateMs: 4_000, refuseOrders: 0 }
 }
 
 export class MemoryRunWorker implements RunWorker {
@@ -63,6 +66,10 @@
       setTimeout(() => { if (this._engine.born === born) carryOut() }, this._faults.lateMs)
       return this._wait(CALL_LIMIT_MS)
     }
+    if (this._faults.refuseOrders > 0) {
+      this._faults.refuseOrders--
+      return { kind: 'refused', reason: StartRefusal.unhealthy, clockMs: this._engine.clockMs }
+    }
     const outcome = carryOut()
     if (this._faults.loseAnswers <= 0) return outcome
     this._faults.loseAnswers--
--- a/packages/standins/src/runs/runWorkerEngine.ts
+++ b/packages/standins/src/runs/runWorkerEngine.ts
@@ -2,9 +2,8 @@
  * A worker that runs tasks under one lease, without any I/O: capacity, run numbers, fencing, gangs, checkpoints, ends that are
  * listed until they are seen. Its clock is its own and begins anew with each life.
  */
-import { StartRefusal } from '@dragonflylever/adapters'
 import type { HoldRequest, HoldResult, RunOutcome, RunStart } from '@dragonflylever/adapters'
-import { RunEnd, formatStepName, parseTaskName } from '@dragonflylever/core/graphs/index'
+import { RunEnd, StartRefusal, formatStepName, parseTaskName } from '@dragonflylever/core/graphs/index'
 import type { EndListing, RunListing } from '@dragonflylever/core/graphs/index'
 
 import type { GangHall, GangMember } from './gangHall.js'
--- a/packages/standins/src/storeEngine.ts
+++ b/packages/standins/src/storeEngine.ts
@@ -97,6 +97,11 @@
     return lease.ttlMs
   }
 
+  /** Ends all leases at once, as an outage may. */
+  endLeases (): void {
+    for (const leaseId of [...this._leases.keys()]) this.revokeLease(leaseId)
+  }
+
   /** Ends a lease and removes its keys; false when it is gone already. */
   revokeLease (leaseId: string): boolean {
     const lease = this._leases.get(leaseId)
