Let guaranteed work stop urgent work beyond its guarantee

Cause: work of priority 0 was never stopped, so that one organisation's urgent job of 12 whole workers, far beyond its guarantee, kept another's guaranteed job waiting for 12 s. A test without the bench failed first. What a guarantee covers now goes first and may stop urgent work that none covers; what is covered is still never stopped, and work beyond its guarantee doesn't stop its like.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -51,6 +51,8 @@
 const BEYOND_GUARANTEE_SHARE = 0.1
 /** Progress is listed each second; this long without any, beyond what two steps of it take, means that a run stands still. */
 const STALL_MS = 2_000
+/** Lost work of priority 0 against that of others: the users value it at 4 against 3 and 1. */
+const URGENT_VICTIM_WEIGHT = 2
 /** A hold ends when its step has not come to its place within this many bounds for taking capacity back. */
 const HOLD_BOUNDS = 2
 
@@ -61,6 +63,7 @@
   private _policy: PlannerPolicy = { queues: [], guarantees: [] }
   private _now = 0
   private readonly _urgent = new Set<StepState>()
+  private _guaranteed: ReadonlySet<JobState> = new Set()
 
   constructor (parts: GraphPassParts) {
     this._parts = parts
@@ -85,8 +88,10 @@
     const sketch = new FleetSketch(this._parts.book.list())
     this._noteUrgent(waiting)
     this._applyHolds(sketch, waiting)
-    const guaranteed = this._findGuaranteed(jobs)
-    for (const one of waiting) this._placeStep(one, sketch, guaranteed)
+    this._guaranteed = this._findGuaranteed(jobs)
+    const first = waiting.filter(({ step }) => this._guaranteed.has(step.job))
+    const others = waiting.filter(({ step }) => !this._guaranteed.has(step.job))
+    for (const one of [...first, ...others]) this._placeStep(one, sketch)
   }
 
   /** Core-seconds of all of a job's tasks. */
@@ -136,7 +141,7 @@
     }
   }
 
-  private _placeStep (waiting: WaitingStep, sketch: FleetSketch, guaranteed: ReadonlySet<JobState>): void {
+  private _placeStep (waiting: WaitingStep, sketch: FleetSketch): void {
     const { step } = waiting
     sketch.release(step)
     const placed = this._placement.place(waiting, sketch)
@@ -147,17 +152,18 @@
       return
     }
     const left = waiting.tasks.filter(task => task.runs.length === 0)
-    if (this._getPriority(step.job) === 0) this._reclaim({ ...waiting, tasks: left }, sketch, guaranteed.has(step.job))
+    if (this._getPriority(step.job) === 0) this._reclaim({ ...waiting, tasks: left }, sketch)
   }
 
-  private _reclaim (waiting: WaitingStep, sketch: FleetSketch, isGuaranteed: boolean): void {
+  private _reclaim (waiting: WaitingStep, sketch: FleetSketch): void {
     const { step } = waiting
+    const isGuaranteed = this._guaranteed.has(step.job)
     const held = this._holds.get(step)
     if (held !== undefined) return sketch.hold(step, held.places)
     const plan = chooseReclaim(waiting, sketch, {
       isEligible: (worker, one) => this._isEligible(worker, one),
       getTaskLimit: (worker, one) => this._getTaskLimit(worker, one),
-      getVictimWeight: run => this._getVictimWeight(run),
+      getVictimWeight: run => this._getVictimWeight(run, isGuaranteed),
       checkpointMs: this._parts.times.checkpointMs
     }, this._now)
     const coming = this._findComing(waiting, sketch, plan !== undefined && plan.loss > COSTLY_LOSS)
@@ -258,10 +264,12 @@
     return this._policy.queues.find(one => one.name === queue.name)?.priority ?? queue.priority
   }
 
-  private _getVictimWeight (run: RunState): number {
+  /** What a guarantee covers is never stopped; urgent work beyond one is, but only for work that a guarantee covers. */
+  private _getVictimWeight (run: RunState, isForGuaranteed: boolean): number {
     const { job, spec } = run.task.step
     if (spec.isLongRunning) return Infinity
-    return this._getPriority(job) > 0 ? 1 : Infinity
+    if (this._getPriority(job) > 0) return 1
+    return isForGuaranteed && !this._guaranteed.has(job) ? URGENT_VICTIM_WEIGHT : Infinity
   }
 
   private _isEligible (worker: WorkerState, step: StepState): boolean {
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -116,6 +116,18 @@
   t.is(harness.find('young.0.0.0'), undefined)
 })
 
+test('guaranteed work takes capacity back from urgent work beyond its guarantee, and goes before it', t => {
+  const harness = new PlannerHarness([2])
+  harness.planner.setPolicy({ queues: [], guarantees: [{ organisation: 'o', accelerators: 8 }, { organisation: 'large', accelerators: 8 }] })
+  harness.add('large', [makeStep({ count: 3, accelerators: 8 })], { queue: URGENT, organisation: 'large' })
+  harness.run(500)
+  t.is(harness.workers.filter(worker => worker.running.length > 0).length, 2)
+  harness.add('urgent', [makeStep({ count: 4, accelerators: 2, isGang: true })], { queue: URGENT })
+  harness.run(2_800)
+  t.is(['urgent.0.0.0', 'urgent.0.0.1', 'urgent.0.0.2', 'urgent.0.0.3'].filter(task => harness.find(task) !== undefined).length, 4)
+  t.is(harness.listNotes('capacity taken back').length, 1)
+})
+
 test('a task that failed as often as its queue allows ends its job, and the rest is stopped', t => {
   const harness = new PlannerHarness([3])
   harness.add('a', [makeStep({ count: 2 })], { queue: makeQueue({ maxAttempts: 2 }) })
