Judge runs that a planner took over by the speed that it sees

Cause: a new planner counted the progress of runs that it took over, and of runs from checkpoints, from its own first sight as if they had begun then. It predicted their ends far too early, so that guaranteed work waited for places that did not come, it took their loss for nothing when it chose what to stop, and it learned run times of fractions of a second. Two tests of the planner alone failed first. Progress counts from where it was first seen; run times are learned only from runs that this planner began.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -13,6 +13,7 @@
 import type { PlannerTimes } from './plannerTimes.js'
 import { chooseReclaim } from './reclaimChoice.js'
 import type { RunLedger } from './runLedger.js'
+import { estimateWorkedMs, measureStall, predictEnd } from './runProgress.js'
 import type { RunTimes } from './runTimes.js'
 import { listWaitingSteps } from './waitingStep.js'
 import type { WaitingOrder, WaitingStep } from './waitingStep.js'
@@ -36,8 +37,6 @@
   readonly until: number
 }
 
-/** Progress below this says too little of the time that is left. */
-const MIN_TELLING_PERCENT = 10
 /** A task on its own has no others that wait for it; agents that just started take seconds of processor time to answer. */
 const SINGLE_CONFIRM_FACTOR = 2
 /** After this long a job of which nothing runs takes any place, while half of the fleet is free; the users allow it 3 s. */
@@ -49,8 +48,6 @@
 const COSTLY_LOSS = 400
 /** Work of priority 0 beyond its guarantee may stop other work that loses at most this share of what it does itself. */
 const BEYOND_GUARANTEE_SHARE = 0.1
-/** Progress is listed each second; this long without any, beyond what two steps of it take, means that a run stands still. */
-const STALL_MS = 2_000
 /** Lost work of priority 0 against that of others: the users value it at 4 against 3 and 1. */
 const URGENT_VICTIM_WEIGHT = 2
 /** A hold ends when its step has not come to its place within this many bounds for taking capacity back. */
@@ -128,14 +125,11 @@
    */
   private _moveStalled (worker: WorkerState): void {
     for (const run of worker.runs) {
-      const { spec } = run.task.step
-      if (run.phase !== RunPhase.running || run.runningSince === undefined || spec.isLongRunning || run.percent === 0) continue
-      const stalledMs = Math.min(this._now, worker.listedAt) - run.percentMovedAt
-      const msPerPercent = (run.percentMovedAt - run.runningSince) / run.percent
-      if (stalledMs < STALL_MS + msPerPercent * 2) continue
+      const stalledMs = measureStall(run, Math.min(this._now, worker.listedAt))
+      if (stalledMs === undefined) continue
       this._parts.trust.recordStall(run, this._now)
-      const ranMs = run.percentMovedAt - run.runningSince
-      const lostMs = spec.isCheckpointing ? Math.min(ranMs, this._parts.times.checkpointMs) : ranMs
+      const workedMs = estimateWorkedMs(run, run.percentMovedAt, this._parts.runTimes.estimate(run.task.step))
+      const lostMs = run.task.step.spec.isCheckpointing ? Math.min(workedMs, this._parts.times.checkpointMs) : workedMs
       if (stalledMs < lostMs) continue
       this._parts.ledger.stopWithGang(run, 'it stands still', 'a member of the gang stands still', this._now)
     }
@@ -164,8 +158,9 @@
       isEligible: (worker, one) => this._isEligible(worker, one),
       getTaskLimit: (worker, one) => this._getTaskLimit(worker, one),
       getVictimWeight: run => this._getVictimWeight(run, isGuaranteed),
+      estimateWorkedMs: run => estimateWorkedMs(run, this._now, this._parts.runTimes.estimate(run.task.step)),
       checkpointMs: this._parts.times.checkpointMs
-    }, this._now)
+    })
     const coming = this._findComing(waiting, sketch, plan !== undefined && plan.loss > COSTLY_LOSS)
     if (coming !== undefined) return sketch.hold(step, coming)
     if (plan === undefined) return
@@ -205,14 +200,8 @@
     return places
   }
 
-  /** Predicts when a run ends, on the planner's clock: from its progress, or from what its like took. */
   private _predictEnd (run: RunState): number {
-    if (run.phase === RunPhase.stopping) return (run.stoppingSince ?? this._now) + this._parts.times.stopGraceMs
-    if (run.runningSince === undefined) return Infinity
-    const elapsedMs = this._now - run.runningSince
-    const isTelling = run.percent >= MIN_TELLING_PERCENT && run.percent < 100
-    if (isTelling) return run.percentMovedAt + (run.percentMovedAt - run.runningSince) * (100 - run.percent) / run.percent
-    return this._now + Math.max(0, this._parts.runTimes.estimate(run.task.step) - elapsedMs)
+    return predictEnd(run, this._now, this._parts.runTimes.estimate(run.task.step), this._parts.times.stopGraceMs)
   }
 
   /** While much of the fleet is free, notes the steps whose job has waited long with nothing running. */
--- a/packages/core/src/graphs/jobProgress.ts
+++ b/packages/core/src/graphs/jobProgress.ts
@@ -89,7 +89,7 @@
   task.lastRun = lastRun
   task.checkpoint = checkpoint
   for (const workerId of failedOn) task.failedOn.add(workerId)
-  for (const [number, id, born, address] of runs) task.runs.push(createRun(task, number, { id, born, address }, 0, now, undefined))
+  for (const [number, id, born, address] of runs) task.runs.push({ ...createRun(task, number, { id, born, address }, 0, now, undefined), isTakenOver: true })
 }
 
 /** Creates the state of a run that was just decided. */
@@ -100,6 +100,7 @@
     worker,
     version,
     assignedAt: now,
+    isTakenOver: false,
     ticket,
     phase: RunPhase.assigned,
     runningSince: undefined,
@@ -107,6 +108,7 @@
     stopReason: '',
     percent: 0,
     percentMovedAt: now,
+    firstSight: undefined,
     usage: 0,
     pace: 100,
     toldPace: 100,
--- a/packages/core/src/graphs/jobState.ts
+++ b/packages/core/src/graphs/jobState.ts
@@ -36,6 +36,8 @@
   /** The job's version from which on the run is in its record. */
   readonly version: number
   readonly assignedAt: number
+  /** True when an earlier planner began it, so that this one doesn't know since when it works. */
+  readonly isTakenOver: boolean
   readonly ticket: string | undefined
   phase: RunPhase
   /** When the worker first listed it, and when it was asked to stop, on the planner's clock. */
@@ -46,6 +48,8 @@
   /** Progress as the worker lists it, 0 to 100, and when it last moved. */
   percent: number
   percentMovedAt: number
+  /** The progress from which on this planner has seen it move, and when that was, on its clock. */
+  firstSight: { readonly percent: number, readonly at: number } | undefined
   /** Load figure of the last half second: tail latency in ms for serving tasks, else processors in use. */
   usage: number
   /** Share of speed that the run is to have, 0 to 100, and the one that its agent was last told. */
--- a/packages/core/src/graphs/reclaimChoice.ts
+++ b/packages/core/src/graphs/reclaimChoice.ts
@@ -25,6 +25,8 @@
   readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
   /** Weight of stopping a run; Infinity when it must not be stopped. */
   readonly getVictimWeight: (run: RunState) => number
+  /** Estimates how long a run has worked, in milliseconds. */
+  readonly estimateWorkedMs: (run: RunState) => number
   /** Work between two checkpoints, in milliseconds. */
   readonly checkpointMs: number
 }
@@ -41,10 +43,10 @@
 const RESUME_SHARE = 0.125
 
 /** Finds the cheapest way to make room; undefined when there is none. */
-export function chooseReclaim (waiting: WaitingStep, sketch: FleetSketch, parts: ReclaimParts, now: number): ReclaimPlan | undefined {
+export function chooseReclaim (waiting: WaitingStep, sketch: FleetSketch, parts: ReclaimParts): ReclaimPlan | undefined {
   const { step } = waiting
   const eligible = sketch.workers.filter(worker => parts.isEligible(worker, step))
-  const plans = listSets(eligible, step).map(set => planFor(waiting, set, sketch, parts, now)).filter(plan => plan !== undefined)
+  const plans = listSets(eligible, step).map(set => planFor(waiting, set, sketch, parts)).filter(plan => plan !== undefined)
   plans.sort((a, b) => a.loss - b.loss)
   return plans[0]
 }
@@ -56,7 +58,7 @@
   return near === undefined ? [...racks.values()] : [near, ...[...racks.values()].filter(set => set !== near)]
 }
 
-function planFor (waiting: WaitingStep, set: readonly WorkerState[], sketch: FleetSketch, parts: ReclaimParts, now: number): ReclaimPlan | undefined {
+function planFor (waiting: WaitingStep, set: readonly WorkerState[], sketch: FleetSketch, parts: ReclaimParts): ReclaimPlan | undefined {
   const { step, tasks } = waiting
   const free = new Map<WorkerState, FreeCapacity>()
   for (const worker of set) free.set(worker, { ...sketch.getFree(worker) })
@@ -64,7 +66,7 @@
   const countAll = (): number => set.reduce((sum, worker) => sum + count(worker), 0)
   // What is being stopped already will be free soon.
   for (const worker of set) for (const run of worker.runs) if (run.phase === RunPhase.stopping) returnNeeds(free.get(worker) as FreeCapacity, run.task.step.spec)
-  const groups = listGroups(set, parts, now)
+  const groups = listGroups(set, parts)
   const chosen: VictimGroup[] = []
   while (countAll() < tasks.length) {
     const next = pickNext(groups, set, free, count)
@@ -111,7 +113,7 @@
   for (const [worker, room] of free) for (const run of group.runs) if (worker.runs.has(run)) takeNeeds(room, run.task.step.spec)
 }
 
-function listGroups (set: readonly WorkerState[], parts: ReclaimParts, now: number): VictimGroup[] {
+function listGroups (set: readonly WorkerState[], parts: ReclaimParts): VictimGroup[] {
   const groups: VictimGroup[] = []
   const seen = new Set<RunState>()
   for (const worker of set) {
@@ -121,7 +123,7 @@
       for (const one of runs) seen.add(one)
       const weight = Math.max(...runs.map(parts.getVictimWeight))
       if (weight === Infinity) continue
-      const loss = runs.reduce((sum, one) => sum + computeLoss(one, parts.checkpointMs, now), 0)
+      const loss = runs.reduce((sum, one) => sum + computeLoss(one, parts), 0)
       groups.push({ runs, loss: loss * weight })
     }
   }
@@ -129,11 +131,10 @@
 }
 
 /** Core-seconds that a stop of the run throws away. */
-function computeLoss (run: RunState, checkpointMs: number, now: number): number {
-  if (run.runningSince === undefined) return 0
+function computeLoss (run: RunState, parts: ReclaimParts): number {
   const { spec } = run.task.step
-  const ranMs = now - run.runningSince
+  const workedMs = parts.estimateWorkedMs(run)
   // A stop saves the work; what is lost is the time to take it up again, well below the time between two checkpoints.
-  const unsavedMs = spec.isCheckpointing ? Math.min(ranMs, checkpointMs * RESUME_SHARE) : ranMs
+  const unsavedMs = spec.isCheckpointing ? Math.min(workedMs, parts.checkpointMs * RESUME_SHARE) : workedMs
   return computeCoreSeconds(spec, unsavedMs)
 }
--- a/packages/core/src/graphs/runLedger.ts
+++ b/packages/core/src/graphs/runLedger.ts
@@ -132,7 +132,7 @@
 
   private _finish (run: RunState, now: number): void {
     this._parts.trust.recordDone(run, now)
-    if (run.startCheckpoint === '' && run.runningSince !== undefined) this._parts.runTimes.learn(run.task.step, now - run.runningSince)
+    if (run.startCheckpoint === '' && !run.isTakenOver && run.runningSince !== undefined) this._parts.runTimes.learn(run.task.step, now - run.runningSince)
     this._finishTask(run.task, now)
   }
 
--- a/packages/core/src/graphs/workerBook.ts
+++ b/packages/core/src/graphs/workerBook.ts
@@ -10,6 +10,7 @@
 import { computeAuthority } from './plannerTimes.js'
 import type { PlannerTimes } from './plannerTimes.js'
 import type { RunLedger } from './runLedger.js'
+import { noteProgress } from './runProgress.js'
 import { parseTaskName } from './taskName.js'
 import type { TaskName } from './taskName.js'
 import { OrderStatus } from './workerReport.js'
@@ -160,7 +161,7 @@
     const run = findRun(worker, listing)
     if (run !== undefined) {
       this._parts.ledger.noteRunning(run, now)
-      return noteProgress(run, listing, now)
+      return takeListing(run, listing, now)
     }
     const key = makeRunKey(listing)
     if (ended.has(key) || worker.strays.has(key)) return
@@ -199,10 +200,8 @@
   return undefined
 }
 
-function noteProgress (run: RunState, listing: RunListing, now: number): void {
+function takeListing (run: RunState, listing: RunListing, now: number): void {
   run.usage = listing.usage
   saveCheckpoint(run.task, listing.checkpoint)
-  if (listing.percent === run.percent) return
-  run.percent = listing.percent
-  run.percentMovedAt = now
+  noteProgress(run, listing.percent, now)
 }
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -167,6 +167,44 @@
   t.is(harness.listNotes('capacity taken back').length, 0)
 })
 
+test('a new planner judges runs that it took over by the speed that it sees, not as if they had just begun', t => {
+  const harness = new PlannerHarness([1])
+  harness.planner.setPolicy({ queues: [], guarantees: [{ organisation: 'o', accelerators: 8 }] })
+  harness.add('old', [makeStep({ accelerators: 8, estimatedMs: 10_000 })])
+  for (let percent = 0; percent <= 50; percent += 1) {
+    harness.run(100)
+    harness.setPercent('old.0.0.0', percent)
+  }
+  harness.replacePlanner()
+  harness.planner.setPolicy({ queues: [], guarantees: [{ organisation: 'o', accelerators: 8 }] })
+  for (let percent = 51; percent <= 60; percent++) {
+    harness.run(100)
+    harness.setPercent('old.0.0.0', percent)
+  }
+  // 4 s are left, more than guaranteed work may wait: the stop comes at once.
+  harness.add('urgent', [makeStep({ accelerators: 8, estimatedMs: 20_000 })], { queue: URGENT })
+  harness.run(300)
+  t.is(harness.listNotes('capacity taken back').length, 1)
+  t.true(Number(harness.listNotes('capacity taken back')[0]?.['loss']) > 300)
+})
+
+test('a new planner learns no run time from a run that it took over', t => {
+  const harness = new PlannerHarness([1])
+  harness.add('old', [makeStep({ accelerators: 8, estimatedMs: 10_000 })])
+  harness.run(9_900)
+  harness.replacePlanner()
+  harness.run(200)
+  harness.end('old.0.0.0', 'done')
+  harness.run(200)
+  // Some 2.1 s are left to the next one, more than guaranteed work may wait. Had 0.2 s been learned, it would seem less.
+  harness.planner.setPolicy({ queues: [], guarantees: [{ organisation: 'o', accelerators: 8 }] })
+  harness.add('next', [makeStep({ accelerators: 8, estimatedMs: 2_400 })])
+  harness.run(300)
+  harness.add('urgent', [makeStep({ accelerators: 8, estimatedMs: 20_000 })], { queue: URGENT })
+  harness.run(200)
+  t.is(harness.listNotes('capacity taken back').length, 1)
+})
+
 test('what can\'t end at a worker that leaves moves at once, and what can ends there', t => {
   const harness = new PlannerHarness([1, 1])
   harness.add('long', [makeStep({ accelerators: 4, estimatedMs: 20_000, isCheckpointing: true })])
