Take the planner's duty back at once when its process starts again at the same host

Under the same name and address the former process is gone, and its writes are conditional on the key that is removed. Not done for other names or addresses: only the lease tells there.

--- a/packages/daemon/src/duties/dutyHolder.ts
+++ b/packages/daemon/src/duties/dutyHolder.ts
@@ -136,13 +136,26 @@
     const { store, duty } = this._options
     const found = await store.get(this._key)
     if (found.kind !== 'ok') return found
-    if (found.value !== undefined) return { kind: 'other', view: decodeDuty(duty, found.value) }
+    if (found.value !== undefined && !await this._removeOwn(found.value)) return { kind: 'other', view: decodeDuty(duty, found.value) }
     const begunAt = readClocks()
     const lease = await store.grantLease(this._options.times?.ttlMs ?? DUTY_TTL_MS)
     if (lease.kind !== 'ok') return { kind: 'unavailable', message: lease.kind === 'expired' ? 'the lease ran out' : lease.message }
     return this._claim(lease.leaseId, begunAt, begunAt.monotonicMs + lease.ttlMs - MARGIN_MS)
   }
 
+  /**
+   * Removes the key that an earlier process under this name and address left behind; that process is gone, as this one listens at
+   * its address. Only where every act is conditional on the key, so that nothing of the earlier process can take effect later.
+   */
+  private async _removeOwn (stored: StoredValue): Promise<boolean> {
+    const { store, duty, holder, getAddress, isFencedByStore, logger } = this._options
+    const view = decodeDuty(duty, stored)
+    if (isFencedByStore !== true || view.holder !== holder || view.address !== getAddress()) return false
+    const removed = await store.remove(this._key, { kind: 'revision', modRevision: stored.modRevision })
+    logger.info({ duty, epoch: view.epoch, outcome: removed.kind }, 'duty of an earlier process here given up')
+    return removed.kind === 'ok'
+  }
+
   private async _claim (leaseId: string, begunAt: ClockReading, validUntil: number): Promise<TakeOutcome> {
     const { store, duty, holder, getAddress } = this._options
     const record: DutyRecord = { holder, address: getAddress(), nonce: randomUUID() }
--- a/packages/daemon/src/jobPlanner/plannerCandidate.ts
+++ b/packages/daemon/src/jobPlanner/plannerCandidate.ts
@@ -102,13 +102,18 @@
   }
 
   private _onChange (view: DutyView | undefined): void {
-    if (view === undefined) return this._schedule()
+    if (view === undefined || this._isLeftBehind(view)) return this._schedule()
     clearTimeout(this._attempt)
     this._attempt = undefined
     if (view.epoch !== this._holder.epoch && this._holder.epoch !== undefined && view.epoch > this._holder.epoch) this._holder.noteLoss()
     this._parts.onPlanner()
   }
 
+  /** True for the duty of an earlier process under this name and address. */
+  private _isLeftBehind (view: DutyView): boolean {
+    return view.holder === this._parts.name && view.address === this._parts.address && view.epoch !== this._holder.epoch
+  }
+
   private _schedule (): void {
     if (this._isClosed || this._session !== undefined) return
     this._attempt ??= setTimeout(() => { void this._try() }, this._parts.delayMs)
--- /dev/null
+++ b/packages/daemon/test/jobPlanner/leftBehindDuty.test.ts
@@ -0,0 +1,62 @@
+/**
+ * A planner's process that ends without a word and starts again at the same host takes its duty back without waiting for the lease.
+ */
+import { NoMetrics, createLogger } from '@dragonflylever/runtime'
+import { MemoryPeers, MemoryStore, StoreEngine } from '@dragonflylever/standins'
+import FakeTimers from '@sinonjs/fake-timers'
+import test from 'ava'
+
+import { PlannerCandidate } from '../../src/jobPlanner/plannerCandidate.js'
+import { KEYS, PREFIX, TIMES, createClient } from '../graphs/graphNode.js'
+
+const DELAY_MS = 50
+
+function createCandidate (memory: MemoryStore, peers: MemoryPeers, name: string, address: string): PlannerCandidate {
+  return new PlannerCandidate({
+    store: createClient(memory),
+    prefix: PREFIX,
+    keys: KEYS,
+    name,
+    address,
+    peers: peers.createClient(address),
+    logger: createLogger({ level: 'silent', processId: 'test' }),
+    metrics: new NoMetrics(),
+    times: TIMES,
+    delayMs: DELAY_MS,
+    getPolicy: () => undefined,
+    onSession: () => {},
+    onPlanner: () => {}
+  })
+}
+
+for (const [title, name, address, isTakenAtOnce] of [
+  ['the process that starts again at its host takes its duty back at once', 'a', 'a:1', true],
+  ['a process of the same name at another address waits for the lease', 'a', 'b:1', false],
+  ['a process of another name waits for the lease', 'b', 'a:1', false]
+] as const) {
+  test.serial(title, async t => {
+    const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance', 'Date'] })
+    t.teardown(() => clock.uninstall())
+    const engine = new StoreEngine()
+    const peers = new MemoryPeers()
+    const memory = new MemoryStore({ engine })
+    const killed = createCandidate(memory, peers, 'a', 'a:1')
+    await killed.open(peers.open('a:1'))
+    await clock.tickAsync(1_000)
+    t.truthy(killed.session)
+    const firstEpoch = killed.planner?.epoch ?? 0
+    memory.faults.isDown = true
+    const next = createCandidate(new MemoryStore({ engine }), peers, name, address)
+    await next.open(peers.open(address))
+    await clock.tickAsync(300)
+    t.is(next.session !== undefined, isTakenAtOnce)
+    if (isTakenAtOnce) t.true((next.planner?.epoch ?? 0) > firstEpoch)
+    await clock.tickAsync(5_000)
+    engine.expire()
+    await clock.tickAsync(1_000)
+    t.truthy(next.session)
+    void killed.close()
+    void next.close()
+    await clock.tickAsync(2_000)
+  })
+}
