--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -52,6 +52,7 @@
   private readonly _pass: GraphPass
   private _policy: PlannerPolicy = { queues: [], guarantees: [] }
   private _provenAt = -Infinity
+  private _checkpointsStoredAt = -Infinity
 
   constructor (options: GraphPlannerOptions) {
     const { log, times, getWallTime } = options
@@ -109,6 +110,7 @@
   plan (now: number): void {
     this._addDueOccurrences()
     this._book.expire(now)
+    this._storeCheckpoints(now)
     this._pass.run([...this._jobs.values()], this._policy, now)
   }
 
@@ -160,6 +162,13 @@
     return removed
   }
 
+  /** Stores new checkpoints now and then, all together, so that a loss of planner and workers at once loses little work. */
+  private _storeCheckpoints (now: number): void {
+    if (now - this._checkpointsStoredAt < this._options.times.checkpointMs) return
+    this._checkpointsStoredAt = now
+    for (const job of this._jobs.values()) if (job.hasNewCheckpoint && isActive(job)) markChanged(job)
+  }
+
   private _addDueOccurrences (): void {
     const wallTime = this._options.getWallTime()
     for (const job of this._jobs.values()) {
--- a/packages/core/src/graphs/jobState.ts
+++ b/packages/core/src/graphs/jobState.ts
@@ -97,6 +97,8 @@
   phase: JobPhase
   version: number
   durableVersion: number
+  /** True when a checkpoint came since the job was last marked for storing. */
+  hasNewCheckpoint: boolean
   /** Occurrences by number; made when due. */
   readonly occurrences: Map<number, StepState[]>
   doneOccurrences: number
@@ -107,7 +109,7 @@
 
 /** Creates a job's state without any occurrence. */
 export function createJobState (graph: JobGraph, now: number): JobState {
-  return { graph, phase: JobPhase.queued, version: 0, durableVersion: 0, occurrences: new Map(), doneOccurrences: 0, endedAt: undefined, takenAt: now }
+  return { graph, phase: JobPhase.queued, version: 0, durableVersion: 0, hasNewCheckpoint: false, occurrences: new Map(), doneOccurrences: 0, endedAt: undefined, takenAt: now }
 }
 
 /** Creates the steps of an occurrence. */
@@ -132,6 +134,7 @@
 /** Notes a change that has to be stored. */
 export function markChanged (job: JobState): void {
   job.version++
+  job.hasNewCheckpoint = false
 }
 
 /** True while a job may still start tasks. */
@@ -156,6 +159,7 @@
 
 /** Saves a checkpoint, if there is one; that of one member of a gang is valid for all. */
 export function saveCheckpoint (task: TaskState, checkpoint: string): void {
-  if (checkpoint === '') return
+  if (checkpoint === '' || checkpoint === task.checkpoint) return
+  task.step.job.hasNewCheckpoint = true
   for (const one of task.step.spec.isGang ? task.step.tasks : [task]) one.checkpoint = checkpoint
 }
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -205,6 +205,19 @@
   t.is(harness.listNotes('capacity taken back').length, 1)
 })
 
+test('checkpoints outlive a loss of the planner and the worker together', t => {
+  const harness = new PlannerHarness([1])
+  harness.add('a', [makeStep({ isCheckpointing: true })])
+  harness.run(500)
+  const worker = harness.workers[0] as FakeWorker
+  worker.running = worker.running.map(run => ({ ...run, checkpoint: 'c1' }))
+  harness.run(2_500)
+  harness.replacePlanner()
+  harness.replaceWorker(worker, 'other')
+  harness.run(500)
+  t.deepEqual(harness.listNotes('run assigned').map(note => note['checkpoint']), ['', 'c1'])
+})
+
 test('what can\'t end at a worker that leaves moves at once, and what can ends there', t => {
   const harness = new PlannerHarness([1, 1])
   harness.add('long', [makeStep({ accelerators: 4, estimatedMs: 20_000, isCheckpointing: true })])
