Don't take a gang's member that waits for the others at its end for one that stands still

Cause: tasks of one step differ in length; in a gang the shorter ones list 99 percent until the longest is done. Each counted as standing still after some 2 s, its gang was stopped, and its worker got nothing new.

--- a/packages/core/src/graphs/runProgress.ts
+++ b/packages/core/src/graphs/runProgress.ts
@@ -10,6 +10,8 @@
 /** Progress is listed each second; this long without any, beyond what two steps of it take, means that a run stands still. */
 const STALL_MS = 2_000
 const WHOLE_PERCENT = 100
+/** Workers list no more than this before the end; members of a gang that are done before the others stay there. */
+const LAST_PERCENT = 99
 
 /** Takes over what a worker lists. */
 export function noteProgress (run: RunState, percent: number, now: number): void {
@@ -38,7 +40,8 @@
 
 /** Returns for how long a run has stood still, beyond what two steps of its progress may take; undefined while it moves. */
 export function measureStall (run: RunState, now: number): number | undefined {
-  if (run.phase !== RunPhase.running || run.task.step.spec.isLongRunning) return undefined
+  const { spec } = run.task.step
+  if (run.phase !== RunPhase.running || spec.isLongRunning || (spec.isGang && run.percent >= LAST_PERCENT)) return undefined
   const { firstSight } = run
   if (firstSight === undefined || run.percent <= firstSight.percent) return undefined
   const msPerPercent = (run.percentMovedAt - firstSight.at) / (run.percent - firstSight.percent)
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -285,6 +285,17 @@
   t.not(harness.find('a.0.0.0'), worker)
 })
 
+test('a member of a gang that waits for the others at its end doesn\'t stand still', t => {
+  const harness = new PlannerHarness([1])
+  harness.add('a', [makeStep({ count: 2, isGang: true })])
+  for (let percent = 1; percent <= 200; percent++) {
+    harness.run(100)
+    if (percent <= 99) harness.setPercent('a.0.0.0', percent)
+    harness.setPercent('a.0.0.1', Math.floor(percent / 2))
+  }
+  t.is(harness.listNotes('run stopping').length, 0)
+})
+
 test('guaranteed work waits up to its bound, though late, when a stop would lose much and a place comes before that', t => {
   const harness = new PlannerHarness([1])
   harness.planner.setPolicy({ queues: [URGENT, makeQueue()], guarantees: [{ organisation: 'o', accelerators: 8 }] })
