Take no report of an agent that a later one has overtaken

Cause: reports are sent beside each other at each news; an older one that came after a newer one was taken over unless the newer was held back, so that ended runs seemed stray and new ones missing, and sound runs were stopped.

--- a/packages/daemon/src/jobPlanner/agentDesk.ts
+++ b/packages/daemon/src/jobPlanner/agentDesk.ts
@@ -5,8 +5,6 @@
 import type { RpcParams, RpcResultValue, WorkerOrdersMessage } from '@dragonflylever/protocol'
 
 interface HeldReport {
-  readonly number: number
-  readonly start: string
   readonly keys: readonly WorkerKey[]
   readonly receivedAt: number
   readonly timer: NodeJS.Timeout
@@ -26,8 +24,8 @@
 export class AgentDesk {
   private readonly _parts: AgentDeskParts
   private readonly _held = new Map<string, HeldReport>()
-  /** Names of the agents that have reported. */
-  private readonly _agents = new Set<string>()
+  /** The newest report of each agent. */
+  private readonly _newest = new Map<string, { readonly start: string, readonly number: number }>()
 
   constructor (parts: AgentDeskParts) {
     this._parts = parts
@@ -35,15 +33,15 @@
 
   /** True when an agent has reported to this session. */
   hasAgent (agent: string): boolean {
-    return this._agents.has(agent)
+    return this._newest.has(agent)
   }
 
   /** Takes reports over; resolves with the orders. */
   take (params: RpcParams<'workerReports'>): Promise<RpcResultValue<'workerReports'>> {
     const receivedAt = performance.now()
-    this._agents.add(params.agent)
+    if (this._isOvertaken(params)) return Promise.resolve({ epoch: this._parts.epoch, orders: [] })
+    this._newest.set(params.agent, { start: params.start, number: params.number })
     const held = this._held.get(params.agent)
-    if (held !== undefined && held.start === params.start && held.number > params.number) return Promise.resolve({ epoch: this._parts.epoch, orders: [] })
     if (held !== undefined) this._answer(params.agent, held, [])
     const keys: WorkerKey[] = []
     for (const report of params.reports) {
@@ -52,7 +50,7 @@
     }
     const result = new Promise<RpcResultValue<'workerReports'>>(resolve => {
       const timer = setTimeout(() => this._release(params.agent), params.waitMs)
-      this._held.set(params.agent, { number: params.number, start: params.start, keys, receivedAt, timer, resolve })
+      this._held.set(params.agent, { keys, receivedAt, timer, resolve })
     })
     this._parts.onReports()
     return result
@@ -69,6 +67,12 @@
     for (const [agent, held] of this._held) this._answer(agent, held, [])
   }
 
+  /** A report that a later one of the same process has overtaken tells what is over: runs that ended would seem missing or stray. */
+  private _isOvertaken (params: RpcParams<'workerReports'>): boolean {
+    const newest = this._newest.get(params.agent)
+    return newest !== undefined && newest.start === params.start && newest.number > params.number
+  }
+
   private _release (agent: string): void {
     const held = this._held.get(agent)
     if (held === undefined) return
--- /dev/null
+++ b/packages/daemon/test/jobPlanner/agentDesk.test.ts
@@ -0,0 +1,45 @@
+/**
+ * The planner's desk takes the newest report of each agent only.
+ */
+import { GraphPlanner } from '@dragonflylever/core/graphs/index'
+import type { WorkerReport } from '@dragonflylever/core/graphs/index'
+import type { RpcParams } from '@dragonflylever/protocol'
+import test from 'ava'
+
+import { AgentDesk } from '../../src/jobPlanner/agentDesk.js'
+import { TIMES } from '../graphs/graphNode.js'
+
+function makeParams (start: string, number: number, listNumber: number, running: WorkerReport['running']): RpcParams<'workerReports'> {
+  const report: WorkerReport = {
+    key: { id: 'w', born: 1 },
+    address: 'a:1',
+    service: 's',
+    rack: 'r',
+    labels: [],
+    failureDomain: 'd',
+    region: 'r',
+    capacity: { cpuMillis: 8_000, memoryMb: 8_000, accelerators: 8 },
+    isDraining: false,
+    drainLeftMs: undefined,
+    isOver: false,
+    isReachable: true,
+    leaseLeftMs: 0,
+    listNumber,
+    running,
+    ended: [],
+    orders: []
+  }
+  return { agent: 'agent', address: 'a:2', start, number, waitMs: 1, reports: [report] as never }
+}
+
+test('a report that a later one has overtaken changes nothing, and the first of a new process counts', async t => {
+  const notes: string[] = []
+  const planner = new GraphPlanner({ times: TIMES, getWallTime: () => 0, log: { note: event => { notes.push(event) } } })
+  const desk = new AgentDesk({ planner, epoch: 1, mayGrant: () => true, onReports: () => {} })
+  const old = [{ task: '1.0.0.0', run: 1, checkpoint: '', percent: 5, usage: 0 }]
+  t.is((await desk.take(makeParams('one', 2, 2, []))).orders.length, 1)
+  t.is((await desk.take(makeParams('one', 1, 1, old))).orders.length, 0)
+  t.false(notes.includes('stray run'))
+  t.is((await desk.take(makeParams('two', 1, 1, old))).orders.length, 1)
+  t.true(notes.includes('stray run'))
+})
