Weigh what urgent work beyond its guarantee may stop by what it is worth, and make passes cheaper

Decisions, each with a test that failed first: guaranteed work stops what is not urgent before urgent work beyond its guarantee; such urgent work may stop more the larger it is, while it can still be in time, and little once it is late; a gang that failed keeps away from the worker of the member that failed, and tasks prefer workers without failures.

--- /dev/null
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -0,0 +1,164 @@
+/**
+ * Makes room for work of priority 0: waits for places that come in time, else stops what loses least, and holds the places until
+ * they are free. What a guarantee covers gets its places within the bound whatever that costs; urgent work beyond it only stops
+ * what is worth less than its own being in time.
+ */
+import { computeCoreSeconds } from './coreSeconds.js'
+import type { FleetSketch, HeldPlaces } from './fleetSketch.js'
+import type { JobState, RunState, StepState } from './jobState.js'
+import type { Placement } from './placement.js'
+import type { PlannerLog } from './plannerLog.js'
+import type { PlannerTimes } from './plannerTimes.js'
+import { chooseReclaim } from './reclaimChoice.js'
+import type { ReclaimPlan } from './reclaimChoice.js'
+import type { RunLedger } from './runLedger.js'
+import { estimateWorkedMs, predictEnd } from './runProgress.js'
+import type { RunTimes } from './runTimes.js'
+import type { WaitingStep } from './waitingStep.js'
+import type { WorkerState } from './workerState.js'
+
+/** What a reclaim works with. */
+export interface CapacityReclaimParts {
+  readonly times: PlannerTimes
+  readonly runTimes: RunTimes
+  readonly ledger: RunLedger
+  readonly log: PlannerLog
+  readonly placement: Placement
+  readonly isEligible: (worker: WorkerState, step: StepState) => boolean
+  readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
+  readonly getPriority: (job: JobState) => number
+}
+
+interface Hold {
+  readonly places: HeldPlaces
+  readonly until: number
+}
+
+/** Time from an order to stop until a start in its place, beside the stop itself, in milliseconds. */
+const STOP_ORDER_MS = 700
+/**
+ * Core-seconds whose loss is worth as much as one urgent job of mean size in time instead of late, by the users' prices (up to 0.003
+ * each) and values (4 in time, 0.8 late), less what the stopped work loses by being late itself.
+ */
+const URGENT_WORTH = 400
+/** Part of a job's value that doesn't grow with its work, the factor of the rest, and its bound; from the users' rules on benefit. */
+const FIXED_VALUE = 0.3
+const VALUE_PER_WORK = 0.7
+const MAX_WORK_SHARE = 4
+/** Urgent work that is late anyway may stop other work that loses at most this share of what it does itself. */
+const LATE_LOSS_SHARE = 0.1
+/** A hold ends when its step has not come to its place within this many bounds for taking capacity back. */
+const HOLD_BOUNDS = 2
+
+export class CapacityReclaim {
+  private readonly _parts: CapacityReclaimParts
+  private readonly _holds = new Map<StepState, Hold>()
+  private _guaranteed: ReadonlySet<JobState> = new Set()
+  private _now = 0
+
+  constructor (parts: CapacityReclaimParts) {
+    this._parts = parts
+  }
+
+  /** Begins a pass: drops holds that are over or of no use any more, and takes the others' places. */
+  begin (sketch: FleetSketch, waiting: readonly WaitingStep[], guaranteed: ReadonlySet<JobState>, now: number): void {
+    this._guaranteed = guaranteed
+    this._now = now
+    const steps = new Set(waiting.map(one => one.step))
+    for (const [step, hold] of this._holds) {
+      const isUsable = [...hold.places.keys()].every(worker => this._parts.isEligible(worker, step))
+      if (!steps.has(step) || now > hold.until || !isUsable) this._holds.delete(step)
+      else sketch.hold(step, hold.places)
+    }
+  }
+
+  /** Notes that a step has all its places. */
+  end (step: StepState): void {
+    this._holds.delete(step)
+  }
+
+  /** Finds room for a step that has none, by waiting for it or by stopping other work. */
+  makeRoom (waiting: WaitingStep, sketch: FleetSketch): void {
+    const { step } = waiting
+    const held = this._holds.get(step)
+    if (held !== undefined) return sketch.hold(step, held.places)
+    const plan = this._choosePlan(waiting, sketch)
+    const coming = this._findComing(waiting, sketch, plan !== undefined && plan.loss > URGENT_WORTH)
+    if (coming !== undefined) return sketch.hold(step, coming)
+    if (plan === undefined || plan.loss > this._computeAllowance(waiting)) return
+    this._parts.log.note('capacity taken back', { step: step.name, victims: plan.victims.map(run => run.task.name), loss: Math.round(plan.loss), waitedMs: this._now - waiting.since })
+    for (const run of plan.victims) this._parts.ledger.stop(run, `capacity taken back for ${step.name}`, this._now)
+    this._holds.set(step, { places: plan.places, until: this._now + HOLD_BOUNDS * this._parts.times.reclaimMs })
+    sketch.hold(step, plan.places)
+  }
+
+  private _choosePlan (waiting: WaitingStep, sketch: FleetSketch): ReclaimPlan | undefined {
+    const { isEligible, getTaskLimit, times } = this._parts
+    const isGuaranteed = this._guaranteed.has(waiting.step.job)
+    return chooseReclaim(waiting, sketch, {
+      isEligible,
+      getTaskLimit,
+      getStopCost: run => this._getStopCost(run, isGuaranteed),
+      estimateWorkedMs: run => estimateWorkedMs(run, this._now, this._estimate(run.task.step)),
+      checkpointMs: times.checkpointMs
+    })
+  }
+
+  /** What a guarantee covers is never stopped; urgent work beyond one is, but only for work that a guarantee covers. */
+  private _getStopCost (run: RunState, isForGuaranteed: boolean): number {
+    const { job, spec } = run.task.step
+    if (spec.isLongRunning) return Infinity
+    if (this._parts.getPriority(job) > 0) return 0
+    return isForGuaranteed && !this._guaranteed.has(job) ? URGENT_WORTH : Infinity
+  }
+
+  /** Core-seconds that may be lost to make room for a step. */
+  private _computeAllowance (waiting: WaitingStep): number {
+    const { step } = waiting
+    if (this._guaranteed.has(step.job)) return Infinity
+    const work = waiting.tasks.length * computeCoreSeconds(step.spec, this._estimate(step))
+    const least = work * LATE_LOSS_SHARE
+    const spareMs = this._computeSlack(step) - this._parts.times.stopGraceMs - STOP_ORDER_MS - (this._now - waiting.since)
+    if (spareMs < 0) return least
+    const mean = this._parts.runTimes.getMeanWork(step.job.graph.queue.name) ?? work
+    const share = mean === 0 ? 1 : Math.min(MAX_WORK_SHARE, work / mean)
+    return Math.max(least, URGENT_WORTH * (FIXED_VALUE + VALUE_PER_WORK * share))
+  }
+
+  /** How long a step may wait and still end within its job's objective, in milliseconds. */
+  private _computeSlack (step: StepState): number {
+    const { queue } = step.job.graph
+    return (queue.stretch - 1) * this._estimate(step) + queue.targetLatencyMs
+  }
+
+  /**
+   * Places that will be free soon enough without stopping anything; undefined when there aren't enough. While a stop is cheap, soon
+   * enough is in time for the objective; else it is within the bound for taking capacity back, though late.
+   */
+  private _findComing (waiting: WaitingStep, sketch: FleetSketch, isStopCostly: boolean): Map<WorkerState, number> | undefined {
+    const { reclaimMs, stopGraceMs } = this._parts.times
+    const waitMs = (isStopCostly ? reclaimMs : Math.min(reclaimMs, this._computeSlack(waiting.step))) - stopGraceMs - STOP_ORDER_MS
+    const until = waiting.since + waitMs
+    if (this._now >= until) return undefined
+    const future = sketch.copy()
+    for (const worker of sketch.workers) {
+      for (const run of worker.runs) if (this._predictEnd(run) < until) future.return(worker, run.task.step.spec)
+    }
+    const placed = this._parts.placement.place(waiting, future)
+    if (placed.length < waiting.tasks.length) return undefined
+    const places = new Map<WorkerState, number>()
+    for (const { worker } of placed) places.set(worker, (places.get(worker) ?? 0) + 1)
+    return places
+  }
+
+  /** Members of a gang end together, with the last of them. */
+  private _predictEnd (run: RunState): number {
+    const { step } = run.task
+    const runs = step.spec.isGang ? step.tasks.flatMap(task => task.runs) : [run]
+    return Math.max(...runs.map(one => predictEnd(one, this._now, this._estimate(step), this._parts.times.stopGraceMs)))
+  }
+
+  private _estimate (step: StepState): number {
+    return this._parts.runTimes.estimate(step)
+  }
+}
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -111,7 +111,7 @@
     this._addDueOccurrences()
     this._book.expire(now)
     this._storeCheckpoints(now)
-    this._pass.run([...this._jobs.values()], this._policy, now)
+    this._pass.run([...this._jobs.values()].filter(isActive), this._policy, now)
   }
 
   /** Lists the jobs whose state has changed since it was last stored. */
--- /dev/null
+++ b/packages/core/src/graphs/guaranteedJobs.ts
@@ -0,0 +1,29 @@
+/**
+ * Which jobs of priority 0 their organisations' guarantees cover, the oldest first.
+ */
+import { isActive } from './jobState.js'
+import type { JobState } from './jobState.js'
+import type { PlannerPolicy } from './plannerPolicy.js'
+
+/** Finds the covered jobs; `getPriority` says what a job's queue has now. */
+export function findGuaranteedJobs (jobs: readonly JobState[], policy: PlannerPolicy, getPriority: (job: JobState) => number): Set<JobState> {
+  const byOrganisation = new Map<string, JobState[]>()
+  for (const job of jobs) {
+    if (!isActive(job) || getPriority(job) !== 0) continue
+    byOrganisation.set(job.graph.organisation, [...byOrganisation.get(job.graph.organisation) ?? [], job])
+  }
+  const guaranteed = new Set<JobState>()
+  for (const { organisation, accelerators } of policy.guarantees) {
+    const own = (byOrganisation.get(organisation) ?? []).sort((a, b) => a.graph.acceptedAt - b.graph.acceptedAt)
+    let used = 0
+    for (const job of own) {
+      used += countAccelerators(job)
+      if (used <= accelerators) guaranteed.add(job)
+    }
+  }
+  return guaranteed
+}
+
+function countAccelerators (job: JobState): number {
+  return job.graph.steps.reduce((sum, step) => sum + step.count * step.accelerators, 0)
+}
--- a/packages/core/src/graphs/placement.ts
+++ b/packages/core/src/graphs/placement.ts
@@ -8,6 +8,11 @@
 import { countFits } from './workerState.js'
 import type { WorkerState } from './workerState.js'
 
+/** Scores of workers, in processor cores left: a failure outweighs any room, one of the task itself any number of others. */
+const OWN_FAILURE_SCORE = 10_000_000
+const FAILURE_SCORE = 100_000
+const ACCELERATOR_SCORE = 1_000
+
 /** A task with its worker. */
 export interface PlacedTask {
   readonly task: TaskState
@@ -20,6 +25,8 @@
   readonly isEligible: (worker: WorkerState, step: StepState) => boolean
   /** Most further tasks of the step that a worker may get, whatever is free. */
   readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
+  /** Failures of different jobs at a worker since its last success. */
+  readonly countFailures: (worker: WorkerState) => number
   /** True when the step has waited for its rack for so long that a slower place is better. */
   readonly isPatienceOver: (waiting: WaitingStep) => boolean
 }
@@ -75,28 +82,35 @@
     const room = new Map(group.map(worker => [worker, Math.min(sketch.countFits(worker, step), this._parts.getTaskLimit(worker, step))]))
     const placed: PlacedTask[] = []
     for (const task of tasks) {
-      const worker = pickTightest(task, room, sketch)
+      const worker = this._pickTightest(task, room, sketch)
       if (worker === undefined) continue
       room.set(worker, (room.get(worker) ?? 0) - 1)
       placed.push({ task, worker })
     }
     return placed
   }
-}
 
-/** Prefers workers on which the task has not failed, then the one with the fewest places left. */
-function pickTightest (task: TaskState, room: ReadonlyMap<WorkerState, number>, sketch: FleetSketch): WorkerState | undefined {
-  let best: WorkerState | undefined
-  let bestScore = Infinity
-  for (const [worker, count] of room) {
-    if (count < 1) continue
-    const free = sketch.getFree(worker)
-    const score = (task.failedOn.has(worker.key.id) ? 1_000_000 : 0) + free.accelerators * 1_000 + free.cpuMillis / 1_000
-    if (score >= bestScore) continue
-    best = worker
-    bestScore = score
+  /** Prefers workers at which the task has not failed, then those without failures, then the one with the least room to spare. */
+  private _pickTightest (task: TaskState, room: ReadonlyMap<WorkerState, number>, sketch: FleetSketch): WorkerState | undefined {
+    let best: WorkerState | undefined
+    let bestScore = Infinity
+    for (const [worker, count] of room) {
+      if (count < 1) continue
+      const free = sketch.getFree(worker)
+      const doubt = (hasFailedAt(task, worker) ? OWN_FAILURE_SCORE : 0) + this._parts.countFailures(worker) * FAILURE_SCORE
+      const score = doubt + free.accelerators * ACCELERATOR_SCORE + free.cpuMillis / 1_000
+      if (score >= bestScore) continue
+      best = worker
+      bestScore = score
+    }
+    return best
   }
-  return best
+}
+
+/** True when the task, or any member of its gang, has failed at a worker: a gang fails again wherever its faulty place is. */
+function hasFailedAt (task: TaskState, worker: WorkerState): boolean {
+  const { step } = task
+  return step.spec.isGang ? step.tasks.some(one => one.failedOn.has(worker.key.id)) : task.failedOn.has(worker.key.id)
 }
 
 /** Groups workers by their rack. */
--- a/packages/core/src/graphs/reclaimChoice.ts
+++ b/packages/core/src/graphs/reclaimChoice.ts
@@ -4,6 +4,7 @@
  */
 import { computeCoreSeconds } from './coreSeconds.js'
 import type { FleetSketch } from './fleetSketch.js'
+import type { StepSpec } from './graphTypes.js'
 import { RunPhase } from './jobState.js'
 import type { RunState, StepState } from './jobState.js'
 import { groupByRack } from './placement.js'
@@ -23,8 +24,8 @@
 export interface ReclaimParts {
   readonly isEligible: (worker: WorkerState, step: StepState) => boolean
   readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
-  /** Weight of stopping a run; Infinity when it must not be stopped. */
-  readonly getVictimWeight: (run: RunState) => number
+  /** What stopping a run costs beside its lost work, in core-seconds; Infinity when it must not be stopped. */
+  readonly getStopCost: (run: RunState) => number
   /** Estimates how long a run has worked, in milliseconds. */
   readonly estimateWorkedMs: (run: RunState) => number
   /** Work between two checkpoints, in milliseconds. */
@@ -35,6 +36,8 @@
 interface VictimGroup {
   readonly runs: readonly RunState[]
   readonly loss: number
+  /** Those of the runs that lie at workers of the set, with what is free there. */
+  readonly places: ReadonlyArray<{ readonly worker: WorkerState, readonly room: FreeCapacity, readonly needs: StepSpec }>
 }
 
 /** Each stop costs a restart, counted as this many core-seconds beside the lost work, so that few are stopped. */
@@ -66,14 +69,14 @@
   const countAll = (): number => set.reduce((sum, worker) => sum + count(worker), 0)
   // What is being stopped already will be free soon.
   for (const worker of set) for (const run of worker.runs) if (run.phase === RunPhase.stopping) returnNeeds(free.get(worker) as FreeCapacity, run.task.step.spec)
-  const groups = listGroups(set, parts)
+  const groups = listGroups(free, parts)
   const chosen: VictimGroup[] = []
   while (countAll() < tasks.length) {
-    const next = pickNext(groups, set, free, count)
+    const next = pickNext(groups, count)
     if (next === undefined) return undefined
     chosen.push(next)
     groups.splice(groups.indexOf(next), 1)
-    giveBack(next, free)
+    giveBack(next)
   }
   const places = new Map<WorkerState, number>()
   let left = tasks.length
@@ -86,16 +89,15 @@
 }
 
 /** The group that gains the most places for its loss; without any gain, the one that frees most for its loss. */
-function pickNext (groups: readonly VictimGroup[], set: readonly WorkerState[], free: Map<WorkerState, FreeCapacity>, count: (worker: WorkerState) => number): VictimGroup | undefined {
+function pickNext (groups: readonly VictimGroup[], count: (worker: WorkerState) => number): VictimGroup | undefined {
   let best: VictimGroup | undefined
   let bestScore = -Infinity
   for (const group of groups) {
-    const touched = set.filter(worker => group.runs.some(run => worker.runs.has(run)))
-    if (touched.length === 0) continue
+    const touched = [...new Set(group.places.map(place => place.worker))]
     const before = touched.reduce((sum, worker) => sum + count(worker), 0)
-    giveBack(group, free)
+    giveBack(group)
     const gained = touched.reduce((sum, worker) => sum + count(worker), 0) - before
-    takeBack(group, free)
+    takeBack(group)
     const size = group.runs.reduce((sum, run) => sum + run.task.step.spec.accelerators, 0) + 0.1
     const score = gained > 0 ? 1_000 + gained / (group.loss + STOP_COST) : size / (group.loss + STOP_COST) / 1_000
     if (score <= bestScore) continue
@@ -105,26 +107,32 @@
   return best
 }
 
-function giveBack (group: VictimGroup, free: ReadonlyMap<WorkerState, FreeCapacity>): void {
-  for (const [worker, room] of free) for (const run of group.runs) if (worker.runs.has(run)) returnNeeds(room, run.task.step.spec)
+function giveBack (group: VictimGroup): void {
+  for (const { room, needs } of group.places) returnNeeds(room, needs)
 }
 
-function takeBack (group: VictimGroup, free: ReadonlyMap<WorkerState, FreeCapacity>): void {
-  for (const [worker, room] of free) for (const run of group.runs) if (worker.runs.has(run)) takeNeeds(room, run.task.step.spec)
+function takeBack (group: VictimGroup): void {
+  for (const { room, needs } of group.places) takeNeeds(room, needs)
 }
 
-function listGroups (set: readonly WorkerState[], parts: ReclaimParts): VictimGroup[] {
+function listGroups (free: ReadonlyMap<WorkerState, FreeCapacity>, parts: ReclaimParts): VictimGroup[] {
   const groups: VictimGroup[] = []
   const seen = new Set<RunState>()
-  for (const worker of set) {
+  const workersByKey = new Map([...free.keys()].map(worker => [worker.key.id, worker]))
+  for (const worker of free.keys()) {
     for (const run of worker.runs) {
       if (seen.has(run) || run.phase === RunPhase.stopping) continue
       const runs = run.task.step.spec.isGang ? run.task.step.tasks.flatMap(task => task.runs) : [run]
       for (const one of runs) seen.add(one)
-      const weight = Math.max(...runs.map(parts.getVictimWeight))
-      if (weight === Infinity) continue
-      const loss = runs.reduce((sum, one) => sum + computeLoss(one, parts), 0)
-      groups.push({ runs, loss: loss * weight })
+      const stopCost = Math.max(...runs.map(parts.getStopCost))
+      if (stopCost === Infinity) continue
+      const loss = runs.reduce((sum, one) => sum + computeLoss(one, parts), stopCost)
+      const places = runs.flatMap(one => {
+        const at = workersByKey.get(one.worker.id)
+        const room = at === undefined ? undefined : free.get(at)
+        return at === undefined || room === undefined ? [] : [{ worker: at, room, needs: one.task.step.spec }]
+      })
+      groups.push({ runs, loss, places })
     }
   }
   return groups
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -266,6 +266,39 @@
   t.is(harness.find('next.0.0.0'), undefined)
 })
 
+test('large urgent work beyond its guarantee may stop more than small, and nothing much once it is late anyway', t => {
+  const harness = new PlannerHarness([4])
+  harness.planner.setPolicy({ queues: [], guarantees: [] })
+  const urgent = { queue: URGENT }
+  for (const id of ['a', 'b', 'c', 'd']) {
+    harness.add(id, [makeStep({ estimatedMs: 3_000 })], urgent)
+    harness.run(200)
+    harness.end(`${id}.0.0.0`, 'done')
+    harness.run(200)
+  }
+  harness.add('old', [makeStep({ count: 4, accelerators: 8, estimatedMs: 30_000 })])
+  harness.run(3_000)
+  harness.add('small', [makeStep({ accelerators: 8, estimatedMs: 400 })], urgent)
+  harness.run(300)
+  harness.add('large', [makeStep({ count: 2, accelerators: 8, isGang: true, estimatedMs: 9_000 })], urgent)
+  harness.run(3_000)
+  t.truthy(harness.find('large.0.0.0'))
+  t.deepEqual(harness.listNotes('capacity taken back').map(note => note['step']), ['large.0.0'])
+})
+
+test('guaranteed work stops what is not urgent first, though more is lost', t => {
+  const harness = new PlannerHarness([2])
+  harness.planner.setPolicy({ queues: [], guarantees: [{ organisation: 'o', accelerators: 8 }] })
+  harness.add('plain', [makeStep({ accelerators: 8, estimatedMs: 30_000 })], { organisation: 'large' })
+  harness.run(4_000)
+  harness.add('beyond', [makeStep({ accelerators: 8, estimatedMs: 30_000 })], { queue: URGENT, organisation: 'large' })
+  harness.run(300)
+  harness.add('covered', [makeStep({ accelerators: 8, estimatedMs: 3_000 })], { queue: URGENT })
+  harness.run(2_900)
+  t.truthy(harness.find('covered.0.0.0'))
+  t.truthy(harness.find('beyond.0.0.0'))
+})
+
 test('a run that stands still moves once it has stood for as long as the work that it loses took, and its worker gets nothing new', t => {
   const harness = new PlannerHarness([1, 1])
   harness.add('a', [makeStep({ accelerators: 4, estimatedMs: 10_000 })])
@@ -332,6 +365,17 @@
   t.deepEqual(['d.0.0.0', 'd.0.0.1'].map(task => harness.find(task)?.rack), ['r0', 'r0'])
 })
 
+test('a gang that failed keeps away from the worker of the member that failed, whichever member it was', t => {
+  const harness = new PlannerHarness([3])
+  harness.add('a', [makeStep({ count: 2, accelerators: 8, isGang: true })])
+  harness.run(300)
+  const faulty = harness.find('a.0.0.0')
+  harness.end('a.0.0.0', 'failed')
+  harness.run(1_000)
+  t.is(harness.listNotes('run assigned').length, 4)
+  t.false([harness.find('a.0.0.0'), harness.find('a.0.0.1')].includes(faulty))
+})
+
 test('a worker that refuses starts because it is not well gets nothing more for a while', t => {
   const harness = new PlannerHarness([1, 1])
   const sick = harness.workers[0] as FakeWorker
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -19,6 +19,8 @@
 const TICK_MS = 200
 /** Reports and jobs that come within this time are planned together, in milliseconds. */
 const PLAN_DELAY_MS = 4
+/** The next pass waits for this many times as long as the last one took, so that reports are still taken on a busy day. */
+const PLAN_REST_FACTOR = 2
 const RETRY_MS = 150
 const REMOVE_INTERVAL_MS = 5_000
 /** Agents that have not reported by then are told who plans, in milliseconds. */
@@ -53,6 +55,7 @@
   private readonly _timers: NodeJS.Timeout[] = []
   private _follower: PrefixFollower | undefined
   private _planning: NodeJS.Timeout | undefined
+  private _lastPassMs = 0
   private _isLoaded = false
   private _isClosed = false
 
@@ -173,7 +176,7 @@
     this._planning ??= setTimeout(() => {
       this._planning = undefined
       this._plan()
-    }, PLAN_DELAY_MS)
+    }, Math.max(PLAN_DELAY_MS, this._lastPassMs * PLAN_REST_FACTOR))
   }
 
   private _plan (): void {
@@ -186,7 +189,8 @@
     this._planner.plan(startedAt)
     this._writer.flush()
     this._desk.releaseReady()
-    this._parts.metrics.time('plan_ms', performance.now() - startedAt)
+    this._lastPassMs = performance.now() - startedAt
+    this._parts.metrics.time('plan_ms', this._lastPassMs)
     this._parts.metrics.gauge('jobs_active', this._planner.activeCount)
   }
 
