Give nothing up right after the planner stood still itself

Cause: the judgement of silent workers counts time in which the planner itself took no reports, as on a busy host or a suspended one. A test of the planner alone failed first. The test of ends that change nothing modelled silence by a jump of the planner's clock, which now is a stall; it lets the time pass instead, its checks are the same.

--- a/packages/core/src/graphs/workerBook.ts
+++ b/packages/core/src/graphs/workerBook.ts
@@ -29,9 +29,14 @@
 /** What is taken for a stray run of an unknown job: all of the worker. */
 const ALL_OF_A_WORKER: TaskNeeds = { cpuMillis: Infinity, memoryMb: Infinity, accelerators: Infinity }
 
+/** Passes come several times a second; a longer gap means that the planner itself stood still and heard nobody. */
+const OWN_STALL_MS = 1_000
+
 export class WorkerBook {
   private readonly _parts: WorkerBookParts
   private readonly _workers = new Map<string, WorkerState>()
+  private _lookedAt: number | undefined
+  private _judgesFrom = -Infinity
 
   constructor (parts: WorkerBookParts) {
     this._parts = parts
@@ -92,8 +97,14 @@
     worker.aliveUntil = Math.max(worker.aliveUntil, receivedAt + computeAuthority(this._parts.times))
   }
 
-  /** Gives up the runs of workers that have been silent for so long that nothing can run there. */
+  /**
+   * Gives up the runs of workers that have been silent for so long that nothing can run there. After a stall of its own the planner
+   * waits until the reports that came meanwhile have been taken.
+   */
   expire (now: number): void {
+    if (now - (this._lookedAt ?? now) > OWN_STALL_MS) this._judgesFrom = now + this._parts.times.contactMs
+    this._lookedAt = now
+    if (now < this._judgesFrom) return
     for (const worker of this.list()) {
       if (now < worker.aliveUntil) continue
       if (this.isInTouch(worker, now)) continue
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -44,8 +44,9 @@
   const worker = harness.workers[0]
   if (worker === undefined) return t.fail()
   const key = { id: worker.id, born: worker.born }
-  harness.now += 20_000
-  harness.planner.plan(harness.now)
+  harness.workers.splice(0, 1)
+  harness.run(20_000)
+  harness.workers.push(worker)
   t.is(harness.listNotes('run lost').length, 1)
   harness.end('a.0.0.0', 'lapsed')
   harness.planner.acceptReport(harness.report(worker), harness.now)
@@ -54,6 +55,20 @@
   t.is(harness.planner.answerReport(key, harness.now, true)?.seen, 1)
 })
 
+test('a planner that stood still itself gives nothing up before it has heard the workers again', t => {
+  const harness = new PlannerHarness([1, 1])
+  harness.add('a', [makeStep()])
+  harness.run(300)
+  harness.now += 20_000
+  harness.planner.plan(harness.now)
+  t.is(harness.listNotes('run lost').length, 0)
+  harness.run(5_000)
+  t.is(harness.listNotes('run lost').length, 0)
+  harness.workers.length = 0
+  harness.run(7_500)
+  t.is(harness.listNotes('run lost').length, 1)
+})
+
 test('a task that was done by a run that was given up is done, stored before the end is forgotten, and its newer run stops', t => {
   const harness = new PlannerHarness([1, 1])
   harness.add('a', [makeStep({ count: 2 }), makeStep({ after: [0] })])
