Take a leaving worker for over only when nobody listens at its address

Cause: any call that was not sent counted, also one whose connection did not come about in time on a busy host; a deregistration names no life, so that a late one of an earlier life could mark a sound worker, whose runs were then started elsewhere at once. A test of the keeper failed first.

--- a/packages/adapters/src/runWorker.ts
+++ b/packages/adapters/src/runWorker.ts
@@ -33,7 +33,8 @@
   | ({ readonly kind: 'ok', readonly clockMs: number } & T)
   | { readonly kind: 'refused', readonly reason: StartRefusal, readonly clockMs: number | undefined }
   | { readonly kind: 'otherLife' }
-  | { readonly kind: 'notSent', readonly message: string }
+  /** `isRefused`: nobody listens at the worker's address. */
+  | { readonly kind: 'notSent', readonly message: string, readonly isRefused: boolean }
   | { readonly kind: 'lost', readonly message: string }
 
 /** What a worker lists. */
--- a/packages/daemon/src/jobAgent/workerKeeper.ts
+++ b/packages/daemon/src/jobAgent/workerKeeper.ts
@@ -210,7 +210,7 @@
       if (leaseUntil !== undefined && outcome.kind !== 'notSent') this._clock.noteLease(leaseUntil)
       this._noteClock(outcome)
       if (outcome.kind === 'otherLife') return this._parts.onOtherLife()
-      if (outcome.kind === 'notSent' && this._isLeaving) {
+      if (outcome.kind === 'notSent' && outcome.isRefused && this._isLeaving) {
         this.noteOver()
         return this._parts.onChange()
       }
--- a/packages/daemon/test/jobAgent/workerKeeper.test.ts
+++ b/packages/daemon/test/jobAgent/workerKeeper.test.ts
@@ -16,6 +16,8 @@
   stops = 0
   answerStart: (start: RunStart) => RunOutcome = () => ({ kind: 'ok', clockMs: 1 })
   lists: HoldResult = { born: 1, running: [], ended: [] }
+  /** Set while no connection to the worker comes about. */
+  failure: Extract<RunOutcome, { kind: 'notSent' }> | undefined
 
   async start (start: RunStart): Promise<RunOutcome> {
     this.starts.push(start)
@@ -29,6 +31,7 @@
 
   async hold (request: HoldRequest): Promise<RunOutcome<HoldResult>> {
     await sleep(Math.min(20, request.waitMs))
+    if (this.failure !== undefined) return this.failure
     return { kind: 'ok', clockMs: 1, ...this.lists }
   }
 
@@ -117,3 +120,15 @@
   await waitForOrder(keeper, one => one.status === 'accepted')
   t.is(worker.starts[0]?.leaseUntil, 7_000)
 })
+
+test('a worker that leaves is over once nobody listens at its address, not when it is only slow', async t => {
+  const worker = new ScriptedWorker()
+  const keeper = createKeeper(t, worker)
+  keeper.noteLeave()
+  worker.failure = { kind: 'notSent', message: 'no answer within 1,700 ms', isRefused: false }
+  await sleep(400)
+  t.false(keeper.isOver)
+  worker.failure = { kind: 'notSent', message: 'connect ECONNREFUSED', isRefused: true }
+  await sleep(400)
+  t.true(keeper.isOver)
+})
--- a/packages/daemon/test/storeRelay/relayedCaller.test.ts
+++ b/packages/daemon/test/storeRelay/relayedCaller.test.ts
@@ -53,7 +53,7 @@
 
 test('a call that the store turns away is passed on by an agent that it serves', async t => {
   const far = new ScriptedCaller(makeAnswer(412, '{"items":[]}'))
-  for (const answer of [makeAnswer(503), makeAnswer(429), { kind: 'lost', message: 'x' }, { kind: 'notSent', message: 'x' }] as HttpOutcome[]) {
+  for (const answer of [makeAnswer(503), makeAnswer(429), { kind: 'lost', message: 'x' }, { kind: 'notSent', message: 'x', isRefused: true }] as HttpOutcome[]) {
     const caller = createCaller(t, new ScriptedCaller(answer), [await openRelay(t, far)])
     t.like(await caller.call(CALL), { kind: 'answered', status: 412, body: '{"items":[]}' })
   }
@@ -68,7 +68,7 @@
 
 test('when no agent reaches the store either, the direct outcome stands and agents are left alone for a while', async t => {
   const far = new ScriptedCaller({ kind: 'lost', message: 'x' })
-  const caller = createCaller(t, new ScriptedCaller({ kind: 'notSent', message: 'down' }), [await openRelay(t, far)])
+  const caller = createCaller(t, new ScriptedCaller({ kind: 'notSent', message: 'down', isRefused: true }), [await openRelay(t, far)])
   for (let count = 0; count < 5; count++) t.like(await caller.call(CALL), { kind: 'notSent' })
   t.is(far.calls, 1)
 })
--- a/packages/runtime/src/httpClient.ts
+++ b/packages/runtime/src/httpClient.ts
@@ -27,7 +27,8 @@
 /** `notSent` is proof that the receiver got nothing; after `lost` it may have acted on the call, or may still. */
 export type HttpOutcome =
   | { readonly kind: 'answered', readonly status: number, readonly headers: IncomingHttpHeaders, readonly body: string }
-  | { readonly kind: 'notSent', readonly message: string }
+  /** `isRefused`: nobody listens at the address; else no connection came about in time. */
+  | { readonly kind: 'notSent', readonly message: string, readonly isRefused: boolean }
   | { readonly kind: 'lost', readonly message: string }
 
 /** Bounds of a client. */
@@ -38,6 +39,8 @@
   readonly maxAnswerBytes: number
 }
 
+const CONNECTION_REFUSED = 'ECONNREFUSED'
+
 /** Makes HTTP calls. Never rejects. */
 export interface HttpCaller {
   call (call: HttpCall): Promise<HttpOutcome>
@@ -67,13 +70,16 @@
         call.signal?.removeEventListener('abort', onAbort)
         resolve(outcome)
       }
-      const fail = (message: string): void => end({ kind: isConnected ? 'lost' : 'notSent', message: `${call.method} ${call.address}${call.path}: ${message}` })
+      const fail = (text: string, isRefused = false): void => {
+        const message = `${call.method} ${call.address}${call.path}: ${text}`
+        end(isConnected ? { kind: 'lost', message } : { kind: 'notSent', message, isRefused })
+      }
       call.signal?.addEventListener('abort', onAbort, { once: true })
       request.on('socket', socket => {
         if (socket.connecting) socket.once('connect', () => { isConnected = true })
         else isConnected = true
       })
-      request.on('error', error => fail(error.message))
+      request.on('error', (error: NodeJS.ErrnoException) => fail(error.message, error.code === CONNECTION_REFUSED))
       request.on('response', response => {
         void readWhole(response, { maxBytes: this._options.maxAnswerBytes }).then(read => {
           if (read.kind === 'whole') return end({ kind: 'answered', status: response.statusCode ?? 0, headers: response.headers, body: read.body.toString('utf8') })
