Remove the states of ended jobs from the store an hour after they were accepted

Cause: state keys outlive a job so that its id stays taken, but were kept for ever, in the store and in each entry's memory. The planner removes them in groups under the duty's condition; entries drop them when the store tells. Jobs that last keep theirs.

--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -4,7 +4,7 @@
  */
 import { PrefixFollower } from '@dragonflylever/adapters'
 import type { Store, StoredValue, WatchEvent } from '@dragonflylever/adapters'
-import { GraphPlanner } from '@dragonflylever/core/graphs/index'
+import { GraphPlanner, isFinalPhase } from '@dragonflylever/core/graphs/index'
 import type { DirtyJob, PlannerTimes, PolicyIndex } from '@dragonflylever/core/graphs/index'
 import type { PeerRpc, RpcParams, RpcResultValue } from '@dragonflylever/protocol'
 import type { ClockReading, Logger, Metrics } from '@dragonflylever/runtime'
@@ -23,6 +23,10 @@
 const PLAN_REST_FACTOR = 2
 const RETRY_MS = 150
 const REMOVE_INTERVAL_MS = 5_000
+/** A job's state is shown, and its id taken, for at least this long after it was accepted; the users ask for two minutes. */
+const STATE_KEPT_MS = 60 * 60_000
+/** States removed in one call, below the store's limit of keys. */
+const STATES_PER_REMOVAL = 30
 /** Agents that have not reported by then are told who plans, in milliseconds. */
 const ANNOUNCE_DELAYS_MS = [400, 1_200, 3_000, 6_000]
 const ANNOUNCE_TIMEOUT_MS = 1_000
@@ -209,8 +213,20 @@
 
   private async _removeOld (): Promise<void> {
     const removed = this._planner.removeOld(performance.now())
-    for (const jobId of removed) this._states.delete(jobId)
     if (removed.length > 0) await this._writer.remove(removed)
+    const expired = this._listExpiredStates()
+    if (expired.length === 0 || !await this._writer.removeStates(expired)) return
+    for (const jobId of expired) this._states.delete(jobId)
+  }
+
+  private _listExpiredStates (): string[] {
+    const expired: string[] = []
+    for (const [jobId, state] of this._states) {
+      if (expired.length >= STATES_PER_REMOVAL) break
+      const isOld = isFinalPhase(state.phase) && Date.now() - state.acceptedAt > STATE_KEPT_MS
+      if (isOld && this._planner.getJob(jobId) === undefined) expired.push(jobId)
+    }
+    return expired
   }
 
   /** Tells agents that have not reported who plans; they may be cut off from the store. */
--- a/packages/daemon/src/jobPlanner/progressWriter.ts
+++ b/packages/daemon/src/jobPlanner/progressWriter.ts
@@ -75,6 +75,14 @@
     }
   }
 
+  /** Removes the states of jobs, so that their ids are free again. */
+  async removeStates (jobIds: readonly string[]): Promise<boolean> {
+    const { store, keys, dutyKey, epoch, logger } = this._parts
+    const outcome = await store.transact({ expect: [{ key: dutyKey, modRevision: epoch }], puts: [], removes: jobIds.map(jobId => keys.getState(jobId)) })
+    if (outcome.kind !== 'ok') logger.warn({ jobs: jobIds.length, outcome: outcome.kind }, 'states of old jobs not removed, tried again later')
+    return outcome.kind === 'ok'
+  }
+
   private async _run (): Promise<void> {
     // Lets the changes of the same turn of the event loop join one call.
     await Promise.resolve()
--- /dev/null
+++ b/packages/daemon/test/jobPlanner/candidateFixture.ts
@@ -0,0 +1,29 @@
+/**
+ * A candidate for the planner's duty over a store in memory.
+ */
+import { NoMetrics, createLogger } from '@dragonflylever/runtime'
+import type { MemoryPeers, MemoryStore } from '@dragonflylever/standins'
+
+import { PlannerCandidate } from '../../src/jobPlanner/plannerCandidate.js'
+import { KEYS, PREFIX, TIMES, createClient } from '../graphs/graphNode.js'
+
+const DELAY_MS = 50
+
+/** Creates a candidate of a name at an address. */
+export function createCandidate (memory: MemoryStore, peers: MemoryPeers, name: string, address: string): PlannerCandidate {
+  return new PlannerCandidate({
+    store: createClient(memory),
+    prefix: PREFIX,
+    keys: KEYS,
+    name,
+    address,
+    peers: peers.createClient(address),
+    logger: createLogger({ level: 'silent', processId: 'test' }),
+    metrics: new NoMetrics(),
+    times: TIMES,
+    delayMs: DELAY_MS,
+    getPolicy: () => undefined,
+    onSession: () => {},
+    onPlanner: () => {}
+  })
+}
--- a/packages/daemon/test/jobPlanner/leftBehindDuty.test.ts
+++ b/packages/daemon/test/jobPlanner/leftBehindDuty.test.ts
@@ -1,33 +1,11 @@
 /**
  * A planner's process that ends without a word and starts again at the same host takes its duty back without waiting for the lease.
  */
-import { NoMetrics, createLogger } from '@dragonflylever/runtime'
 import { MemoryPeers, MemoryStore, StoreEngine } from '@dragonflylever/standins'
 import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
 
-import { PlannerCandidate } from '../../src/jobPlanner/plannerCandidate.js'
-import { KEYS, PREFIX, TIMES, createClient } from '../graphs/graphNode.js'
-
-const DELAY_MS = 50
-
-function createCandidate (memory: MemoryStore, peers: MemoryPeers, name: string, address: string): PlannerCandidate {
-  return new PlannerCandidate({
-    store: createClient(memory),
-    prefix: PREFIX,
-    keys: KEYS,
-    name,
-    address,
-    peers: peers.createClient(address),
-    logger: createLogger({ level: 'silent', processId: 'test' }),
-    metrics: new NoMetrics(),
-    times: TIMES,
-    delayMs: DELAY_MS,
-    getPolicy: () => undefined,
-    onSession: () => {},
-    onPlanner: () => {}
-  })
-}
+import { createCandidate } from './candidateFixture.js'
 
 for (const [title, name, address, isTakenAtOnce] of [
   ['the process that starts again at its host takes its duty back at once', 'a', 'a:1', true],
