--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -41,6 +41,8 @@
  * each) and values (4 in time, 0.8 late), less what the stopped work loses by being late itself.
  */
 const URGENT_WORTH = 400
+/** Core-seconds that an urgent job is worth that is late because it was stopped, by the same values at the users' middle price of 0.002. */
+const URGENT_STOP_COST = 1_600
 /** Part of a job's value that doesn't grow with its work, the factor of the rest, and its bound; from the users' rules on benefit. */
 const FIXED_VALUE = 0.3
 const VALUE_PER_WORK = 0.7
@@ -109,7 +111,7 @@
     const { job, spec } = run.task.step
     if (spec.isLongRunning) return Infinity
     if (this._parts.getPriority(job) > 0) return 0
-    return isForGuaranteed && !this._guaranteed.has(job) ? URGENT_WORTH : Infinity
+    return isForGuaranteed && !this._guaranteed.has(job) ? URGENT_STOP_COST : Infinity
   }
 
   /** Core-seconds that may be lost to make room for a step. */
