--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -144,7 +144,7 @@
     if (this._now >= until) return undefined
     const future = sketch.copy()
     for (const worker of sketch.workers) {
-      for (const run of worker.runs) if (this._predictEnd(run) < until) future.return(worker, run.task.step.spec)
+      for (const run of worker.runs) if (predictEnd(run, this._now, this._estimate(run.task.step), stopGraceMs) < until) future.return(worker, run.task.step.spec)
     }
     const placed = this._parts.placement.place(waiting, future)
     if (placed.length < waiting.tasks.length) return undefined
@@ -153,13 +153,6 @@
     return places
   }
 
-  /** Members of a gang end together, with the last of them. */
-  private _predictEnd (run: RunState): number {
-    const { step } = run.task
-    const runs = step.spec.isGang ? step.tasks.flatMap(task => task.runs) : [run]
-    return Math.max(...runs.map(one => predictEnd(one, this._now, this._estimate(step), this._parts.times.stopGraceMs)))
-  }
-
   private _estimate (step: StepState): number {
     return this._parts.runTimes.estimate(step)
   }
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -37,6 +37,7 @@
 /** After this long a job of which nothing runs takes any place, while half of the fleet is free; the users allow it 3 s. */
 const IDLE_PATIENCE_MS = 1_500
 const IDLE_SHARE = 0.5
+
 export class GraphPass {
   private readonly _parts: GraphPassParts
   private readonly _placement: RackPlacement
--- a/packages/core/src/graphs/runProgress.ts
+++ b/packages/core/src/graphs/runProgress.ts
@@ -21,8 +21,14 @@
   run.percentMovedAt = now
 }
 
-/** Predicts when a run ends, on the planner's clock; `likeMs` is what its like takes. */
+/** Predicts when a run ends, on the planner's clock; `likeMs` is what its like takes. Members of a gang end together, with the last of them. */
 export function predictEnd (run: RunState, now: number, likeMs: number, stopGraceMs: number): number {
+  const { step } = run.task
+  const runs = step.spec.isGang ? step.tasks.flatMap(task => task.runs) : [run]
+  return Math.max(...runs.map(one => predictOwnEnd(one, now, likeMs, stopGraceMs)))
+}
+
+function predictOwnEnd (run: RunState, now: number, likeMs: number, stopGraceMs: number): number {
   if (run.phase === RunPhase.stopping) return (run.stoppingSince ?? now) + stopGraceMs
   if (run.runningSince === undefined) return Infinity
   const msPerPercent = measureSpeed(run)
--- a/packages/core/src/graphs/workerBook.ts
+++ b/packages/core/src/graphs/workerBook.ts
@@ -111,7 +111,7 @@
       const wasKnown = worker.runs.size > 0 || worker.strays.size > 0
       for (const run of [...worker.runs]) this._parts.ledger.lose(run, 'its worker was silent for longer than a run lives', now)
       worker.strays.clear()
-      if (wasKnown) this._parts.log.note('worker silent', { worker: worker.key.id, silentMs: now - worker.contactAt })
+      if (wasKnown) this._parts.log.note('worker silent', { worker: worker.key.id, silentMs: worker.firstContactAt === undefined ? undefined : now - worker.contactAt })
       if (now - worker.contactAt > this._parts.times.retentionMs) this._workers.delete(worker.key.id)
     }
   }
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -249,6 +249,21 @@
   t.is(harness.find('short.0.0.0'), worker)
 })
 
+test('a gang at a worker that leaves moves when the last of its members can\'t end in time', t => {
+  const harness = new PlannerHarness([2])
+  harness.add('a', [makeStep({ count: 2, accelerators: 8, isGang: true, estimatedMs: 10_000 })])
+  for (let percent = 1; percent <= 40; percent++) {
+    harness.run(100)
+    harness.setPercent('a.0.0.0', percent * 2)
+    harness.setPercent('a.0.0.1', percent)
+  }
+  const leaving = harness.find('a.0.0.0') as FakeWorker
+  leaving.isDraining = true
+  leaving.drainLeftMs = 3_000
+  harness.run(300)
+  t.is(harness.listNotes('run stopping').length, 2)
+})
+
 test('a life that is over frees its runs at once, after the ends that it listed', t => {
   const harness = new PlannerHarness([1, 1])
   harness.add('a', [makeStep({ count: 2, accelerators: 4 })])
--- a/packages/daemon/test/graphs/graphWorld.ts
+++ b/packages/daemon/test/graphs/graphWorld.ts
@@ -8,7 +8,8 @@
 import type { FrontAnswer, FrontCall } from '@dragonflylever/daemon/jobEntry/jobFront'
 import { JobStates } from '@dragonflylever/daemon/jobEntry/jobStates'
 import type { WorkerAnnouncement } from '@dragonflylever/daemon/jobAgent/workerKeeper'
-import { NoMetrics, createLogger } from '@dragonflylever/runtime'
+import { NoMetrics, createLogger, createPartLogger } from '@dragonflylever/runtime'
+import type { Logger } from '@dragonflylever/runtime'
 import { GangHall, MemoryPeers, MemoryStore, RunWorkerEngine, StoreEngine } from '@dragonflylever/standins'
 import type { RunBehaviour } from '@dragonflylever/standins'
 
@@ -20,7 +21,7 @@
 const CALL_MS = 3_000
 const MAX_ATTEMPTS = 3
 const EXPIRE_MS = 100
-const LOGGER = createLogger({ level: 'silent', processId: 'test' })
+const SILENT = createLogger({ level: 'silent', processId: 'test' })
 
 /** A job of the world, with how its tasks behave. */
 export interface WorldJob {
@@ -85,14 +86,15 @@
     this._places = Array.from({ length: workers }, (_, index) => this._makePlace(index))
     this.entryMemory = new MemoryStore({ engine: this.store })
     const client = createClient(this.entryMemory)
-    this.states = new JobStates({ store: client, keys: KEYS, logger: LOGGER })
+    const logger = keepsLines ? this._createLogger('entry') : SILENT
+    this.states = new JobStates({ store: client, keys: KEYS, logger: createPartLogger(logger, 'states') })
     const index = new PolicyIndex({
       version: 1,
       queues: [0, 1, 2].map(makeQueue),
       organisations: [{ name: 'o', keys: ['k'], guaranteedAccelerators: 8 }],
       limits: { maxBodyBytes: 1_000_000, maxHeaderBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
     })
-    this._front = new JobFront({ store: client, keys: KEYS, states: this.states, logger: LOGGER, metrics: new NoMetrics(), getPolicy: () => index })
+    this._front = new JobFront({ store: client, keys: KEYS, states: this.states, logger: createPartLogger(logger, 'front'), metrics: new NoMetrics(), getPolicy: () => index })
     void this.states.open()
     this._expiry = setInterval(() => this.store.expire(), EXPIRE_MS)
   }
@@ -208,6 +210,14 @@
     return { host: 'h', path: `/q${job.priority}/${job.id}`, key: 'k', deadlineAt: performance.now() + CALL_MS }
   }
 
+  private _createLogger (processId: string): Logger {
+    return createLogger({ level: 'info', processId, destination: { write: line => this._noteLine(line) } })
+  }
+
+  private _noteLine (line: string): void {
+    this.lines.push(`${Math.round(performance.now())} ${line.trim()}`)
+  }
+
   private _makePlace (index: number): Place {
     const engine = new RunWorkerEngine({
       id: `w${index}`,
@@ -234,7 +244,7 @@
       peers: this._peers,
       worker: place.engine,
       announce: () => this._announce(index, place),
-      ...(this._keepsLines ? { onLine: (line: string) => { this.lines.push(`${Math.round(performance.now())} ${line.trim()}`) } } : {})
+      ...(this._keepsLines ? { onLine: (line: string) => this._noteLine(line) } : {})
     })
   }
 
--- /dev/null
+++ b/packages/daemon/test/graphs/operations.test.ts
@@ -0,0 +1,109 @@
+/**
+ * The ways from a request's id to its cause that docs/OPERATIONS.md gives, walked over the log of a fleet with the fault in question.
+ */
+import { readFileSync } from 'node:fs'
+
+import FakeTimers from '@sinonjs/fake-timers'
+import type { Clock } from '@sinonjs/fake-timers'
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+
+import { GraphWorld, makeStep } from './graphWorld.js'
+import type { WorldJob } from './graphWorld.js'
+
+const WORKERS = 3
+const START_MS = 3_000
+const PAGE = readFileSync(new URL('../../../../../docs/OPERATIONS.md', import.meta.url), 'utf8')
+
+interface Line {
+  readonly process: string
+  readonly msg: string
+  readonly [field: string]: unknown
+}
+
+function makeJob (given: Partial<WorldJob> = {}): WorldJob {
+  return { id: 'a'.repeat(16), priority: 1, durationMs: 4_000, failures: 0, steps: [makeStep()], ...given }
+}
+
+/** Runs a scenario under a paused clock and returns the lines of all processes. */
+async function recordLog (scenario: (world: GraphWorld, clock: Clock) => Promise<void>): Promise<Line[]> {
+  const clock = FakeTimers.install({ now: 1_700_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance', 'Date'] })
+  const world = new GraphWorld(WORKERS, true)
+  try {
+    await clock.tickAsync(START_MS)
+    await scenario(world, clock)
+    return world.lines.map(line => JSON.parse(line.slice(line.indexOf('{'))) as Line)
+  } finally {
+    world.close()
+    await clock.tickAsync(2_000)
+    clock.uninstall()
+  }
+}
+
+/** Lines that name a job, as a search for its id finds them. */
+function findLines (lines: readonly Line[], id: string): Line[] {
+  return lines.filter(line => JSON.stringify(line).includes(id))
+}
+
+/** The lines follow each other so in the log, and the page names each of them. */
+function assertTrail (t: ExecutionContext, lines: readonly Line[], trail: readonly string[]): void {
+  const messages = lines.map(line => line.msg.replace(/^[a-z]+: /, ''))
+  let from = 0
+  for (const message of trail) {
+    const at = messages.indexOf(message, from)
+    t.true(at >= 0, `${message} after ${messages.slice(0, from).at(-1) ?? 'the start'}`)
+    t.true(PAGE.includes(`\`${message}`) || PAGE.includes(`: ${message}\``), `docs/OPERATIONS.md tells of "${message}"`)
+    from = at + 1
+  }
+}
+
+test.serial('a refused request: the entry says why, and since when the store is away', async t => {
+  const job = makeJob()
+  const lines = await recordLog(async (world, clock) => {
+    world.setStoreDown(true)
+    void world.submit(job)
+    await clock.tickAsync(2_000)
+  })
+  const own = findLines(lines, job.id)
+  assertTrail(t, own, ['submission answered'])
+  t.like(own[0], { process: 'entry', answer: { kind: 'refused', reason: 'storeAway' } })
+})
+
+test.serial('a late request: the planner went away before the job, and the next one took it up', async t => {
+  const job = makeJob()
+  const lines = await recordLog(async (world, clock) => {
+    world.restartNode(world.findPlanner(), 30_000)
+    void world.submit(job)
+    await clock.tickAsync(20_000)
+  })
+  assertTrail(t, findLines(lines, job.id), ['submission answered', 'job taken up', 'run assigned', 'run begun', 'run ended', 'job ended'])
+  assertTrail(t, lines, ['duty taken', 'submission answered', 'duty taken', 'job taken up'])
+  t.true(Number(findLines(lines, job.id).find(line => line.msg.endsWith('job taken up'))?.['ageMs']) > 1_000)
+})
+
+test.serial('a request that ran again: its worker went silent, and its runs were given up', async t => {
+  const job = makeJob({ durationMs: 12_000 })
+  const lines = await recordLog(async (world, clock) => {
+    void world.submit(job)
+    await clock.tickAsync(2_000)
+    const worker = Array.from({ length: WORKERS }, (_, index) => index).find(index => world.getWorker(index).runCount > 0) ?? 0
+    world.getNode(worker).setFrozen(true)
+    await clock.tickAsync(60_000)
+  })
+  assertTrail(t, lines, ['run begun', 'run lost', 'run assigned', 'run begun', 'run ended', 'job ended'])
+  const lost = findLines(lines, job.id).find(line => line.msg.endsWith('run lost'))
+  t.regex(String(lost?.['reason']), /silent/)
+  t.truthy(lines.find(line => line.msg.endsWith('worker silent') && line['worker'] === lost?.['worker']))
+})
+
+test.serial('a failed request: each failed run names its worker, and the end names the task', async t => {
+  const job = makeJob({ failures: Infinity })
+  const lines = await recordLog(async (world, clock) => {
+    void world.submit(job)
+    await clock.tickAsync(30_000)
+  })
+  const own = findLines(lines, job.id)
+  assertTrail(t, own, ['job taken up', 'run ended', 'run ended', 'run ended', 'job ended'])
+  t.is(own.filter(line => line['how'] === 'failed' && typeof line['worker'] === 'string').length, 3)
+  t.like(own.find(line => line.msg.endsWith('job ended')), { phase: 'failed', reason: `${job.id}.0.0.0 failed 3 times` })
+})
