--- a/packages/daemon/test/graphs/promises.test.ts
+++ b/packages/daemon/test/graphs/promises.test.ts
@@ -79,6 +79,27 @@
     workerFaults.lateMs = forMs
     return () => { workerFaults.lateOrders = 0 }
   },
+  'two nodes split off from the others and the store': (world: GraphWorld, who: number) => {
+    const inside = [who, who + 1]
+    world.setSplit(inside, true)
+    return () => world.setSplit(inside, false)
+  },
+  'watches silent': (world: GraphWorld, who: number) => {
+    const { memory } = world.getNode(who)
+    memory.faults.skipWatchEvents = true
+    return () => {
+      memory.faults.skipWatchEvents = false
+      memory.endWatches()
+    }
+  },
+  'leases of the store ended': (world: GraphWorld) => {
+    world.store.endLeases()
+    return () => {}
+  },
+  'orders refused': (world: GraphWorld, who: number) => {
+    world.getNode(who).workerFaults.refuseOrders = 3
+    return () => { world.getNode(who).workerFaults.refuseOrders = 0 }
+  },
   'answers of a worker lost': (world: GraphWorld, who: number) => {
     world.getNode(who).workerFaults.loseAnswers = 3
     return () => { world.getNode(who).workerFaults.loseAnswers = 0 }
--- a/packages/daemon/test/graphs/sharpFaults.test.ts
+++ b/packages/daemon/test/graphs/sharpFaults.test.ts
@@ -54,7 +54,10 @@
       for (const index of [planner, listOthers(planner)[0] ?? 0]) world.getNode(index).memory.faults.skipWatchEvents = true
       world.store.endLeases()
       await clock.tickAsync(2_000)
-      for (let index = 0; index < WORKERS; index++) world.getNode(index).memory.faults.skipWatchEvents = false
+      for (let index = 0; index < WORKERS; index++) {
+        world.getNode(index).memory.faults.skipWatchEvents = false
+        world.getNode(index).memory.endWatches()
+      }
     })
     t.deepEqual(faults, [], `lapsed at ${offsetMs} ms`)
   }
--- a/packages/standins/src/memoryStore.ts
+++ b/packages/standins/src/memoryStore.ts
@@ -23,7 +23,7 @@
   readonly engine: StoreEngine
   readonly faults: StoreFaults
   readonly counts: StoreCallCounts
-  private readonly _watches = new Set<Watch>()
+  private readonly _watches = new Map<Watch, WatchListener>()
 
   constructor (options: MemoryStoreOptions = {}) {
     this.engine = options.engine ?? new StoreEngine()
@@ -93,13 +93,21 @@
       if (key.startsWith(prefix)) queueMicrotask(() => send([event]))
     })
     const watch = { close: () => { stop(); this._watches.delete(watch) } }
-    this._watches.add(watch)
+    this._watches.set(watch, listener)
     queueMicrotask(() => this.faults.isDown ? listener.onEnd('the store is down') : send(this.engine.readHistory(prefix, fromRevision)))
     return watch
   }
 
   async close (): Promise<void> {
-    for (const watch of this._watches) watch.close()
+    for (const watch of this._watches.keys()) watch.close()
+  }
+
+  /** Cuts all watches, as a process does itself with one that fell silent. */
+  endWatches (): void {
+    for (const [watch, listener] of [...this._watches]) {
+      watch.close()
+      listener.onEnd('the watch fell silent')
+    }
   }
 
   private async _write<T> (decide: () => T): Promise<T | Unavailable | Ambiguous> {
