Let one function value a job by its work, and drop what nothing calls

The reclaim had the users' value formula a second time beside the order of waiting work. The pass already gets only jobs that have not ended, so that the search for guaranteed ones needn't ask again; a method of the workers' trust was called by nobody. Behaviour stays.

--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -3,7 +3,7 @@
  * they are free. What a guarantee covers gets its places within the bound whatever that costs; urgent work beyond it only stops
  * what is worth less than its own being in time.
  */
-import { computeCoreSeconds } from './coreSeconds.js'
+import { computeCoreSeconds, computeValueFactor } from './coreSeconds.js'
 import type { FleetSketch, HeldPlaces } from './fleetSketch.js'
 import type { JobState, RunState, StepState } from './jobState.js'
 import type { Placement } from './placement.js'
@@ -43,10 +43,6 @@
 const URGENT_WORTH = 400
 /** Core-seconds that an urgent job is worth that is late because it was stopped, by the same values at the users' middle price of 0.002. */
 const URGENT_STOP_COST = 1_600
-/** Part of a job's value that doesn't grow with its work, the factor of the rest, and its bound; from the users' rules on benefit. */
-const FIXED_VALUE = 0.3
-const VALUE_PER_WORK = 0.7
-const MAX_WORK_SHARE = 4
 /** Urgent work that is late anyway may stop other work that loses at most this share of what it does itself. */
 const LATE_LOSS_SHARE = 0.1
 /** A hold ends when its step has not come to its place within this many bounds for taking capacity back. */
@@ -122,9 +118,7 @@
     const least = work * LATE_LOSS_SHARE
     const spareMs = this._computeSlack(step) - this._parts.times.stopGraceMs - STOP_ORDER_MS - (this._now - waiting.since)
     if (spareMs < 0) return least
-    const mean = this._parts.runTimes.getMeanWork(step.job.graph.queue.name) ?? work
-    const share = mean === 0 ? 1 : Math.min(MAX_WORK_SHARE, work / mean)
-    return Math.max(least, URGENT_WORTH * (FIXED_VALUE + VALUE_PER_WORK * share))
+    return Math.max(least, URGENT_WORTH * computeValueFactor(work, this._parts.runTimes.getMeanWork(step.job.graph.queue.name)))
   }
 
   /** How long a step may wait and still end within its job's objective, in milliseconds. */
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -68,7 +68,7 @@
     })
   }
 
-  /** Runs the pass over all jobs. */
+  /** Runs the pass over the jobs that have not ended. */
   run (jobs: readonly JobState[], policy: PlannerPolicy, now: number): void {
     this._setPriorities(policy.queues)
     this._now = now
--- a/packages/core/src/graphs/guaranteedJobs.ts
+++ b/packages/core/src/graphs/guaranteedJobs.ts
@@ -1,15 +1,14 @@
 /**
  * Which jobs of priority 0 their organisations' guarantees cover, the oldest first.
  */
-import { isActive } from './jobState.js'
 import type { JobState } from './jobState.js'
 import type { PlannerPolicy } from './plannerPolicy.js'
 
-/** Finds the covered jobs; `getPriority` says what a job's queue has now. */
+/** Finds the covered ones of the jobs that have not ended; `getPriority` says what a job's queue has now. */
 export function findGuaranteedJobs (jobs: readonly JobState[], policy: PlannerPolicy, getPriority: (job: JobState) => number): Set<JobState> {
   const byOrganisation = new Map<string, JobState[]>()
   for (const job of jobs) {
-    if (!isActive(job) || getPriority(job) !== 0) continue
+    if (getPriority(job) !== 0) continue
     byOrganisation.set(job.graph.organisation, [...byOrganisation.get(job.graph.organisation) ?? [], job])
   }
   const guaranteed = new Set<JobState>()
--- a/packages/core/src/graphs/owedOrder.ts
+++ b/packages/core/src/graphs/owedOrder.ts
@@ -2,16 +2,13 @@
  * Orders waiting steps by what is owed: priority 0 first, by the time left to its objective; the rest by value per capacity,
  * where work that can still meet its objective goes before work that can't.
  */
-import { computeCoreSeconds } from './coreSeconds.js'
+import { computeCoreSeconds, computeValueFactor } from './coreSeconds.js'
 import type { QueuePolicy } from './graphTypes.js'
 import type { RunTimes } from './runTimes.js'
 import type { WaitingOrder, WaitingStep } from './waitingStep.js'
 
 /** Value of a job in time by priority, from the users' tables of requests; a lower priority counts as the last. */
 const VALUE_BY_PRIORITY = [4, 3, 1] as const
-/** Part of a job's value that doesn't grow with its work, and the factor of the rest; from the users' rules on benefit. */
-const FIXED_VALUE = 0.3
-const VALUE_PER_WORK = 0.7
 /** Objectives up to this factor late still earn; from the users' rules on benefit. */
 const LATE_FACTOR = 3
 
@@ -65,10 +62,8 @@
 
   private _computeDensity (waiting: WaitingStep, queue: QueuePolicy): number {
     const coreSeconds = this._computeWork(waiting)
-    const mean = this._parts.runTimes.getMeanWork(queue.name) ?? coreSeconds
-    const share = mean === 0 ? 1 : coreSeconds / mean
     const worth = VALUE_BY_PRIORITY[Math.min(queue.priority, VALUE_BY_PRIORITY.length - 1)] ?? 1
-    return worth * (FIXED_VALUE + VALUE_PER_WORK * Math.min(share, 4)) / Math.max(coreSeconds, 0.001)
+    return worth * computeValueFactor(coreSeconds, this._parts.runTimes.getMeanWork(queue.name)) / Math.max(coreSeconds, 0.001)
   }
 
   /** Core-seconds that the occurrence still takes. */
--- a/packages/core/src/graphs/workerTrust.ts
+++ b/packages/core/src/graphs/workerTrust.ts
@@ -66,11 +66,6 @@
     return this._standings.get(workerId)?.failedJobs.size ?? 0
   }
 
-  /** Forgets a worker that is gone. */
-  remove (workerId: string): void {
-    this._standings.delete(workerId)
-  }
-
   private _avoid (standing: Standing, now: number): void {
     if (now < standing.avoidUntil) return
     standing.avoidUntil = now + standing.avoidMs
