Send no write to a store that does not answer, and refuse no job whose write may still take effect

The circuit breaker and the caller used clients' writes as probes: each one without an answer became a 504, which a client can't repeat safely. The same entry then refused the same id with 503, 'never runs', although the store could still carry the first write out. Change: after an unanswered call a read has to be answered before a write is sent. An entry keeps ids of undecided writes for 15 s and answers them as undecided, and takes a job's state from a conflict into memory. Tests: storeClient ('after an unanswered call ...') and jobEntryHandler, both failed first.

--- a/packages/adapters/src/circuitBreaker.ts
+++ b/packages/adapters/src/circuitBreaker.ts
@@ -30,6 +30,11 @@
     return this._health
   }
 
+  /** True if the last call was not answered, so that the store may be unavailable even while the circuit is closed. */
+  get isSuspect (): boolean {
+    return this._failures > 0
+  }
+
   /**
    * Returns true if a call may be sent now. While the circuit is open, only one call at a time may be sent, as a probe. `now` is
    * monotonic, in milliseconds.
--- a/packages/adapters/src/storeClient.ts
+++ b/packages/adapters/src/storeClient.ts
@@ -1,6 +1,8 @@
 /**
  * The store client of the processes: a rate limit, timeouts and a circuit breaker around an adapter, with counts of calls by kind.
  * A call that exceeds the rate limit, or is made while the circuit is open, is not sent, so that its outcome is `unavailable` even for a write.
+ * After a call without an answer, a write is sent only once the store has answered a read: an unanswered read is harmless, but an unanswered
+ * write leaves its caller without an outcome.
  * Calls for leases have a rate limit of their own, so that many other calls cannot make a process lose its leadership.
  */
 import type { Random } from '@dragonflylever/core'
@@ -14,6 +16,8 @@
 const DEFAULT_TIMEOUT_MS = 1_500
 /** Rate limit of lease calls and of writes of leader keys: enough to renew the leases of two leader roles every 1.5 s and sometimes acquire one again. */
 const LEASE_CALL_RATE = { ratePerS: 4, burst: 12 } as const
+/** Key that is read to find out whether the store answers; it is never written. */
+const PROBE_KEY = 'dragonflylever/probe'
 
 /** Numbers of calls sent so far by kind, of watches that are open now, and of calls that the rate limit or the circuit breaker rejected. */
 export interface StoreUsage {
@@ -131,6 +135,9 @@
   private async _callStore<T extends { kind: string }> (kind: CallKind, call: () => Promise<T>, usesLeaseBudget = false): Promise<T | Unavailable | Ambiguous> {
     const refusal = this._checkAdmission(usesLeaseBudget ? this._leaseBucket : this._bucket)
     if (refusal !== undefined) return refusal
+    if (kind === 'writes' && !usesLeaseBudget && this._circuitBreaker.isSuspect && !await this._checkStoreAnswers()) {
+      return { kind: 'unavailable', message: 'the store does not answer reads; the write was not sent' }
+    }
     this._usage[kind]++
     const startedAt = performance.now()
     const outcome = await this._waitWithTimeout(call())
@@ -140,6 +147,17 @@
     return outcome
   }
 
+  /** Reads a key to find out whether the store answers, and records the result. */
+  private async _checkStoreAnswers (): Promise<boolean> {
+    this._usage.reads++
+    const startedAt = performance.now()
+    const outcome = await this._waitWithTimeout(this._store.get(PROBE_KEY))
+    const now = performance.now()
+    if (outcome.kind !== 'ok') this._circuitBreaker.fail(now)
+    else this._circuitBreaker.recordAnswer(now - startedAt)
+    return outcome.kind === 'ok'
+  }
+
   private _checkAdmission (bucket: TokenBucket): Unavailable | undefined {
     const now = performance.now()
     if (!this._circuitBreaker.tryAcquire(now)) {
--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -2,7 +2,7 @@
  * Handles clients' calls for jobs. A job is accepted once it is stored, and a refused job never runs. If it is not known in
  * time whether the store carried out a write, the answer is `undecided`.
  */
-import type { Store, TransactOutcome, Transaction } from '@dragonflylever/adapters'
+import type { Store, StoredValue, TransactOutcome, Transaction } from '@dragonflylever/adapters'
 import type { JobGraph, JobPhase, PolicyIndex, RoutedQueue, StepSpec } from '@dragonflylever/core/graphs/index'
 import type { Logger, Metrics } from '@dragonflylever/runtime'
 
@@ -65,6 +65,11 @@
 const STORE_DECISION_MS = 900
 /** Delay after which clients should retry if the store is unavailable, in milliseconds: other entries may reach it, and outages last seconds. */
 const STORE_RETRY_AFTER_MS = 1_000
+/**
+ * How long an unanswered write counts as undecided after its last attempt, in milliseconds: the store may carry it out seconds later. During
+ * this time the job is not refused as `storeAway`, which would tell the client that it never runs.
+ */
+const UNDECIDED_RETENTION_MS = 15_000
 /** Delay after which clients should retry if the declarations are not loaded, in milliseconds; loading takes seconds after a start. */
 const NOT_READY_RETRY_AFTER_MS = 1_000
 
@@ -74,6 +79,8 @@
 
 export class JobEntryHandler {
   private readonly _dependencies: JobEntryHandlerDependencies
+  /** Until when the write of a job may still take effect without this process knowing, on the monotonic clock, by job id. */
+  private readonly _undecidedUntil = new Map<string, number>()
 
   constructor (dependencies: JobEntryHandlerDependencies) {
     this._dependencies = dependencies
@@ -142,15 +149,34 @@
       puts: [{ key: specKey, value: JSON.stringify(graph) }, { key: stateKey, value: JSON.stringify(state) }],
       removes: []
     })
-    if (outcome.kind === 'ok') {
-      states.recordState(graph.id, state)
+    if (outcome.kind === 'ok') states.recordState(graph.id, state)
+    if (outcome.kind === 'conflict') this._recordCurrentState(graph.id, outcome.current.find(value => value.key === stateKey))
+    // After a conflict the job id is already stored, either by an attempt whose answer was lost or by an earlier call. In both cases it is the same job.
+    if (outcome.kind === 'ok' || outcome.kind === 'conflict') {
+      this._undecidedUntil.delete(graph.id)
       return { kind: 'accepted' }
     }
-    // The job id is already stored, either by an attempt of this call whose answer was lost or by an earlier call. In both cases it is the same job.
-    if (outcome.kind === 'conflict') return { kind: 'accepted' }
+    if (outcome.kind === 'ambiguous') this._recordUndecided(graph.id)
+    if (this._isUndecided(graph.id)) return { kind: 'undecided', message: outcome.message }
     return makeUndecidedAnswer(outcome)
   }
 
+  private _recordCurrentState (jobId: string, stored: StoredValue | undefined): void {
+    const state = stored === undefined ? undefined : decodeJobState(stored.value)
+    if (state !== undefined) this._dependencies.states.recordState(jobId, state)
+  }
+
+  private _recordUndecided (jobId: string): void {
+    const now = performance.now()
+    for (const [id, until] of this._undecidedUntil) if (until < now) this._undecidedUntil.delete(id)
+    this._undecidedUntil.set(jobId, now + UNDECIDED_RETENTION_MS)
+  }
+
+  /** True if an earlier write of the job was not answered and may still be carried out by the store. */
+  private _isUndecided (jobId: string): boolean {
+    return (this._undecidedUntil.get(jobId) ?? -Infinity) > performance.now()
+  }
+
   /**
    * Retries a conditional write until its outcome is known or the time for retries is over. If the store is unavailable, the write is
    * retried only after an ambiguous attempt; otherwise nothing was stored, and the call can be refused immediately.
--- /dev/null
+++ b/packages/daemon/test/jobEntry/jobEntryHandler.test.ts
@@ -0,0 +1,71 @@
+/**
+ * What a client is told about a submitted job when the store's answers are lost: a refusal promises that the job never runs.
+ */
+import { PolicyIndex } from '@dragonflylever/core/graphs/index'
+import type { FleetPolicy } from '@dragonflylever/core/graphs/index'
+import { JobEntryHandler } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
+import type { JobEntryAnswer } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
+import { JobStates } from '@dragonflylever/daemon/jobEntry/jobStates'
+import { GraphKeys } from '@dragonflylever/daemon/jobPlanner/graphKeys'
+import { NoMetrics, createLogger } from '@dragonflylever/runtime'
+import { MemoryStore } from '@dragonflylever/standins'
+import FakeTimers from '@sinonjs/fake-timers'
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+
+const KEYS = new GraphKeys('p')
+const JOB_ID = '00000000000000a1'
+const POLICY: FleetPolicy = {
+  version: 1,
+  queues: [{ name: 'q', service: 's', priority: 1, maxAttempts: 2, stretch: 3, targetLatencyMs: 500, host: 'h', prefix: '/q/', isOpen: true }],
+  organisations: [],
+  limits: { maxBodyBytes: 1, maxHeaderBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+}
+
+interface Fixture {
+  readonly store: MemoryStore
+  /** Submits the job and advances the clock until it is answered. */
+  readonly submit: () => Promise<JobEntryAnswer>
+  readonly advance: (ms: number) => Promise<unknown>
+}
+
+function createFixture (t: ExecutionContext): Fixture {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance', 'Date'] })
+  t.teardown(() => clock.uninstall())
+  const store = new MemoryStore()
+  const logger = createLogger({ level: 'silent', processId: 't' })
+  const states = new JobStates({ store, keys: KEYS, logger })
+  const index = new PolicyIndex(POLICY)
+  const handler = new JobEntryHandler({ store, keys: KEYS, states, logger, metrics: new NoMetrics(), getPolicy: () => index })
+  return {
+    store,
+    submit: async () => {
+      const answer = handler.submit({ host: 'h', path: `/q/${JOB_ID}`, key: undefined, deadlineAt: performance.now() + 3_000 }, { payload: '', steps: [], repeat: undefined })
+      await clock.tickAsync(3_000)
+      return answer
+    },
+    advance: ms => clock.tickAsync(ms)
+  }
+}
+
+test.serial('a job that the store never received is refused, which is true', async t => {
+  const { store, submit } = createFixture(t)
+  store.faults.isDown = true
+  t.like(await submit(), { kind: 'refused', reason: 'storeAway' })
+})
+
+test.serial('a job whose write was not answered is not refused afterwards, since the store may still carry the write out', async t => {
+  const { store, submit, advance } = createFixture(t)
+  store.faults.loseAnswers = Infinity
+  // The answers of both the write and its retries, which conflict with it, are lost.
+  t.is((await submit()).kind, 'undecided')
+  store.faults.loseAnswers = 0
+  store.faults.isDown = true
+  t.is((await submit()).kind, 'undecided')
+  store.faults.isDown = false
+  t.is((await submit()).kind, 'accepted')
+  t.truthy(store.engine.get(KEYS.getSpecKey(JOB_ID)))
+  await advance(20_000)
+  store.faults.isDown = true
+  t.is((await submit()).kind, 'accepted', 'the entry knows the job from the conflict and needs no store')
+})
--- a/packages/standins/test/storeClient.test.ts
+++ b/packages/standins/test/storeClient.test.ts
@@ -67,3 +67,20 @@
   t.deepEqual(outcome, { kind: 'ok', modRevision: before + 1 })
   t.is(memory.engine.revision, before + 1)
 })
+
+test.serial('after an unanswered call, a write is sent only once the store has answered a read', async t => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
+  t.teardown(() => clock.uninstall())
+  const { memory, client } = createClient()
+  memory.faults.delayMs = 5_000
+  const first = client.put({ key: 'a', value: 'v', expect: { kind: 'absent' } })
+  await clock.tickAsync(1_000)
+  t.is((await first).kind, 'ambiguous')
+  const second = client.put({ key: 'b', value: 'v', expect: { kind: 'absent' } })
+  await clock.tickAsync(1_000)
+  t.is((await second).kind, 'unavailable')
+  t.is(memory.counts.writes, 1)
+  memory.faults.delayMs = 0
+  await clock.tickAsync(1_000)
+  t.is((await client.put({ key: 'b', value: 'v', expect: { kind: 'absent' } })).kind, 'ok')
+})
