Probe a silent store in the background and before a write, and let undecided jobs wait for the store

Change: while the circuit is open no call is sent, and the client probes by itself; on the platform a write after 400 ms without an answer is preceded by a read; an entry retries a job that it left undecided until the client's deadline.

--- a/packages/adapters/src/circuitBreaker.ts
+++ b/packages/adapters/src/circuitBreaker.ts
@@ -1,6 +1,6 @@
 /**
- * Circuit breaker for calls to the store: opens after consecutive failures, then admits one call as a probe after a jittered, exponential
- * back-off.
+ * Circuit breaker for calls to the store: opens after consecutive failures. While it is open, no call of the process is sent; its owner
+ * probes the store after a jittered, exponential back-off, so that no client waits for a probe.
  */
 import type { Random } from '@dragonflylever/core'
 
@@ -17,8 +17,6 @@
   private readonly _maxPauseMs: number
   private _failures = 0
   private _pauseMs = FIRST_PAUSE_MS
-  private _openUntil = 0
-  private _isProbing = false
   private _health: StoreHealth = StoreHealth.up
 
   constructor (random: Random, maxPauseMs = MAX_PAUSE_MS) {
@@ -35,36 +33,27 @@
     return this._failures > 0
   }
 
-  /**
-   * Returns true if a call may be sent now. While the circuit is open, only one call at a time may be sent, as a probe. `now` is
-   * monotonic, in milliseconds.
-   */
-  tryAcquire (now: number): boolean {
-    if (this._failures < FAILURE_THRESHOLD) return true
-    if (now < this._openUntil || this._isProbing) return false
-    this._isProbing = true
-    return true
-  }
-
-  /** Gives back the permission obtained from {@link tryAcquire}, for a call that was not sent after all. */
-  release (): void {
-    this._isProbing = false
+  /** True while no calls may be sent except probes. */
+  get isOpen (): boolean {
+    return this._failures >= FAILURE_THRESHOLD
   }
 
   /** Records that the store answered a call after `elapsedMs` milliseconds; closes the circuit. */
   recordAnswer (elapsedMs: number): void {
     this._failures = 0
     this._pauseMs = FIRST_PAUSE_MS
-    this._isProbing = false
     this._health = elapsedMs > SLOW_CALL_MS ? StoreHealth.slow : StoreHealth.up
   }
 
-  /** Records that the store did not answer a call. Opens the circuit when the number of consecutive failures reaches the threshold. */
-  fail (now: number): void {
+  /**
+   * Records that the store did not answer a call. Opens the circuit when the number of consecutive failures reaches the threshold. Returns
+   * the delay until the next probe, in milliseconds.
+   */
+  fail (): number {
     this._failures++
-    this._isProbing = false
-    this._openUntil = now + this._pauseMs * (0.5 + this._random.sample())
+    const delayMs = this._pauseMs * (0.5 + this._random.sample())
     this._pauseMs = Math.min(this._maxPauseMs, this._pauseMs * 2)
-    if (this._failures >= FAILURE_THRESHOLD) this._health = StoreHealth.down
+    if (this.isOpen) this._health = StoreHealth.down
+    return delayMs
   }
 }
--- a/packages/adapters/src/storeClient.ts
+++ b/packages/adapters/src/storeClient.ts
@@ -1,8 +1,8 @@
 /**
  * The store client of the processes: a rate limit, timeouts and a circuit breaker around an adapter, with counts of calls by kind.
  * A call that exceeds the rate limit, or is made while the circuit is open, is not sent, so that its outcome is `unavailable` even for a write.
- * After a call without an answer, a write is sent only once the store has answered a read: an unanswered read is harmless, but an unanswered
- * write leaves its caller without an outcome.
+ * After a call without an answer, and optionally after a time without calls, a write is sent only once the store has answered a read: an
+ * unanswered read is harmless, but an unanswered write leaves its caller without an outcome.
  * Calls for leases have a rate limit of their own, so that many other calls cannot make a process lose its leadership.
  */
 import type { Random } from '@dragonflylever/core'
@@ -42,6 +42,8 @@
   readonly callTimeoutMs?: number
   /** Maximum back-off after which a store that does not answer is probed again, in milliseconds. */
   readonly maxPauseMs?: number
+  /** Time since the store's last answer after which a write is preceded by a read, in milliseconds; absent for no limit. */
+  readonly maxAnswerAgeMs?: number
 }
 
 type CallKind = 'reads' | 'writes' | 'leases'
@@ -52,6 +54,10 @@
   private readonly _leaseBucket: TokenBucket
   private readonly _circuitBreaker: CircuitBreaker
   private readonly _timeoutMs: number
+  private readonly _maxAnswerAgeMs: number
+  private _answeredAt = -Infinity
+  private _probeTimer: NodeJS.Timeout | undefined
+  private _isClosed = false
   private readonly _usage = { reads: 0, writes: 0, leases: 0, watchesOpened: 0, openWatches: 0, overBudget: 0, rejectedByCircuit: 0 }
 
   constructor (options: StoreClientOptions) {
@@ -61,6 +67,7 @@
     this._leaseBucket = new TokenBucket(LEASE_CALL_RATE, performance.now())
     this._circuitBreaker = new CircuitBreaker(options.random, options.maxPauseMs)
     this._timeoutMs = options.callTimeoutMs ?? DEFAULT_TIMEOUT_MS
+    this._maxAnswerAgeMs = options.maxAnswerAgeMs ?? Infinity
   }
 
   get health (): StoreHealth {
@@ -124,6 +131,8 @@
   }
 
   close (): Promise<void> {
+    this._isClosed = true
+    clearTimeout(this._probeTimer)
     return this._store.close()
   }
 
@@ -135,37 +144,54 @@
   private async _callStore<T extends { kind: string }> (kind: CallKind, call: () => Promise<T>, usesLeaseBudget = false): Promise<T | Unavailable | Ambiguous> {
     const refusal = this._checkAdmission(usesLeaseBudget ? this._leaseBucket : this._bucket)
     if (refusal !== undefined) return refusal
-    if (kind === 'writes' && !usesLeaseBudget && this._circuitBreaker.isSuspect && !await this._checkStoreAnswers()) {
+    if (kind === 'writes' && !usesLeaseBudget && this._isCheckDue() && !await this._checkStoreAnswers()) {
       return { kind: 'unavailable', message: 'the store does not answer reads; the write was not sent' }
     }
     this._usage[kind]++
     const startedAt = performance.now()
     const outcome = await this._waitWithTimeout(call())
-    const now = performance.now()
-    if (outcome.kind === 'unavailable' || outcome.kind === 'ambiguous') this._circuitBreaker.fail(now)
-    else this._circuitBreaker.recordAnswer(now - startedAt)
+    this._recordOutcome(outcome.kind !== 'unavailable' && outcome.kind !== 'ambiguous', startedAt)
     return outcome
   }
 
+  private _recordOutcome (isAnswered: boolean, startedAt: number): void {
+    if (isAnswered) {
+      this._answeredAt = performance.now()
+      return this._circuitBreaker.recordAnswer(this._answeredAt - startedAt)
+    }
+    const probeDelayMs = this._circuitBreaker.fail()
+    if (this._circuitBreaker.isOpen && !this._isClosed) this._scheduleProbe(probeDelayMs)
+  }
+
+  /** Probes the store after a delay, unless a probe is already scheduled; while the circuit stays open, each failed probe schedules the next. */
+  private _scheduleProbe (delayMs: number): void {
+    if (this._probeTimer !== undefined) return
+    this._probeTimer = setTimeout(() => {
+      this._probeTimer = undefined
+      void this._checkStoreAnswers()
+    }, delayMs).unref()
+  }
+
+  private _isCheckDue (): boolean {
+    return this._circuitBreaker.isSuspect || performance.now() - this._answeredAt > this._maxAnswerAgeMs
+  }
+
   /** Reads a key to find out whether the store answers, and records the result. */
   private async _checkStoreAnswers (): Promise<boolean> {
     this._usage.reads++
     const startedAt = performance.now()
     const outcome = await this._waitWithTimeout(this._store.get(PROBE_KEY))
-    const now = performance.now()
-    if (outcome.kind !== 'ok') this._circuitBreaker.fail(now)
-    else this._circuitBreaker.recordAnswer(now - startedAt)
+    this._recordOutcome(outcome.kind === 'ok', startedAt)
     return outcome.kind === 'ok'
   }
 
   private _checkAdmission (bucket: TokenBucket): Unavailable | undefined {
     const now = performance.now()
-    if (!this._circuitBreaker.tryAcquire(now)) {
+    if (this._circuitBreaker.isOpen) {
       this._usage.rejectedByCircuit++
       return { kind: 'unavailable', message: 'the store has not answered lately; not sent' }
     }
     if (bucket.tryTake(now)) return undefined
-    this._circuitBreaker.release()
     this._usage.overBudget++
     return { kind: 'unavailable', message: 'over the call budget of this process; not sent' }
   }
--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -148,7 +148,7 @@
       expect: [{ key: specKey, modRevision: 0 }, { key: stateKey, modRevision: 0 }],
       puts: [{ key: specKey, value: JSON.stringify(graph) }, { key: stateKey, value: JSON.stringify(state) }],
       removes: []
-    })
+    }, this._isUndecided(graph.id))
     if (outcome.kind === 'ok') states.recordState(graph.id, state)
     if (outcome.kind === 'conflict') this._recordCurrentState(graph.id, outcome.current.find(value => value.key === stateKey))
     // After a conflict the job id is already stored, either by an attempt whose answer was lost or by an earlier call. In both cases it is the same job.
@@ -157,7 +157,6 @@
       return { kind: 'accepted' }
     }
     if (outcome.kind === 'ambiguous') this._recordUndecided(graph.id)
-    if (this._isUndecided(graph.id)) return { kind: 'undecided', message: outcome.message }
     return makeUndecidedAnswer(outcome)
   }
 
@@ -179,11 +178,13 @@
 
   /**
    * Retries a conditional write until its outcome is known or the time for retries is over. If the store is unavailable, the write is
-   * retried only after an ambiguous attempt; otherwise nothing was stored, and the call can be refused immediately.
+   * retried only after an ambiguous attempt; otherwise nothing was stored, and the call can be refused immediately. If an earlier call left
+   * the write undecided (`wasUndecided`), the retries go on until the deadline: a refusal would be untrue, and another undecided answer would
+   * not help the client.
    */
-  private async _transactUntilDecided (call: JobEntryCall, transaction: Transaction): Promise<TransactOutcome> {
-    const retryUntil = computeRetryDeadline(call)
-    let isAmbiguous = false
+  private async _transactUntilDecided (call: JobEntryCall, transaction: Transaction, wasUndecided = false): Promise<TransactOutcome> {
+    const retryUntil = wasUndecided ? call.deadlineAt - ANSWER_MARGIN_MS : computeRetryDeadline(call)
+    let isAmbiguous = wasUndecided
     for (;;) {
       const outcome = await this._dependencies.store.transact(transaction)
       if (outcome.kind === 'ok' || outcome.kind === 'conflict') return outcome
--- a/packages/standins/test/storeClient.test.ts
+++ b/packages/standins/test/storeClient.test.ts
@@ -7,9 +7,9 @@
 import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
 
-function createClient (rate = 10, burst = 40): { memory: MemoryStore, client: StoreClient } {
+function createClient (rate = 10, burst = 40, options: { readonly maxAnswerAgeMs?: number } = {}): { memory: MemoryStore, client: StoreClient } {
   const memory = new MemoryStore()
-  return { memory, client: new StoreClient({ store: memory, random: new SeededRandom(1), ratePerS: rate, burst, callTimeoutMs: 1_000 }) }
+  return { memory, client: new StoreClient({ store: memory, random: new SeededRandom(1), ratePerS: rate, burst, callTimeoutMs: 1_000, ...options }) }
 }
 
 test.serial('calls over the budget are not sent and are counted as over budget', async t => {
@@ -84,3 +84,41 @@
   await clock.tickAsync(1_000)
   t.is((await client.put({ key: 'b', value: 'v', expect: { kind: 'absent' } })).kind, 'ok')
 })
+
+test.serial('while the circuit is open, calls are refused at once, and the client itself finds out when the store is back', async t => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
+  t.teardown(() => clock.uninstall())
+  const { memory, client } = createClient()
+  memory.faults.delayMs = 5_000
+  for (let index = 0; index < 2; index++) {
+    const call = client.get('k')
+    await clock.tickAsync(1_000)
+    t.is((await call).kind, 'unavailable')
+  }
+  for (let index = 0; index < 50; index++) {
+    const startedAt = performance.now()
+    t.is((await client.put({ key: 'a', value: 'v', expect: { kind: 'absent' } })).kind, 'unavailable')
+    t.is(performance.now(), startedAt)
+    await clock.tickAsync(100)
+  }
+  t.is(memory.counts.writes, 0)
+  memory.faults.delayMs = 0
+  await clock.tickAsync(8_000)
+  t.is(client.health, StoreHealth.up)
+  t.is((await client.put({ key: 'a', value: 'v', expect: { kind: 'absent' } })).kind, 'ok')
+})
+
+test.serial('a write after a time without answers is preceded by a read, so that a store that fell silent meanwhile leaves no write undecided', async t => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
+  t.teardown(() => clock.uninstall())
+  const { memory, client } = createClient(10, 40, { maxAnswerAgeMs: 400 })
+  t.is((await client.get('k')).kind, 'ok')
+  t.is((await client.put({ key: 'a', value: 'v', expect: { kind: 'absent' } })).kind, 'ok')
+  t.is(memory.counts.reads, 1, 'no read precedes a write right after an answer')
+  await clock.tickAsync(500)
+  memory.faults.delayMs = 5_000
+  const write = client.put({ key: 'b', value: 'v', expect: { kind: 'absent' } })
+  await clock.tickAsync(1_000)
+  t.is((await write).kind, 'unavailable')
+  t.is(memory.counts.writes, 1)
+})
