Make a scheduler pass cheaper without changing its decisions

Change: scores of groups stay until their workers change; a set that can't hold the step even with all groups stopped is left out; a search ends once its loss exceeds what the caller accepts; placement sorts the workers of a group once; ends of runs are predicted once a pass.

--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -52,6 +52,8 @@
 export class CapacityReclaim {
   private readonly _dependencies: CapacityReclaimDependencies
   private readonly _reservations = new Map<StepState, SlotReservation>()
+  /** Predicted ends of runs during one pass, by run, or by step for a gang. Stops change them. */
+  private readonly _predictedEnds = new Map<RunState | StepState, number>()
   private _guaranteed: ReadonlySet<JobState> = new Set()
   private _now = 0
 
@@ -66,6 +68,7 @@
   beginPass (snapshot: CapacitySnapshot, waiting: readonly WaitingStep[], guaranteed: ReadonlySet<JobState>, now: number): void {
     this._guaranteed = guaranteed
     this._now = now
+    this._predictedEnds.clear()
     const steps = new Set(waiting.map(entry => entry.step))
     for (const [step, reservation] of this._reservations) {
       const isUsable = [...reservation.slots.keys()].every(worker => this._dependencies.isEligible(worker, step))
@@ -84,17 +87,19 @@
     const { step } = waiting
     const reservation = this._reservations.get(step)
     if (reservation !== undefined) return snapshot.reserve(step, reservation.slots)
-    const plan = this._chooseReclaimPlan(waiting, snapshot)
+    const maxLoss = this._computeMaxLoss(waiting)
+    const plan = this._chooseReclaimPlan(waiting, snapshot, Math.max(maxLoss, URGENT_VALUE))
     const expectedSlots = this._findExpectedSlots(waiting, snapshot, plan !== undefined && plan.loss > URGENT_VALUE)
     if (expectedSlots !== undefined) return snapshot.reserve(step, expectedSlots)
-    if (plan === undefined || plan.loss > this._computeMaxLoss(waiting)) return
+    if (plan === undefined || plan.loss > maxLoss) return
     this._dependencies.log.note('capacity taken back', { step: step.name, victims: plan.victims.map(run => run.task.name), loss: Math.round(plan.loss), waitedMs: this._now - waiting.since })
     for (const run of plan.victims) this._dependencies.runTracker.stop(run, `capacity taken back for ${step.name}`, this._now)
+    this._predictedEnds.clear()
     this._reservations.set(step, { slots: plan.slots, until: this._now + RESERVATION_LIFETIME_FACTOR * this._dependencies.times.reclaimMs })
     snapshot.reserve(step, plan.slots)
   }
 
-  private _chooseReclaimPlan (waiting: WaitingStep, snapshot: CapacitySnapshot): ReclaimPlan | undefined {
+  private _chooseReclaimPlan (waiting: WaitingStep, snapshot: CapacitySnapshot, maxLoss: number): ReclaimPlan | undefined {
     const { isEligible, getTaskLimit, times } = this._dependencies
     const isGuaranteed = this._guaranteed.has(waiting.step.job)
     return chooseReclaimPlan(waiting, snapshot, {
@@ -103,7 +108,7 @@
       getStopCost: run => this._getStopCost(run, isGuaranteed),
       estimateWorkedMs: run => estimateWorkedMs(run, this._now, this._estimateRunTime(run.task.step)),
       checkpointMs: times.checkpointMs
-    })
+    }, maxLoss)
   }
 
   /**
@@ -146,7 +151,7 @@
     if (this._now >= until) return undefined
     const future = snapshot.copy()
     for (const worker of snapshot.workers) {
-      for (const run of worker.runs) if (predictEnd(run, this._now, this._estimateRunTime(run.task.step), stopGraceMs) < until) future.returnCapacity(worker, run.task.step.spec)
+      for (const run of worker.runs) if (this._predictEnd(run) < until) future.returnCapacity(worker, run.task.step.spec)
     }
     const placed = this._dependencies.placement.place(waiting, future)
     if (placed.length < waiting.tasks.length) return undefined
@@ -155,6 +160,17 @@
     return slots
   }
 
+  /** Predicts the end of a run; the members of a gang end together and are predicted once. */
+  private _predictEnd (run: RunState): number {
+    const { step } = run.task
+    const key = step.spec.isGang ? step : run
+    const known = this._predictedEnds.get(key)
+    if (known !== undefined) return known
+    const end = predictEnd(run, this._now, this._estimateRunTime(step), this._dependencies.times.stopGraceMs)
+    this._predictedEnds.set(key, end)
+    return end
+  }
+
   private _estimateRunTime (step: StepState): number {
     return this._dependencies.runTimes.estimateRunTime(step)
   }
--- a/packages/core/src/graphs/placement.ts
+++ b/packages/core/src/graphs/placement.ts
@@ -22,6 +22,13 @@
   readonly worker: WorkerState
 }
 
+/** A worker with room for `count` tasks of a step; the worker with the lowest score is preferred. */
+interface WorkerSlots {
+  readonly worker: WorkerState
+  readonly score: number
+  count: number
+}
+
 /** Dependencies of {@link RackPlacement}. */
 export interface PlacementDependencies {
   /** True when a worker may run tasks of a step, regardless of its free capacity. */
@@ -82,32 +89,48 @@
 
   /** Places each task by best fit on a worker of the group; returns the tasks that could be placed. */
   private _placeTasksInGroup (tasks: readonly TaskState[], group: readonly WorkerState[], snapshot: CapacitySnapshot, step: StepState): PlacedTask[] {
-    const room = new Map(group.map(worker => [worker, Math.min(snapshot.countFits(worker, step), this._dependencies.getTaskLimit(worker, step))]))
+    const slots: WorkerSlots[] = []
+    let total = 0
+    for (const worker of group) {
+      const fits = snapshot.countFits(worker, step)
+      const count = fits < 1 ? 0 : Math.min(fits, this._dependencies.getTaskLimit(worker, step))
+      if (count < 1) continue
+      slots.push({ worker, count, score: this._computeScore(worker, snapshot) })
+      total += count
+    }
+    const isAllOrNone = step.spec.isGang || step.spec.isSameRack
+    if (isAllOrNone && total < tasks.length) return []
+    slots.sort((a, b) => a.score - b.score)
+    const isFailedStep = step.spec.isGang && slots.some(({ worker }) => tasks[0] !== undefined && hasFailedAt(tasks[0], worker))
     const placed: PlacedTask[] = []
     for (const task of tasks) {
-      const worker = this._pickBestFit(task, room, snapshot)
-      if (worker === undefined) continue
-      room.set(worker, (room.get(worker) ?? 0) - 1)
-      placed.push({ task, worker })
+      const chosen = isFailedStep || task.failedOn.size > 0 ? pickWithFailures(task, slots) : slots.find(({ count }) => count > 0)
+      if (chosen === undefined) break
+      chosen.count--
+      placed.push({ task, worker: chosen.worker })
     }
     return placed
   }
 
-  /** Prefers workers at which the task has not failed, then those at which the fewest jobs failed, then the one with the least free capacity. */
-  private _pickBestFit (task: TaskState, room: ReadonlyMap<WorkerState, number>, snapshot: CapacitySnapshot): WorkerState | undefined {
-    let best: WorkerState | undefined
-    let bestScore = Infinity
-    for (const [worker, count] of room) {
-      if (count < 1) continue
-      const free = snapshot.getFree(worker)
-      const failurePenalty = (hasFailedAt(task, worker) ? OWN_FAILURE_PENALTY : 0) + this._dependencies.countFailures(worker) * FAILURE_PENALTY
-      const score = failurePenalty + free.accelerators * ACCELERATOR_WEIGHT + free.cpuMillis / 1_000
-      if (score >= bestScore) continue
-      best = worker
-      bestScore = score
-    }
-    return best
+  /** Prefers workers at which the fewest jobs failed, then the one with the least free capacity. */
+  private _computeScore (worker: WorkerState, snapshot: CapacitySnapshot): number {
+    const free = snapshot.getFree(worker)
+    return this._dependencies.countFailures(worker) * FAILURE_PENALTY + free.accelerators * ACCELERATOR_WEIGHT + free.cpuMillis / 1_000
+  }
+}
+
+/** Picks the worker with the lowest score among those with room; workers at which the task has failed come last. */
+function pickWithFailures (task: TaskState, slots: readonly WorkerSlots[]): WorkerSlots | undefined {
+  let best: WorkerSlots | undefined
+  let bestScore = Infinity
+  for (const slot of slots) {
+    if (slot.count < 1) continue
+    const score = slot.score + (hasFailedAt(task, slot.worker) ? OWN_FAILURE_PENALTY : 0)
+    if (score >= bestScore) continue
+    best = slot
+    bestScore = score
   }
+  return best
 }
 
 /** True when the task or any member of its gang has failed at a worker: a gang fails again if any of its members runs on a faulty worker. */
--- a/packages/core/src/graphs/reclaimPlan.ts
+++ b/packages/core/src/graphs/reclaimPlan.ts
@@ -36,8 +36,22 @@
 interface VictimGroup {
   readonly runs: readonly RunState[]
   readonly loss: number
-  /** For each run on one of the considered workers: the worker, its free capacity, and the needs that a stop adds to this capacity. */
-  readonly slots: ReadonlyArray<{ readonly worker: WorkerState, readonly room: FreeCapacity, readonly needs: StepSpec }>
+  readonly accelerators: number
+  /** For each run on one of the considered workers: the worker's slots, and the needs that a stop adds to them. */
+  readonly slots: ReadonlyArray<{ readonly at: WorkerSlots, readonly needs: StepSpec }>
+  /** Score of the group while its workers have the capacity for which it was computed; undefined when it has to be computed again. */
+  score: number | undefined
+}
+
+/** One of the considered workers: its capacity as it is after the stops chosen so far, and how many tasks of the step fit there. */
+interface WorkerSlots {
+  readonly worker: WorkerState
+  readonly free: FreeCapacity
+  /** Maximum number of further tasks of the step, regardless of the free capacity. */
+  readonly limit: number
+  count: number
+  /** Groups with runs at this worker, whose scores change with its free capacity. */
+  readonly groups: VictimGroup[]
 }
 
 /** Cost of the restart after each stop, in core-seconds; added to the lost work so that few runs are stopped. */
@@ -45,13 +59,19 @@
 /** Time to resume from a checkpoint, as a share of the time between two checkpoints; workers take 100 to 250 ms of 2 s. */
 const RESUME_SHARE = 0.125
 
-/** Finds the plan with the least loss that makes room for a step; undefined when there is none. */
-export function chooseReclaimPlan (waiting: WaitingStep, snapshot: CapacitySnapshot, dependencies: ReclaimDependencies): ReclaimPlan | undefined {
+/**
+ * Finds the plan with the least loss that makes room for a step; undefined when there is none. Plans with a loss above `maxLoss` are all alike
+ * to the caller, so the search ends early for them and the returned loss is only known to be above `maxLoss`.
+ */
+export function chooseReclaimPlan (waiting: WaitingStep, snapshot: CapacitySnapshot, dependencies: ReclaimDependencies, maxLoss = Infinity): ReclaimPlan | undefined {
   const { step } = waiting
   const eligible = snapshot.workers.filter(worker => dependencies.isEligible(worker, step))
-  const plans = listWorkerSets(eligible, step).map(set => planReclaim(waiting, set, snapshot, dependencies)).filter(plan => plan !== undefined)
-  plans.sort((a, b) => a.loss - b.loss)
-  return plans[0]
+  let best: ReclaimPlan | undefined
+  for (const set of listWorkerSets(eligible, step)) {
+    const plan = planReclaim(waiting, set, snapshot, dependencies, Math.min(maxLoss, best?.loss ?? Infinity))
+    if (plan !== undefined && (best === undefined || plan.loss < best.loss)) best = plan
+  }
+  return best
 }
 
 function listWorkerSets (eligible: readonly WorkerState[], step: StepState): WorkerState[][] {
@@ -61,78 +81,118 @@
   return localRack === undefined ? [...racks.values()] : [localRack, ...[...racks.values()].filter(set => set !== localRack)]
 }
 
-function planReclaim (waiting: WaitingStep, workers: readonly WorkerState[], snapshot: CapacitySnapshot, dependencies: ReclaimDependencies): ReclaimPlan | undefined {
+/** Plans the stops in one set of workers. Ends the search as soon as the loss exceeds `maxLoss`; the plan is then incomplete. */
+function planReclaim (waiting: WaitingStep, workers: readonly WorkerState[], snapshot: CapacitySnapshot, dependencies: ReclaimDependencies, maxLoss: number): ReclaimPlan | undefined {
   const { step, tasks } = waiting
-  const free = new Map<WorkerState, FreeCapacity>()
-  for (const worker of workers) free.set(worker, { ...snapshot.getFree(worker) })
-  const count = (worker: WorkerState): number => Math.min(countFits(free.get(worker) as FreeCapacity, step.spec), dependencies.getTaskLimit(worker, step))
-  const countTotal = (): number => workers.reduce((sum, worker) => sum + count(worker), 0)
-  // The capacity of runs that are already stopping will be free soon.
-  for (const worker of workers) for (const run of worker.runs) if (run.phase === RunPhase.stopping) returnNeeds(free.get(worker) as FreeCapacity, run.task.step.spec)
-  const groups = listVictimGroups(free, dependencies)
+  const slots = workers.map(worker => makeWorkerSlots(worker, step, snapshot, dependencies))
+  let total = slots.reduce((sum, at) => sum + at.count, 0)
+  const groups = total < tasks.length ? listVictimGroups(slots, dependencies) : []
+  if (total < tasks.length && countTasksWithoutRuns(slots, groups, step) < tasks.length) return undefined
   const chosen: VictimGroup[] = []
-  while (countTotal() < tasks.length) {
-    const next = pickVictimGroup(groups, count)
+  let loss = 0
+  while (total < tasks.length) {
+    const next = pickVictimGroup(groups, step)
     if (next === undefined) return undefined
     chosen.push(next)
     groups.splice(groups.indexOf(next), 1)
-    returnGroupCapacity(next)
+    total += returnGroupCapacity(next, step)
+    loss += next.loss
+    if (loss > maxLoss) return { victims: [], slots: new Map(), loss }
   }
-  const slots = new Map<WorkerState, number>()
-  let remaining = tasks.length
-  for (const worker of [...workers].sort((a, b) => count(a) - count(b))) {
-    const slotCount = Math.min(remaining, count(worker))
-    if (slotCount > 0) slots.set(worker, slotCount)
+  return { victims: chosen.flatMap(group => group.runs), slots: chooseSlots(slots, tasks.length), loss }
+}
+
+function makeWorkerSlots (worker: WorkerState, step: StepState, snapshot: CapacitySnapshot, dependencies: ReclaimDependencies): WorkerSlots {
+  const free = { ...snapshot.getFree(worker) }
+  // The capacity of runs that are already stopping will be free soon.
+  for (const run of worker.runs) if (run.phase === RunPhase.stopping) returnNeeds(free, run.task.step.spec)
+  const limit = dependencies.getTaskLimit(worker, step)
+  return { worker, free, limit, count: Math.min(countFits(free, step.spec), limit), groups: [] }
+}
+
+/** Counts the tasks that would fit if all groups were stopped; cheaper than a search that finds out that they don't suffice. */
+function countTasksWithoutRuns (slots: readonly WorkerSlots[], groups: readonly VictimGroup[], step: StepState): number {
+  const free = new Map(slots.map(at => [at, { ...at.free }]))
+  for (const group of groups) for (const { at, needs } of group.slots) returnNeeds(free.get(at) as FreeCapacity, needs)
+  let total = 0
+  for (const [at, capacity] of free) total += Math.min(countFits(capacity, step.spec), at.limit)
+  return total
+}
+
+function chooseSlots (slots: readonly WorkerSlots[], taskCount: number): Map<WorkerState, number> {
+  const chosen = new Map<WorkerState, number>()
+  let remaining = taskCount
+  for (const { worker, count } of [...slots].sort((a, b) => a.count - b.count)) {
+    const slotCount = Math.min(remaining, count)
+    if (slotCount > 0) chosen.set(worker, slotCount)
     remaining -= slotCount
   }
-  return { victims: chosen.flatMap(group => group.runs), slots, loss: chosen.reduce((sum, group) => sum + group.loss, 0) }
+  return chosen
 }
 
 /** Picks the group of runs that frees the most slots per lost work, or the most accelerators per lost work when no group frees a whole slot. */
-function pickVictimGroup (groups: readonly VictimGroup[], count: (worker: WorkerState) => number): VictimGroup | undefined {
+function pickVictimGroup (groups: readonly VictimGroup[], step: StepState): VictimGroup | undefined {
   let best: VictimGroup | undefined
   let bestScore = -Infinity
   for (const group of groups) {
-    const affected = [...new Set(group.slots.map(slot => slot.worker))]
-    const before = affected.reduce((sum, worker) => sum + count(worker), 0)
-    returnGroupCapacity(group)
-    const gained = affected.reduce((sum, worker) => sum + count(worker), 0) - before
-    takeGroupCapacity(group)
-    const size = group.runs.reduce((sum, run) => sum + run.task.step.spec.accelerators, 0) + 0.1
-    const score = gained > 0 ? 1_000 + gained / (group.loss + STOP_COST) : size / (group.loss + STOP_COST) / 1_000
-    if (score <= bestScore) continue
+    group.score ??= computeGroupScore(group, step)
+    if (group.score <= bestScore) continue
     best = group
-    bestScore = score
+    bestScore = group.score
   }
   return best
 }
 
-function returnGroupCapacity (group: VictimGroup): void {
-  for (const { room, needs } of group.slots) returnNeeds(room, needs)
+function computeGroupScore (group: VictimGroup, step: StepState): number {
+  const gained = countGainedTasks(group, step)
+  return gained > 0 ? 1_000 + gained / (group.loss + STOP_COST) : (group.accelerators + 0.1) / (group.loss + STOP_COST) / 1_000
+}
+
+/** Counts the further tasks of the step that would fit if the group were stopped. */
+function countGainedTasks (group: VictimGroup, step: StepState): number {
+  for (const { at, needs } of group.slots) returnNeeds(at.free, needs)
+  let gained = 0
+  for (const at of new Set(group.slots.map(slot => slot.at))) gained += Math.min(countFits(at.free, step.spec), at.limit) - at.count
+  for (const { at, needs } of group.slots) takeNeeds(at.free, needs)
+  return gained
 }
 
-function takeGroupCapacity (group: VictimGroup): void {
-  for (const { room, needs } of group.slots) takeNeeds(room, needs)
+/** Adds the capacity of a group to its workers. Returns the number of further tasks of the step that fit. */
+function returnGroupCapacity (group: VictimGroup, step: StepState): number {
+  for (const { at, needs } of group.slots) returnNeeds(at.free, needs)
+  let gained = 0
+  for (const at of new Set(group.slots.map(slot => slot.at))) {
+    const count = Math.min(countFits(at.free, step.spec), at.limit)
+    gained += count - at.count
+    at.count = count
+    for (const other of at.groups) other.score = undefined
+  }
+  return gained
 }
 
-function listVictimGroups (free: ReadonlyMap<WorkerState, FreeCapacity>, dependencies: ReclaimDependencies): VictimGroup[] {
+function listVictimGroups (slots: readonly WorkerSlots[], dependencies: ReclaimDependencies): VictimGroup[] {
   const groups: VictimGroup[] = []
   const seen = new Set<RunState>()
-  const workersByKey = new Map([...free.keys()].map(worker => [worker.key.id, worker]))
-  for (const worker of free.keys()) {
+  const slotsById = new Map(slots.map(at => [at.worker.key.id, at]))
+  for (const { worker } of slots) {
     for (const run of worker.runs) {
       if (seen.has(run) || run.phase === RunPhase.stopping) continue
       const runs = run.task.step.spec.isGang ? run.task.step.tasks.flatMap(task => task.runs) : [run]
       for (const member of runs) seen.add(member)
       const stopCost = Math.max(...runs.map(dependencies.getStopCost))
       if (stopCost === Infinity) continue
-      const loss = runs.reduce((sum, member) => sum + computeLoss(member, dependencies), stopCost)
-      const slots = runs.flatMap(member => {
-        const at = workersByKey.get(member.worker.id)
-        const room = at === undefined ? undefined : free.get(at)
-        return at === undefined || room === undefined ? [] : [{ worker: at, room, needs: member.task.step.spec }]
-      })
-      groups.push({ runs, loss, slots })
+      const group: VictimGroup = {
+        runs,
+        loss: runs.reduce((sum, member) => sum + computeLoss(member, dependencies), stopCost),
+        accelerators: runs.reduce((sum, member) => sum + member.task.step.spec.accelerators, 0),
+        slots: runs.flatMap(member => {
+          const at = slotsById.get(member.worker.id)
+          return at === undefined ? [] : [{ at, needs: member.task.step.spec }]
+        }),
+        score: undefined
+      }
+      groups.push(group)
+      for (const { at } of group.slots) at.groups.push(group)
     }
   }
   return groups
--- a/packages/core/test/graphs/plannerHarness.ts
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -18,7 +18,7 @@
   retentionMs: 240_000
 }
 
-const CAPACITY = { cpuMillis: 128_000, memoryMb: 524_288, accelerators: 8 }
+export const CAPACITY = { cpuMillis: 128_000, memoryMb: 524_288, accelerators: 8 }
 const WALL_START = 1_700_000_000_000
 
 /** A fake worker with the state that its agent reports. */
--- /dev/null
+++ b/packages/core/test/graphs/reference/referencePlacement.ts
@@ -0,0 +1,144 @@
+/**
+ * Plain reference of the placement, which compares all workers for each task. The planner's placements must be the same.
+ *
+ * Finds workers for the tasks of a step: near the data, in one rack where the step requires it, and by best fit, so that whole
+ * workers stay free for large tasks.
+ */
+import type { CapacitySnapshot } from '../../../src/graphs/capacitySnapshot.js'
+import type { StepState, TaskState } from '../../../src/graphs/jobState.js'
+import type { WaitingStep } from '../../../src/graphs/waitingStep.js'
+import { countFits } from '../../../src/graphs/workerState.js'
+import type { WorkerState } from '../../../src/graphs/workerState.js'
+
+/**
+ * Weights in the score of a worker, in units of one free processor core; the worker with the lowest score is chosen. A failure outweighs
+ * any free capacity, and a failure of the task itself outweighs any number of other failures.
+ */
+const OWN_FAILURE_PENALTY = 10_000_000
+const FAILURE_PENALTY = 100_000
+const ACCELERATOR_WEIGHT = 1_000
+
+/** A task with the worker on which it is placed. */
+interface PlacedTask {
+  readonly task: TaskState
+  readonly worker: WorkerState
+}
+
+/** Dependencies of {@link ReferencePlacement}. */
+export interface PlacementDependencies {
+  /** True when a worker may run tasks of a step, regardless of its free capacity. */
+  readonly isEligible: (worker: WorkerState, step: StepState) => boolean
+  /** Maximum number of further tasks of the step that a worker may get, regardless of its free capacity. */
+  readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
+  /** Returns the number of different jobs that failed at a worker since its last success. */
+  readonly countFailures: (worker: WorkerState) => number
+  /** True when the step has waited for its rack for so long that a slower run in another rack is better. */
+  readonly isLocalityWaitOver: (waiting: WaitingStep) => boolean
+}
+
+/** Finds workers with free capacity in a snapshot, without subtracting the capacity. */
+export interface Placement {
+  /** Returns the tasks that can start, each with its worker. For a gang these are all tasks or none. */
+  place (waiting: WaitingStep, snapshot: CapacitySnapshot): PlacedTask[]
+}
+
+export class ReferencePlacement implements Placement {
+  private readonly _dependencies: PlacementDependencies
+
+  constructor (dependencies: PlacementDependencies) {
+    this._dependencies = dependencies
+  }
+
+  place (waiting: WaitingStep, snapshot: CapacitySnapshot): PlacedTask[] {
+    const { step, tasks } = waiting
+    const eligible = snapshot.workers.filter(worker => this._dependencies.isEligible(worker, step))
+    for (const group of this._listGroups(waiting, eligible, snapshot)) {
+      const placed = this._placeTasksInGroup(tasks, group, snapshot, step)
+      if (placed.length === tasks.length) return placed
+      if (!step.spec.isGang && !step.spec.isSameRack && placed.length > 0) return placed
+    }
+    return []
+  }
+
+  /** Returns the groups of workers to try, the best first. */
+  private _listGroups (waiting: WaitingStep, eligible: readonly WorkerState[], snapshot: CapacitySnapshot): WorkerState[][] {
+    const { spec } = waiting.step
+    const isOver = this._dependencies.isLocalityWaitOver(waiting)
+    if (!spec.isSameRack) return this._listDataGroups(waiting, eligible, isOver)
+    const racks = groupByRack(eligible)
+    const localRack = spec.dataRack === undefined ? undefined : racks.get(spec.dataRack)
+    const others = [...racks.values()].filter(group => group !== localRack).sort((a, b) => countFreeSlots(a, waiting.step, snapshot) - countFreeSlots(b, waiting.step, snapshot))
+    const isWide = [...racks.values()].every(group => countTasksOfGroupWhenEmpty(group, waiting.step) < waiting.tasks.length)
+    if (localRack !== undefined && !isOver && countTasksOfGroupWhenEmpty(localRack, waiting.step) >= waiting.tasks.length) return [localRack]
+    return [...(localRack === undefined ? [] : [localRack]), ...others, ...(isWide || isOver ? [[...eligible]] : [])]
+  }
+
+  private _listDataGroups (waiting: WaitingStep, eligible: readonly WorkerState[], isOver: boolean): WorkerState[][] {
+    const { dataRack, isGang } = waiting.step.spec
+    if (dataRack === undefined) return [[...eligible]]
+    const localWorkers = eligible.filter(worker => worker.report?.rack === dataRack)
+    const canHold = countTasksOfGroupWhenEmpty(localWorkers, waiting.step) >= (isGang ? waiting.tasks.length : 1)
+    if (!canHold) return [[...eligible]]
+    return isOver ? [localWorkers, [...eligible]] : [localWorkers]
+  }
+
+  /** Places each task by best fit on a worker of the group; returns the tasks that could be placed. */
+  private _placeTasksInGroup (tasks: readonly TaskState[], group: readonly WorkerState[], snapshot: CapacitySnapshot, step: StepState): PlacedTask[] {
+    const room = new Map(group.map(worker => [worker, Math.min(snapshot.countFits(worker, step), this._dependencies.getTaskLimit(worker, step))]))
+    const placed: PlacedTask[] = []
+    for (const task of tasks) {
+      const worker = this._pickBestFit(task, room, snapshot)
+      if (worker === undefined) continue
+      room.set(worker, (room.get(worker) ?? 0) - 1)
+      placed.push({ task, worker })
+    }
+    return placed
+  }
+
+  /** Prefers workers at which the task has not failed, then those at which the fewest jobs failed, then the one with the least free capacity. */
+  private _pickBestFit (task: TaskState, room: ReadonlyMap<WorkerState, number>, snapshot: CapacitySnapshot): WorkerState | undefined {
+    let best: WorkerState | undefined
+    let bestScore = Infinity
+    for (const [worker, count] of room) {
+      if (count < 1) continue
+      const free = snapshot.getFree(worker)
+      const failurePenalty = (hasFailedAt(task, worker) ? OWN_FAILURE_PENALTY : 0) + this._dependencies.countFailures(worker) * FAILURE_PENALTY
+      const score = failurePenalty + free.accelerators * ACCELERATOR_WEIGHT + free.cpuMillis / 1_000
+      if (score >= bestScore) continue
+      best = worker
+      bestScore = score
+    }
+    return best
+  }
+}
+
+/** True when the task or any member of its gang has failed at a worker: a gang fails again if any of its members runs on a faulty worker. */
+function hasFailedAt (task: TaskState, worker: WorkerState): boolean {
+  const { step } = task
+  return step.spec.isGang ? step.tasks.some(member => member.failedOn.has(worker.key.id)) : task.failedOn.has(worker.key.id)
+}
+
+/** Groups workers by their rack. */
+export function groupByRack (workers: readonly WorkerState[]): Map<string, WorkerState[]> {
+  const racks = new Map<string, WorkerState[]>()
+  for (const worker of workers) {
+    const rack = worker.report?.rack ?? ''
+    const group = racks.get(rack) ?? []
+    group.push(worker)
+    racks.set(rack, group)
+  }
+  return racks
+}
+
+function countFreeSlots (workers: readonly WorkerState[], step: StepState, snapshot: CapacitySnapshot): number {
+  return workers.reduce((sum, worker) => sum + snapshot.countFits(worker, step), 0)
+}
+
+/** Counts the tasks of a step that the workers could run if they were empty. */
+function countTasksOfGroupWhenEmpty (workers: readonly WorkerState[], step: StepState): number {
+  return workers.reduce((sum, worker) => sum + countTasksWhenEmpty(worker, step), 0)
+}
+
+function countTasksWhenEmpty (worker: WorkerState, step: StepState): number {
+  return Math.min(countFits(worker.capacity, step.spec), step.spec.maxPerWorker ?? Infinity)
+}
