--- /dev/null
+++ b/packages/bench/src/graphs/graphWorkload.ts
@@ -0,0 +1,140 @@
+/**
+ * Generates seeded loads of job graphs for a fleet: gangs of urgent checks, gangs of preparation runs and wide reconciliations from
+ * many organisations, with bursts of urgent work.
+ */
+import { SeededRandom } from '@dragonflylever/core'
+import type { Random } from '@dragonflylever/core'
+import type { JobGraph, OrganisationGuarantee, PlannerPolicy, QueuePolicy, StepSpec } from '@dragonflylever/core/graphs/index'
+
+/** A job, its arrival time, and the run time of its tasks on a healthy worker near the data, which the planner does not know. Times are in milliseconds. */
+export interface GraphArrival {
+  readonly at: number
+  readonly graph: JobGraph
+  readonly runMs: readonly number[]
+}
+
+/** Options of {@link makeGraphLoad}. */
+export interface GraphLoadOptions {
+  readonly seed: number
+  readonly workers: number
+  readonly seconds: number
+  /** Arrival rate relative to the load for which the fleet is built. */
+  readonly load: number
+  /** Spans of time during which more urgent jobs arrive; `factor` multiplies their rate. */
+  readonly bursts: ReadonlyArray<{ readonly fromMs: number, readonly toMs: number, readonly factor: number }>
+}
+
+export interface GraphLoad {
+  readonly arrivals: readonly GraphArrival[]
+  readonly policy: PlannerPolicy
+}
+
+/** Wall time of the start of the simulation, in milliseconds since 1970. */
+export const WALL_START = 1_700_000_000_000
+/** Fleet size to which the arrival rates of the classes refer. */
+const REFERENCE_WORKERS = 160
+const ORGANISATIONS = 24
+const DISCARDED_NUMBERS = 50
+const ORGANISATION_SKEW = 1.2
+const ACCELERATORS_PER_WORKER = 8
+/** Share of the fleet's accelerators that is guaranteed to organisations. */
+const GUARANTEED_SHARE = 0.62
+const WORKERS_PER_RACK = 12
+const ACCELERATOR_CHOICES = [1, 2, 4, 8, 8] as const
+
+interface JobClass {
+  readonly queue: QueuePolicy
+  readonly perSecond: number
+  readonly width: { readonly mean: number, readonly sigma: number, readonly max: number }
+  readonly runMs: { readonly mean: number, readonly sigma: number, readonly max: number }
+  readonly needs: { readonly cpuMillis: number, readonly memoryMb: number }
+  readonly accelerators: readonly number[]
+  readonly isGang: boolean
+  readonly sameRackShare: number
+  readonly dataRackShare: number
+  readonly checkpointingShare: number
+  /** Standard deviation of the logarithm of the declared run time relative to the actual one. */
+  readonly declaredSigma: number
+}
+
+function makeQueue (name: string, priority: number, stretch: number, targetLatencyMs: number): QueuePolicy {
+  return { name, service: 's', priority, maxAttempts: 3, stretch, targetLatencyMs }
+}
+
+export const URGENT_QUEUE = makeQueue('allergen-check', 0, 1.5, 600)
+const CLASSES: readonly JobClass[] = [
+  { queue: makeQueue('roast-recipe', 1, 3, 1_500), perSecond: 0.585, width: { mean: 13, sigma: 0.8, max: 76 }, runMs: { mean: 12_143, sigma: 0.3, max: 15_700 }, needs: { cpuMillis: 52_000, memoryMb: 150_000 }, accelerators: ACCELERATOR_CHOICES, isGang: true, sameRackShare: 0.6, dataRackShare: 0.3, checkpointingShare: 0.45, declaredSigma: 0.2 },
+  { queue: URGENT_QUEUE, perSecond: 2.93, width: { mean: 5.3, sigma: 0.8, max: 32 }, runMs: { mean: 3_571, sigma: 0.5, max: 11_400 }, needs: { cpuMillis: 15_000, memoryMb: 61_000 }, accelerators: ACCELERATOR_CHOICES, isGang: true, sameRackShare: 0.8, dataRackShare: 0, checkpointingShare: 0, declaredSigma: 0.2 },
+  { queue: makeQueue('delivery-recon', 2, 3, 3_000), perSecond: 0.459, width: { mean: 38, sigma: 0.8, max: 230 }, runMs: { mean: 13_571, sigma: 0.3, max: 15_700 }, needs: { cpuMillis: 11_000, memoryMb: 59_000 }, accelerators: [1], isGang: false, sameRackShare: 0, dataRackShare: 0.12, checkpointingShare: 0.45, declaredSigma: 0.9 }
+]
+
+/** Generates the arrivals of all classes, sorted by time, and the policy with the organisations' guarantees. */
+export function makeGraphLoad (options: GraphLoadOptions): GraphLoad {
+  const random = createRandom(options.seed)
+  const arrivals = CLASSES.flatMap(jobClass => makeClassArrivals(jobClass, options, random))
+  arrivals.sort((a, b) => a.at - b.at)
+  return { arrivals, policy: { queues: CLASSES.map(jobClass => jobClass.queue), guarantees: makeGuarantees(options.workers) } }
+}
+
+/** Creates a generator and discards its first numbers, which are similar for similar seeds. */
+function createRandom (seed: number): Random {
+  const random = new SeededRandom(seed)
+  for (let index = 0; index < DISCARDED_NUMBERS; index++) random.sample()
+  return random
+}
+
+function makeClassArrivals (jobClass: JobClass, options: GraphLoadOptions, random: Random): GraphArrival[] {
+  const perMs = jobClass.perSecond * options.load * options.workers / REFERENCE_WORKERS / 1_000
+  const arrivals: GraphArrival[] = []
+  for (let at = 0; ;) {
+    const factor = jobClass.queue.priority > 0 ? 1 : options.bursts.find(burst => at >= burst.fromMs && at < burst.toMs)?.factor ?? 1
+    at += -Math.log(1 - random.sample()) / (perMs * factor)
+    if (at >= options.seconds * 1_000) return arrivals
+    arrivals.push(makeArrival(jobClass, `${jobClass.queue.name}-${arrivals.length}`, at, options.workers, random))
+  }
+}
+
+function makeArrival (jobClass: JobClass, id: string, at: number, workers: number, random: Random): GraphArrival {
+  const runMs = Math.min(jobClass.runMs.max, sampleLogNormal(random, jobClass.runMs.mean, jobClass.runMs.sigma))
+  const racks = Math.ceil(workers / WORKERS_PER_RACK)
+  const step: StepSpec = {
+    count: Math.max(1, Math.min(jobClass.width.max, Math.round(sampleLogNormal(random, jobClass.width.mean, jobClass.width.sigma)))),
+    ...jobClass.needs,
+    accelerators: jobClass.accelerators[random.pick(jobClass.accelerators.length)] ?? 1,
+    estimatedMs: runMs * Math.exp(sampleNormal(random) * jobClass.declaredSigma),
+    after: [],
+    isCheckpointing: random.sample() < jobClass.checkpointingShare,
+    isGang: jobClass.isGang,
+    isSameRack: random.sample() < jobClass.sameRackShare,
+    ...(random.sample() < jobClass.dataRackShare ? { dataRack: `r${random.pick(racks)}` } : {}),
+    isSpeculative: false,
+    isLongRunning: false,
+    isFilling: false,
+    mayMiss: 0
+  }
+  const graph: JobGraph = { id, organisation: pickOrganisation(random), queue: jobClass.queue, payload: '', steps: [step], acceptedAt: WALL_START + at }
+  return { at, graph, runMs: [runMs] }
+}
+
+function makeGuarantees (workers: number): OrganisationGuarantee[] {
+  const weights = Array.from({ length: ORGANISATIONS }, (_, index) => 1 / (index + 1) ** ORGANISATION_SKEW)
+  const sum = weights.reduce((total, weight) => total + weight, 0)
+  const accelerators = workers * ACCELERATORS_PER_WORKER * GUARANTEED_SHARE
+  return weights.map((weight, index) => ({ organisation: `o${index}`, accelerators: Math.floor(accelerators * weight / sum) }))
+}
+
+function pickOrganisation (random: Random): string {
+  const weights = Array.from({ length: ORGANISATIONS }, (_, index) => 1 / (index + 1) ** ORGANISATION_SKEW)
+  let left = random.sample() * weights.reduce((total, weight) => total + weight, 0)
+  const index = weights.findIndex(weight => (left -= weight) < 0)
+  return `o${Math.max(0, index)}`
+}
+
+function sampleNormal (random: Random): number {
+  return Math.sqrt(-2 * Math.log(1 - random.sample())) * Math.cos(2 * Math.PI * random.sample())
+}
+
+/** Samples a log-normal distribution with the given mean; `sigma` is the standard deviation of the logarithm. */
+function sampleLogNormal (random: Random, mean: number, sigma: number): number {
+  return mean * Math.exp(sampleNormal(random) * sigma - sigma * sigma / 2)
+}
--- /dev/null
+++ b/packages/bench/src/graphs/simulatedFleet.ts
@@ -0,0 +1,224 @@
+/**
+ * Drives the planner of job graphs alone with a simulated fleet under a simulated clock, without sockets or a store, and measures what
+ * clients get and what each scheduler pass costs.
+ */
+import { GraphPlanner, parseTaskName } from '@dragonflylever/core/graphs/index'
+import type { PlannerTimes, RunTimeEstimator, StepSpec, WaitingOrder } from '@dragonflylever/core/graphs/index'
+
+import { WALL_START } from './graphWorkload.js'
+import type { GraphArrival, GraphLoad } from './graphWorkload.js'
+import { scoreJob } from './jobScore.js'
+import type { JobScore } from './jobScore.js'
+import { CAPACITY, SimulatedWorker, computeWorkedMs } from './simulatedWorker.js'
+import type { SimulatedRun } from './simulatedWorker.js'
+
+/** Simulated time between two rounds of reports, pass and orders, in milliseconds. */
+const TURN_MS = 20
+const REPORT_INTERVAL_MS = 700
+const CORES_PER_ACCELERATOR = 8
+export const WORKERS_PER_RACK = 12
+/** Every third worker is slower by this factor. */
+const SLOW_FACTOR = 1.3
+
+const TIMES: PlannerTimes = {
+  runLeaseMs: 6_000,
+  minClockRate: 0.98,
+  runLeaseMarginMs: 500,
+  formerLeaderMs: 2_000,
+  reportTimeoutMs: 2_500,
+  startConfirmMs: 1_800,
+  stopGraceMs: 400,
+  reclaimMs: 2_900,
+  remoteFactor: 3,
+  checkpointMs: 2_000,
+  retentionMs: 240_000
+}
+
+/** Options of {@link runFleet}. */
+export interface FleetOptions {
+  readonly workers: number
+  readonly load: GraphLoad
+  /** Simulated duration in seconds; longer than the arrivals, so that late jobs can end. */
+  readonly seconds: number
+  /** Creates the order of waiting steps; that of the planner when absent. */
+  readonly createOrder?: (runTimes: RunTimeEstimator, getWallTime: () => number) => WaitingOrder
+}
+
+/** Result of a simulation. */
+export interface FleetResult {
+  readonly scores: readonly JobScore[]
+  /** Core-seconds of work that was stopped and not saved, by the planner's reason without names of jobs. */
+  readonly wastedByReason: Readonly<Record<string, number>>
+  readonly stops: number
+  /** Mean share of the fleet's accelerators and processors that runs hold while jobs arrive. */
+  readonly occupancy: { readonly accelerators: number, readonly processors: number }
+  /** Durations of the scheduler passes in microseconds of this machine's processor. */
+  readonly passUs: readonly number[]
+  readonly reportUs: readonly number[]
+  /** Bytes allocated per pass, as far as no garbage collection hides them. */
+  readonly bytesPerPass: number
+}
+
+class FleetRun {
+  private readonly _options: FleetOptions
+  private readonly _workers: readonly SimulatedWorker[]
+  private readonly _byTask = new Map<string, { readonly worker: SimulatedWorker, readonly run: SimulatedRun }>()
+  private readonly _arrivals = new Map<string, GraphArrival>()
+  private readonly _endedAt = new Map<string, number>()
+  private readonly _stopReasons = new Map<string, string>()
+  private readonly _wasted: Record<string, number> = {}
+  private readonly _planner: GraphPlanner
+  private readonly _passUs: number[] = []
+  private readonly _reportUs: number[] = []
+  private readonly _held = { accelerators: 0, cpuMillis: 0, samples: 0 }
+  private _bytes = 0
+  private _now = 0
+  private _stops = 0
+
+  constructor (options: FleetOptions) {
+    this._options = options
+    this._workers = Array.from({ length: options.workers }, (_, index) => new SimulatedWorker(`w${index}`, `r${Math.floor(index / WORKERS_PER_RACK)}`))
+    const getWallTime = (): number => WALL_START + this._now
+    const { createOrder } = options
+    const order = createOrder === undefined ? {} : { createOrder: (runTimes: RunTimeEstimator) => createOrder(runTimes, getWallTime) }
+    this._planner = new GraphPlanner({ times: TIMES, getWallTime, log: { note: (event, fields) => this._onNote(event, fields) }, ...order })
+    this._planner.setPolicy(options.load.policy)
+  }
+
+  run (): FleetResult {
+    const waiting = [...this._options.load.arrivals]
+    for (; this._now < this._options.seconds * 1_000; this._now += TURN_MS) {
+      while (waiting[0] !== undefined && waiting[0].at <= this._now) this._addJob(waiting.shift() as GraphArrival)
+      this._finishRuns()
+      if (this._reportWorkers()) this._runPass()
+      if (waiting.length > 0) this._sampleOccupancy()
+    }
+    const scores = [...this._arrivals.values()].map(arrival => scoreJob(arrival, this._endedAt.get(arrival.graph.id)))
+    return { scores, wastedByReason: this._wasted, stops: this._stops, occupancy: this._computeOccupancy(), passUs: this._passUs, reportUs: this._reportUs, bytesPerPass: this._bytes / Math.max(1, this._passUs.length) }
+  }
+
+  private _sampleOccupancy (): void {
+    this._held.samples++
+    for (const { run } of this._byTask.values()) {
+      const { accelerators, cpuMillis } = this._getStep(run.task)
+      this._held.accelerators += accelerators
+      this._held.cpuMillis += cpuMillis
+    }
+  }
+
+  private _computeOccupancy (): FleetResult['occupancy'] {
+    const scale = 1 / Math.max(1, this._held.samples * this._workers.length)
+    return { accelerators: this._held.accelerators * scale / CAPACITY.accelerators, processors: this._held.cpuMillis * scale / CAPACITY.cpuMillis }
+  }
+
+  private _addJob (arrival: GraphArrival): void {
+    this._arrivals.set(arrival.graph.id, arrival)
+    this._planner.addJob(arrival.graph, undefined, this._now)
+    for (const worker of this._workers.slice(0, 1)) worker.hasChanged = true
+  }
+
+  private _finishRuns (): void {
+    for (const { worker, run } of [...this._byTask.values()]) {
+      if (run.workingSince === undefined || run.savedMs + computeWorkedMs(run, this._now) < run.workMs) continue
+      this._removeRun(worker, run, 'done')
+    }
+  }
+
+  /** Passes the due reports to the planner. Returns true if there were any. */
+  private _reportWorkers (): boolean {
+    const due = this._workers.filter(worker => worker.hasChanged || this._now - worker.lastReportAt >= REPORT_INTERVAL_MS)
+    const startedAt = process.hrtime.bigint()
+    for (const worker of due) this._planner.acceptReport(worker.makeReport(this._now), this._now)
+    if (due.length > 0) this._reportUs.push(Number(process.hrtime.bigint() - startedAt) / 1_000)
+    return due.length > 0
+  }
+
+  private _runPass (): void {
+    const before = process.memoryUsage().heapUsed
+    const startedAt = process.hrtime.bigint()
+    this._planner.plan(this._now)
+    this._passUs.push(Number(process.hrtime.bigint() - startedAt) / 1_000)
+    this._bytes += Math.max(0, process.memoryUsage().heapUsed - before)
+    this._planner.recordLeadershipConfirmed(this._now)
+    for (const job of this._planner.listChangedJobs()) this._planner.recordJobStored(job.jobId, job.version)
+    for (const worker of this._workers) this._executeOrders(worker)
+  }
+
+  private _executeOrders (worker: SimulatedWorker): void {
+    const orders = this._planner.answerReport({ id: worker.id, born: 1 }, this._now, true)
+    if (orders === undefined) return
+    worker.applyAcknowledgement(orders)
+    for (const { task, run } of orders.stops) {
+      const found = this._byTask.get(task)
+      if (found?.run.run === run) this._stopRun(worker, found.run)
+    }
+    for (const { task, run, checkpoint } of orders.starts) if (this._byTask.get(task)?.run.run !== run) this._startRun(worker, task, run, checkpoint)
+  }
+
+  private _stopRun (worker: SimulatedWorker, run: SimulatedRun): void {
+    this._stops++
+    const isAlone = run.workingSince === undefined
+    const lostMs = run.isCheckpointing || isAlone ? 0 : computeWorkedMs(run, this._now)
+    const reason = this._stopReasons.get(run.task) ?? ''
+    this._wasted[reason] = (this._wasted[reason] ?? 0) + lostMs / 1_000 * computeCores(this._getStep(run.task))
+    this._removeRun(worker, run, 'stopped')
+  }
+
+  private _removeRun (worker: SimulatedWorker, run: SimulatedRun, how: 'done' | 'stopped'): void {
+    this._byTask.delete(run.task)
+    worker.end(run, how, this._now)
+  }
+
+  private _startRun (worker: SimulatedWorker, task: string, run: number, checkpoint: string): void {
+    const step = this._getStep(task)
+    const started: SimulatedRun = { task, run, savedMs: Number(checkpoint), startedAt: this._now, workingSince: step.isGang ? undefined : this._now, workMs: 0, isCheckpointing: step.isCheckpointing }
+    this._byTask.set(task, { worker, run: started })
+    worker.start(started)
+    const members = step.isGang ? this._listMembers(task, step) : [{ worker, run: started }]
+    if (members === undefined) return
+    const racks = new Set(members.map(member => member.worker.rack))
+    // The members of a gang end together with the slowest of them.
+    const workMs = Math.max(...members.map(member => this._computeWorkMs(member.run.task, member.worker, racks.size)))
+    for (const member of members) {
+      member.run.workingSince = this._now
+      member.run.workMs = workMs
+    }
+  }
+
+  /** Returns the runs of all members of a gang, or undefined while some are missing. */
+  private _listMembers (task: string, step: StepSpec): Array<{ readonly worker: SimulatedWorker, readonly run: SimulatedRun }> | undefined {
+    const prefix = task.slice(0, task.lastIndexOf('.') + 1)
+    const members = Array.from({ length: step.count }, (_, index) => this._byTask.get(`${prefix}${index}`)).filter(member => member !== undefined)
+    return members.length === step.count ? members : undefined
+  }
+
+  private _computeWorkMs (task: string, worker: SimulatedWorker, racks: number): number {
+    const name = parseTaskName(task)
+    const arrival = this._arrivals.get(name?.jobId ?? '')
+    const step = this._getStep(task)
+    const isRemote = (step.isSameRack && racks > 1) || (step.dataRack !== undefined && step.dataRack !== worker.rack)
+    const isSlow = Number(worker.id.slice(1)) % 3 === 2
+    return (arrival?.runMs[name?.step ?? 0] ?? 0) * (isRemote ? TIMES.remoteFactor : 1) * (isSlow ? SLOW_FACTOR : 1)
+  }
+
+  private _getStep (task: string): StepSpec {
+    const name = parseTaskName(task)
+    const step = this._arrivals.get(name?.jobId ?? '')?.graph.steps[name?.step ?? 0]
+    if (step === undefined) throw new Error(`invariant: the planner started ${task}, which no job has`)
+    return step
+  }
+
+  private _onNote (event: string, fields: Readonly<Record<string, unknown>>): void {
+    if (event === 'run stopping') this._stopReasons.set(String(fields['task']), String(fields['reason']).replace(/ for .*/, ''))
+    if (event === 'job ended' && fields['phase'] === 'completed') this._endedAt.set(String(fields['job']), this._now)
+  }
+}
+
+function computeCores (step: StepSpec): number {
+  return step.cpuMillis / 1_000 + step.accelerators * CORES_PER_ACCELERATOR
+}
+
+/** Runs a load on a simulated fleet. */
+export function runFleet (options: FleetOptions): FleetResult {
+  return new FleetRun(options).run()
+}
--- /dev/null
+++ b/packages/bench/src/graphs/simulatedWorker.ts
@@ -0,0 +1,107 @@
+/**
+ * A worker with its agent in a simulated fleet: executes the planner's orders, advances its runs and reports them.
+ */
+import type { EndListing, RunEnd, RunListing, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
+
+/** Interval at which a worker updates the progress that it lists, in milliseconds. */
+const LIST_INTERVAL_MS = 1_000
+const CHECKPOINT_MS = 2_000
+const RESUME_MS = 250
+/** Capacity of each worker. */
+export const CAPACITY = { cpuMillis: 128_000, memoryMb: 524_288, accelerators: 8 }
+
+/** One run at a simulated worker. */
+export interface SimulatedRun {
+  readonly task: string
+  readonly run: number
+  /** Work that was done before, restored from a checkpoint, in milliseconds. */
+  readonly savedMs: number
+  readonly startedAt: number
+  /** When the run began to work: for a member of a gang, when all members were present. */
+  workingSince: number | undefined
+  /** Total work of the task at this place, in milliseconds. */
+  workMs: number
+  readonly isCheckpointing: boolean
+}
+
+export class SimulatedWorker {
+  readonly id: string
+  readonly rack: string
+  readonly runs = new Map<string, SimulatedRun>()
+  hasChanged = true
+  lastReportAt = -Infinity
+  private _ended: EndListing[] = []
+  private _endNumber = 0
+  private _listNumber = 0
+  private _listedAt = -Infinity
+  private _running: RunListing[] = []
+
+  constructor (id: string, rack: string) {
+    this.id = id
+    this.rack = rack
+  }
+
+  /** Adds a run. */
+  start (run: SimulatedRun): void {
+    this.runs.set(run.task, run)
+    this.hasChanged = true
+  }
+
+  /** Ends a run; its end is reported until the planner acknowledges it. */
+  end (run: SimulatedRun, how: RunEnd, now: number): void {
+    this.runs.delete(run.task)
+    this._ended.push({ number: ++this._endNumber, task: run.task, run: run.run, how, checkpoint: this._makeCheckpoint(run, now, how === 'stopped') })
+    this.hasChanged = true
+  }
+
+  /** Forgets the ends that the planner has acknowledged. */
+  applyAcknowledgement (orders: WorkerOrders): void {
+    this._ended = this._ended.filter(end => end.number > orders.seen)
+  }
+
+  makeReport (now: number): WorkerReport {
+    if (this.hasChanged || now - this._listedAt >= LIST_INTERVAL_MS) {
+      this._listNumber++
+      this._listedAt = now
+      this._running = [...this.runs.values()].map(run => ({ task: run.task, run: run.run, checkpoint: this._makeCheckpoint(run, now, false), percent: computePercent(run, now), usage: 0 }))
+    }
+    this.hasChanged = false
+    this.lastReportAt = now
+    return {
+      key: { id: this.id, born: 1 },
+      address: `${this.id}:1`,
+      service: 's',
+      rack: this.rack,
+      labels: ['a', this.rack],
+      failureDomain: 'd',
+      region: 'r',
+      capacity: CAPACITY,
+      isDraining: false,
+      drainLeftMs: undefined,
+      isOver: false,
+      isReachable: true,
+      leaseLeftMs: 0,
+      listNumber: this._listNumber,
+      running: this._running,
+      ended: this._ended,
+      orders: []
+    }
+  }
+
+  /** Returns the checkpoint of a run: its saved work in milliseconds as text, empty if there is none. */
+  private _makeCheckpoint (run: SimulatedRun, now: number, isStopped: boolean): string {
+    if (!run.isCheckpointing) return ''
+    const worked = computeWorkedMs(run, now)
+    const saved = run.savedMs + (isStopped ? worked : Math.floor(worked / CHECKPOINT_MS) * CHECKPOINT_MS)
+    return saved <= 0 ? '' : String(Math.floor(saved))
+  }
+}
+
+/** Returns how long a run has worked since it started here, in milliseconds. */
+export function computeWorkedMs (run: SimulatedRun, now: number): number {
+  return run.workingSince === undefined ? 0 : Math.max(0, now - run.workingSince - (run.savedMs > 0 ? RESUME_MS : 0))
+}
+
+function computePercent (run: SimulatedRun, now: number): number {
+  return Math.min(99, Math.floor((run.savedMs + computeWorkedMs(run, now)) / run.workMs * 100))
+}
