Put late urgent work behind urgent work that can still be in time

Urgent work was ordered by the time to spare however negative, so in a burst the latest job came first and made the next ones late too. Change: urgent work in time first, by the time to spare; late urgent work that still has a value next, by value per core-second. Test: urgentBurst.test.ts replays the burst against the former order.

--- a/packages/core/src/graphs/objectiveOrder.ts
+++ b/packages/core/src/graphs/objectiveOrder.ts
@@ -1,6 +1,8 @@
 /**
- * Orders waiting steps by their objectives and values. Steps of priority 0 come first, ordered by the time to spare until their objective.
- * All other steps are ordered by value per core-second; work that is too late to have any value comes last.
+ * Orders waiting steps by their objectives and values. Urgent steps (priority 0) that can still meet their objective come first, ordered by
+ * the time to spare. Urgent steps that are late but still have a value follow, by value per core-second: in a burst of urgent work beyond
+ * the capacity of the fleet, serving the latest first would make every job late. All other steps are ordered by value per core-second. Work
+ * that is too late to have any value comes last.
  */
 import { computeCoreSeconds, computeValueFactor } from './coreSeconds.js'
 import type { QueuePolicy } from './graphTypes.js'
@@ -15,6 +17,10 @@
 /** A job that takes up to this multiple of its objective still has a value, by the pricing rules. */
 const MAX_LATE_FACTOR = 3
 
+/** Tiers of waiting steps; all steps of a lower tier come first. */
+const Tier = { urgent: 0, urgentLate: 1, other: 2, worthless: 3 } as const
+type Tier = typeof Tier[keyof typeof Tier]
+
 /** Dependencies of {@link ObjectiveOrder}. */
 export interface ObjectiveOrderDependencies {
   readonly runTimes: RunTimeEstimator
@@ -35,16 +41,17 @@
     return ranked.map(({ step }) => step)
   }
 
-  private _rankStep (waiting: WaitingStep): { tier: number, key: number } {
+  private _rankStep (waiting: WaitingStep): { tier: Tier, key: number } {
     const { job } = waiting.step
     const { queue } = job.graph
     const chainMs = this._computeChainMs(waiting)
     const ageMs = this._dependencies.getWallTime() - this._getDueTime(waiting)
     const objectiveMs = queue.stretch * chainMs + queue.targetLatencyMs
     const slackMs = objectiveMs - ageMs - chainMs
-    if (queue.priority === 0) return { tier: 0, key: slackMs }
-    const isTooLate = MAX_LATE_FACTOR * objectiveMs < ageMs + chainMs
-    return { tier: isTooLate ? 2 : 1, key: -this._computeValueDensity(waiting, queue) }
+    if (queue.priority === 0 && slackMs >= 0) return { tier: Tier.urgent, key: slackMs }
+    const isWorthless = MAX_LATE_FACTOR * objectiveMs < ageMs + chainMs
+    const tier = isWorthless ? Tier.worthless : queue.priority === 0 ? Tier.urgentLate : Tier.other
+    return { tier, key: -this._computeValueDensity(waiting, queue) }
   }
 
   private _getDueTime (waiting: WaitingStep): number {
