Keep the work of hosts that are only silent or slow to report

(a) A run whose start was not confirmed within 3.6 s (a gang's within 1.8 s) was stopped although its agent had not reported since, and so could not have said that the run works; it could not start elsewhere sooner either. (b) An agent dropped a worker without heartbeats for 30 s, and with it the extension of its runs' lease, although the worker answered each poll. Change: a run's start counts as unconfirmed only for time during which its worker was heard; a gang that makes progress is whole. A worker is dropped once it answers no polls either. Tests: graphPlanner (two) and workerTable (one), failed first; two more in workerTable hold that a delayed heartbeat of a departed worker, or of an earlier life, brings nothing back after a restart of the agent.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -99,13 +99,21 @@
     return job.graph.steps.reduce((sum, step) => sum + step.count * computeCoreSeconds(step, step.estimatedMs), 0)
   }
 
+  /**
+   * Stops runs whose start was not confirmed in time. While a worker is silent, its agent may have started the run without being able to say
+   * so, and the task can't start elsewhere before the worker's lease ends. So the run of a silent worker is kept, unless it belongs to a gang
+   * whose other members wait for it.
+   */
   private _stopUnconfirmedRuns (worker: WorkerState): void {
     // A worker that has not reported to this planner yet may still be executing the recorded runs.
     if (worker.firstReportAt === undefined) return
     for (const run of worker.runs) {
       if (run.phase !== RunPhase.assigned) continue
-      const limitMs = this._dependencies.times.startConfirmMs * (run.task.step.spec.isGang ? 1 : SINGLE_CONFIRM_FACTOR)
-      if (this._now - Math.max(run.assignedAt, worker.firstReportAt) < limitMs) continue
+      const { isGang } = run.task.step.spec
+      if (isGang && isGangWorking(run)) continue
+      const limitMs = this._dependencies.times.startConfirmMs * (isGang ? 1 : SINGLE_CONFIRM_FACTOR)
+      const heardUntil = isGang ? this._now : Math.min(this._now, worker.lastReportAt)
+      if (heardUntil - Math.max(run.assignedAt, worker.firstReportAt) < limitMs) continue
       this._dependencies.runTracker.stopWithGang(run, 'the start was not confirmed in time', 'a member of the gang was not started in time', this._now)
     }
   }
@@ -209,3 +217,8 @@
     return this._now - waiting.since > extraRunMs || this._starvedSteps.has(waiting.step)
   }
 }
+
+/** True if a member of the run's gang makes progress, which shows that all members are present, also those not confirmed yet. */
+function isGangWorking (run: RunState): boolean {
+  return run.task.step.tasks.some(task => task.runs.some(member => member.percent > 0))
+}
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -218,3 +218,33 @@
     t.truthy(harness.findWorker('small.0.0.0'))
   }
 })
+
+test('a worker that is silent for a while keeps a run whose start it has not confirmed; the run is neither given up nor started elsewhere', t => {
+  const harness = new PlannerHarness([2])
+  harness.addJob('a', [makeStep({ accelerators: 8 })])
+  harness.runTurn()
+  const worker = harness.findWorker('a.0.0.0')
+  t.truthy(worker)
+  const others = harness.workers.filter(other => other !== worker)
+  harness.workers.splice(0, 2, ...others)
+  harness.run(5_000)
+  t.deepEqual(harness.listNotes('run stopping'), [])
+  if (worker !== undefined) harness.workers.push(worker)
+  harness.run(500)
+  t.is(harness.findWorker('a.0.0.0'), worker)
+  t.deepEqual(harness.listNotes('run lost'), [])
+  t.is(harness.listNotes('run assigned').length, 1)
+})
+
+test('a gang that makes progress is not stopped because one of its workers is silent and has not confirmed its start', t => {
+  const harness = new PlannerHarness([2])
+  harness.addJob('a', [makeStep({ count: 2, accelerators: 8, isGang: true })])
+  harness.runTurn()
+  const silent = harness.findWorker('a.0.0.1')
+  harness.workers.splice(0, 2, ...harness.workers.filter(worker => worker !== silent))
+  for (let percent = 0; percent <= 60; percent += 20) {
+    harness.setPercent('a.0.0.0', percent)
+    harness.run(1_000)
+  }
+  t.deepEqual(harness.listNotes('run stopping'), [])
+})
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -92,6 +92,11 @@
     return this._isOver
   }
 
+  /** True while the worker answers calls. */
+  get isReachable (): boolean {
+    return this._failedCalls < UNREACHABLE_AFTER_CALLS
+  }
+
   /** Records that the worker announced its shutdown. The incarnation counts as ended once connections to its address are refused. */
   markLeaving (): void {
     this._isLeaving = true
@@ -126,7 +131,7 @@
       isDraining,
       drainLeftMs,
       isOver: this._isOver,
-      isReachable: this._failedCalls < UNREACHABLE_AFTER_CALLS,
+      isReachable: this.isReachable,
       leaseLeftMs: this._clock.computeMaxLeaseLeft(performance.now()),
       listNumber: this._listNumber,
       running: this._running,
@@ -246,9 +251,9 @@
 
   private _recordReachability (outcome: RunOutcome): void {
     const isAnswered = outcome.kind === 'ok' || outcome.kind === 'refused' || outcome.kind === 'otherIncarnation'
-    const wasReachable = this._failedCalls < UNREACHABLE_AFTER_CALLS
+    const wasReachable = this.isReachable
     this._failedCalls = isAnswered ? 0 : this._failedCalls + 1
-    const isReachable = this._failedCalls < UNREACHABLE_AFTER_CALLS
+    const { isReachable } = this
     if (wasReachable !== isReachable) {
       this._dependencies.logger[isReachable ? 'info' : 'warn']({ worker: this._announcement.id, failedCalls: this._failedCalls }, isReachable ? 'worker answers again' : 'worker does not answer')
       this._dependencies.onChange()
--- a/packages/daemon/src/jobAgent/workerTable.ts
+++ b/packages/daemon/src/jobAgent/workerTable.ts
@@ -10,7 +10,10 @@
 import { WorkerController } from './workerController.js'
 import type { WorkerAnnouncement } from './workerController.js'
 
-/** Time without a heartbeat after which a worker is no longer reported, in milliseconds; about 20 heartbeat intervals. */
+/**
+ * Time without a heartbeat after which a worker that doesn't answer polls either is no longer reported, in milliseconds; about 20 heartbeat
+ * intervals.
+ */
 const HEARTBEAT_TIMEOUT_MS = 30_000
 
 /** Dependencies of {@link WorkerTable}. */
@@ -66,7 +69,10 @@
   /** Collects the reports of all workers for the planner, after removing the workers whose heartbeats have timed out. */
   collectReports (): CollectedReports {
     const now = performance.now()
-    for (const [id, worker] of this._workers) if (now - worker.lastHeartbeatAt > HEARTBEAT_TIMEOUT_MS) this._removeWorker(id, 'its heartbeats stopped')
+    for (const [id, { controller, lastHeartbeatAt }] of this._workers) {
+      // A worker whose heartbeats are lost or late still works as long as it answers; removing it would end its runs.
+      if (now - lastHeartbeatAt > HEARTBEAT_TIMEOUT_MS && !controller.isReachable) this._removeWorker(id, 'its heartbeats stopped and it does not answer')
+    }
     const controllers = [...this._workers.values()].map(worker => worker.controller)
     const clocks = new Map(controllers.map(controller => [controller.announcement.id, controller.readClock()]))
     return { reports: controllers.map(controller => controller.makeReport()), clocks }
--- /dev/null
+++ b/packages/daemon/test/jobAgent/workerTable.test.ts
@@ -0,0 +1,88 @@
+/**
+ * Which workers an agent reports when heartbeats are lost, late, or come from an earlier incarnation.
+ */
+import type { HoldResult, RunOutcome, RunWorker } from '@dragonflylever/adapters'
+import { WorkerTable } from '@dragonflylever/daemon/jobAgent/workerTable'
+import type { WorkerAnnouncement } from '@dragonflylever/daemon/jobAgent/workerController'
+import { createLogger } from '@dragonflylever/runtime'
+import FakeTimers from '@sinonjs/fake-timers'
+import type { Clock } from '@sinonjs/fake-timers'
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+
+type PollOutcome = RunOutcome<HoldResult>
+
+const OK: RunOutcome = { kind: 'ok', clockMs: 1 }
+
+function createWorker (poll: () => PollOutcome): RunWorker {
+  return {
+    start: async () => OK,
+    stop: async () => OK,
+    pace: async () => OK,
+    hold: async ({ waitMs }) => {
+      await new Promise(resolve => setTimeout(resolve, Math.max(50, waitMs)))
+      return poll()
+    },
+    close: () => {}
+  }
+}
+
+function makeAnnouncement (id: string, born: number): WorkerAnnouncement {
+  return {
+    id,
+    born,
+    address: '10.0.0.1:1',
+    service: 's',
+    rack: 'r',
+    labels: [],
+    failureDomain: 'd',
+    capacity: { cpuMillis: 1, memoryMb: 1, accelerators: 1 },
+    isDraining: false,
+    drainLeftMs: undefined,
+    clockMs: 0,
+    sequence: 1
+  }
+}
+
+function createTable (t: ExecutionContext, poll: () => PollOutcome): { readonly table: WorkerTable, readonly clock: Clock } {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
+  const table = new WorkerTable({ region: 'r', runLeaseMs: 6_000, logger: createLogger({ level: 'silent', processId: 't' }), openWorker: () => createWorker(poll), onChange: () => {} })
+  t.teardown(() => {
+    table.close()
+    clock.uninstall()
+  })
+  return { table, clock }
+}
+
+function listReported (table: WorkerTable): string[] {
+  return table.collectReports().reports.map(report => `${report.key.id}/${report.key.born}`)
+}
+
+test.serial('a worker whose heartbeats are lost is still reported while it answers polls, and no longer once it is silent altogether', async t => {
+  let outcome: PollOutcome = { kind: 'ok', clockMs: 1, born: 1, running: [], ended: [] }
+  const { table, clock } = createTable(t, () => outcome)
+  table.acceptHeartbeat(makeAnnouncement('w', 1))
+  await clock.tickAsync(60_000)
+  t.deepEqual(listReported(table), ['w/1'])
+  outcome = { kind: 'lost', message: 'no answer' }
+  await clock.tickAsync(10_000)
+  t.deepEqual(listReported(table), [])
+})
+
+test.serial('after a restart of the agent, a delayed heartbeat of a worker that has left brings back no worker', async t => {
+  const { table, clock } = createTable(t, () => ({ kind: 'otherIncarnation' }))
+  table.acceptHeartbeat(makeAnnouncement('departed', 1))
+  await clock.tickAsync(1_500)
+  t.deepEqual(listReported(table), [])
+})
+
+test.serial('after a restart of the agent, a delayed heartbeat of an earlier life under the same id is replaced by the life that answers', async t => {
+  const { table, clock } = createTable(t, () => ({ kind: 'ok', clockMs: 1, born: 2, running: [], ended: [] }))
+  table.acceptHeartbeat(makeAnnouncement('w', 1))
+  await clock.tickAsync(1_500)
+  t.deepEqual(listReported(table), [])
+  table.acceptHeartbeat(makeAnnouncement('w', 2))
+  table.acceptHeartbeat(makeAnnouncement('w', 1))
+  await clock.tickAsync(1_500)
+  t.deepEqual(listReported(table), ['w/2'])
+})
