--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -122,6 +122,8 @@
     if (admission.rest === '') return { kind: 'waiting', count: this._dependencies.states.countWaiting(admission.queue.name) }
     const known = this._dependencies.states.get(admission.rest)
     if (known !== undefined) return { kind: 'state', phase: known.phase }
+    // No job has such an id; the store could reject the key, which would look like an outage.
+    if (!JOB_ID.test(admission.rest)) return { kind: 'noSuchJob' }
     return this._readState(call, admission.rest)
   }
 
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -5,7 +5,7 @@
 import { PrefixWatcher } from '@dragonflylever/adapters'
 import type { Store, StoredValue, WatchEvent } from '@dragonflylever/adapters'
 import { GraphPlanner, isFinalPhase } from '@dragonflylever/core/graphs/index'
-import type { ChangedJob, PlannerTimes, PolicyIndex } from '@dragonflylever/core/graphs/index'
+import type { ChangedJob, JobGraph, PlannerTimes, PolicyIndex } from '@dragonflylever/core/graphs/index'
 import type { PeerRpc, RpcParams, RpcResultValue } from '@dragonflylever/protocol'
 import type { ClockReading, Logger, Metrics } from '@dragonflylever/runtime'
 
@@ -174,10 +174,19 @@
       this._states.set(jobId, state)
       this._writer.recordStoredProgress(jobId, this._storedProgress.get(jobId)?.modRevision ?? 0, state.phase)
     }
-    this._planner.addJob(graph, this._storedProgress.get(jobId)?.value, now)
+    this._addJobWithProgress(graph, this._storedProgress.get(jobId), now)
     this._storedProgress.delete(jobId)
   }
 
+  /** Adds a job to the planner. A job with an unreadable progress record is left alone, since its runs are unknown and must not start again. */
+  private _addJobWithProgress (graph: JobGraph, progress: StoredValue | undefined, now: number): void {
+    try {
+      this._planner.addJob(graph, progress?.value, now)
+    } catch (error) {
+      this._dependencies.logger.error({ job: graph.id, revision: progress?.modRevision, message: (error as Error).message }, 'progress record of a job is unreadable; leaving the job alone')
+    }
+  }
+
   private _schedulePass (): void {
     if (this._isClosed || !this._isLoaded) return
     this._passTimer ??= setTimeout(() => {
--- a/packages/daemon/test/jobEntry/jobEntryHandler.test.ts
+++ b/packages/daemon/test/jobEntry/jobEntryHandler.test.ts
@@ -24,6 +24,7 @@
 
 interface Fixture {
   readonly store: MemoryStore
+  readonly handler: JobEntryHandler
   /** Submits the job and advances the clock until it is answered. */
   readonly submit: () => Promise<JobEntryAnswer>
   readonly advance: (ms: number) => Promise<unknown>
@@ -39,6 +40,7 @@
   const handler = new JobEntryHandler({ store, keys: KEYS, states, logger, metrics: new NoMetrics(), getPolicy: () => index })
   return {
     store,
+    handler,
     submit: async () => {
       const answer = handler.submit({ host: 'h', path: `/q/${JOB_ID}`, key: undefined, deadlineAt: performance.now() + 3_000 }, { payload: '', steps: [], repeat: undefined })
       await clock.tickAsync(3_000)
@@ -69,3 +71,13 @@
   store.faults.isDown = true
   t.is((await submit()).kind, 'accepted', 'the entry knows the job from the conflict and needs no store')
 })
+
+test.serial('a call for a malformed job id is answered without a call to the store', async t => {
+  const { store, handler } = createFixture(t)
+  for (const id of ['x'.repeat(10_000), '../op/config', '%E0%A4%A', '\u0000']) {
+    const call = { host: 'h', path: `/q/${id}`, key: undefined, deadlineAt: performance.now() + 3_000 }
+    t.is((await handler.getState(call)).kind, 'noSuchJob')
+    t.is((await handler.cancel(call)).kind, 'noSuchJob')
+  }
+  t.is(store.counts.reads + store.counts.writes, 0)
+})
