Let urgent work stop as much other work as fits the size of its jobs

Cause: urgent work beyond a guarantee could stop at most 400 core-seconds of other work per job of mean size, a number taken from the prices of the first sites. Change: twice the mean core-seconds of the queue's jobs, and the same for stopping an urgent job for a guaranteed one. Test: capacityReclaim, failed first for the host of 128 cores.

--- a/packages/bench/src/graphs/jobScore.ts
+++ b/packages/bench/src/graphs/jobScore.ts
@@ -1,6 +1,9 @@
 /**
- * What a job earned for its client: its full value within its objective, a smaller one up to three times the objective, and nothing later.
+ * What a job earned for its client: its full value within its objective, a smaller one up to three times the objective, and nothing later. The value
+ * grows with the job's work.
  */
+import { computeCoreSeconds, computeValueFactor } from '@dragonflylever/core/graphs/coreSeconds'
+
 import type { GraphArrival } from './graphWorkload.js'
 
 /** Values of a job of mean size by priority, in time and late, as the request tables list them. */
@@ -19,14 +22,23 @@
   readonly owed: number
 }
 
-/** Scores a job by the time at which it completed, in milliseconds of the simulation; undefined if it did not. */
-export function scoreJob (arrival: GraphArrival, endedAt: number | undefined): JobScore {
+/** Returns the core-seconds of all tasks of a job. */
+export function computeWork ({ graph, runMs }: GraphArrival): number {
+  return graph.steps.reduce((sum, step, index) => sum + step.count * computeCoreSeconds(step, runMs[index] ?? 0), 0)
+}
+
+/**
+ * Scores a job by the time at which it completed, in milliseconds of the simulation; undefined if it did not. `meanWork` is the mean of the core-seconds
+ * of the jobs of its queue.
+ */
+export function scoreJob (arrival: GraphArrival, endedAt: number | undefined, meanWork: number): JobScore {
   const { queue, organisation, steps } = arrival.graph
   const chainMs = arrival.runMs.reduce((sum, ms) => sum + ms, 0)
   const objectiveMs = queue.stretch * chainMs + queue.targetLatencyMs
   const tookMs = endedAt === undefined ? Infinity : endedAt - arrival.at
   const result = tookMs <= objectiveMs ? JobResult.inTime : tookMs <= MAX_LATE_FACTOR * objectiveMs ? JobResult.late : JobResult.unserved
   const values = VALUES[queue.priority] ?? VALUES[2]
-  const earned = result === JobResult.unserved ? 0 : values[result]
-  return { queue: queue.name, organisation, tasks: steps.reduce((sum, step) => sum + step.count, 0), result, earned, owed: values.inTime }
+  const factor = computeValueFactor(computeWork(arrival), meanWork)
+  const earned = result === JobResult.unserved ? 0 : values[result] * factor
+  return { queue: queue.name, organisation, tasks: steps.reduce((sum, step) => sum + step.count, 0), result, earned, owed: values.inTime * factor }
 }
--- a/packages/bench/src/graphs/simulatedFleet.ts
+++ b/packages/bench/src/graphs/simulatedFleet.ts
@@ -7,7 +7,7 @@
 
 import { WALL_START } from './graphWorkload.js'
 import type { GraphArrival, GraphLoad } from './graphWorkload.js'
-import { scoreJob } from './jobScore.js'
+import { computeWork, scoreJob } from './jobScore.js'
 import type { JobScore } from './jobScore.js'
 import { CAPACITY, SimulatedWorker, computeWorkedMs } from './simulatedWorker.js'
 import type { SimulatedRun } from './simulatedWorker.js'
@@ -93,10 +93,18 @@
       if (this._reportWorkers()) this._runPass()
       if (waiting.length > 0) this._sampleOccupancy()
     }
-    const scores = [...this._arrivals.values()].map(arrival => scoreJob(arrival, this._endedAt.get(arrival.graph.id)))
+    const scores = this._scoreJobs()
     return { scores, wastedByReason: this._wasted, stops: this._stops, occupancy: this._computeOccupancy(), passUs: this._passUs, reportUs: this._reportUs, bytesPerPass: this._bytes / Math.max(1, this._passUs.length) }
   }
 
+  private _scoreJobs (): JobScore[] {
+    const arrivals = [...this._arrivals.values()]
+    const works = new Map<string, number[]>()
+    for (const arrival of arrivals) works.set(arrival.graph.queue.name, [...works.get(arrival.graph.queue.name) ?? [], computeWork(arrival)])
+    const means = new Map([...works].map(([queue, list]) => [queue, list.reduce((sum, work) => sum + work, 0) / list.length]))
+    return arrivals.map(arrival => scoreJob(arrival, this._endedAt.get(arrival.graph.id), means.get(arrival.graph.queue.name) ?? 0))
+  }
+
   private _sampleOccupancy (): void {
     this._held.samples++
     for (const { run } of this._byTask.values()) {
--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -38,12 +38,11 @@
 /** Time from a stop order until another run starts in the slot, in milliseconds, without the time that the run takes to stop. */
 const STOP_ORDER_MS = 700
 /**
- * Core-seconds whose loss costs as much as an urgent job of mean size gains by finishing in time instead of late. Follows from the
- * pricing rules (up to 0.003 per core-second; value 4 in time, 0.8 late), less what the stopped work loses by being late itself.
+ * Work whose loss costs as much as an urgent job of mean size gains by finishing in time instead of late, as a multiple of the mean
+ * core-seconds of the queue's jobs. The price of a lost core-second falls with the size of the fleet and of its jobs, so a fixed
+ * number of core-seconds would not fit both small and large fleets. Stopping an urgent job costs the same, since it is then late.
  */
-const URGENT_VALUE = 400
-/** Cost in core-seconds of stopping an urgent job, which is then late: the same values as above at the middle price of 0.002. */
-const URGENT_STOP_COST = 1_600
+const URGENT_VALUE_WORK = 2
 /** Urgent work that will miss its objective in any case may stop other work if the loss is at most this share of the urgent core-seconds. */
 const MAX_LATE_LOSS_SHARE = 0.1
 /** Lifetime of a reservation, as a multiple of `reclaimMs`; a reservation expires if its step has not been placed by then. */
@@ -88,8 +87,9 @@
     const reservation = this._reservations.get(step)
     if (reservation !== undefined) return snapshot.reserve(step, reservation.slots)
     const maxLoss = this._computeMaxLoss(waiting)
-    const plan = this._chooseReclaimPlan(waiting, snapshot, Math.max(maxLoss, URGENT_VALUE))
-    const expectedSlots = this._findExpectedSlots(waiting, snapshot, plan !== undefined && plan.loss > URGENT_VALUE)
+    const urgentValue = this._computeUrgentValue(step.job)
+    const plan = this._chooseReclaimPlan(waiting, snapshot, Math.max(maxLoss, urgentValue))
+    const expectedSlots = this._findExpectedSlots(waiting, snapshot, plan !== undefined && plan.loss > urgentValue)
     if (expectedSlots !== undefined) return snapshot.reserve(step, expectedSlots)
     if (plan === undefined || plan.loss > maxLoss) return
     this._dependencies.log.note('capacity taken back', { step: step.name, victims: plan.victims.map(run => run.task.name), loss: Math.round(plan.loss), waitedMs: this._now - waiting.since })
@@ -119,7 +119,12 @@
     const { job, spec } = run.task.step
     if (spec.isLongRunning) return Infinity
     if (this._dependencies.getPriority(job) > 0) return 0
-    return isForGuaranteed && !this._guaranteed.has(job) ? URGENT_STOP_COST : Infinity
+    return isForGuaranteed && !this._guaranteed.has(job) ? this._computeUrgentValue(job) : Infinity
+  }
+
+  /** Returns the core-seconds whose loss costs as much as an urgent job of mean size of the same queue gains by finishing in time. */
+  private _computeUrgentValue (job: JobState): number {
+    return URGENT_VALUE_WORK * (this._dependencies.runTimes.getMeanCoreSeconds(job.graph.queue.name) ?? 0)
   }
 
   /** Returns the maximum loss, in core-seconds, that other work may suffer to make room for a step. */
@@ -130,7 +135,7 @@
     const minAllowance = coreSeconds * MAX_LATE_LOSS_SHARE
     const spareMs = this._computeSlack(step) - this._dependencies.times.stopGraceMs - STOP_ORDER_MS - (this._now - waiting.since)
     if (spareMs < 0) return minAllowance
-    return Math.max(minAllowance, URGENT_VALUE * computeValueFactor(coreSeconds, this._dependencies.runTimes.getMeanCoreSeconds(step.job.graph.queue.name)))
+    return Math.max(minAllowance, this._computeUrgentValue(step.job) * computeValueFactor(coreSeconds, this._dependencies.runTimes.getMeanCoreSeconds(step.job.graph.queue.name)))
   }
 
   /** Returns how long a step may wait, in milliseconds, and still meet the objective for the duration of its job. */
--- a/packages/core/test/graphs/capacityReclaim.test.ts
+++ b/packages/core/test/graphs/capacityReclaim.test.ts
@@ -154,3 +154,17 @@
   t.truthy(harness.findWorker('urgent.0.0.0'))
   t.is(harness.listNotes('capacity taken back').length, 0)
 })
+
+test('urgent work beyond its guarantee may stop as much work as fits the size of its jobs, on fleets with small and with large jobs', t => {
+  // A task on a host with 128 cores is worth more core-seconds than one on a host with 8; the same share of each must be allowed.
+  for (const cpuMillis of [4_000, 120_000]) {
+    const harness = new PlannerHarness([1])
+    harness.planner.setPolicy({ queues: [], guarantees: [] })
+    harness.addJob('old', [makeStep({ accelerators: 8, cpuMillis, estimatedMs: 20_000 })])
+    // The run has worked for half as long as an urgent job takes, and loses that.
+    harness.run(5_000)
+    harness.addJob('urgent', [makeStep({ accelerators: 8, cpuMillis, estimatedMs: 10_000 })], { queue: makeQueue({ name: 'urgent', priority: 0, stretch: 1.5, targetLatencyMs: 600 }) })
+    harness.run(3_000)
+    t.truthy(harness.findWorker('urgent.0.0.0'), `${cpuMillis} millis`)
+  }
+})
