Compute what a stop loses once a pass, and count runs that already stop once

Change: a catalogue of victims for the pass, emptied when runs are stopped; sets of workers that could not hold the step even when empty are left out first; members that already stop are no part of a victim, in the reference too.

--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -15,6 +15,7 @@
 import type { RunTracker } from './runTracker.js'
 import { estimateWorkedMs, predictEnd } from './runProgress.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
+import { VictimCatalogue } from './victimCatalogue.js'
 import type { WaitingStep } from './waitingStep.js'
 import type { WorkerState } from './workerState.js'
 
@@ -53,11 +54,13 @@
   private readonly _reservations = new Map<StepState, SlotReservation>()
   /** Predicted ends of runs during one pass, by run, or by step for a gang. Stops change them. */
   private readonly _predictedEnds = new Map<RunState | StepState, number>()
+  private _victims: { readonly forGuaranteed: VictimCatalogue, readonly forOthers: VictimCatalogue }
   private _guaranteed: ReadonlySet<JobState> = new Set()
   private _now = 0
 
   constructor (dependencies: CapacityReclaimDependencies) {
     this._dependencies = dependencies
+    this._victims = { forGuaranteed: this._createVictimCatalogue(true), forOthers: this._createVictimCatalogue(false) }
   }
 
   /**
@@ -67,7 +70,7 @@
   beginPass (snapshot: CapacitySnapshot, waiting: readonly WaitingStep[], guaranteed: ReadonlySet<JobState>, now: number): void {
     this._guaranteed = guaranteed
     this._now = now
-    this._predictedEnds.clear()
+    this._forgetRuns()
     const steps = new Set(waiting.map(entry => entry.step))
     for (const [step, reservation] of this._reservations) {
       const isUsable = [...reservation.slots.keys()].every(worker => this._dependencies.isEligible(worker, step))
@@ -94,21 +97,29 @@
     if (plan === undefined || plan.loss > maxLoss) return
     this._dependencies.log.note('capacity taken back', { step: step.name, victims: plan.victims.map(run => run.task.name), loss: Math.round(plan.loss), waitedMs: this._now - waiting.since })
     for (const run of plan.victims) this._dependencies.runTracker.stop(run, `capacity taken back for ${step.name}`, this._now)
-    this._predictedEnds.clear()
+    this._forgetRuns()
     this._reservations.set(step, { slots: plan.slots, until: this._now + RESERVATION_LIFETIME_FACTOR * this._dependencies.times.reclaimMs })
     snapshot.reserve(step, plan.slots)
   }
 
   private _chooseReclaimPlan (waiting: WaitingStep, snapshot: CapacitySnapshot, maxLoss: number): ReclaimPlan | undefined {
-    const { isEligible, getTaskLimit, times } = this._dependencies
-    const isGuaranteed = this._guaranteed.has(waiting.step.job)
-    return chooseReclaimPlan(waiting, snapshot, {
-      isEligible,
-      getTaskLimit,
-      getStopCost: run => this._getStopCost(run, isGuaranteed),
+    const { isEligible, getTaskLimit } = this._dependencies
+    const victims = this._guaranteed.has(waiting.step.job) ? this._victims.forGuaranteed : this._victims.forOthers
+    return chooseReclaimPlan(waiting, snapshot, { isEligible, getTaskLimit, victims }, maxLoss)
+  }
+
+  private _createVictimCatalogue (isForGuaranteed: boolean): VictimCatalogue {
+    return new VictimCatalogue({
+      getStopCost: run => this._getStopCost(run, isForGuaranteed),
       estimateWorkedMs: run => estimateWorkedMs(run, this._now, this._estimateRunTime(run.task.step)),
-      checkpointMs: times.checkpointMs
-    }, maxLoss)
+      checkpointMs: this._dependencies.times.checkpointMs
+    })
+  }
+
+  /** Forgets what was computed for the runs of this pass, since some of them have been stopped or a new pass begins. */
+  private _forgetRuns (): void {
+    this._predictedEnds.clear()
+    this._victims = { forGuaranteed: this._createVictimCatalogue(true), forOthers: this._createVictimCatalogue(false) }
   }
 
   /**
--- a/packages/core/src/graphs/reclaimPlan.ts
+++ b/packages/core/src/graphs/reclaimPlan.ts
@@ -2,7 +2,6 @@
  * Chooses the runs that have to stop so that a step of priority 0 gets capacity in time, with the least work lost. Needed when
  * borrowed capacity fills the fleet and a guaranteed job arrives.
  */
-import { computeCoreSeconds } from './coreSeconds.js'
 import type { CapacitySnapshot } from './capacitySnapshot.js'
 import type { StepSpec } from './graphTypes.js'
 import { RunPhase } from './jobState.js'
@@ -11,6 +10,7 @@
 import type { WaitingStep } from './waitingStep.js'
 import { countFits, returnNeeds, takeNeeds } from './workerState.js'
 import type { FreeCapacity, WorkerState } from './workerState.js'
+import type { Victim, VictimCatalogue } from './victimCatalogue.js'
 
 /** The runs to stop, and the slots that the step then gets. */
 export interface ReclaimPlan {
@@ -24,19 +24,11 @@
 export interface ReclaimDependencies {
   readonly isEligible: (worker: WorkerState, step: StepState) => boolean
   readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
-  /** Returns the cost of stopping a run in core-seconds, without the work that the run loses; Infinity when the run must not be stopped. */
-  readonly getStopCost: (run: RunState) => number
-  /** Estimates how long a run has worked, in milliseconds. */
-  readonly estimateWorkedMs: (run: RunState) => number
-  /** Run time between two checkpoints, in milliseconds. */
-  readonly checkpointMs: number
+  readonly victims: VictimCatalogue
 }
 
-/** Runs that stop together: a single run or all runs of a gang. */
-interface VictimGroup {
-  readonly runs: readonly RunState[]
-  readonly loss: number
-  readonly accelerators: number
+/** A group of runs that stop together, as a candidate for a stop at the considered workers. */
+interface VictimGroup extends Victim {
   /** For each run on one of the considered workers: the worker's slots, and the needs that a stop adds to them. */
   readonly slots: ReadonlyArray<{ readonly at: WorkerSlots, readonly needs: StepSpec }>
   /** Score of the group while its workers have the capacity for which it was computed; undefined when it has to be computed again. */
@@ -56,8 +48,6 @@
 
 /** Cost of the restart after each stop, in core-seconds; added to the lost work so that few runs are stopped. */
 const STOP_COST = 2
-/** Time to resume from a checkpoint, as a share of the time between two checkpoints; workers take 100 to 250 ms of 2 s. */
-const RESUME_SHARE = 0.125
 
 /**
  * Finds the plan with the least loss that makes room for a step; undefined when there is none. Plans with a loss above `maxLoss` are all alike
@@ -84,6 +74,7 @@
 /** Plans the stops in one set of workers. Ends the search as soon as the loss exceeds `maxLoss`; the plan is then incomplete. */
 function planReclaim (waiting: WaitingStep, workers: readonly WorkerState[], snapshot: CapacitySnapshot, dependencies: ReclaimDependencies, maxLoss: number): ReclaimPlan | undefined {
   const { step, tasks } = waiting
+  if (countTasksWhenEmpty(workers, step) < tasks.length) return undefined
   const slots = workers.map(worker => makeWorkerSlots(worker, step, snapshot, dependencies))
   let total = slots.reduce((sum, at) => sum + at.count, 0)
   const groups = total < tasks.length ? listVictimGroups(slots, dependencies) : []
@@ -102,6 +93,11 @@
   return { victims: chosen.flatMap(group => group.runs), slots: chooseSlots(slots, tasks.length), loss }
 }
 
+/** Counts the tasks that would fit if the workers ran nothing; an upper bound that needs no list of runs. */
+function countTasksWhenEmpty (workers: readonly WorkerState[], step: StepState): number {
+  return workers.reduce((sum, worker) => sum + countFits(worker.capacity, step.spec), 0)
+}
+
 function makeWorkerSlots (worker: WorkerState, step: StepState, snapshot: CapacitySnapshot, dependencies: ReclaimDependencies): WorkerSlots {
   const free = { ...snapshot.getFree(worker) }
   // The capacity of runs that are already stopping will be free soon.
@@ -170,27 +166,16 @@
   return gained
 }
 
-function listVictimGroups (slots: readonly WorkerSlots[], dependencies: ReclaimDependencies): VictimGroup[] {
+function listVictimGroups (slots: readonly WorkerSlots[], { victims }: ReclaimDependencies): VictimGroup[] {
   const groups: VictimGroup[] = []
-  const seen = new Set<RunState>()
+  const seen = new Set<Victim>()
   const slotsById = new Map(slots.map(at => [at.worker.key.id, at]))
   for (const { worker } of slots) {
     for (const run of worker.runs) {
-      if (seen.has(run) || run.phase === RunPhase.stopping) continue
-      const runs = run.task.step.spec.isGang ? run.task.step.tasks.flatMap(task => task.runs) : [run]
-      for (const member of runs) seen.add(member)
-      const stopCost = Math.max(...runs.map(dependencies.getStopCost))
-      if (stopCost === Infinity) continue
-      const group: VictimGroup = {
-        runs,
-        loss: runs.reduce((sum, member) => sum + computeLoss(member, dependencies), stopCost),
-        accelerators: runs.reduce((sum, member) => sum + member.task.step.spec.accelerators, 0),
-        slots: runs.flatMap(member => {
-          const at = slotsById.get(member.worker.id)
-          return at === undefined ? [] : [{ at, needs: member.task.step.spec }]
-        }),
-        score: undefined
-      }
+      const victim = run.phase === RunPhase.stopping ? undefined : victims.findVictim(run)
+      if (victim === undefined || seen.has(victim)) continue
+      seen.add(victim)
+      const group: VictimGroup = { ...victim, slots: listSlots(victim, slotsById), score: undefined }
       groups.push(group)
       for (const { at } of group.slots) at.groups.push(group)
     }
@@ -198,11 +183,9 @@
   return groups
 }
 
-/** Returns the core-seconds of work that are lost when a run stops. */
-function computeLoss (run: RunState, dependencies: ReclaimDependencies): number {
-  const { spec } = run.task.step
-  const workedMs = dependencies.estimateWorkedMs(run)
-  // A stop saves the work of a run that writes checkpoints. Only the time to resume is lost, well below the time between two checkpoints.
-  const unsavedMs = spec.isCheckpointing ? Math.min(workedMs, dependencies.checkpointMs * RESUME_SHARE) : workedMs
-  return computeCoreSeconds(spec, unsavedMs)
+function listSlots (victim: Victim, slotsById: ReadonlyMap<string, WorkerSlots>): VictimGroup['slots'] {
+  return victim.runs.flatMap(run => {
+    const at = slotsById.get(run.worker.id)
+    return at === undefined ? [] : [{ at, needs: run.task.step.spec }]
+  })
 }
--- a/packages/core/test/graphs/reference.test.ts
+++ b/packages/core/test/graphs/reference.test.ts
@@ -5,6 +5,7 @@
 import { RackPlacement } from '@dragonflylever/core/graphs/placement'
 import { chooseReclaimPlan } from '@dragonflylever/core/graphs/reclaimPlan'
 import type { ReclaimPlan } from '@dragonflylever/core/graphs/reclaimPlan'
+import { VictimCatalogue } from '@dragonflylever/core/graphs/victimCatalogue'
 import test from 'ava'
 import fc from 'fast-check'
 
@@ -27,7 +28,7 @@
     const { waiting, snapshot, ...fleet } = makeRandomFleet(...args)
     const dependencies = { ...fleet, checkpointMs: CHECKPOINT_MS }
     const expected = chooseReferencePlan(waiting, snapshot, dependencies)
-    const chosen = chooseReclaimPlan(waiting, snapshot, dependencies)
+    const chosen = chooseReclaimPlan(waiting, snapshot, { ...fleet, victims: new VictimCatalogue(dependencies) })
     if ((expected?.victims.length ?? 0) > 0) planCount++
     t.deepEqual(describePlan(chosen), describePlan(expected))
   }), RUNS)
@@ -39,7 +40,7 @@
     const { waiting, snapshot, ...fleet } = makeRandomFleet(...args)
     const dependencies = { ...fleet, checkpointMs: CHECKPOINT_MS }
     const expected = chooseReferencePlan(waiting, snapshot, dependencies)
-    const chosen = chooseReclaimPlan(waiting, snapshot, dependencies, maxLoss)
+    const chosen = chooseReclaimPlan(waiting, snapshot, { ...fleet, victims: new VictimCatalogue(dependencies) }, maxLoss)
     t.is(chosen === undefined, expected === undefined)
     if (expected !== undefined && expected.loss <= maxLoss) t.deepEqual(describePlan(chosen), describePlan(expected))
     else if (expected !== undefined) t.true((chosen?.loss ?? 0) > maxLoss)
--- a/packages/core/test/graphs/reference/referenceReclaimPlan.ts
+++ b/packages/core/test/graphs/reference/referenceReclaimPlan.ts
@@ -124,7 +124,7 @@
   for (const worker of free.keys()) {
     for (const run of worker.runs) {
       if (seen.has(run) || run.phase === RunPhase.stopping) continue
-      const runs = run.task.step.spec.isGang ? run.task.step.tasks.flatMap(task => task.runs) : [run]
+      const runs = run.task.step.spec.isGang ? run.task.step.tasks.flatMap(task => task.runs.filter(member => member.phase !== RunPhase.stopping)) : [run]
       for (const member of runs) seen.add(member)
       const stopCost = Math.max(...runs.map(dependencies.getStopCost))
       if (stopCost === Infinity) continue
--- a/packages/daemon/test/graphs/targetedFaults.test.ts
+++ b/packages/daemon/test/graphs/targetedFaults.test.ts
@@ -103,3 +103,21 @@
   })
   t.deepEqual(faults, [])
 })
+
+test.serial('a planner that was paused until its lease had run out extends no lease and starts nothing that its successor does not know of', async t => {
+  t.timeout(300_000)
+  // Work keeps ending and starting, so that the paused planner has orders and permissions at hand whenever it resumes.
+  for (const pauseMs of [4_000, 7_000, 11_000]) {
+    const faults = await runScenario(async (simulation, clock) => {
+      for (let index = 1; index <= 12; index++) void simulation.submit(makeJob(index, { durationMs: 1_000 * (1 + index % 5), steps: [makeStep({ accelerators: 4 })] }))
+      await clock.tickAsync(1_500)
+      const paused = simulation.getNode(simulation.findPlanner())
+      paused.setFrozen(true)
+      for (let index = 21; index <= 28; index++) void simulation.submit(makeJob(index, { durationMs: 3_000, steps: [makeStep({ accelerators: 4 })] }))
+      await clock.tickAsync(pauseMs)
+      paused.setFrozen(false)
+      await clock.tickAsync(6_000)
+    })
+    t.deepEqual(faults, [], `paused for ${pauseMs} ms`)
+  }
+})
--- a/packages/daemon/test/jobEntry/policyWatcher.test.ts
+++ b/packages/daemon/test/jobEntry/policyWatcher.test.ts
@@ -2,12 +2,13 @@
  * How a process follows changes of the declarations in the store.
  */
 import { PolicyWatcher } from '@dragonflylever/daemon/jobEntry/policyWatcher'
-import type { FleetPolicy } from '@dragonflylever/core/graphs/index'
+import type { FleetPolicy, RoutedQueue } from '@dragonflylever/core/graphs/index'
 import { createLogger } from '@dragonflylever/runtime'
 import { MemoryStore } from '@dragonflylever/standins'
 import test from 'ava'
 
 const LIMITS = { maxBodyBytes: 1, maxHeaderBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+const QUEUE: RoutedQueue = { name: 'q', service: 's', priority: 1, maxAttempts: 1, stretch: 1, targetLatencyMs: 0, host: 'h', prefix: '/', isOpen: false }
 
 function decode (text: string): FleetPolicy | undefined {
   const version = Number(text)
@@ -42,3 +43,27 @@
   t.teardown(() => watcher.close())
   t.is(watcher.index?.policy.version, 2)
 })
+
+test('a process that restarts knows no key until it has read the declarations, and then none that was withdrawn before', async t => {
+  const store = new MemoryStore()
+  const decodeKeys = (text: string): FleetPolicy => {
+    const { version, keys } = JSON.parse(text) as { version: number, keys: string[] }
+    return { version, queues: [QUEUE], organisations: [{ name: 'o', keys, guaranteedAccelerators: 0 }], limits: LIMITS }
+  }
+  const createProcess = (): PolicyWatcher => new PolicyWatcher({ store, key: 'c', decode: decodeKeys, logger: createLogger({ level: 'silent', processId: 't' }) })
+  await store.put({ key: 'c', value: JSON.stringify({ version: 1, keys: ['old', 'new'] }), expect: { kind: 'any' } })
+  const first = createProcess()
+  await first.open()
+  t.is(first.index?.checkKey(QUEUE, 'old').kind, 'organisation')
+  await store.put({ key: 'c', value: JSON.stringify({ version: 2, keys: ['new'] }), expect: { kind: 'any' } })
+  first.close()
+  store.faults.isDown = true
+  const second = createProcess()
+  t.teardown(() => second.close())
+  await second.open()
+  t.is(second.index, undefined)
+  store.faults.isDown = false
+  await new Promise(resolve => setTimeout(resolve, 600))
+  t.is(second.index?.checkKey(QUEUE, 'old').kind, 'unknown')
+  t.is(second.index?.checkKey(QUEUE, 'new').kind, 'organisation')
+})
