--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -15,6 +15,7 @@
 import type { RunTracker } from './runTracker.js'
 import { estimateWorkedMs, predictEnd } from './runProgress.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
+import { VictimCatalogue } from './victimCatalogue.js'
 import type { WaitingStep } from './waitingStep.js'
 import type { WorkerState } from './workerState.js'
 
@@ -38,12 +39,11 @@
 /** Time from a stop order until another run starts in the slot, in milliseconds, without the time that the run takes to stop. */
 const STOP_ORDER_MS = 700
 /**
- * Core-seconds whose loss costs as much as an urgent job of mean size gains by finishing in time instead of late. Follows from the
- * pricing rules (up to 0.003 per core-second; value 4 in time, 0.8 late), less what the stopped work loses by being late itself.
+ * Work whose loss costs as much as an urgent job of mean size gains by finishing in time instead of late, as a multiple of the mean
+ * core-seconds of the queue's jobs. The price of a lost core-second falls with the size of the fleet and of its jobs, so a fixed
+ * number of core-seconds would not fit both small and large fleets. Stopping an urgent job costs the same, since it is then late.
  */
-const URGENT_VALUE = 400
-/** Cost in core-seconds of stopping an urgent job, which is then late: the same values as above at the middle price of 0.002. */
-const URGENT_STOP_COST = 1_600
+const URGENT_VALUE_WORK = 2
 /** Urgent work that will miss its objective in any case may stop other work if the loss is at most this share of the urgent core-seconds. */
 const MAX_LATE_LOSS_SHARE = 0.1
 /** Lifetime of a reservation, as a multiple of `reclaimMs`; a reservation expires if its step has not been placed by then. */
@@ -52,11 +52,15 @@
 export class CapacityReclaim {
   private readonly _dependencies: CapacityReclaimDependencies
   private readonly _reservations = new Map<StepState, SlotReservation>()
+  /** Predicted ends of runs during one pass, by run, or by step for a gang. Stops change them. */
+  private readonly _predictedEnds = new Map<RunState | StepState, number>()
+  private _victims: { readonly forGuaranteed: VictimCatalogue, readonly forOthers: VictimCatalogue }
   private _guaranteed: ReadonlySet<JobState> = new Set()
   private _now = 0
 
   constructor (dependencies: CapacityReclaimDependencies) {
     this._dependencies = dependencies
+    this._victims = { forGuaranteed: this._createVictimCatalogue(true), forOthers: this._createVictimCatalogue(false) }
   }
 
   /**
@@ -66,6 +70,7 @@
   beginPass (snapshot: CapacitySnapshot, waiting: readonly WaitingStep[], guaranteed: ReadonlySet<JobState>, now: number): void {
     this._guaranteed = guaranteed
     this._now = now
+    this._forgetRuns()
     const steps = new Set(waiting.map(entry => entry.step))
     for (const [step, reservation] of this._reservations) {
       const isUsable = [...reservation.slots.keys()].every(worker => this._dependencies.isEligible(worker, step))
@@ -84,28 +89,39 @@
     const { step } = waiting
     const reservation = this._reservations.get(step)
     if (reservation !== undefined) return snapshot.reserve(step, reservation.slots)
-    const plan = this._chooseReclaimPlan(waiting, snapshot)
-    const expectedSlots = this._findExpectedSlots(waiting, snapshot, plan !== undefined && plan.loss > URGENT_VALUE)
+    const maxLoss = this._computeMaxLoss(waiting)
+    const urgentValue = this._computeUrgentValue(step.job)
+    const plan = this._chooseReclaimPlan(waiting, snapshot, Math.max(maxLoss, urgentValue))
+    const expectedSlots = this._findExpectedSlots(waiting, snapshot, plan !== undefined && plan.loss > urgentValue)
     if (expectedSlots !== undefined) return snapshot.reserve(step, expectedSlots)
-    if (plan === undefined || plan.loss > this._computeMaxLoss(waiting)) return
+    if (plan === undefined || plan.loss > maxLoss) return
     this._dependencies.log.note('capacity taken back', { step: step.name, victims: plan.victims.map(run => run.task.name), loss: Math.round(plan.loss), waitedMs: this._now - waiting.since })
     for (const run of plan.victims) this._dependencies.runTracker.stop(run, `capacity taken back for ${step.name}`, this._now)
+    this._forgetRuns()
     this._reservations.set(step, { slots: plan.slots, until: this._now + RESERVATION_LIFETIME_FACTOR * this._dependencies.times.reclaimMs })
     snapshot.reserve(step, plan.slots)
   }
 
-  private _chooseReclaimPlan (waiting: WaitingStep, snapshot: CapacitySnapshot): ReclaimPlan | undefined {
-    const { isEligible, getTaskLimit, times } = this._dependencies
-    const isGuaranteed = this._guaranteed.has(waiting.step.job)
-    return chooseReclaimPlan(waiting, snapshot, {
-      isEligible,
-      getTaskLimit,
-      getStopCost: run => this._getStopCost(run, isGuaranteed),
+  private _chooseReclaimPlan (waiting: WaitingStep, snapshot: CapacitySnapshot, maxLoss: number): ReclaimPlan | undefined {
+    const { isEligible, getTaskLimit } = this._dependencies
+    const victims = this._guaranteed.has(waiting.step.job) ? this._victims.forGuaranteed : this._victims.forOthers
+    return chooseReclaimPlan(waiting, snapshot, { isEligible, getTaskLimit, victims }, maxLoss)
+  }
+
+  private _createVictimCatalogue (isForGuaranteed: boolean): VictimCatalogue {
+    return new VictimCatalogue({
+      getStopCost: run => this._getStopCost(run, isForGuaranteed),
       estimateWorkedMs: run => estimateWorkedMs(run, this._now, this._estimateRunTime(run.task.step)),
-      checkpointMs: times.checkpointMs
+      checkpointMs: this._dependencies.times.checkpointMs
     })
   }
 
+  /** Forgets what was computed for the runs of this pass, since some of them have been stopped or a new pass begins. */
+  private _forgetRuns (): void {
+    this._predictedEnds.clear()
+    this._victims = { forGuaranteed: this._createVictimCatalogue(true), forOthers: this._createVictimCatalogue(false) }
+  }
+
   /**
    * Returns the cost of stopping a run in core-seconds, without the work that the run loses; Infinity when the run must not be stopped.
    * Urgent work that a guarantee covers is never stopped; urgent work beyond a guarantee is stopped only for work that a guarantee covers.
@@ -114,7 +130,12 @@
     const { job, spec } = run.task.step
     if (spec.isLongRunning) return Infinity
     if (this._dependencies.getPriority(job) > 0) return 0
-    return isForGuaranteed && !this._guaranteed.has(job) ? URGENT_STOP_COST : Infinity
+    return isForGuaranteed && !this._guaranteed.has(job) ? this._computeUrgentValue(job) : Infinity
+  }
+
+  /** Returns the core-seconds whose loss costs as much as an urgent job of mean size of the same queue gains by finishing in time. */
+  private _computeUrgentValue (job: JobState): number {
+    return URGENT_VALUE_WORK * (this._dependencies.runTimes.getMeanCoreSeconds(job.graph.queue.name) ?? 0)
   }
 
   /** Returns the maximum loss, in core-seconds, that other work may suffer to make room for a step. */
@@ -125,7 +146,7 @@
     const minAllowance = coreSeconds * MAX_LATE_LOSS_SHARE
     const spareMs = this._computeSlack(step) - this._dependencies.times.stopGraceMs - STOP_ORDER_MS - (this._now - waiting.since)
     if (spareMs < 0) return minAllowance
-    return Math.max(minAllowance, URGENT_VALUE * computeValueFactor(coreSeconds, this._dependencies.runTimes.getMeanCoreSeconds(step.job.graph.queue.name)))
+    return Math.max(minAllowance, this._computeUrgentValue(step.job) * computeValueFactor(coreSeconds, this._dependencies.runTimes.getMeanCoreSeconds(step.job.graph.queue.name)))
   }
 
   /** Returns how long a step may wait, in milliseconds, and still meet the objective for the duration of its job. */
@@ -146,7 +167,7 @@
     if (this._now >= until) return undefined
     const future = snapshot.copy()
     for (const worker of snapshot.workers) {
-      for (const run of worker.runs) if (predictEnd(run, this._now, this._estimateRunTime(run.task.step), stopGraceMs) < until) future.returnCapacity(worker, run.task.step.spec)
+      for (const run of worker.runs) if (this._predictEnd(run) < until) future.returnCapacity(worker, run.task.step.spec)
     }
     const placed = this._dependencies.placement.place(waiting, future)
     if (placed.length < waiting.tasks.length) return undefined
@@ -155,6 +176,17 @@
     return slots
   }
 
+  /** Predicts the end of a run; the members of a gang end together and are predicted once. */
+  private _predictEnd (run: RunState): number {
+    const { step } = run.task
+    const key = step.spec.isGang ? step : run
+    const known = this._predictedEnds.get(key)
+    if (known !== undefined) return known
+    const end = predictEnd(run, this._now, this._estimateRunTime(step), this._dependencies.times.stopGraceMs)
+    this._predictedEnds.set(key, end)
+    return end
+  }
+
   private _estimateRunTime (step: StepState): number {
     return this._dependencies.runTimes.estimateRunTime(step)
   }
