--- a/packages/bench/src/graphs/graphWorkload.ts
+++ b/packages/bench/src/graphs/graphWorkload.ts
@@ -39,7 +39,7 @@
 const ACCELERATORS_PER_WORKER = 8
 /** Share of the fleet's accelerators that is guaranteed to organisations. */
 const GUARANTEED_SHARE = 0.62
-const WORKERS_PER_RACK = 12
+export const WORKERS_PER_RACK = 12
 const ACCELERATOR_CHOICES = [1, 2, 4, 8, 8] as const
 
 interface JobClass {
--- a/packages/bench/src/graphs/simulatedFleet.ts
+++ b/packages/bench/src/graphs/simulatedFleet.ts
@@ -5,7 +5,7 @@
 import { GraphPlanner, parseTaskName } from '@dragonflylever/core/graphs/index'
 import type { PlannerTimes, RunTimeEstimator, StepSpec, WaitingOrder } from '@dragonflylever/core/graphs/index'
 
-import { WALL_START } from './graphWorkload.js'
+import { WALL_START, WORKERS_PER_RACK } from './graphWorkload.js'
 import type { GraphArrival, GraphLoad } from './graphWorkload.js'
 import { computeWork, scoreJob } from './jobScore.js'
 import type { JobScore } from './jobScore.js'
@@ -14,9 +14,9 @@
 
 /** Simulated time between two rounds of reports, pass and orders, in milliseconds. */
 const TURN_MS = 20
+/** Time after which a worker reports even if nothing has changed, in milliseconds. */
 const REPORT_INTERVAL_MS = 700
 const CORES_PER_ACCELERATOR = 8
-export const WORKERS_PER_RACK = 12
 /** Every third worker is slower by this factor. */
 const SLOW_FACTOR = 1.3
 
@@ -54,6 +54,7 @@
   readonly occupancy: { readonly accelerators: number, readonly processors: number }
   /** Durations of the scheduler passes in microseconds of this machine's processor. */
   readonly passUs: readonly number[]
+  /** Durations of applying the reports of one turn, in microseconds. */
   readonly reportUs: readonly number[]
   /** Bytes allocated per pass, as far as no garbage collection hides them. */
   readonly bytesPerPass: number
@@ -88,9 +89,12 @@
   run (): FleetResult {
     const waiting = [...this._options.load.arrivals]
     for (; this._now < this._options.seconds * 1_000; this._now += TURN_MS) {
-      while (waiting[0] !== undefined && waiting[0].at <= this._now) this._addJob(waiting.shift() as GraphArrival)
+      const due = waiting.filter(arrival => arrival.at <= this._now)
+      waiting.splice(0, due.length)
+      for (const arrival of due) this._addJob(arrival)
       this._finishRuns()
-      if (this._reportWorkers()) this._runPass()
+      const hasReports = this._reportWorkers()
+      if (hasReports || due.length > 0) this._runPass()
       if (waiting.length > 0) this._sampleOccupancy()
     }
     const scores = this._scoreJobs()
@@ -122,7 +126,6 @@
   private _addJob (arrival: GraphArrival): void {
     this._arrivals.set(arrival.graph.id, arrival)
     this._planner.addJob(arrival.graph, undefined, this._now)
-    for (const worker of this._workers.slice(0, 1)) worker.hasChanged = true
   }
 
   private _finishRuns (): void {
