Report the lease that an earlier process of an agent may have given its worker

Ruled out: writes of the former planner (fenced), ends acknowledged before they are stored, records of the new planner (all 49 read). Change: an agent's clock of a worker counts a lease of the longest duration as given just before the agent started. Test: workerController, failed first (0 ms).

--- a/packages/daemon/src/jobAgent/workerClock.ts
+++ b/packages/daemon/src/jobAgent/workerClock.ts
@@ -7,11 +7,22 @@
 export const MIN_CLOCK_RATE = 0.98
 
 export class WorkerClock {
+  private readonly _inheritedLeaseMs: number
+  private readonly _createdAt: number
   private _clockMs = 0
   private _updatedAt = 0
   private _permittedUntil = 0
   private _leaseUntil = 0
 
+  /**
+   * `inheritedLeaseMs` is the longest lease that an earlier process of the agent may have given the worker just before `now`, the monotonic time of
+   * creation: a process that has started does not know what its predecessor did.
+   */
+  constructor (inheritedLeaseMs: number, now: number) {
+    this._inheritedLeaseMs = inheritedLeaseMs
+    this._createdAt = now
+  }
+
   /** Time up to which the planner permits the lease to be extended, in milliseconds of the worker's clock. */
   get permittedUntil (): number {
     return Math.floor(this._permittedUntil)
@@ -41,6 +52,7 @@
 
   /** Returns the maximum time for which the worker's runs may continue if the planner gives no further permission, in milliseconds. */
   computeMaxLeaseLeft (now: number): number {
-    return Math.max(0, this._permittedUntil - this.estimateClock(now), this._leaseUntil - this.estimateClock(now))
+    const inheritedLeft = this._inheritedLeaseMs - (now - this._createdAt) * MIN_CLOCK_RATE
+    return Math.max(0, inheritedLeft, this._permittedUntil - this.estimateClock(now), this._leaseUntil - this.estimateClock(now))
   }
 }
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -54,7 +54,7 @@
 export class WorkerController {
   private readonly _dependencies: WorkerControllerDependencies
   private readonly _orders = new OrderTable()
-  private readonly _clock = new WorkerClock()
+  private readonly _clock: WorkerClock
   private _announcement: WorkerAnnouncement
   private _epoch = 0
   private _lastAcknowledgedEnd = 0
@@ -71,6 +71,7 @@
   constructor (announcement: WorkerAnnouncement, dependencies: WorkerControllerDependencies) {
     this._announcement = announcement
     this._dependencies = dependencies
+    this._clock = new WorkerClock(dependencies.runLeaseMs, performance.now())
     this._clock.applyReading(announcement.clockMs, performance.now())
     void this._pollWorker()
   }
--- a/packages/daemon/test/jobAgent/workerController.test.ts
+++ b/packages/daemon/test/jobAgent/workerController.test.ts
@@ -132,3 +132,14 @@
   await sleep(400)
   t.true(controller.isOver)
 })
+
+test('a controller that has just started reports that an unreachable worker may still hold a lease from an earlier process of the agent', async t => {
+  const worker = new ScriptedWorker()
+  worker.failure = { kind: 'notSent', message: 'no connection', isRefused: false }
+  const controller = createController(t, worker)
+  await sleep(600)
+  const report = controller.makeReport()
+  t.false(report.isReachable)
+  // 6 s at most, less the 0.6 s since the start; the bound leaves room for late timers.
+  t.true(report.leaseLeftMs > 3_000 && report.leaseLeftMs <= 6_000, `${report.leaseLeftMs} ms`)
+})
