--- a/packages/bench/src/graphs/planPassBench.ts
+++ b/packages/bench/src/graphs/planPassBench.ts
@@ -2,6 +2,7 @@
  * Scheduler pass experiment: what a pass of the planner of job graphs costs as the fleet and its load grow, and what clients get.
  */
 import type { Bench, BenchOptions } from '../bench.js'
+import { fitLine } from '../capacity/fitLine.js'
 import { computeQuantile, roundDigits } from '../gangs/completionBench.js'
 import { makeGraphLoad } from './graphWorkload.js'
 import { JobResult } from './jobScore.js'
@@ -13,6 +14,8 @@
 const SECONDS = 45
 /** Load relative to that for which the fleet is built; with the burst, more than the fleet can serve. */
 const LOAD = 1.3
+/** Lower bound of the values of a fit, since zero has no logarithm. */
+const MIN_VALUE = 1e-6
 const BURST = { fromMs: 2_000, toMs: 8_000, factor: 2.2 }
 
 function measureSize (workers: number, seed: number): { readonly workers: number, readonly passMsMedian: number, readonly [name: string]: number } {
@@ -35,12 +38,9 @@
   }
 }
 
-/** Fits the exponent with which a value grows with the number of workers, by least squares over the logarithms. */
+/** Fits the exponent with which a value grows with the number of workers: the slope over the logarithms. */
 function fitExponent (points: ReadonlyArray<{ readonly workers: number, readonly value: number }>): number {
-  const logs = points.map(({ workers, value }) => ({ x: Math.log(workers), y: Math.log(Math.max(value, 1e-6)) }))
-  const meanX = logs.reduce((sum, { x }) => sum + x, 0) / logs.length
-  const meanY = logs.reduce((sum, { y }) => sum + y, 0) / logs.length
-  return logs.reduce((sum, { x, y }) => sum + (x - meanX) * (y - meanY), 0) / logs.reduce((sum, { x }) => sum + (x - meanX) ** 2, 0)
+  return fitLine(points.map(({ workers, value }) => ({ x: Math.log(workers), y: Math.log(Math.max(value, MIN_VALUE)) }))).slope
 }
 
 async function runBench (options: BenchOptions): Promise<object> {
