Log for whom capacity was taken back and how often the stopped tasks had started

Tells apart whether gangs are stopped again and again (victimStarts) and whether for work that a guarantee covers (isGuaranteed). No change of logic.

--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -95,13 +95,26 @@
     const expectedSlots = this._findExpectedSlots(waiting, snapshot, plan !== undefined && plan.loss > urgentValue)
     if (expectedSlots !== undefined) return snapshot.reserve(step, expectedSlots)
     if (plan === undefined || plan.loss > maxLoss) return
-    this._dependencies.log.note('capacity taken back', { step: step.name, victims: plan.victims.map(run => run.task.name), loss: Math.round(plan.loss), waitedMs: this._now - waiting.since })
+    this._noteReclaim(waiting, plan)
     for (const run of plan.victims) this._dependencies.runTracker.stop(run, `capacity taken back for ${step.name}`, this._now)
     this._forgetRuns()
     this._reservations.set(step, { slots: plan.slots, until: this._now + RESERVATION_LIFETIME_FACTOR * this._dependencies.times.reclaimMs })
     snapshot.reserve(step, plan.slots)
   }
 
+  private _noteReclaim (waiting: WaitingStep, plan: ReclaimPlan): void {
+    const { step } = waiting
+    this._dependencies.log.note('capacity taken back', {
+      step: step.name,
+      queue: step.job.graph.queue.name,
+      isGuaranteed: this._guaranteed.has(step.job),
+      victims: plan.victims.map(run => run.task.name),
+      victimStarts: Math.max(0, ...plan.victims.map(run => run.number)),
+      loss: Math.round(plan.loss),
+      waitedMs: this._now - waiting.since
+    })
+  }
+
   private _chooseReclaimPlan (waiting: WaitingStep, snapshot: CapacitySnapshot, maxLoss: number): ReclaimPlan | undefined {
     const { isEligible, getTaskLimit } = this._dependencies
     const victims = this._guaranteed.has(waiting.step.job) ? this._victims.forGuaranteed : this._victims.forOthers
