--- a/packages/bench/src/graphs/graphWorkload.ts
+++ b/packages/bench/src/graphs/graphWorkload.ts
@@ -1,6 +1,6 @@
 /**
- * Generates seeded loads of job graphs for a fleet: gangs of urgent checks, gangs of preparation runs and wide reconciliations from
- * many organisations, with bursts of urgent work.
+ * Generates seeded loads of job graphs for a fleet from many organisations, with bursts. A load consists of classes of jobs; two sets of classes are
+ * those of the example deployments.
  */
 import { SeededRandom } from '@dragonflylever/core'
 import type { Random } from '@dragonflylever/core'
@@ -20,8 +20,17 @@
   readonly seconds: number
   /** Arrival rate relative to the load for which the fleet is built. */
   readonly load: number
-  /** Spans of time during which more urgent jobs arrive; `factor` multiplies their rate. */
-  readonly bursts: ReadonlyArray<{ readonly fromMs: number, readonly toMs: number, readonly factor: number }>
+  /** Spans of time during which more jobs of a queue arrive, urgent jobs when none is given; `factor` multiplies their rate. */
+  readonly bursts: readonly Burst[]
+  /** Classes of the jobs; {@link CRISP_WORKS_CLASSES} when absent. */
+  readonly classes?: readonly JobClass[]
+}
+
+export interface Burst {
+  readonly fromMs: number
+  readonly toMs: number
+  readonly factor: number
+  readonly queue?: string
 }
 
 export interface GraphLoad {
@@ -42,7 +51,8 @@
 export const WORKERS_PER_RACK = 12
 const ACCELERATOR_CHOICES = [1, 2, 4, 8, 8] as const
 
-interface JobClass {
+/** One class of jobs; `perSecond` is its rate of arrival at a fleet of {@link REFERENCE_WORKERS} workers. */
+export interface JobClass {
   readonly queue: QueuePolicy
   readonly perSecond: number
   readonly width: { readonly mean: number, readonly sigma: number, readonly max: number }
@@ -62,18 +72,27 @@
 }
 
 export const URGENT_QUEUE = makeQueue('allergen-check', 0, 1.5, 600)
-const CLASSES: readonly JobClass[] = [
+/** Gangs of urgent checks, wide gangs of preparation runs, and reconciliations of many single tasks, for workers of 128 cores. */
+export const CRISP_WORKS_CLASSES: readonly JobClass[] = [
   { queue: makeQueue('roast-recipe', 1, 3, 1_500), perSecond: 0.585, width: { mean: 13, sigma: 0.8, max: 76 }, runMs: { mean: 12_143, sigma: 0.3, max: 15_700 }, needs: { cpuMillis: 52_000, memoryMb: 150_000 }, accelerators: ACCELERATOR_CHOICES, isGang: true, sameRackShare: 0.6, dataRackShare: 0.3, checkpointingShare: 0.45, declaredSigma: 0.2 },
   { queue: URGENT_QUEUE, perSecond: 2.93, width: { mean: 5.3, sigma: 0.8, max: 32 }, runMs: { mean: 3_571, sigma: 0.5, max: 11_400 }, needs: { cpuMillis: 15_000, memoryMb: 61_000 }, accelerators: ACCELERATOR_CHOICES, isGang: true, sameRackShare: 0.8, dataRackShare: 0, checkpointingShare: 0, declaredSigma: 0.2 },
   { queue: makeQueue('delivery-recon', 2, 3, 3_000), perSecond: 0.459, width: { mean: 38, sigma: 0.8, max: 230 }, runMs: { mean: 13_571, sigma: 0.3, max: 15_700 }, needs: { cpuMillis: 11_000, memoryMb: 59_000 }, accelerators: [1], isGang: false, sameRackShare: 0, dataRackShare: 0.12, checkpointingShare: 0.45, declaredSigma: 0.9 }
 ]
 
+/** Gangs of urgent matches, gangs of ledger reconciliations, and reindexing in many single tasks, for workers of 32 cores. */
+export const GUILD_CLASSES: readonly JobClass[] = [
+  { queue: makeQueue('ledger-recon', 1, 3, 1_500), perSecond: 0.99, width: { mean: 7.7, sigma: 0.8, max: 46 }, runMs: { mean: 15_714, sigma: 0.3, max: 15_714 }, needs: { cpuMillis: 13_000, memoryMb: 19_000 }, accelerators: ACCELERATOR_CHOICES, isGang: true, sameRackShare: 0.6, dataRackShare: 0.3, checkpointingShare: 0.45, declaredSigma: 0.5 },
+  { queue: makeQueue('urgent-match', 0, 1.5, 600), perSecond: 4.41, width: { mean: 4.7, sigma: 0.8, max: 28 }, runMs: { mean: 3_571, sigma: 0.5, max: 11_400 }, needs: { cpuMillis: 3_700, memoryMb: 5_500 }, accelerators: ACCELERATOR_CHOICES, isGang: true, sameRackShare: 0.8, dataRackShare: 0, checkpointingShare: 0, declaredSigma: 0.9 },
+  { queue: makeQueue('skill-index', 2, 3, 3_000), perSecond: 0.746, width: { mean: 30, sigma: 0.8, max: 180 }, runMs: { mean: 13_571, sigma: 0.3, max: 15_700 }, needs: { cpuMillis: 2_800, memoryMb: 5_700 }, accelerators: [1], isGang: false, sameRackShare: 0, dataRackShare: 0.12, checkpointingShare: 0.45, declaredSigma: 0.9 }
+]
+
 /** Generates the arrivals of all classes, sorted by time, and the policy with the organisations' guarantees. */
 export function makeGraphLoad (options: GraphLoadOptions): GraphLoad {
   const random = createRandom(options.seed)
-  const arrivals = CLASSES.flatMap(jobClass => makeClassArrivals(jobClass, options, random))
+  const classes = options.classes ?? CRISP_WORKS_CLASSES
+  const arrivals = classes.flatMap(jobClass => makeClassArrivals(jobClass, options, random))
   arrivals.sort((a, b) => a.at - b.at)
-  return { arrivals, policy: { queues: CLASSES.map(jobClass => jobClass.queue), guarantees: makeGuarantees(options.workers) } }
+  return { arrivals, policy: { queues: classes.map(jobClass => jobClass.queue), guarantees: makeGuarantees(options.workers) } }
 }
 
 /** Creates a generator and discards its first numbers, which are similar for similar seeds. */
@@ -87,13 +106,18 @@
   const perMs = jobClass.perSecond * options.load * options.workers / REFERENCE_WORKERS / 1_000
   const arrivals: GraphArrival[] = []
   for (let at = 0; ;) {
-    const factor = jobClass.queue.priority > 0 ? 1 : options.bursts.find(burst => at >= burst.fromMs && at < burst.toMs)?.factor ?? 1
+    const burst = options.bursts.find(({ queue, fromMs, toMs }) => isBurstOf(jobClass, queue) && at >= fromMs && at < toMs)
+    const factor = burst?.factor ?? 1
     at += -Math.log(1 - random.sample()) / (perMs * factor)
     if (at >= options.seconds * 1_000) return arrivals
     arrivals.push(makeArrival(jobClass, `${jobClass.queue.name}-${arrivals.length}`, at, options.workers, random))
   }
 }
 
+function isBurstOf (jobClass: JobClass, queue: string | undefined): boolean {
+  return queue === undefined ? jobClass.queue.priority === 0 : jobClass.queue.name === queue
+}
+
 function makeArrival (jobClass: JobClass, id: string, at: number, workers: number, random: Random): GraphArrival {
   const runMs = Math.min(jobClass.runMs.max, sampleLogNormal(random, jobClass.runMs.mean, jobClass.runMs.sigma))
   const racks = Math.ceil(workers / WORKERS_PER_RACK)
--- a/packages/bench/src/graphs/simulatedFleet.ts
+++ b/packages/bench/src/graphs/simulatedFleet.ts
@@ -3,7 +3,7 @@
  * clients get and what each scheduler pass costs.
  */
 import { GraphPlanner, parseTaskName } from '@dragonflylever/core/graphs/index'
-import type { PlannerTimes, RunTimeEstimator, StepSpec, WaitingOrder } from '@dragonflylever/core/graphs/index'
+import type { PlannerTimes, RunTimeEstimator, StepSpec, TaskNeeds, WaitingOrder } from '@dragonflylever/core/graphs/index'
 
 import { WALL_START, WORKERS_PER_RACK } from './graphWorkload.js'
 import type { GraphArrival, GraphLoad } from './graphWorkload.js'
@@ -38,6 +38,8 @@
 export interface FleetOptions {
   readonly workers: number
   readonly load: GraphLoad
+  /** Capacity of each worker; {@link CAPACITY} when absent. */
+  readonly capacity?: TaskNeeds
   /** Simulated duration in seconds; longer than the arrivals, so that late jobs can end. */
   readonly seconds: number
   /** Creates the order of waiting steps; that of the planner when absent. */
@@ -62,6 +64,7 @@
 
 class FleetRun {
   private readonly _options: FleetOptions
+  private readonly _capacity: TaskNeeds
   private readonly _workers: readonly SimulatedWorker[]
   private readonly _byTask = new Map<string, { readonly worker: SimulatedWorker, readonly run: SimulatedRun }>()
   private readonly _arrivals = new Map<string, GraphArrival>()
@@ -78,7 +81,8 @@
 
   constructor (options: FleetOptions) {
     this._options = options
-    this._workers = Array.from({ length: options.workers }, (_, index) => new SimulatedWorker(`w${index}`, `r${Math.floor(index / WORKERS_PER_RACK)}`))
+    this._capacity = options.capacity ?? CAPACITY
+    this._workers = Array.from({ length: options.workers }, (_, index) => new SimulatedWorker(`w${index}`, `r${Math.floor(index / WORKERS_PER_RACK)}`, this._capacity))
     const getWallTime = (): number => WALL_START + this._now
     const { createOrder } = options
     const order = createOrder === undefined ? {} : { createOrder: (runTimes: RunTimeEstimator) => createOrder(runTimes, getWallTime) }
@@ -120,7 +124,7 @@
 
   private _computeOccupancy (): FleetResult['occupancy'] {
     const scale = 1 / Math.max(1, this._held.samples * this._workers.length)
-    return { accelerators: this._held.accelerators * scale / CAPACITY.accelerators, processors: this._held.cpuMillis * scale / CAPACITY.cpuMillis }
+    return { accelerators: this._held.accelerators * scale / this._capacity.accelerators, processors: this._held.cpuMillis * scale / this._capacity.cpuMillis }
   }
 
   private _addJob (arrival: GraphArrival): void {
--- a/packages/bench/src/graphs/simulatedWorker.ts
+++ b/packages/bench/src/graphs/simulatedWorker.ts
@@ -1,14 +1,15 @@
 /**
  * A worker with its agent in a simulated fleet: executes the planner's orders, advances its runs and reports them.
  */
-import type { EndListing, RunEnd, RunListing, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
+import type { EndListing, RunEnd, RunListing, TaskNeeds, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
 
 /** Interval at which a worker updates the progress that it lists, in milliseconds. */
 const LIST_INTERVAL_MS = 1_000
 const CHECKPOINT_MS = 2_000
 const RESUME_MS = 250
-/** Capacity of each worker. */
-export const CAPACITY = { cpuMillis: 128_000, memoryMb: 524_288, accelerators: 8 }
+/** Capacity of a worker of the crisp works, and of the guild. */
+export const CAPACITY: TaskNeeds = { cpuMillis: 128_000, memoryMb: 524_288, accelerators: 8 }
+export const GUILD_CAPACITY: TaskNeeds = { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 8 }
 
 /** One run at a simulated worker. */
 export interface SimulatedRun {
@@ -35,10 +36,12 @@
   private _listNumber = 0
   private _listedAt = -Infinity
   private _running: RunListing[] = []
+  private readonly _capacity: TaskNeeds
 
-  constructor (id: string, rack: string) {
+  constructor (id: string, rack: string, capacity: TaskNeeds) {
     this.id = id
     this.rack = rack
+    this._capacity = capacity
   }
 
   /** Adds a run. */
@@ -75,7 +78,7 @@
       labels: ['a', this.rack],
       failureDomain: 'd',
       region: 'r',
-      capacity: CAPACITY,
+      capacity: this._capacity,
       isDraining: false,
       drainLeftMs: undefined,
       isOver: false,
