Keep slots for waiting gangs, so that smaller work of lower priority does not starve them

Wide gangs never started; narrow ones were stopped for urgent work up to nine times and waited up to 30 s for a new place, while single tasks of skill-index (priority 2) were placed all the time.

Starvation of work that needs several resources at once by work that needs one. Each restart of a gang that was stopped met the same, so stops cost far more than the planner counts.

Change: the first 20 gangs in the order that don't fit get the slots that become free the soonest within 20 s, by the predicted ends of runs. Steps behind them don't get these slots; urgent steps come first and do.

--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -5,15 +5,15 @@
  * time.
  */
 import { computeCoreSeconds, computeValueFactor } from './coreSeconds.js'
+import type { CapacityForecast } from './capacityForecast.js'
 import type { CapacitySnapshot, ReservedSlots } from './capacitySnapshot.js'
 import type { JobState, RunState, StepState } from './jobState.js'
-import type { Placement } from './placement.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { PlannerTimes } from './plannerTimes.js'
 import { chooseReclaimPlan } from './reclaimPlan.js'
 import type { ReclaimPlan } from './reclaimPlan.js'
 import type { RunTracker } from './runTracker.js'
-import { estimateWorkedMs, predictEnd } from './runProgress.js'
+import { estimateWorkedMs } from './runProgress.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
 import { VictimCatalogue } from './victimCatalogue.js'
 import type { WaitingStep } from './waitingStep.js'
@@ -25,7 +25,7 @@
   readonly runTimes: RunTimeEstimator
   readonly runTracker: RunTracker
   readonly log: PlannerLog
-  readonly placement: Placement
+  readonly forecast: CapacityForecast
   readonly isEligible: (worker: WorkerState, step: StepState) => boolean
   readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
   readonly getPriority: (job: JobState) => number
@@ -52,8 +52,6 @@
 export class CapacityReclaim {
   private readonly _dependencies: CapacityReclaimDependencies
   private readonly _reservations = new Map<StepState, SlotReservation>()
-  /** Predicted ends of runs during one pass, by run, or by step for a gang. Stops change them. */
-  private readonly _predictedEnds = new Map<RunState | StepState, number>()
   private _victims: { readonly forGuaranteed: VictimCatalogue, readonly forOthers: VictimCatalogue }
   private _guaranteed: ReadonlySet<JobState> = new Set()
   private _now = 0
@@ -131,7 +129,7 @@
 
   /** Forgets what was computed for the runs of this pass, since some of them have been stopped or a new pass begins. */
   private _forgetRuns (): void {
-    this._predictedEnds.clear()
+    this._dependencies.forecast.clear()
     this._victims = { forGuaranteed: this._createVictimCatalogue(true), forOthers: this._createVictimCatalogue(false) }
   }
 
@@ -173,31 +171,11 @@
    * runs would lose little work, the slots must become free in time for the step to meet its objective. If a stop is costly, they must
    * become free within the maximum reclaim time, even if the step then misses its objective.
    */
-  private _findExpectedSlots (waiting: WaitingStep, snapshot: CapacitySnapshot, isStopCostly: boolean): Map<WorkerState, number> | undefined {
+  private _findExpectedSlots (waiting: WaitingStep, snapshot: CapacitySnapshot, isStopCostly: boolean): ReservedSlots | undefined {
     const { reclaimMs, stopGraceMs } = this._dependencies.times
     const waitMs = (isStopCostly ? reclaimMs : Math.min(reclaimMs, this._computeSlack(waiting.step))) - stopGraceMs - STOP_ORDER_MS
     const until = waiting.since + waitMs
-    if (this._now >= until) return undefined
-    const future = snapshot.copy()
-    for (const worker of snapshot.workers) {
-      for (const run of worker.runs) if (this._predictEnd(run) < until) future.returnCapacity(worker, run.task.step.spec)
-    }
-    const placed = this._dependencies.placement.place(waiting, future)
-    if (placed.length < waiting.tasks.length) return undefined
-    const slots = new Map<WorkerState, number>()
-    for (const { worker } of placed) slots.set(worker, (slots.get(worker) ?? 0) + 1)
-    return slots
-  }
-
-  /** Predicts the end of a run; the members of a gang end together and are predicted once. */
-  private _predictEnd (run: RunState): number {
-    const { step } = run.task
-    const key = step.spec.isGang ? step : run
-    const known = this._predictedEnds.get(key)
-    if (known !== undefined) return known
-    const end = predictEnd(run, this._now, this._estimateRunTime(step), this._dependencies.times.stopGraceMs)
-    this._predictedEnds.set(key, end)
-    return end
+    return this._now >= until ? undefined : this._dependencies.forecast.findSlots(waiting, snapshot, until)
   }
 
   private _estimateRunTime (step: StepState): number {
--- a/packages/core/src/graphs/capacitySnapshot.ts
+++ b/packages/core/src/graphs/capacitySnapshot.ts
@@ -14,16 +14,14 @@
   private readonly _free = new Map<WorkerState, FreeCapacity>()
   private readonly _reserved = new Map<StepState, ReservedSlots>()
 
-  constructor (workers: readonly WorkerState[]) {
+  constructor (workers: readonly WorkerState[], getFree = (worker: WorkerState): FreeCapacity => worker.computeFreeCapacity()) {
     this.workers = workers
-    for (const worker of workers) this._free.set(worker, worker.computeFreeCapacity())
+    for (const worker of workers) this._free.set(worker, getFree(worker))
   }
 
   /** Returns an independent copy with the same free capacity, without the reservations by step. */
   copy (): CapacitySnapshot {
-    const copy = new CapacitySnapshot(this.workers)
-    for (const [worker, free] of this._free) copy._free.set(worker, { ...free })
-    return copy
+    return new CapacitySnapshot(this.workers, worker => ({ ...this.getFree(worker) }))
   }
 
   getFree (worker: WorkerState): TaskNeeds {
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -1,10 +1,12 @@
 /**
- * One scheduler pass over all jobs: stops runs whose start was not confirmed, places waiting steps in order, and reclaims capacity
- * for work of priority 0.
+ * One scheduler pass over all jobs: stops runs whose start was not confirmed, places waiting steps in order, reclaims capacity for work of
+ * priority 0, and reserves slots for other gangs.
  */
+import { CapacityForecast } from './capacityForecast.js'
 import { CapacityReclaim } from './capacityReclaim.js'
 import { computeCoreSeconds } from './coreSeconds.js'
 import { CapacitySnapshot } from './capacitySnapshot.js'
+import { GangReservations } from './gangReservations.js'
 import { findGuaranteedJobs } from './guaranteedJobs.js'
 import { RunPhase, listTasks } from './jobState.js'
 import type { JobState, RunState, StepState } from './jobState.js'
@@ -48,6 +50,8 @@
   private readonly _dependencies: GraphPassDependencies
   private readonly _placement: RackPlacement
   private readonly _reclaim: CapacityReclaim
+  private readonly _gangReservations: GangReservations
+  private readonly _forecast: CapacityForecast
   private _queues: PlannerPolicy['queues'] = []
   private _priorities: ReadonlyMap<string, number> = new Map()
   private _now = 0
@@ -62,12 +66,14 @@
       countFailures: worker => dependencies.workerHealth.countFailures(worker.key.id)
     })
     const { times, runTimes, runTracker, log } = dependencies
+    this._forecast = new CapacityForecast({ placement: this._placement, predictEnd: run => this._predictEnd(run) })
+    this._gangReservations = new GangReservations({ forecast: this._forecast, isEligible: (worker, step) => this._isEligible(worker, step) })
     this._reclaim = new CapacityReclaim({
       times,
       runTimes,
       runTracker,
       log,
-      placement: this._placement,
+      forecast: this._forecast,
       isEligible: (worker, step) => this._isEligible(worker, step),
       getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
       getPriority: job => this._getPriority(job)
@@ -89,6 +95,7 @@
     this._markStarvedSteps(waiting)
     const guaranteed = findGuaranteedJobs(jobs, policy, job => this._getPriority(job))
     this._reclaim.beginPass(snapshot, waiting, guaranteed, now)
+    this._gangReservations.beginPass(waiting, now)
     const first = waiting.filter(({ step }) => guaranteed.has(step.job))
     const others = waiting.filter(({ step }) => !guaranteed.has(step.job))
     for (const waitingStep of [...first, ...others]) this._placeStep(waitingStep, snapshot)
@@ -156,6 +163,7 @@
     }
     const unplaced = waiting.tasks.filter(task => task.runs.length === 0)
     if (this._getPriority(step.job) === 0) this._reclaim.reclaimFor({ ...waiting, tasks: unplaced }, snapshot)
+    else if (step.spec.isGang) this._gangReservations.reserveFor(waiting, snapshot)
   }
 
   private _predictEnd (run: RunState): number {
