Send a start only to the incarnation of a worker that answered the last poll

What callers would see: a task runs twice at the same time (TWICE).

Cause: a worker may start again under its id, and the id is all that a start names. The agent retries a start every 100 ms while connections are refused, and polls every 250 ms; a start that came before the poll was accepted by the next incarnation. The poll then showed another incarnation, the planner declared all runs of the earlier one lost and started them elsewhere, and the new incarnation still ran one. Class: a retry that reaches a later owner of the same name. Looked for elsewhere: stops do no harm at a later incarnation (they bar a run that isn't there), polls carry the incarnation in their answer.

Change: after a failed poll or a refused connection, starts wait for the next answered poll, which names the incarnation. A poll is always on its way, so it fails when the worker crashes.

Test: a worker that refuses connections and comes back as another incarnation under the same id.

--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -63,6 +63,8 @@
   private _listNumber = 0
   private _pollCount = 0
   private _failedCalls = 0
+  /** False from a failed poll or a refused connection until the next answered poll: the worker may have restarted under the same id. */
+  private _isIncarnationConfirmed = true
   private _isLeaving = false
   private _isOver = false
   private _isClosed = false
@@ -162,6 +164,11 @@
     const { task, run } = start
     let wasUnanswered = false
     while (!this._isClosed && this._orders.isStarting(task, run)) {
+      // A worker accepts a start that was meant for an earlier incarnation with its id; only the answer to a poll names the incarnation.
+      if (!this._isIncarnationConfirmed) {
+        await new Promise(resolve => setTimeout(resolve, ORDER_RETRY_MS))
+        continue
+      }
       const leaseUntil = this._clock.permittedUntil
       const outcome = await this._dependencies.worker.start({ ...start, epoch, leaseUntil })
       this._recordReachability(outcome)
@@ -182,7 +189,7 @@
       if (outcome.kind === 'lost') {
         wasUnanswered = true
         this._clock.recordLeaseExpiry(leaseUntil)
-      }
+      } else this._isIncarnationConfirmed = false
       this._dependencies.logger.warn({ task, run, worker: this._announcement.id, message: outcome.message }, 'worker did not answer the start of a run; will retry')
       await new Promise(resolve => setTimeout(resolve, ORDER_RETRY_MS))
     }
@@ -226,6 +233,7 @@
         this.markEnded()
         return this._dependencies.onChange()
       }
+      this._isIncarnationConfirmed = outcome.kind === 'ok'
       const hasChanged = outcome.kind === 'ok' && this._applyPollResult(outcome, pollNumber)
       if (outcome.kind !== 'ok') await this._waitBeforePoll(POLL_RETRY_MS)
       else if (!hasChanged && waitMs === 0) await this._waitBeforePoll(UNACKNOWLEDGED_POLL_DELAY_MS)
--- a/packages/daemon/test/jobAgent/workerController.test.ts
+++ b/packages/daemon/test/jobAgent/workerController.test.ts
@@ -42,7 +42,7 @@
   close (): void {}
 }
 
-function createController (t: ExecutionContext, worker: RunWorker): WorkerController {
+function createController (t: ExecutionContext, worker: RunWorker, onOtherIncarnation = (): void => {}): WorkerController {
   const controller = new WorkerController({
     id: 'w',
     born: 1,
@@ -56,7 +56,7 @@
     drainLeftMs: undefined,
     clockMs: 0,
     sequence: 1
-  }, { worker, region: 'r', logger: createLogger({ level: 'silent', processId: 't' }), runLeaseMs: 6_000, onChange: () => {}, onOtherIncarnation: () => {} })
+  }, { worker, region: 'r', logger: createLogger({ level: 'silent', processId: 't' }), runLeaseMs: 6_000, onChange: () => {}, onOtherIncarnation })
   t.teardown(() => controller.close())
   return controller
 }
@@ -143,3 +143,22 @@
   // 6 s at most, less the 0.6 s since the start; the bound leaves room for late timers.
   t.true(report.leaseLeftMs > 3_000 && report.leaseLeftMs <= 6_000, `${report.leaseLeftMs} ms`)
 })
+
+test('a start is not sent to the incarnation that follows a crash under the same id', async t => {
+  const worker = new ScriptedWorker()
+  worker.failure = { kind: 'notSent', message: 'connection refused', isRefused: true }
+  worker.answerStart = () => worker.failure ?? { kind: 'ok', clockMs: 1 }
+  let hasChanged = false
+  const controller = createController(t, worker, () => {
+    hasChanged = true
+    controller.close()
+  })
+  controller.applyOrders(makeOrders({ starts: [START] }), 1, 0)
+  await sleep(150)
+  const startsBefore = worker.starts.length
+  worker.lists = { born: 2, running: [], ended: [] }
+  worker.failure = undefined
+  await sleep(500)
+  t.true(hasChanged)
+  t.is(worker.starts.length, startsBefore)
+})
