Give up a task that crashes worker after worker

Cause: a run that is lost with its worker counted as bad luck each time. Ends of kind failed had a bound, crashes had none, and the planner can't tell a crash under a task from a loss of power or a replaced worker. Class: a retry without a bound on what it costs others.

Change: the agent, which lives on, reports the runs that had started within the second before its worker stopped answering. The planner counts them once each, stores the count with the job's progress, tells suspects apart by starting them on different workers, runs a task alone after two crashes, and gives it up after three, two of which only the task can have caused. Its job is shown as failed, with the reason in the log.

--- a/packages/bench/src/graphs/simulatedWorker.ts
+++ b/packages/bench/src/graphs/simulatedWorker.ts
@@ -87,7 +87,8 @@
       listNumber: this._listNumber,
       running: this._running,
       ended: this._ended,
-      orders: []
+      orders: [],
+      crashes: []
     }
   }
 
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -4,12 +4,13 @@
  */
 import { CapacityForecast } from './capacityForecast.js'
 import { CapacityReclaim } from './capacityReclaim.js'
+import { isCrashSuspect, isGangMember, isIsolated } from './crashBlame.js'
 import { computeCoreSeconds } from './coreSeconds.js'
 import { CapacitySnapshot } from './capacitySnapshot.js'
 import { GangReservations } from './gangReservations.js'
 import { findGuaranteedJobs } from './guaranteedJobs.js'
 import { RunPhase, listTasks } from './jobState.js'
-import type { JobState, RunState, StepState } from './jobState.js'
+import type { JobState, RunState, StepState, TaskState } from './jobState.js'
 import { RackPlacement } from './placement.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { PlannerPolicy } from './plannerPolicy.js'
@@ -56,6 +57,8 @@
   private _priorities: ReadonlyMap<string, number> = new Map()
   private _now = 0
   private readonly _starvedSteps = new Set<StepState>()
+  /** Workers with a run of a task that is suspected of crashing workers. */
+  private readonly _suspects = new Map<WorkerState, TaskState>()
 
   constructor (dependencies: GraphPassDependencies) {
     this._dependencies = dependencies
@@ -63,6 +66,7 @@
       isEligible: (worker, step) => this._isEligible(worker, step),
       getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
       isLocalityWaitOver: waiting => this._isLocalityWaitOver(waiting),
+      chooseWorkersForSuspect: (workers, task) => this._chooseWorkersForSuspect(workers, task),
       countFailures: worker => dependencies.workerHealth.countFailures(worker.key.id)
     })
     const { times, runTimes, runTracker, log } = dependencies
@@ -93,6 +97,7 @@
     if (waiting.length === 0) return
     const snapshot = new CapacitySnapshot(this._dependencies.registry.listWorkers())
     this._markStarvedSteps(waiting)
+    this._markSuspects()
     const guaranteed = findGuaranteedJobs(jobs, policy, job => this._getPriority(job))
     this._reclaim.beginPass(snapshot, waiting, guaranteed, now)
     this._gangReservations.beginPass(waiting, now)
@@ -155,14 +160,20 @@
     const { step } = waiting
     snapshot.release(step)
     const placed = this._placement.place(waiting, snapshot)
-    for (const { worker } of placed) snapshot.takeCapacity(worker, step.spec)
+    for (const { worker, task } of placed) {
+      snapshot.takeCapacity(worker, step.spec)
+      if (isCrashSuspect(task)) this._addSuspect(worker, task)
+    }
     if (placed.length > 0) this._dependencies.runTracker.start(placed.map(one => ({ ...one, ticket: undefined })), this._now)
     if (placed.length === waiting.tasks.length) {
       this._reclaim.dropReservation(step)
       return
     }
     const unplaced = waiting.tasks.filter(task => task.runs.length === 0)
-    if (this._getPriority(step.job) === 0) this._reclaim.reclaimFor({ ...waiting, tasks: unplaced }, snapshot)
+    // A task that has to run alone waits for a worker without runs; stopping a few runs would help neither it nor its gang.
+    const helped = step.spec.isGang && unplaced.some(isIsolated) ? [] : unplaced.filter(task => !isIsolated(task))
+    if (helped.length === 0) return
+    if (this._getPriority(step.job) === 0) this._reclaim.reclaimFor({ ...waiting, tasks: helped }, snapshot)
     else if (step.spec.isGang) this._gangReservations.reserveFor(waiting, snapshot)
   }
 
@@ -189,6 +200,32 @@
     }
   }
 
+  private _markSuspects (): void {
+    this._suspects.clear()
+    for (const worker of this._dependencies.registry.listWorkers()) {
+      for (const run of worker.runs) if (isCrashSuspect(run.task)) this._addSuspect(worker, run.task)
+    }
+  }
+
+  /**
+   * Returns the workers at which a suspected task may start: never one with a run of another suspect. If the task must run alone, these are
+   * the empty ones that were steady lately or, if there are none and the step is starved, the other empty ones, else all.
+   */
+  private _chooseWorkersForSuspect (workers: readonly WorkerState[], task: TaskState): readonly WorkerState[] {
+    const apart = workers.filter(worker => [...worker.runs].every(run => !isCrashSuspect(run.task) || isGangMember(run.task, task.step)))
+    if (!isIsolated(task)) return apart
+    const empty = apart.filter(worker => worker.orphanedRuns.size === 0 && [...worker.runs].every(run => isGangMember(run.task, task.step)))
+    const steady = empty.filter(worker => !this._dependencies.workerHealth.isUnsteady(worker.key.address, this._now))
+    if (steady.length > 0 || !this._starvedSteps.has(task.step)) return steady
+    return empty.length > 0 ? empty : apart
+  }
+
+  /** Remembers a suspected task at a worker; of several, one that must run alone. */
+  private _addSuspect (worker: WorkerState, task: TaskState): void {
+    const known = this._suspects.get(worker)
+    if (known === undefined || !isIsolated(known)) this._suspects.set(worker, task)
+  }
+
   /** Indexes the priorities by queue name, since each decision looks priorities up and there may be a thousand queues. */
   private _setPriorities (queues: PlannerPolicy['queues']): void {
     if (queues === this._queues) return
@@ -205,6 +242,8 @@
     const { report } = worker
     if (report === undefined || report.isDraining || !this._dependencies.registry.isResponsive(worker, this._now)) return false
     if (report.service !== step.job.graph.queue.service) return false
+    const suspect = this._suspects.get(worker)
+    if (suspect !== undefined && isIsolated(suspect) && !isGangMember(suspect, step)) return false
     const { requiredLabel } = step.spec
     if (requiredLabel !== undefined && !report.labels.includes(requiredLabel)) return false
     return this._starvedSteps.has(step) || !this._dependencies.workerHealth.isAvoided(worker.key.id, this._now)
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -59,7 +59,7 @@
     const { log, times, getWallTime } = options
     this._options = options
     this._runTracker = new RunTracker({ log, workerHealth: this._workerHealth, runTimes: this._runTimes, getWallTime, getWorker: run => this._registry.getWorker(run.worker) })
-    this._registry = new WorkerRegistry({ log, times, runTracker: this._runTracker, findTask: name => this._findTask(name) })
+    this._registry = new WorkerRegistry({ log, times, runTracker: this._runTracker, workerHealth: this._workerHealth, findTask: name => this._findTask(name) })
     const order = options.createOrder?.(this._runTimes) ?? new ObjectiveOrder({ runTimes: this._runTimes, getWallTime })
     this._pass = new GraphPass({ registry: this._registry, runTracker: this._runTracker, workerHealth: this._workerHealth, runTimes: this._runTimes, order, times, log })
   }
--- a/packages/core/src/graphs/jobProgress.ts
+++ b/packages/core/src/graphs/jobProgress.ts
@@ -9,8 +9,13 @@
 
 /** Stored run: run number, id of the worker, start time of the worker's incarnation, address of the worker. */
 type RunRecord = readonly [number, string, number, string]
-/** Stored task: done (0 or 1), number of failed runs, number of the last run, checkpoint, runs, ids of the workers on which it failed. */
-type TaskRecord = readonly [number, number, number, string, readonly RunRecord[], readonly string[]]
+/** Stored crashes: see `crashes`, `soleCrashes` and `lastCrashedRun` of a task. */
+type CrashRecord = readonly [number, number, number]
+/**
+ * Stored task: done (0 or 1), number of failed runs, number of the last run, checkpoint, runs, ids of the workers on which it failed, and crashes, if
+ * there were any.
+ */
+type TaskRecord = readonly [number, number, number, string, readonly RunRecord[], readonly string[], CrashRecord?]
 
 interface StepRecord {
   /** Number of failed runs of a gang; `failedRun` is the run number of the last failure. */
@@ -64,7 +69,8 @@
 
 function encodeTask (task: TaskState): TaskRecord {
   const runs = task.runs.map(run => [run.number, run.worker.id, run.worker.born, run.worker.address] as const)
-  return [task.isDone ? 1 : 0, task.failures, task.lastRun, task.checkpoint, runs, [...task.failedOn]]
+  const record = [task.isDone ? 1 : 0, task.failures, task.lastRun, task.checkpoint, runs, [...task.failedOn]] as const
+  return task.lastCrashedRun === 0 ? record : [...record, [task.crashes, task.soleCrashes, task.lastCrashedRun]]
 }
 
 function getStep (job: JobState, occurrence: number, index: number): StepState | undefined {
@@ -83,11 +89,14 @@
 }
 
 function restoreTask (task: TaskState, record: TaskRecord, now: number): void {
-  const [done, failures, lastRun, checkpoint, runs, failedOn] = record
+  const [done, failures, lastRun, checkpoint, runs, failedOn, crashes] = record
   task.isDone = done === 1
   task.failures = failures
   task.lastRun = lastRun
   task.checkpoint = checkpoint
+  task.crashes = crashes?.[0] ?? 0
+  task.soleCrashes = crashes?.[1] ?? 0
+  task.lastCrashedRun = crashes?.[2] ?? 0
   for (const workerId of failedOn) task.failedOn.add(workerId)
   for (const [number, id, born, address] of runs) task.runs.push({ ...createRun(task, number, { id, born, address }, 0, now, undefined), isAdopted: true })
 }
--- a/packages/core/src/graphs/jobState.ts
+++ b/packages/core/src/graphs/jobState.ts
@@ -72,6 +72,12 @@
   /** Workers on which a run of the task failed. */
   readonly failedOn: Set<string>
   readonly runs: RunState[]
+  /** Number of workers in a row that crashed right after a run of the task had started there. */
+  crashes: number
+  /** Number of these crashes for which no run of another step could be the cause. */
+  soleCrashes: number
+  /** Number of the last run after whose start a worker crashed. */
+  lastCrashedRun: number
 }
 
 /** One step of one occurrence of a job. */
@@ -128,7 +134,7 @@
 
 function createTask (step: StepState, index: number): TaskState {
   const name = formatTaskName({ jobId: step.job.graph.id, occurrence: step.occurrence, step: step.index, index })
-  return { name, step, index, isDone: false, failures: 0, lastRun: 0, checkpoint: '', failedOn: new Set(), runs: [] }
+  return { name, step, index, isDone: false, failures: 0, lastRun: 0, checkpoint: '', failedOn: new Set(), runs: [], crashes: 0, soleCrashes: 0, lastCrashedRun: 0 }
 }
 
 /** Marks a job as changed, so that its state is stored. */
--- a/packages/core/src/graphs/placement.ts
+++ b/packages/core/src/graphs/placement.ts
@@ -2,6 +2,7 @@
  * Finds workers for the tasks of a step: near the data, in one rack where the step requires it, and by best fit, so that whole
  * workers stay free for large tasks.
  */
+import { isCrashSuspect, isIsolated } from './crashBlame.js'
 import type { CapacitySnapshot } from './capacitySnapshot.js'
 import type { StepState, TaskState } from './jobState.js'
 import type { WaitingStep } from './waitingStep.js'
@@ -37,6 +38,8 @@
   readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
   /** Returns the number of different jobs that failed at a worker since its last success. */
   readonly countFailures: (worker: WorkerState) => number
+  /** Returns those of the workers that may run a task that is suspected of crashing workers. */
+  readonly chooseWorkersForSuspect: (workers: readonly WorkerState[], task: TaskState) => readonly WorkerState[]
   /** True when the step has waited for its rack for so long that a slower run in another rack is better. */
   readonly isLocalityWaitOver: (waiting: WaitingStep) => boolean
 }
@@ -103,15 +106,26 @@
     slots.sort((a, b) => a.score - b.score)
     const isFailedStep = step.spec.isGang && slots.some(({ worker }) => tasks[0] !== undefined && hasFailedAt(tasks[0], worker))
     const placed: PlacedTask[] = []
-    for (const task of tasks) {
-      const chosen = isFailedStep || task.failedOn.size > 0 ? pickWithFailures(task, slots) : slots.find(({ count }) => count > 0)
+    const slotsOfSuspects = new Set<WorkerSlots>()
+    for (const task of sortSuspectsFirst(tasks)) {
+      const isSuspect = isCrashSuspect(task)
+      const usable = isSuspect ? this._listSlotsForSuspect(slots.filter(slot => slot.count > 0 && !slotsOfSuspects.has(slot)), task) : slots
+      const chosen = isFailedStep || task.failedOn.size > 0 ? pickWithFailures(task, usable) : usable.find(({ count }) => count > 0)
+      if (chosen === undefined && isSuspect && !isAllOrNone) continue
       if (chosen === undefined) break
-      chosen.count--
+      chosen.count = isIsolated(task) && !step.spec.isGang ? 0 : chosen.count - 1
+      // The members of a gang need not be told apart, since they fail together.
+      if (isSuspect && !step.spec.isGang) slotsOfSuspects.add(chosen)
       placed.push({ task, worker: chosen.worker })
     }
     return placed
   }
 
+  private _listSlotsForSuspect (slots: readonly WorkerSlots[], task: TaskState): WorkerSlots[] {
+    const workers = new Set(this._dependencies.chooseWorkersForSuspect(slots.map(({ worker }) => worker), task))
+    return slots.filter(({ worker }) => workers.has(worker))
+  }
+
   /** Prefers workers at which the fewest jobs failed, then the one with the least free capacity. */
   private _computeScore (worker: WorkerState, snapshot: CapacitySnapshot): number {
     const free = snapshot.getFree(worker)
@@ -119,6 +133,11 @@
   }
 }
 
+/** Returns the tasks with those first that are suspected of crashing workers, since fewer workers can take them. */
+function sortSuspectsFirst (tasks: readonly TaskState[]): readonly TaskState[] {
+  return tasks.some(isCrashSuspect) ? [...tasks.filter(isCrashSuspect), ...tasks.filter(task => !isCrashSuspect(task))] : tasks
+}
+
 /** Picks the worker with the lowest score among those with room; workers at which the task has failed come last. */
 function pickWithFailures (task: TaskState, slots: readonly WorkerSlots[]): WorkerSlots | undefined {
   let best: WorkerSlots | undefined
--- a/packages/core/src/graphs/runTracker.ts
+++ b/packages/core/src/graphs/runTracker.ts
@@ -1,6 +1,7 @@
 /**
  * Changes the state of runs and of the steps and jobs that depend on them. All changes that must be stored are made here.
  */
+import { isGivenUp } from './crashBlame.js'
 import { JobPhase, RunEnd, isFinalPhase } from './graphTypes.js'
 import { createRun } from './jobProgress.js'
 import { RunPhase, countOccurrences, isActive, listTasks, markChanged, saveCheckpoint } from './jobState.js'
@@ -22,6 +23,15 @@
   readonly getWorker: (run: RunState) => WorkerState | undefined
 }
 
+/** Crash of a worker right after a run of a task had started there. */
+export interface WorkerCrash {
+  /** Number of the run. */
+  readonly run: number
+  readonly address: string
+  /** True if no run of another step, or of another task outside gangs, can have caused the crash. */
+  readonly isSole: boolean
+}
+
 export class RunTracker {
   private readonly _dependencies: RunTrackerDependencies
 
@@ -105,6 +115,31 @@
     this.markLost(run, `refused: ${reason}`, now)
   }
 
+  /**
+   * Records that a worker crashed right after the start of a run. Crashes are reported more than once, also to later planners; each run counts once. The
+   * job fails when the task is given up.
+   */
+  recordCrash (task: TaskState, crash: WorkerCrash, now: number): void {
+    const { run, address, isSole } = crash
+    if (run <= task.lastCrashedRun || run > task.lastRun || task.isDone) return
+    task.lastCrashedRun = run
+    task.crashes++
+    if (isSole) task.soleCrashes++
+    const { job } = task.step
+    markChanged(job)
+    this._dependencies.log.note('worker crashed under a task', { task: task.name, run, address, isSole, crashes: task.crashes })
+    if (isActive(job) && isGivenUp(task)) this.endJob(job, JobPhase.failed, `${task.name} crashed ${task.crashes} workers`, now)
+  }
+
+  /** Records that a worker has survived a run of a task, so that the task did not cause earlier crashes. */
+  clearCrashes (task: TaskState): void {
+    if (task.crashes === 0) return
+    task.crashes = 0
+    task.soleCrashes = 0
+    markChanged(task.step.job)
+    this._dependencies.log.note('task cleared of worker crashes', { task: task.name })
+  }
+
   /** Marks a task as done after a run of the task that had been declared lost has reported success. Newer runs of the task are stopped. */
   finishTaskOfLostRun (task: TaskState, now: number): void {
     if (task.isDone) return
--- a/packages/core/src/graphs/workerHealthTracker.ts
+++ b/packages/core/src/graphs/workerHealthTracker.ts
@@ -15,6 +15,9 @@
 /** Longest time for which a worker is avoided at once, in milliseconds. */
 const MAX_AVOID_MS = 20_000
 
+/** Time for which a worker counts as unsteady after a crash, in milliseconds; workers that go down and up do so every few seconds. */
+const UNSTEADY_MS = 10_000
+
 interface WorkerHealth {
   /** Ids of the jobs that failed at the worker since its last successful run. */
   readonly failedJobs: Set<string>
@@ -26,6 +29,8 @@
 
 export class WorkerHealthTracker {
   private readonly _healthByWorker = new Map<string, WorkerHealth>()
+  /** When the last crash at an address was noticed. A worker that has crashed may come back under another id. */
+  private readonly _crashedAt = new Map<string, number>()
 
   /** Records that a run succeeded at its worker. */
   recordDone (run: RunState, now: number): void {
@@ -55,6 +60,17 @@
     this._avoidWorker(this._getHealth(run.worker.id), now)
   }
 
+  /** Records that the worker at an address has crashed, for whatever reason. */
+  recordCrash (address: string, now: number): void {
+    for (const [other, at] of this._crashedAt) if (now - at > UNSTEADY_MS) this._crashedAt.delete(other)
+    this._crashedAt.set(address, now)
+  }
+
+  /** True for some time after a crash at an address; another crash there would then prove nothing against the task that started. */
+  isUnsteady (address: string, now: number): boolean {
+    return now - (this._crashedAt.get(address) ?? -Infinity) <= UNSTEADY_MS
+  }
+
   /** True while a worker should get no new runs. */
   isAvoided (workerId: string, now: number): boolean {
     return now < (this._healthByWorker.get(workerId)?.avoidUntil ?? 0)
--- a/packages/core/src/graphs/workerRegistry.ts
+++ b/packages/core/src/graphs/workerRegistry.ts
@@ -2,6 +2,7 @@
  * Registry of all workers that the planner knows; applies their reports to the runs. A silent worker keeps its runs until they can no
  * longer be alive. A later incarnation under the same id or address ends the earlier one at once.
  */
+import { hasSurvivedStart, isGangMember } from './crashBlame.js'
 import type { TaskNeeds } from './graphTypes.js'
 import { RunEnd } from './graphTypes.js'
 import { RunPhase, saveCheckpoint } from './jobState.js'
@@ -16,11 +17,13 @@
 import { OrderStatus } from './workerReport.js'
 import type { EndListing, OrderListing, RunListing, WorkerReport } from './workerReport.js'
 import { WorkerState } from './workerState.js'
+import type { WorkerHealthTracker } from './workerHealthTracker.js'
 
 /** Dependencies of {@link WorkerRegistry}. */
 export interface WorkerRegistryDependencies {
   readonly log: PlannerLog
   readonly runTracker: RunTracker
+  readonly workerHealth: WorkerHealthTracker
   readonly times: PlannerTimes
   /** Finds a task by its name; undefined for an unknown task. */
   readonly findTask: (name: TaskName) => TaskState | undefined
@@ -68,7 +71,8 @@
   acceptReport (report: WorkerReport, now: number): WorkerState | undefined {
     const known = this._workers.get(report.key.id)
     if (known !== undefined && known.key.born > report.key.born) return undefined
-    if (known !== undefined && known.key.born < report.key.born) this._removeWorker(known, 'it restarted', now)
+    this._acceptCrashListings(report, now)
+    if (known !== undefined && known.key.born < report.key.born) this._removeRestartedWorker(known, 'it restarted', now)
     this._removeEarlierIncarnations(report, now)
     if (report.isOver) return this._acceptFinalReport(report, now)
     const worker = this.getWorker(report.key) ?? new WorkerState({ ...report.key, address: report.address }, now)
@@ -127,10 +131,27 @@
   private _removeEarlierIncarnations (report: WorkerReport, now: number): void {
     for (const other of this.listWorkers()) {
       if (other.key.id === report.key.id || other.key.address !== report.address) continue
-      if (other.key.born < report.key.born) this._removeWorker(other, `another worker started at its address: ${report.key.id}`, now)
+      if (other.key.born < report.key.born) this._removeRestartedWorker(other, `another worker started at its address: ${report.key.id}`, now)
     }
   }
 
+  private _acceptCrashListings (report: WorkerReport, now: number): void {
+    for (const { suspects } of report.crashes) {
+      const found = suspects.map(({ task, run }) => ({ task: this._findTask(task), run }))
+      for (const { task, run } of found) {
+        if (task === undefined) continue
+        const isSole = found.every(({ task: other }) => other === task || (other !== undefined && isGangMember(other, task.step)))
+        this._dependencies.runTracker.recordCrash(task, { run, address: report.address, isSole }, now)
+      }
+    }
+  }
+
+  /** Removes an incarnation of a worker after a later one has started at its address. */
+  private _removeRestartedWorker (worker: WorkerState, reason: string, now: number): void {
+    if (worker.report?.isDraining !== true) this._dependencies.workerHealth.recordCrash(worker.key.address, now)
+    this._removeWorker(worker, reason, now)
+  }
+
   private _removeWorker (worker: WorkerState, reason: string, now: number): void {
     this._workers.delete(worker.key.id)
     this._dependencies.log.note('worker gone', { worker: worker.key.id, born: worker.key.born, reason })
@@ -175,6 +196,7 @@
     const run = findRun(worker, listing)
     if (run !== undefined) {
       this._dependencies.runTracker.markRunning(run, now)
+      if (hasSurvivedStart(run, worker.listedAt)) this._dependencies.runTracker.clearCrashes(run.task)
       return updateRun(run, listing, now)
     }
     const key = makeRunKey(listing)
--- a/packages/core/src/graphs/workerReport.ts
+++ b/packages/core/src/graphs/workerReport.ts
@@ -4,6 +4,17 @@
 import type { RunEnd, TaskNeeds } from './graphTypes.js'
 import type { WorkerKey } from './jobState.js'
 
+/** Name of a run: its task and its number. */
+export interface RunName {
+  readonly task: string
+  readonly run: number
+}
+
+/** Crash of a worker: the runs that had just started, one of which may have caused it. */
+export interface CrashListing {
+  readonly suspects: readonly RunName[]
+}
+
 /** A run that the worker lists as running. */
 export interface RunListing {
   readonly task: string
@@ -91,6 +102,8 @@
   readonly running: readonly RunListing[]
   readonly ended: readonly EndListing[]
   readonly orders: readonly OrderListing[]
+  /** Recent crashes of earlier incarnations at this address right after runs had started. */
+  readonly crashes: readonly CrashListing[]
 }
 
 /** An order to start a run, as sent to an agent. */
--- /dev/null
+++ b/packages/core/test/graphs/crashBlame.test.ts
@@ -0,0 +1,111 @@
+/**
+ * Tests which tasks the planner blames for crashes of workers, where it starts suspected tasks, and when it gives a task up.
+ */
+import test from 'ava'
+
+import { PlannerHarness, makeStep } from './plannerHarness.js'
+import type { FakeWorker } from './plannerHarness.js'
+
+/** Restarts the worker that executes a task; the agent suspects all runs of the worker. Returns the worker that crashed. */
+function crashUnder (harness: PlannerHarness, task: string): FakeWorker | undefined {
+  const worker = harness.findWorker(task)
+  if (worker === undefined) return undefined
+  const suspects = worker.running.map(({ task, run }) => ({ task, run }))
+  harness.restartWorker(worker, `${worker.id}x`).crashes.push(...worker.crashes, { suspects })
+  return worker
+}
+
+/** Lets a task start and crash its worker this many times. */
+function crashRepeatedly (harness: PlannerHarness, task: string, count: number): void {
+  for (let crash = 0; crash < count; crash++) {
+    harness.run(300)
+    crashUnder(harness, task)
+  }
+}
+
+test('a task is given up after the third crash in a row, although a new planner counts from the stored records', t => {
+  const harness = new PlannerHarness([4])
+  harness.addJob('a', [makeStep()])
+  for (let planner = 0; planner < 2; planner++) {
+    crashRepeatedly(harness, 'a.0.0.0', 1)
+    harness.run(100)
+    harness.replacePlanner()
+  }
+  t.is(harness.planner.getJob('a')?.phase, 'running')
+  harness.run(300)
+  crashUnder(harness, 'a.0.0.0')
+  harness.run(300)
+  t.is(harness.planner.getJob('a')?.phase, 'failed')
+  t.deepEqual(harness.listNotes('worker crashed under a task').map(({ crashes }) => crashes), [1, 2, 3])
+})
+
+test('a crash that is reported again, also to a new planner, counts once', t => {
+  const harness = new PlannerHarness([2])
+  harness.addJob('a', [makeStep()])
+  harness.run(300)
+  crashUnder(harness, 'a.0.0.0')
+  harness.run(300)
+  harness.replacePlanner()
+  harness.run(300)
+  t.is(harness.listNotes('worker crashed under a task').length, 1)
+})
+
+test('a run that goes on clears its task, so that later crashes count anew', t => {
+  const harness = new PlannerHarness([4])
+  harness.addJob('a', [makeStep()])
+  crashRepeatedly(harness, 'a.0.0.0', 2)
+  harness.run(3_000)
+  t.is(harness.listNotes('task cleared of worker crashes').length, 1)
+  crashRepeatedly(harness, 'a.0.0.0', 2)
+  harness.run(300)
+  t.is(harness.planner.getJob('a')?.phase, 'running')
+})
+
+test('tasks that had started together on a crashed worker start again on different workers', t => {
+  const harness = new PlannerHarness([3])
+  for (const id of ['a', 'b', 'c']) harness.addJob(id, [makeStep()])
+  harness.run(300)
+  t.is(new Set(['a', 'b', 'c'].map(id => harness.findWorker(`${id}.0.0.0`)?.id)).size, 1)
+  crashUnder(harness, 'a.0.0.0')
+  harness.run(300)
+  t.is(new Set(['a', 'b', 'c'].map(id => harness.findWorker(`${id}.0.0.0`)?.id)).size, 3)
+})
+
+test('a task under which two workers have crashed starts alone, and nothing starts beside it before it is cleared', t => {
+  const harness = new PlannerHarness([4])
+  harness.addJob('other', [makeStep({ accelerators: 6 })])
+  harness.addJob('a', [makeStep()])
+  crashRepeatedly(harness, 'a.0.0.0', 2)
+  harness.run(300)
+  harness.addJob('late', [makeStep({ accelerators: 2 }), makeStep({ accelerators: 2 })])
+  harness.run(300)
+  const worker = harness.findWorker('a.0.0.0')
+  t.deepEqual(worker?.running.map(({ task }) => task), ['a.0.0.0'])
+})
+
+test('an urgent step reclaims capacity for its other tasks while one of them has to run alone', t => {
+  const harness = new PlannerHarness([2])
+  harness.addJob('a', [makeStep({ count: 2 })])
+  crashRepeatedly(harness, 'a.0.0.0', 2)
+  harness.run(300)
+  t.truthy(harness.findWorker('a.0.0.1'))
+})
+
+test('a task is not given up for three crashes of which another suspect can have caused two', t => {
+  const harness = new PlannerHarness([6])
+  harness.addJob('a', [makeStep()])
+  for (const other of ['b', 'c']) {
+    harness.addJob(other, [makeStep()])
+    harness.run(300)
+    const worker = harness.findWorker('a.0.0.0')
+    if (worker === undefined) return t.fail()
+    const successor = harness.restartWorker(worker, `${worker.id}x`)
+    successor.crashes.push({ suspects: [...worker.running.map(({ task, run }) => ({ task, run })), { task: `${other}.0.0.0`, run: 1 }] })
+  }
+  crashRepeatedly(harness, 'a.0.0.0', 1)
+  harness.run(300)
+  t.is(harness.planner.getJob('a')?.phase, 'running')
+  crashRepeatedly(harness, 'a.0.0.0', 1)
+  harness.run(300)
+  t.is(harness.planner.getJob('a')?.phase, 'failed')
+})
--- a/packages/daemon/src/jobAgent/orderTable.ts
+++ b/packages/daemon/src/jobAgent/orderTable.ts
@@ -3,7 +3,7 @@
  * confirmed is barred: it is not started again.
  */
 import { OrderStatus, makeRunKey } from '@dragonflylever/core/graphs/index'
-import type { EndListing, OrderListing, RunListing } from '@dragonflylever/core/graphs/index'
+import type { EndListing, OrderListing, RunListing, RunName } from '@dragonflylever/core/graphs/index'
 
 /**
  * How long the entry of a refused start or a barred run is kept in the table, in milliseconds. The planner repeats orders that it
@@ -19,6 +19,8 @@
   /** Number of the last poll that was sent before the worker answered the stop. Only later polls can show that the run has ended. */
   stopAnsweredAtPoll: number | undefined
   settledAt: number | undefined
+  /** When the last start was sent that may have reached the worker; undefined before. */
+  startSentAt: number | undefined
 }
 
 export class OrderTable {
@@ -27,7 +29,7 @@
   /** Records a start order. Returns false if there already is an order for the run. */
   beginStart (task: string, run: number): boolean {
     if (this._orders.has(makeRunKey({ task, run }))) return false
-    this._orders.set(makeRunKey({ task, run }), { task, run, status: OrderStatus.sending, reason: '', stopAnsweredAtPoll: undefined, settledAt: undefined })
+    this._orders.set(makeRunKey({ task, run }), { task, run, status: OrderStatus.sending, reason: '', stopAnsweredAtPoll: undefined, settledAt: undefined, startSentAt: undefined })
     return true
   }
 
@@ -50,6 +52,18 @@
     return this._getOrder(task, run)?.status === OrderStatus.sending
   }
 
+  /** Records that a start which may have reached the worker was sent at `sentAt`, a monotonic time in milliseconds. */
+  recordStartSent (task: string, run: number, sentAt: number): void {
+    const order = this._getOrder(task, run)
+    if (order !== undefined) order.startSentAt = sentAt
+  }
+
+  /** Lists the runs whose start was last sent at `since` or later and that have not ended, in the order of their starts. */
+  listStartedSince (since: number): RunName[] {
+    const started = [...this._orders.values()].filter(order => order.startSentAt !== undefined && order.startSentAt >= since && order.status !== OrderStatus.refused)
+    return started.map(({ task, run }) => ({ task, run }))
+  }
+
   /** Records whether the worker accepted or refused a start. A run that is already being stopped keeps its status. */
   recordStartResult (task: string, run: number, status: typeof OrderStatus.accepted | typeof OrderStatus.refused, reason = ''): void {
     const order = this._getOrder(task, run)
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -4,7 +4,7 @@
  */
 import type { HoldResult, RunOutcome, RunWorker } from '@dragonflylever/adapters'
 import { OrderStatus, StartRefusal } from '@dragonflylever/core/graphs/index'
-import type { EndListing, RunListing, StartOrder, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
+import type { CrashListing, EndListing, RunListing, RunName, StartOrder, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
 import type { Logger } from '@dragonflylever/runtime'
 
 import { OrderTable } from './orderTable.js'
@@ -34,6 +34,8 @@
   readonly logger: Logger
   /** Lease time that an answer of the planner permits, counted from the time of the answered report, in milliseconds of the worker's clock. */
   readonly runLeaseMs: number
+  /** Lists recent crashes of earlier incarnations at the worker's address. */
+  readonly listRecentCrashes: () => readonly CrashListing[]
   /** Called after a change that should be reported to the planner at once. */
   readonly onChange: () => void
   /** Called when another incarnation of the worker answered a call, which means that the controlled incarnation has ended. */
@@ -48,6 +50,11 @@
 const POLL_RETRY_MS = 250
 /** Number of consecutive calls without an answer after which the worker counts as unreachable. */
 const UNREACHABLE_AFTER_CALLS = 2
+/**
+ * A run that started at most this long before the worker stopped answering may have crashed it, in milliseconds. The agent notices a crash at once when
+ * the connection of its poll breaks, or at its next call.
+ */
+const CRASH_SUSPECT_MS = 1_000
 /** Delay before an unanswered start or stop is retried, in milliseconds. */
 const ORDER_RETRY_MS = 100
 
@@ -63,8 +70,11 @@
   private _listNumber = 0
   private _pollCount = 0
   private _failedCalls = 0
-  /** False from a failed poll or a refused connection until the next answered poll: the worker may have restarted under the same id. */
-  private _isIncarnationConfirmed = true
+  /**
+   * Monotonic time of the first failed poll or connection since the last answered poll; undefined if there was none. From then on the worker may have
+   * restarted under the same id.
+   */
+  private _unconfirmedSince: number | undefined
   private _isLeaving = false
   private _isOver = false
   private _isClosed = false
@@ -119,6 +129,15 @@
     return this._clock.estimateClock(performance.now())
   }
 
+  /**
+   * Lists the runs that may have caused the end of this incarnation: those that had just started when the worker stopped answering. Empty if the worker
+   * had announced its end.
+   */
+  listCrashSuspects (): RunName[] {
+    if (this._isOver || this._isLeaving || this._announcement.isDraining) return []
+    return this._orders.listStartedSince((this._unconfirmedSince ?? performance.now()) - CRASH_SUSPECT_MS)
+  }
+
   /** Creates the worker's report for the planner. */
   makeReport (): WorkerReport {
     const { id, born, address, service, rack, labels, failureDomain, capacity, isDraining, drainLeftMs } = this._announcement
@@ -139,7 +158,8 @@
       listNumber: this._listNumber,
       running: this._running,
       ended: this._ended.filter(end => end.number > this._lastAcknowledgedEnd),
-      orders: this._orders.list(performance.now())
+      orders: this._orders.list(performance.now()),
+      crashes: this._dependencies.listRecentCrashes()
     }
   }
 
@@ -165,12 +185,14 @@
     let wasUnanswered = false
     while (!this._isClosed && this._orders.isStarting(task, run)) {
       // A worker accepts a start that was meant for an earlier incarnation with its id; only the answer to a poll names the incarnation.
-      if (!this._isIncarnationConfirmed) {
+      if (this._unconfirmedSince !== undefined) {
         await new Promise(resolve => setTimeout(resolve, ORDER_RETRY_MS))
         continue
       }
       const leaseUntil = this._clock.permittedUntil
+      const sentAt = performance.now()
       const outcome = await this._dependencies.worker.start({ ...start, epoch, leaseUntil })
+      if (outcome.kind === 'ok' || outcome.kind === 'lost') this._orders.recordStartSent(task, run, sentAt)
       this._recordReachability(outcome)
       if (outcome.kind === 'ok') {
         this._clock.recordLeaseExpiry(leaseUntil)
@@ -189,7 +211,7 @@
       if (outcome.kind === 'lost') {
         wasUnanswered = true
         this._clock.recordLeaseExpiry(leaseUntil)
-      } else this._isIncarnationConfirmed = false
+      }
       this._dependencies.logger.warn({ task, run, worker: this._announcement.id, message: outcome.message }, 'worker did not answer the start of a run; will retry')
       await new Promise(resolve => setTimeout(resolve, ORDER_RETRY_MS))
     }
@@ -227,13 +249,13 @@
       const outcome = await this._dependencies.worker.hold({ epoch: this._epoch, seen: this._lastAcknowledgedEnd, leaseUntil, waitMs })
       if (this._isClosed) return
       if (leaseUntil !== undefined && outcome.kind !== 'notSent') this._clock.recordLeaseExpiry(leaseUntil)
+      if (outcome.kind === 'otherIncarnation' || (outcome.kind === 'ok' && outcome.born !== this._announcement.born)) return this._dependencies.onOtherIncarnation()
       this._recordReachability(outcome)
-      if (outcome.kind === 'otherIncarnation') return this._dependencies.onOtherIncarnation()
       if (outcome.kind === 'notSent' && outcome.isRefused && this._isLeaving) {
         this.markEnded()
         return this._dependencies.onChange()
       }
-      this._isIncarnationConfirmed = outcome.kind === 'ok'
+      this._unconfirmedSince = outcome.kind === 'ok' ? undefined : this._unconfirmedSince ?? performance.now()
       const hasChanged = outcome.kind === 'ok' && this._applyPollResult(outcome, pollNumber)
       if (outcome.kind !== 'ok') await this._waitBeforePoll(POLL_RETRY_MS)
       else if (!hasChanged && waitMs === 0) await this._waitBeforePoll(UNACKNOWLEDGED_POLL_DELAY_MS)
@@ -242,10 +264,6 @@
 
   /** Applies the answer to a poll. Returns true if the answer lists a run end that was not known before. */
   private _applyPollResult (list: HoldResult, pollNumber: number): boolean {
-    if (list.born !== this._announcement.born) {
-      this._dependencies.onOtherIncarnation()
-      return false
-    }
     const lastEnd = this._ended.at(-1)?.number ?? 0
     const hasNewEnd = (list.ended.at(-1)?.number ?? 0) > lastEnd
     const hasNewRun = list.running.length !== this._running.length
@@ -262,6 +280,7 @@
     const isAnswered = outcome.kind === 'ok' || outcome.kind === 'refused' || outcome.kind === 'otherIncarnation'
     const wasReachable = this.isReachable
     this._failedCalls = isAnswered ? 0 : this._failedCalls + 1
+    if (outcome.kind === 'notSent') this._unconfirmedSince ??= performance.now()
     const { isReachable } = this
     if (wasReachable !== isReachable) {
       this._dependencies.logger[isReachable ? 'info' : 'warn']({ worker: this._announcement.id, failedCalls: this._failedCalls }, isReachable ? 'worker answers again' : 'worker does not answer')
--- a/packages/daemon/src/jobAgent/workerTable.ts
+++ b/packages/daemon/src/jobAgent/workerTable.ts
@@ -7,6 +7,7 @@
 import type { Logger } from '@dragonflylever/runtime'
 
 import type { CollectedReports } from './plannerLink.js'
+import { RecentCrashes } from './recentCrashes.js'
 import { WorkerController } from './workerController.js'
 import type { WorkerAnnouncement } from './workerController.js'
 
@@ -35,6 +36,7 @@
 export class WorkerTable {
   private readonly _dependencies: WorkerTableDependencies
   private readonly _workers = new Map<string, TrackedWorker>()
+  private readonly _recentCrashes = new RecentCrashes()
 
   constructor (dependencies: WorkerTableDependencies) {
     this._dependencies = dependencies
@@ -53,7 +55,7 @@
       known.controller.applyHeartbeat(announcement)
       return
     }
-    this._removeWorker(announcement.id, 'it restarted')
+    this._removeCrashedWorker(announcement.id, 'it restarted')
     this._removeWorkersAtAddress(announcement)
     this._workers.set(announcement.id, { controller: this._createController(announcement), lastHeartbeatAt: now })
     this._dependencies.logger.info({ worker: announcement.id, born: announcement.born, address: announcement.address, service: announcement.service, labels: announcement.labels }, 'worker added after its first heartbeat')
@@ -98,6 +100,7 @@
       region: this._dependencies.region,
       logger: this._dependencies.logger,
       runLeaseMs: this._dependencies.runLeaseMs,
+      listRecentCrashes: () => this._recentCrashes.list(announcement.address, performance.now()),
       onChange: this._dependencies.onChange,
       onOtherIncarnation: () => this._removeIncarnation(announcement)
     })
@@ -107,7 +110,7 @@
   private _removeIncarnation (announcement: WorkerAnnouncement): void {
     const worker = this._workers.get(announcement.id)
     if (worker === undefined || worker.controller.announcement.born !== announcement.born) return
-    this._removeWorker(announcement.id, 'another incarnation of it answers')
+    this._removeCrashedWorker(announcement.id, 'another incarnation of it answers')
     this._dependencies.onChange()
   }
 
@@ -115,10 +118,22 @@
   private _removeWorkersAtAddress (announcement: WorkerAnnouncement): void {
     for (const [id, { controller }] of this._workers) {
       const other = controller.announcement
-      if (other.address === announcement.address && other.born < announcement.born) this._removeWorker(id, `worker ${announcement.id} took its address`)
+      if (other.address === announcement.address && other.born < announcement.born) this._removeCrashedWorker(id, `worker ${announcement.id} took its address`)
     }
   }
 
+  /** Removes a worker of which a later incarnation has started, and remembers the runs that may have crashed it. */
+  private _removeCrashedWorker (id: string, reason: string): void {
+    const controller = this._workers.get(id)?.controller
+    const suspects = controller?.listCrashSuspects() ?? []
+    if (controller !== undefined && suspects.length > 0) {
+      const { address, born } = controller.announcement
+      this._dependencies.logger.warn({ worker: id, born, suspects }, 'worker crashed right after runs had started; reporting them to the planner')
+      this._recentCrashes.add(address, suspects, performance.now())
+    }
+    this._removeWorker(id, reason)
+  }
+
   private _removeWorker (id: string, reason: string): void {
     const worker = this._workers.get(id)
     if (worker === undefined) return
--- a/packages/daemon/test/graphs/graphInvariantChecker.ts
+++ b/packages/daemon/test/graphs/graphInvariantChecker.ts
@@ -5,6 +5,10 @@
 import type { StepSpec } from '@dragonflylever/core/graphs/index'
 import type { RunObserver } from '@dragonflylever/standins'
 
+/** A task under which this number of workers have crashed may be started less than {@link MAX_STARTS_AFTER_CRASHES} times more. */
+const MAX_CRASHES = 3
+const MAX_STARTS_AFTER_CRASHES = 3
+
 export class GraphInvariantChecker implements RunObserver {
   readonly violations: string[] = []
   /** Names of the tasks of which a run has succeeded. */
@@ -13,6 +17,10 @@
   readonly failures = new Map<string, number>()
   readonly ends = new Map<string, number>()
   starts = 0
+  /** For each worker that crashed under a task, the number of runs of other tasks that it took along, by task name. */
+  readonly crashCompany = new Map<string, number[]>()
+  /** Number of starts of a task since {@link MAX_CRASHES} workers have crashed under it, by task name. */
+  private readonly _startsAfterCrashes = new Map<string, number>()
   private readonly _running = new Map<string, Set<string>>()
   private readonly _acknowledgedDone = new Set<string>()
   private readonly _steps = new Map<string, readonly StepSpec[]>()
@@ -34,6 +42,7 @@
     const alive = this._running.get(task) ?? new Set<string>()
     this._running.set(task, alive)
     if (alive.size > 0) this._recordViolation(`${task} has two runs at the same time: ${[...alive].join(', ')} and run ${run} at ${worker}`)
+    if (this.countCrashes(task) >= MAX_CRASHES) this._recordStartAfterCrashes(worker, task, run)
     if (this._acknowledgedDone.has(task)) this._recordViolation(`${task} started at ${worker} as run ${run} after its end was acknowledged`)
     if (name === undefined || !this._steps.has(name.jobId)) this._recordViolation(`${task} started although no job with this task was submitted`)
     else this._checkPredecessors(name.jobId, name.occurrence, name.step, task)
@@ -48,10 +57,26 @@
     this.ends.set(how ?? 'crashed', (this.ends.get(how ?? 'crashed') ?? 0) + 1)
   }
 
+  onCrash (worker: string, task: string): void {
+    const company = this.crashCompany.get(task) ?? []
+    this.crashCompany.set(task, [...company, this._countOtherRuns(worker, task)])
+  }
+
   onAcknowledged (_worker: string, task: string, _run: number, how: string): void {
     if (how === 'done') this._acknowledgedDone.add(task)
   }
 
+  /** Counts the workers that crashed under a task. */
+  countCrashes (task: string): number {
+    return this.crashCompany.get(task)?.length ?? 0
+  }
+
+  private _countOtherRuns (worker: string, task: string): number {
+    let count = 0
+    for (const [other, alive] of this._running) if (other !== task) for (const run of alive) if (run.endsWith(` at ${worker}`)) count++
+    return count
+  }
+
   /** Counts the runs of a job that are in progress. */
   countRunning (jobId: string): number {
     let count = 0
@@ -68,6 +93,12 @@
     }
   }
 
+  private _recordStartAfterCrashes (worker: string, task: string, run: number): void {
+    const starts = (this._startsAfterCrashes.get(task) ?? 0) + 1
+    this._startsAfterCrashes.set(task, starts)
+    if (starts >= MAX_STARTS_AFTER_CRASHES) this._recordViolation(`${task} started at ${worker} as run ${run}, the start number ${starts} since ${MAX_CRASHES} workers had crashed under it`)
+  }
+
   private _recordViolation (text: string): void {
     this.violations.push(`${Math.round(performance.now())} ms: ${text}`)
   }
--- a/packages/daemon/test/graphs/operations.test.ts
+++ b/packages/daemon/test/graphs/operations.test.ts
@@ -107,3 +107,15 @@
   t.is(own.filter(line => line['how'] === 'failed' && typeof line['worker'] === 'string').length, 3)
   t.like(own.find(line => line.msg.endsWith('job ended')), { phase: 'failed', reason: `${job.id}.0.0.0 failed 3 times` })
 })
+
+test.serial('when a job failed because workers crashed under a task, the log names the runs, the workers and the task', async t => {
+  const job = makeJob({ crashingTasks: ['0.0.0'] })
+  const lines = await recordLog(async (simulation, clock) => {
+    void simulation.submit(job)
+    await clock.tickAsync(40_000)
+  })
+  const own = findLines(lines, job.id)
+  assertMessageOrder(t, own, ['job taken up', 'worker crashed right after runs had started; reporting them to the planner', 'worker crashed under a task', 'worker crashed under a task', 'job ended'])
+  t.true(own.filter(line => line.msg.endsWith('worker crashed under a task')).every(line => typeof line['address'] === 'string'))
+  t.like(own.find(line => line.msg.endsWith('job ended')), { phase: 'failed', reason: `${job.id}.0.0.0 crashed 3 workers` })
+})
--- a/packages/daemon/test/jobAgent/workerTable.test.ts
+++ b/packages/daemon/test/jobAgent/workerTable.test.ts
@@ -86,3 +86,41 @@
   await clock.tickAsync(1_500)
   t.deepEqual(listReported(table), ['w/2'])
 })
+
+/** Sends a start order for a task to the first worker of the table. */
+function orderStart (table: WorkerTable, id: string, task: string): void {
+  const start = { task, run: 1, payload: '', checkpoint: '', ticket: undefined }
+  table.applyOrders([{ key: { id, born: 1 }, seen: 0, mayExtend: true, starts: [start], stops: [], paces: [] }], 1, table.collectReports())
+}
+
+function listSuspects (table: WorkerTable): string[] {
+  return table.collectReports().reports.flatMap(report => report.crashes.flatMap(({ suspects }) => suspects.map(({ task, run }) => `${task}/${run}`)))
+}
+
+test.serial('only the runs that had just started when a worker stopped answering are reported as suspects of its crash, for a minute', async t => {
+  let outcome: PollOutcome = { kind: 'ok', clockMs: 1, born: 1, running: [], ended: [] }
+  const { table, clock } = createTable(t, () => outcome)
+  table.acceptHeartbeat(makeAnnouncement('w', 1))
+  orderStart(table, 'w', 'early.0.0.0')
+  await clock.tickAsync(1_500)
+  orderStart(table, 'w', 'last.0.0.0')
+  await clock.tickAsync(50)
+  outcome = { kind: 'lost', message: 'connection closed' }
+  await clock.tickAsync(3_000)
+  t.deepEqual(listSuspects(table), [])
+  outcome = { kind: 'ok', clockMs: 1, born: 2, running: [], ended: [] }
+  table.acceptHeartbeat(makeAnnouncement('other', 2))
+  t.deepEqual(listSuspects(table), ['last.0.0.0/1'])
+  await clock.tickAsync(61_000)
+  t.deepEqual(listSuspects(table), [])
+})
+
+test.serial('a worker that was draining when it was replaced leaves no suspects', async t => {
+  const { table, clock } = createTable(t, () => ({ kind: 'ok', clockMs: 1, born: 1, running: [], ended: [] }))
+  table.acceptHeartbeat(makeAnnouncement('w', 1))
+  orderStart(table, 'w', 'a.0.0.0')
+  await clock.tickAsync(50)
+  table.acceptHeartbeat({ ...makeAnnouncement('w', 1), isDraining: true, sequence: 2 })
+  table.acceptHeartbeat(makeAnnouncement('other', 2))
+  t.deepEqual(listSuspects(table), [])
+})
--- a/packages/standins/src/runs/memoryRunWorker.ts
+++ b/packages/standins/src/runs/memoryRunWorker.ts
@@ -22,6 +22,9 @@
 const CALL_TIMEOUT_MS = 400
 const HOLD_TIMEOUT_MARGIN_MS = 700
 
+/** Outcome of a call while the worker is down. */
+const REFUSED = { kind: 'notSent', message: 'connection refused', isRefused: true } as const
+
 /** Creates a set of faults in which no fault is switched on. */
 export function createRunWorkerFaults (): RunWorkerFaults {
   return { isPartitioned: false, loseAnswers: 0, delayedOrders: 0, orderDelayMs: 4_000, refuseOrders: 0 }
@@ -50,7 +53,10 @@
 
   async hold (request: HoldRequest): Promise<RunOutcome<HoldResult>> {
     if (this._faults.isPartitioned) return this._loseAnswer(request.waitMs + HOLD_TIMEOUT_MARGIN_MS)
+    if (this._engine.isDown) return REFUSED
+    const { born } = this._engine
     const outcome = await this._engine.hold(request)
+    if (this._engine.isDown && this._engine.born !== born) return { kind: 'lost', message: 'the worker closed the connection' }
     if (this._faults.isPartitioned) return this._loseAnswer(HOLD_TIMEOUT_MARGIN_MS)
     return outcome
   }
@@ -59,6 +65,7 @@
 
   private async _performOrder (execute: () => RunOutcome): Promise<RunOutcome> {
     if (this._faults.isPartitioned) return this._loseAnswer(CALL_TIMEOUT_MS)
+    if (this._engine.isDown) return REFUSED
     if (this._faults.delayedOrders > 0) {
       this._faults.delayedOrders--
       const { born } = this._engine
--- a/packages/standins/src/runs/runWorkerEngine.ts
+++ b/packages/standins/src/runs/runWorkerEngine.ts
@@ -36,6 +36,10 @@
   isStopping: boolean
 }
 
+/** Time from the start of a run that crashes its worker until the crash, in milliseconds. */
+const CRASH_DELAY_MS = 10
+/** Time for which a worker that was crashed by a run stays down, in milliseconds. */
+const CRASH_DOWN_MS = 3_000
 const CHECKPOINT_PREFIX = 'saved-'
 
 export class RunWorkerEngine {
@@ -59,6 +63,7 @@
   private _startedAt = performance.now()
   private _leaseTimer: NodeJS.Timeout | undefined
   private _endWaiters: Array<() => void> = []
+  private _downUntil = -Infinity
 
   constructor (options: RunWorkerEngineOptions) {
     this._options = options
@@ -68,12 +73,17 @@
     return Math.floor((performance.now() - this._startedAt) * this._options.clockRate)
   }
 
+  /** True while the worker is down after a crash; it answers no calls and sends no heartbeats. */
+  get isDown (): boolean {
+    return performance.now() < this._downUntil
+  }
+
   get runCount (): number {
     return this._runs.size
   }
 
-  /** Simulates a crash: ends all runs without reporting them, and starts a new incarnation with empty state. */
-  crash (): void {
+  /** Simulates a crash: ends all runs without reporting them, and starts a new incarnation with empty state after `downMs` milliseconds. */
+  crash (downMs = 0): void {
     for (const run of [...this._runs.values()]) this._removeRun(run, undefined)
     this._highestRuns.clear()
     this._unacknowledgedEnds = []
@@ -81,7 +91,8 @@
     this._epoch = 0
     this._leaseUntil = 0
     clearTimeout(this._leaseTimer)
-    this._startedAt = performance.now()
+    this._downUntil = performance.now() + downMs
+    this._startedAt = this._downUntil
     this.born++
     this._wakeWaiters()
   }
@@ -100,6 +111,7 @@
     if (!this._hasCapacityFor(behaviour)) return this._refuse(StartRefusal.room)
     this._extendLease(start.leaseUntil)
     this._beginRun(start, behaviour)
+    if (behaviour.isCrashing === true) setTimeout(() => this._crashUnderRun(start), CRASH_DELAY_MS)
     return { kind: 'ok', clockMs: this.clockMs }
   }
 
@@ -125,6 +137,12 @@
     return { kind: 'ok', clockMs: this.clockMs, born: this.born, running: [...this._runs.values()].map(run => this._describeRun(run)), ended: [...this._unacknowledgedEnds] }
   }
 
+  private _crashUnderRun (start: RunStartRequest): void {
+    if (this._runs.get(start.task)?.number !== start.run) return
+    this._options.observer.onCrash?.(this._options.id, start.task, start.run)
+    this.crash(CRASH_DOWN_MS)
+  }
+
   private _acceptEpoch (epoch: number): boolean {
     if (epoch < this._epoch) return false
     this._epoch = epoch
