Report a changed capacity of a worker to the planner at once

The planner counts by the last report, but a heartbeat with another capacity waited for the next report, up to a second. Now it is reported and logged at once, as a change of draining is.

Tests: the report (failed before); the planner starts nothing beyond a shrunk capacity and urgent work reclaims what is missing there (both passed before).

--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -248,3 +248,37 @@
   }
   t.deepEqual(harness.listNotes('run stopping'), [])
 })
+
+test('a worker whose capacity shrinks keeps its runs, gets no start beyond the smaller capacity, and gets starts again once it has grown', t => {
+  const harness = new PlannerHarness([1])
+  const worker = harness.workers[0]
+  if (worker === undefined) return t.fail()
+  const { capacity } = worker
+  harness.addJob('first', [makeStep({ count: 4 })])
+  harness.run(300)
+  worker.capacity = { ...capacity, accelerators: 5 }
+  harness.addJob('second', [makeStep({ count: 4 })])
+  harness.run(300)
+  t.is(worker.running.length, 5)
+  worker.capacity = { ...capacity, accelerators: 2 }
+  harness.endRun('first.0.0.0', 'done')
+  harness.run(300)
+  t.is(worker.running.length, 4)
+  worker.capacity = capacity
+  harness.run(300)
+  t.is(worker.running.length, 7)
+})
+
+test('urgent work reclaims enough capacity at a worker that runs more than its shrunk capacity', t => {
+  const harness = new PlannerHarness([1])
+  const worker = harness.workers[0]
+  if (worker === undefined) return t.fail()
+  harness.planner.setPolicy({ queues: [URGENT, makeQueue()], guarantees: [{ organisation: 'o', accelerators: 8 }] })
+  harness.addJob('old', [makeStep({ count: 8, estimatedMs: 20_000 })])
+  harness.run(5_000)
+  worker.capacity = { ...worker.capacity, accelerators: 4 }
+  harness.addJob('urgent', [makeStep({ count: 2, estimatedMs: 2_000 })], { queue: URGENT })
+  harness.run(2_900)
+  t.is(worker.running.filter(({ task }) => task.startsWith('urgent.')).length, 2)
+  t.is(worker.running.length, 4)
+})
--- a/packages/core/test/graphs/plannerHarness.ts
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -2,7 +2,7 @@
  * A planner with fake workers that execute its orders at once, for tests of single decisions.
  */
 import { GraphPlanner, StartRefusal } from '@dragonflylever/core/graphs/index'
-import type { CrashListing, EndListing, GraphPlannerOptions, JobGraph, OrderListing, PlannerTimes, QueuePolicy, RunEnd, RunListing, StepSpec, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
+import type { CrashListing, EndListing, GraphPlannerOptions, JobGraph, OrderListing, PlannerTimes, QueuePolicy, RunEnd, RunListing, StepSpec, TaskNeeds, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
 
 export const TIMES: PlannerTimes = {
   runLeaseMs: 6_000,
@@ -33,6 +33,7 @@
   lastEndNumber: number
   isDraining: boolean
   drainLeftMs: number | undefined
+  capacity: TaskNeeds
   listNumber: number
   /** Crashes of earlier incarnations at the worker's address. */
   crashes: CrashListing[]
@@ -157,7 +158,7 @@
   }
 
   report (worker: FakeWorker): WorkerReport {
-    const { id, born, address, rack, running, ended, orders, isDraining, drainLeftMs } = worker
+    const { id, born, address, rack, capacity, running, ended, orders, isDraining, drainLeftMs } = worker
     return {
       key: { id, born },
       address,
@@ -166,7 +167,7 @@
       labels: ['a', rack],
       failureDomain: 'd',
       region: 'r',
-      capacity: CAPACITY,
+      capacity,
       isDraining,
       drainLeftMs,
       isOver: false,
@@ -198,5 +199,5 @@
 }
 
 function makeWorker (id: string, rack: string): FakeWorker {
-  return { id, rack, born: 1, address: `${id}:1`, running: [], ended: [], orders: [], lastEndNumber: 0, isDraining: false, drainLeftMs: undefined, listNumber: 0, refusesStarts: false, crashes: [] }
+  return { id, rack, born: 1, address: `${id}:1`, running: [], ended: [], orders: [], lastEndNumber: 0, isDraining: false, drainLeftMs: undefined, capacity: CAPACITY, listNumber: 0, refusesStarts: false, crashes: [] }
 }
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -4,7 +4,7 @@
  */
 import type { HoldResult, RunOutcome, RunWorker } from '@dragonflylever/adapters'
 import { OrderStatus, StartRefusal } from '@dragonflylever/core/graphs/index'
-import type { CrashListing, EndListing, RunListing, RunName, StartOrder, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
+import type { CrashListing, EndListing, RunListing, RunName, StartOrder, TaskNeeds, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
 import type { Logger } from '@dragonflylever/runtime'
 
 import { OrderTable } from './orderTable.js'
@@ -95,9 +95,11 @@
   /** Applies a heartbeat of this incarnation; ignored if a later heartbeat has already arrived. */
   applyHeartbeat (announcement: WorkerAnnouncement): void {
     if (announcement.sequence <= this._announcement.sequence) return
-    const hasDrainingChanged = announcement.isDraining !== this._announcement.isDraining
+    const known = this._announcement
     this._announcement = announcement
-    if (hasDrainingChanged) this._dependencies.onChange()
+    const hasCapacityChanged = !isSameCapacity(known.capacity, announcement.capacity)
+    if (hasCapacityChanged) this._dependencies.logger.info({ worker: announcement.id, before: known.capacity, after: announcement.capacity }, 'capacity of a worker changed')
+    if (hasCapacityChanged || announcement.isDraining !== known.isDraining) this._dependencies.onChange()
   }
 
   /** True when this incarnation of the worker has certainly ended. */
@@ -301,6 +303,10 @@
   }
 }
 
+function isSameCapacity (one: TaskNeeds, other: TaskNeeds): boolean {
+  return one.cpuMillis === other.cpuMillis && one.memoryMb === other.memoryMb && one.accelerators === other.accelerators
+}
+
 /**
  * Merges the known and the newly listed run ends by number. Keeps all ends with a number above `seen`, the number of the last end that the
  * planner acknowledged, even if the new list is older and lacks some known ends.
--- a/packages/daemon/test/jobAgent/workerTable.test.ts
+++ b/packages/daemon/test/jobAgent/workerTable.test.ts
@@ -44,9 +44,9 @@
   }
 }
 
-function createTable (t: ExecutionContext, poll: () => PollOutcome): { readonly table: WorkerTable, readonly clock: Clock } {
+function createTable (t: ExecutionContext, poll: () => PollOutcome, onChange = (): void => {}): { readonly table: WorkerTable, readonly clock: Clock } {
   const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
-  const table = new WorkerTable({ region: 'r', runLeaseMs: 6_000, logger: createLogger({ level: 'silent', processId: 't' }), openWorker: () => createWorker(poll), onChange: () => {} })
+  const table = new WorkerTable({ region: 'r', runLeaseMs: 6_000, logger: createLogger({ level: 'silent', processId: 't' }), openWorker: () => createWorker(poll), onChange })
   t.teardown(() => {
     table.close()
     clock.uninstall()
@@ -124,3 +124,16 @@
   table.acceptHeartbeat(makeAnnouncement('other', 2))
   t.deepEqual(listSuspects(table), [])
 })
+
+test.serial('a heartbeat with another capacity is reported to the planner at once, one with the same capacity is not', async t => {
+  let changes = 0
+  const { table, clock } = createTable(t, () => ({ kind: 'ok', clockMs: 1, born: 1, running: [], ended: [] }), () => { changes++ })
+  table.acceptHeartbeat(makeAnnouncement('w', 1))
+  await clock.tickAsync(500)
+  const changesBefore = changes
+  table.acceptHeartbeat({ ...makeAnnouncement('w', 1), sequence: 2 })
+  t.is(changes, changesBefore)
+  table.acceptHeartbeat({ ...makeAnnouncement('w', 1), capacity: { cpuMillis: 1, memoryMb: 1, accelerators: 0 }, sequence: 3 })
+  t.is(changes, changesBefore + 1)
+  t.is(table.collectReports().reports[0]?.capacity.accelerators, 0)
+})
