Keep the last attempt of a task away from workers with failures

Cause: a worker that fails what it starts is empty again at once, and on a full fleet the only one with free slots. The order of preference (workers without failures first) decides nothing when there is one candidate. Class: retries attracted by what fails fastest. Elsewhere: gangs count failures together and had it too; they are covered. Starts refused as unhealthy were, already: such workers are avoided.

Change: when the next failure fails the job, the task waits for a worker without failures since its last success; capacity is reclaimed and reserved only there. If its job has no run and half of the fleet is free, it takes any worker.

Test: a task with one attempt left on a full fleet with a faulty worker (failed before: it was started there).

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -11,6 +11,7 @@
 import { findGuaranteedJobs } from './guaranteedJobs.js'
 import { RunPhase, listTasks } from './jobState.js'
 import type { JobState, RunState, StepState, TaskState } from './jobState.js'
+import { isLastAttempt } from './lastAttempt.js'
 import { RackPlacement } from './placement.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { PlannerPolicy } from './plannerPolicy.js'
@@ -57,6 +58,8 @@
   private _priorities: ReadonlyMap<string, number> = new Map()
   private _now = 0
   private readonly _starvedSteps = new Set<StepState>()
+  /** Steps with a waiting task that has one attempt left. */
+  private readonly _lastAttemptSteps = new Set<StepState>()
   /** Workers with a run of a task that is suspected of crashing workers. */
   private readonly _suspects = new Map<WorkerState, TaskState>()
 
@@ -66,19 +69,20 @@
       isEligible: (worker, step) => this._isEligible(worker, step),
       getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
       isLocalityWaitOver: waiting => this._isLocalityWaitOver(waiting),
+      isUsableForLastAttempt: (worker, step) => this._isUsableForLastAttempt(worker, step),
       chooseWorkersForSuspect: (workers, task) => this._chooseWorkersForSuspect(workers, task),
       countFailures: worker => dependencies.workerHealth.countFailures(worker.key.id)
     })
     const { times, runTimes, runTracker, log } = dependencies
     this._forecast = new CapacityForecast({ placement: this._placement, predictEnd: run => this._predictEnd(run) })
-    this._gangReservations = new GangReservations({ forecast: this._forecast, isEligible: (worker, step) => this._isEligible(worker, step) })
+    this._gangReservations = new GangReservations({ forecast: this._forecast, isEligible: (worker, step) => this._isEligibleForAll(worker, step) })
     this._reclaim = new CapacityReclaim({
       times,
       runTimes,
       runTracker,
       log,
       forecast: this._forecast,
-      isEligible: (worker, step) => this._isEligible(worker, step),
+      isEligible: (worker, step) => this._isEligibleForAll(worker, step),
       getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
       getPriority: job => this._getPriority(job)
     })
@@ -97,6 +101,7 @@
     if (waiting.length === 0) return
     const snapshot = new CapacitySnapshot(this._dependencies.registry.listWorkers())
     this._markStarvedSteps(waiting)
+    this._markLastAttempts(waiting)
     this._markSuspects()
     const guaranteed = findGuaranteedJobs(jobs, policy, job => this._getPriority(job))
     this._reclaim.beginPass(snapshot, waiting, guaranteed, now)
@@ -200,6 +205,11 @@
     }
   }
 
+  private _markLastAttempts (waiting: readonly WaitingStep[]): void {
+    this._lastAttemptSteps.clear()
+    for (const { step, tasks } of waiting) if (tasks.some(isLastAttempt)) this._lastAttemptSteps.add(step)
+  }
+
   private _markSuspects (): void {
     this._suspects.clear()
     for (const worker of this._dependencies.registry.listWorkers()) {
@@ -249,6 +259,16 @@
     return this._starvedSteps.has(step) || !this._dependencies.workerHealth.isAvoided(worker.key.id, this._now)
   }
 
+  /** True when a worker may run each waiting task of a step. */
+  private _isEligibleForAll (worker: WorkerState, step: StepState): boolean {
+    return this._isEligible(worker, step) && (!this._lastAttemptSteps.has(step) || this._isUsableForLastAttempt(worker, step))
+  }
+
+  /** The last attempt of a task waits for a worker without failures since its last success; a starved step takes any worker. */
+  private _isUsableForLastAttempt (worker: WorkerState, step: StepState): boolean {
+    return this._starvedSteps.has(step) || this._dependencies.workerHealth.countFailures(worker.key.id) === 0
+  }
+
   private _getTaskLimit (worker: WorkerState, step: StepState): number {
     const probationLimit = this._dependencies.workerHealth.isOnProbation(worker.key.id) && !this._starvedSteps.has(step) ? Math.max(0, 1 - worker.runs.size) : Infinity
     const { maxPerWorker } = step.spec
--- a/packages/core/src/graphs/placement.ts
+++ b/packages/core/src/graphs/placement.ts
@@ -5,6 +5,7 @@
 import { isCrashSuspect, isIsolated } from './crashBlame.js'
 import type { CapacitySnapshot } from './capacitySnapshot.js'
 import type { StepState, TaskState } from './jobState.js'
+import { isLastAttempt } from './lastAttempt.js'
 import type { WaitingStep } from './waitingStep.js'
 import { countFits } from './workerState.js'
 import type { WorkerState } from './workerState.js'
@@ -38,6 +39,8 @@
   readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
   /** Returns the number of different jobs that failed at a worker since its last success. */
   readonly countFailures: (worker: WorkerState) => number
+  /** True when a worker may run the last attempt of a task of a step. */
+  readonly isUsableForLastAttempt: (worker: WorkerState, step: StepState) => boolean
   /** Returns those of the workers that may run a task that is suspected of crashing workers. */
   readonly chooseWorkersForSuspect: (workers: readonly WorkerState[], task: TaskState) => readonly WorkerState[]
   /** True when the step has waited for its rack for so long that a slower run in another rack is better. */
@@ -109,9 +112,11 @@
     const slotsOfSuspects = new Set<WorkerSlots>()
     for (const task of sortSuspectsFirst(tasks)) {
       const isSuspect = isCrashSuspect(task)
-      const usable = isSuspect ? this._listSlotsForSuspect(slots.filter(slot => slot.count > 0 && !slotsOfSuspects.has(slot)), task) : slots
+      const isLast = isLastAttempt(task)
+      const trusted = isLast ? slots.filter(({ worker }) => this._dependencies.isUsableForLastAttempt(worker, step)) : slots
+      const usable = isSuspect ? this._listSlotsForSuspect(trusted.filter(slot => slot.count > 0 && !slotsOfSuspects.has(slot)), task) : trusted
       const chosen = isFailedStep || task.failedOn.size > 0 ? pickWithFailures(task, usable) : usable.find(({ count }) => count > 0)
-      if (chosen === undefined && isSuspect && !isAllOrNone) continue
+      if (chosen === undefined && (isSuspect || isLast) && !isAllOrNone) continue
       if (chosen === undefined) break
       chosen.count = isIsolated(task) && !step.spec.isGang ? 0 : chosen.count - 1
       // The members of a gang need not be told apart, since they fail together.
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -282,3 +282,28 @@
   t.is(worker.running.filter(({ task }) => task.startsWith('urgent.')).length, 2)
   t.is(worker.running.length, 4)
 })
+
+test('the last attempt of a task waits for a worker without failures while other work keeps the fleet busy', t => {
+  const harness = new PlannerHarness([2])
+  harness.addJob('busy', [makeStep({ count: 14 })])
+  harness.run(300)
+  harness.addJob('a', [makeStep({ count: 2 })], { queue: makeQueue({ maxAttempts: 2 }) })
+  harness.run(300)
+  const faulty = harness.findWorker('a.0.0.0')
+  for (const task of ['a.0.0.0', 'a.0.0.1']) harness.endRun(task, 'failed')
+  harness.run(2_000)
+  t.is(harness.findWorker('a.0.0.0'), undefined)
+  const other = harness.workers.find(worker => worker !== faulty)
+  for (const { task } of other?.running.slice(0, 2) ?? []) harness.endRun(task, 'done')
+  harness.run(300)
+  t.deepEqual(['a.0.0.0', 'a.0.0.1'].map(task => harness.findWorker(task)?.id), [other?.id, other?.id])
+})
+
+test('the last attempt of a task starts at a worker with failures when half of the fleet is free', t => {
+  const harness = new PlannerHarness([1])
+  harness.addJob('a', [makeStep()], { queue: makeQueue({ maxAttempts: 2 }) })
+  harness.run(300)
+  harness.endRun('a.0.0.0', 'failed')
+  harness.run(2_500)
+  t.truthy(harness.findWorker('a.0.0.0'))
+})
--- a/packages/core/test/graphs/randomFleet.ts
+++ b/packages/core/test/graphs/randomFleet.ts
@@ -18,6 +18,7 @@
   readonly getStopCost: (run: RunState) => number
   readonly estimateWorkedMs: (run: RunState) => number
   readonly countFailures: (worker: WorkerState) => number
+  readonly isUsableForLastAttempt: () => boolean
   readonly chooseWorkersForSuspect: (workers: readonly WorkerState[]) => readonly WorkerState[]
   readonly isLocalityWaitOver: () => boolean
 }
@@ -60,6 +61,7 @@
       getStopCost: run => stopCosts.get(run) ?? 0,
       estimateWorkedMs: run => workedMs.get(run) ?? 0,
       countFailures: worker => failures.get(worker) ?? 0,
+      isUsableForLastAttempt: () => true,
       chooseWorkersForSuspect: workers => workers,
       isLocalityWaitOver: () => isOver
     }
