Move the isolation of suspected tasks into a class, and split the placement of tasks

No change of behaviour. The pass held the choice of workers for suspected tasks beside six other concerns, and placing tasks had grown past one screen. The slots for last attempts are listed once a step in place of once a task.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -4,13 +4,14 @@
  */
 import { CapacityForecast } from './capacityForecast.js'
 import { CapacityReclaim } from './capacityReclaim.js'
-import { isCrashSuspect, isGangMember, isIsolated } from './crashBlame.js'
 import { computeCoreSeconds } from './coreSeconds.js'
+import { isIsolated } from './crashBlame.js'
+import { CrashIsolation } from './crashIsolation.js'
 import { CapacitySnapshot } from './capacitySnapshot.js'
 import { GangReservations } from './gangReservations.js'
 import { findGuaranteedJobs } from './guaranteedJobs.js'
 import { RunPhase, listTasks } from './jobState.js'
-import type { JobState, RunState, StepState, TaskState } from './jobState.js'
+import type { JobState, RunState, StepState } from './jobState.js'
 import { isLastAttempt } from './lastAttempt.js'
 import { RackPlacement } from './placement.js'
 import type { PlannerLog } from './plannerLog.js'
@@ -60,17 +61,17 @@
   private readonly _starvedSteps = new Set<StepState>()
   /** Steps with a waiting task that has one attempt left. */
   private readonly _lastAttemptSteps = new Set<StepState>()
-  /** Workers with a run of a task that is suspected of crashing workers. */
-  private readonly _suspects = new Map<WorkerState, TaskState>()
+  private readonly _crashIsolation: CrashIsolation
 
   constructor (dependencies: GraphPassDependencies) {
     this._dependencies = dependencies
+    this._crashIsolation = new CrashIsolation(dependencies.workerHealth)
     this._placement = new RackPlacement({
       isEligible: (worker, step) => this._isEligible(worker, step),
       getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
       isLocalityWaitOver: waiting => this._isLocalityWaitOver(waiting),
       isUsableForLastAttempt: (worker, step) => this._isUsableForLastAttempt(worker, step),
-      chooseWorkersForSuspect: (workers, task) => this._chooseWorkersForSuspect(workers, task),
+      chooseWorkersForSuspect: (workers, task) => this._crashIsolation.chooseWorkers(workers, task, this._starvedSteps.has(task.step)),
       countFailures: worker => dependencies.workerHealth.countFailures(worker.key.id)
     })
     const { times, runTimes, runTracker, log } = dependencies
@@ -99,10 +100,11 @@
     }
     const waiting = this._dependencies.order.sort(jobs.flatMap(job => listWaitingSteps(job, now)), now)
     if (waiting.length === 0) return
-    const snapshot = new CapacitySnapshot(this._dependencies.registry.listWorkers())
+    const workers = this._dependencies.registry.listWorkers()
+    const snapshot = new CapacitySnapshot(workers)
     this._markStarvedSteps(waiting)
     this._markLastAttempts(waiting)
-    this._markSuspects()
+    this._crashIsolation.beginPass(workers, now)
     const guaranteed = findGuaranteedJobs(jobs, policy, job => this._getPriority(job))
     this._reclaim.beginPass(snapshot, waiting, guaranteed, now)
     this._gangReservations.beginPass(waiting, now)
@@ -167,7 +169,7 @@
     const placed = this._placement.place(waiting, snapshot)
     for (const { worker, task } of placed) {
       snapshot.takeCapacity(worker, step.spec)
-      if (isCrashSuspect(task)) this._addSuspect(worker, task)
+      this._crashIsolation.recordPlaced(worker, task)
     }
     if (placed.length > 0) this._dependencies.runTracker.start(placed.map(one => ({ ...one, ticket: undefined })), this._now)
     if (placed.length === waiting.tasks.length) {
@@ -205,37 +207,12 @@
     }
   }
 
+  /** Marks the steps of which a waiting task has one attempt left. */
   private _markLastAttempts (waiting: readonly WaitingStep[]): void {
     this._lastAttemptSteps.clear()
     for (const { step, tasks } of waiting) if (tasks.some(isLastAttempt)) this._lastAttemptSteps.add(step)
   }
 
-  private _markSuspects (): void {
-    this._suspects.clear()
-    for (const worker of this._dependencies.registry.listWorkers()) {
-      for (const run of worker.runs) if (isCrashSuspect(run.task)) this._addSuspect(worker, run.task)
-    }
-  }
-
-  /**
-   * Returns the workers at which a suspected task may start: never one with a run of another suspect. If the task must run alone, these are
-   * the empty ones that were steady lately or, if there are none and the step is starved, the other empty ones, else all.
-   */
-  private _chooseWorkersForSuspect (workers: readonly WorkerState[], task: TaskState): readonly WorkerState[] {
-    const apart = workers.filter(worker => [...worker.runs].every(run => !isCrashSuspect(run.task) || isGangMember(run.task, task.step)))
-    if (!isIsolated(task)) return apart
-    const empty = apart.filter(worker => worker.orphanedRuns.size === 0 && [...worker.runs].every(run => isGangMember(run.task, task.step)))
-    const steady = empty.filter(worker => !this._dependencies.workerHealth.isUnsteady(worker.key.address, this._now))
-    if (steady.length > 0 || !this._starvedSteps.has(task.step)) return steady
-    return empty.length > 0 ? empty : apart
-  }
-
-  /** Remembers a suspected task at a worker; of several, one that must run alone. */
-  private _addSuspect (worker: WorkerState, task: TaskState): void {
-    const known = this._suspects.get(worker)
-    if (known === undefined || !isIsolated(known)) this._suspects.set(worker, task)
-  }
-
   /** Indexes the priorities by queue name, since each decision looks priorities up and there may be a thousand queues. */
   private _setPriorities (queues: PlannerPolicy['queues']): void {
     if (queues === this._queues) return
@@ -252,8 +229,7 @@
     const { report } = worker
     if (report === undefined || report.isDraining || !this._dependencies.registry.isResponsive(worker, this._now)) return false
     if (report.service !== step.job.graph.queue.service) return false
-    const suspect = this._suspects.get(worker)
-    if (suspect !== undefined && isIsolated(suspect) && !isGangMember(suspect, step)) return false
+    if (this._crashIsolation.isReserved(worker, step)) return false
     const { requiredLabel } = step.spec
     if (requiredLabel !== undefined && !report.labels.includes(requiredLabel)) return false
     return this._starvedSteps.has(step) || !this._dependencies.workerHealth.isAvoided(worker.key.id, this._now)
--- a/packages/core/src/graphs/placement.ts
+++ b/packages/core/src/graphs/placement.ts
@@ -31,6 +31,18 @@
   count: number
 }
 
+/** The slots among which the tasks of a step choose. */
+interface SlotChoice {
+  /** All slots, the best first. */
+  readonly slots: readonly WorkerSlots[]
+  /** The slots that may take the last attempt of a task. */
+  readonly forLastAttempts: readonly WorkerSlots[]
+  /** The slots at workers that already got a task of the step that is suspected of crashing workers. */
+  readonly takenBySuspects: Set<WorkerSlots>
+  /** True if a member of the gang has failed at one of the workers. */
+  readonly isFailedStep: boolean
+}
+
 /** Dependencies of {@link RackPlacement}. */
 export interface PlacementDependencies {
   /** True when a worker may run tasks of a step, regardless of its free capacity. */
@@ -107,26 +119,32 @@
     const isAllOrNone = step.spec.isGang || step.spec.isSameRack
     if (isAllOrNone && total < tasks.length) return []
     slots.sort((a, b) => a.score - b.score)
-    const isFailedStep = step.spec.isGang && slots.some(({ worker }) => tasks[0] !== undefined && hasFailedAt(tasks[0], worker))
+    const choice: SlotChoice = {
+      slots,
+      forLastAttempts: tasks.some(isLastAttempt) ? slots.filter(({ worker }) => this._dependencies.isUsableForLastAttempt(worker, step)) : slots,
+      takenBySuspects: new Set(),
+      isFailedStep: step.spec.isGang && slots.some(({ worker }) => tasks[0] !== undefined && hasFailedAt(tasks[0], worker))
+    }
     const placed: PlacedTask[] = []
-    const slotsOfSuspects = new Set<WorkerSlots>()
     for (const task of sortSuspectsFirst(tasks)) {
-      const isSuspect = isCrashSuspect(task)
-      const isLast = isLastAttempt(task)
-      const trusted = isLast ? slots.filter(({ worker }) => this._dependencies.isUsableForLastAttempt(worker, step)) : slots
-      const usable = isSuspect ? this._listSlotsForSuspect(trusted.filter(slot => slot.count > 0 && !slotsOfSuspects.has(slot)), task) : trusted
-      const chosen = isFailedStep || task.failedOn.size > 0 ? pickWithFailures(task, usable) : usable.find(({ count }) => count > 0)
-      if (chosen === undefined && (isSuspect || isLast) && !isAllOrNone) continue
-      if (chosen === undefined) break
-      chosen.count = isIsolated(task) && !step.spec.isGang ? 0 : chosen.count - 1
-      // The members of a gang need not be told apart, since they fail together.
-      if (isSuspect && !step.spec.isGang) slotsOfSuspects.add(chosen)
-      placed.push({ task, worker: chosen.worker })
+      const chosen = this._pickSlot(task, choice)
+      if (chosen !== undefined) {
+        takeSlot(chosen, task, choice)
+        placed.push({ task, worker: chosen.worker })
+      } else if (isAllOrNone || !(isCrashSuspect(task) || isLastAttempt(task))) break
     }
     return placed
   }
 
-  private _listSlotsForSuspect (slots: readonly WorkerSlots[], task: TaskState): WorkerSlots[] {
+  /** Picks the slots for one task; undefined if there are none that may run it. */
+  private _pickSlot (task: TaskState, choice: SlotChoice): WorkerSlots | undefined {
+    const allowed = isLastAttempt(task) ? choice.forLastAttempts : choice.slots
+    const usable = isCrashSuspect(task) ? this._listSlotsForSuspect(task, allowed, choice) : allowed
+    return choice.isFailedStep || task.failedOn.size > 0 ? pickWithFailures(task, usable) : usable.find(({ count }) => count > 0)
+  }
+
+  private _listSlotsForSuspect (task: TaskState, allowed: readonly WorkerSlots[], choice: SlotChoice): WorkerSlots[] {
+    const slots = allowed.filter(slot => slot.count > 0 && !choice.takenBySuspects.has(slot))
     const workers = new Set(this._dependencies.chooseWorkersForSuspect(slots.map(({ worker }) => worker), task))
     return slots.filter(({ worker }) => workers.has(worker))
   }
@@ -138,6 +156,14 @@
   }
 }
 
+/** Takes one of a worker's slots for a task, or all of them if the task must run alone. */
+function takeSlot (slot: WorkerSlots, task: TaskState, choice: SlotChoice): void {
+  const { isGang } = task.step.spec
+  slot.count = isIsolated(task) && !isGang ? 0 : slot.count - 1
+  // The members of a gang need not be told apart, since they fail together.
+  if (isCrashSuspect(task) && !isGang) choice.takenBySuspects.add(slot)
+}
+
 /** Returns the tasks with those first that are suspected of crashing workers, since fewer workers can take them. */
 function sortSuspectsFirst (tasks: readonly TaskState[]): readonly TaskState[] {
   return tasks.some(isCrashSuspect) ? [...tasks.filter(isCrashSuspect), ...tasks.filter(task => !isCrashSuspect(task))] : tasks
