--- a/packages/daemon/test/graphs/crashingTasks.test.ts
+++ b/packages/daemon/test/graphs/crashingTasks.test.ts
@@ -3,16 +3,14 @@
  * across changes of the planner; no job is given up for crashes that it did not cause.
  */
 import { JobPhase } from '@dragonflylever/core/graphs/index'
-import FakeTimers from '@sinonjs/fake-timers'
 import type { Clock } from '@sinonjs/fake-timers'
 import test from 'ava'
 
-import { GraphSimulation, makeStep } from './graphSimulation.js'
-import type { SimulatedJob } from './graphSimulation.js'
+import { makeStep } from './graphSimulation.js'
+import type { GraphSimulation, SimulatedJob } from './graphSimulation.js'
+import { runScenario } from './runScenario.js'
 
 const WORKERS = 5
-const START_MS = 3_000
-const SETTLE_MS = 75_000
 const CRASHING = makeId(1)
 
 function makeId (number: number): string {
@@ -28,29 +26,13 @@
   for (let number = 10; number < 16; number++) void simulation.submit(makeJob(number, { steps: [makeStep({ count: 4 })] }))
 }
 
-/** Runs a scenario in a simulation on a fake clock, once a planner has been elected; returns the violations and the simulation. */
-async function runScenario (scenario: (simulation: GraphSimulation, clock: Clock) => Promise<void>): Promise<{ readonly violations: string[], readonly simulation: GraphSimulation }> {
-  const clock = FakeTimers.install({ now: 1_700_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance', 'Date'] })
-  const simulation = new GraphSimulation(WORKERS)
-  try {
-    await clock.tickAsync(START_MS)
-    await scenario(simulation, clock)
-    await clock.tickAsync(SETTLE_MS)
-    return { violations: simulation.listViolations(), simulation }
-  } finally {
-    simulation.close()
-    await clock.tickAsync(2_000)
-    clock.uninstall()
-  }
-}
-
 /** Advances the clock until this number of workers have crashed under the task, for at most a minute. */
 async function waitForCrashes (simulation: GraphSimulation, clock: Clock, task: string, count: number): Promise<void> {
   for (let waitedMs = 0; waitedMs < 60_000 && simulation.checker.countCrashes(task) < count; waitedMs += 50) await clock.tickAsync(50)
 }
 
 test.serial('a task that crashes worker after worker is given up, and the other jobs complete', async t => {
-  const { violations, simulation } = await runScenario(async simulation => {
+  const { violations, simulation } = await runScenario(WORKERS, async simulation => {
     submitOtherJobs(simulation)
     void simulation.submit(makeJob(1, { crashingTasks: ['0.0.0'] }))
   })
@@ -60,7 +42,7 @@
 })
 
 test.serial('the number of workers that crashed under a task outlasts the planner', async t => {
-  const { violations, simulation } = await runScenario(async (simulation, clock) => {
+  const { violations, simulation } = await runScenario(WORKERS, async (simulation, clock) => {
     submitOtherJobs(simulation)
     void simulation.submit(makeJob(1, { crashingTasks: ['0.0.0'] }))
     for (const count of [1, 2, 3]) {
@@ -73,7 +55,7 @@
 })
 
 test.serial('a crash while the store is unavailable counts', async t => {
-  const { violations, simulation } = await runScenario(async (simulation, clock) => {
+  const { violations, simulation } = await runScenario(WORKERS, async (simulation, clock) => {
     void simulation.submit(makeJob(1, { crashingTasks: ['0.0.0'] }))
     await waitForCrashes(simulation, clock, `${CRASHING}.0.0.0`, 2)
     simulation.setStoreDown(true)
@@ -86,7 +68,7 @@
 })
 
 test.serial('one member that crashes its worker makes the job of a gang fail after as many crashes as a single task', async t => {
-  const { violations, simulation } = await runScenario(async simulation => {
+  const { violations, simulation } = await runScenario(WORKERS, async simulation => {
     void simulation.submit(makeJob(1, { steps: [makeStep({ count: 6, accelerators: 4, isGang: true })], crashingTasks: ['0.0.2'] }))
     submitOtherJobs(simulation)
   })
@@ -95,7 +77,7 @@
 })
 
 test.serial('no job is given up when workers go down and up by themselves', async t => {
-  const { violations, simulation } = await runScenario(async (simulation, clock) => {
+  const { violations, simulation } = await runScenario(WORKERS, async (simulation, clock) => {
     submitOtherJobs(simulation)
     void simulation.submit(makeJob(2, { steps: [makeStep({ count: 4, accelerators: 4, isGang: true })] }))
     for (let round = 0; round < 12; round++) {
@@ -109,7 +91,7 @@
 })
 
 test.serial('the crash for which a task is given up takes no runs of other jobs along', async t => {
-  const { violations, simulation } = await runScenario(async simulation => {
+  const { violations, simulation } = await runScenario(WORKERS, async simulation => {
     submitOtherJobs(simulation)
     void simulation.submit(makeJob(1, { crashingTasks: ['0.0.0'] }))
     void simulation.submit(makeJob(2, { crashingTasks: ['0.0.0'], steps: [makeStep({ accelerators: 2 })] }))
--- a/packages/daemon/test/graphs/targetedFaults.test.ts
+++ b/packages/daemon/test/graphs/targetedFaults.test.ts
@@ -1,35 +1,22 @@
 /**
  * Faults at times at which only one safeguard prevents two simultaneous runs of a task. Each test fails if its safeguard is removed.
  */
-import FakeTimers from '@sinonjs/fake-timers'
-import type { Clock } from '@sinonjs/fake-timers'
 import test from 'ava'
 
-import { GraphSimulation, makeStep } from './graphSimulation.js'
+import { makeStep } from './graphSimulation.js'
 import type { SimulatedJob } from './graphSimulation.js'
+import { runScenario } from './runScenario.js'
+import type { Scenario } from './runScenario.js'
 
 const WORKERS = 4
-const START_MS = 3_000
-const SETTLE_MS = 75_000
 
 function makeJob (number: number, given: Partial<SimulatedJob> = {}): SimulatedJob {
   return { id: number.toString(16).padStart(16, '0'), priority: 1, durationMs: 4_000, failures: 0, steps: [makeStep()], ...given }
 }
 
-/** Runs a scenario in a simulation on a fake clock, once a planner has been elected; returns the violations of invariants. */
-async function runScenario (scenario: (simulation: GraphSimulation, clock: Clock) => Promise<void>): Promise<string[]> {
-  const clock = FakeTimers.install({ now: 1_700_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance', 'Date'] })
-  const simulation = new GraphSimulation(WORKERS)
-  try {
-    await clock.tickAsync(START_MS)
-    await scenario(simulation, clock)
-    await clock.tickAsync(SETTLE_MS)
-    return simulation.listViolations()
-  } finally {
-    simulation.close()
-    await clock.tickAsync(2_000)
-    clock.uninstall()
-  }
+/** Runs a scenario in a simulation; returns the violations of invariants. */
+async function listViolations (scenario: Scenario): Promise<string[]> {
+  return (await runScenario(WORKERS, scenario)).violations
 }
 
 function listOtherNodes (excluded: number): number[] {
@@ -40,7 +27,7 @@
   t.timeout(300_000)
   // The leader's lease is renewed every 0.8 s. With one of these offsets, the lease ends after a renewal and before a run ends and frees capacity.
   for (let offsetMs = 0; offsetMs < 800; offsetMs += 100) {
-    const faults = await runScenario(async (simulation, clock) => {
+    const faults = await listViolations(async (simulation, clock) => {
       const whole = makeStep({ accelerators: 8, cpuMillis: 8_000 })
       for (const index of [0, 1]) void simulation.submit(makeJob(index + 1, { steps: [whole] }))
       await clock.tickAsync(60)
@@ -63,7 +50,7 @@
 })
 
 test.serial('when the planner and another host are cut off from the rest, their runs end before the same tasks start on other hosts', async t => {
-  const faults = await runScenario(async (simulation, clock) => {
+  const faults = await listViolations(async (simulation, clock) => {
     const planner = simulation.findPlanner()
     const partition = [planner, listOtherNodes(planner)[0] ?? 0]
     void simulation.submit(makeJob(1, { durationMs: 40_000, steps: [makeStep({ count: WORKERS, accelerators: 4 })] }))
@@ -76,7 +63,7 @@
 })
 
 test.serial('if a start is unanswered and its retry is refused, the task starts elsewhere only when the first attempt can no longer be carried out', async t => {
-  const faults = await runScenario(async (simulation, clock) => {
+  const faults = await listViolations(async (simulation, clock) => {
     for (let index = 0; index < WORKERS; index++) {
       const { workerFaults } = simulation.getNode(index)
       workerFaults.delayedOrders = 1
@@ -90,7 +77,7 @@
 })
 
 test.serial('a write that the store applies seconds late does not overwrite a newer one', async t => {
-  const faults = await runScenario(async (simulation, clock) => {
+  const faults = await listViolations(async (simulation, clock) => {
     const planner = simulation.findPlanner()
     const { faults: storeFaults } = simulation.getNode(planner).memory
     void simulation.submit(makeJob(1, { durationMs: 1_000 }))
@@ -108,7 +95,7 @@
   t.timeout(300_000)
   // Work keeps ending and starting, so that the paused planner has orders and permissions at hand whenever it resumes.
   for (const pauseMs of [4_000, 7_000, 11_000]) {
-    const faults = await runScenario(async (simulation, clock) => {
+    const faults = await listViolations(async (simulation, clock) => {
       for (let index = 1; index <= 12; index++) void simulation.submit(makeJob(index, { durationMs: 1_000 * (1 + index % 5), steps: [makeStep({ accelerators: 4 })] }))
       await clock.tickAsync(1_500)
       const paused = simulation.getNode(simulation.findPlanner())
