Spare classes that are served worse when urgent work beyond a guarantee stops others

Cause: a stop counts the work that is lost, not how the class of the victim is served. A gang that was just placed has lost nothing, so each urgent job that came stopped it again: 20 of 43 stops of gangs for urgent work beyond a guarantee came within 1 s of the assignment. After a loss of power everything has just been placed: at 37.16 s four gangs were stopped at once, with loss 0, for one urgent job of nine tasks; three of them waited 20 s for the next place. Class of fault: a price that counts what is lost now and not what the loser has had so far.

Change: the share of a class is the part of the value of its recent jobs that runs or is done. Urgent work beyond a guarantee stops no work of a queue whose share is below three quarters of its own; work that a guarantee covers stops it as before. `capacity taken back` logs the shares.

--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -4,6 +4,7 @@
  * (`reclaimMs`) at any cost; urgent work beyond the guarantee stops only work whose loss is worth less than finishing the urgent work in
  * time.
  */
+import type { ClassShares } from './classShares.js'
 import { computeCoreSeconds, computeValueFactor } from './coreSeconds.js'
 import type { CapacityForecast } from './capacityForecast.js'
 import type { CapacitySnapshot, ReservedSlots } from './capacitySnapshot.js'
@@ -25,6 +26,7 @@
   readonly runTimes: RunTimeEstimator
   readonly runTracker: RunTracker
   readonly log: PlannerLog
+  readonly classShares: ClassShares
   readonly forecast: CapacityForecast
   readonly isEligible: (worker: WorkerState, step: StepState) => boolean
   readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
@@ -52,13 +54,13 @@
 export class CapacityReclaim {
   private readonly _dependencies: CapacityReclaimDependencies
   private readonly _reservations = new Map<StepState, SlotReservation>()
-  private _victims: { readonly forGuaranteed: VictimCatalogue, readonly forOthers: VictimCatalogue }
+  /** Runs that may be stopped for urgent work of a queue; for work that a guarantee covers, the key is undefined. */
+  private readonly _victims = new Map<string | undefined, VictimCatalogue>()
   private _guaranteed: ReadonlySet<JobState> = new Set()
   private _now = 0
 
   constructor (dependencies: CapacityReclaimDependencies) {
     this._dependencies = dependencies
-    this._victims = { forGuaranteed: this._createVictimCatalogue(true), forOthers: this._createVictimCatalogue(false) }
   }
 
   /**
@@ -109,19 +111,29 @@
       victims: plan.victims.map(run => run.task.name),
       victimStarts: Math.max(0, ...plan.victims.map(run => run.number)),
       loss: Math.round(plan.loss),
-      waitedMs: this._now - waiting.since
+      waitedMs: this._now - waiting.since,
+      shares: Object.fromEntries([...this._dependencies.classShares.getShares()].map(([queue, share]) => [queue, Number(share.toFixed(2))]))
     })
   }
 
   private _chooseReclaimPlan (waiting: WaitingStep, snapshot: CapacitySnapshot, maxLoss: number): ReclaimPlan | undefined {
     const { isEligible, getTaskLimit } = this._dependencies
-    const victims = this._guaranteed.has(waiting.step.job) ? this._victims.forGuaranteed : this._victims.forOthers
+    const victims = this._getVictimCatalogue(waiting.step.job)
     return chooseReclaimPlan(waiting, snapshot, { isEligible, getTaskLimit, victims }, maxLoss)
   }
 
-  private _createVictimCatalogue (isForGuaranteed: boolean): VictimCatalogue {
+  private _getVictimCatalogue (job: JobState): VictimCatalogue {
+    const queue = this._guaranteed.has(job) ? undefined : job.graph.queue.name
+    const known = this._victims.get(queue)
+    if (known !== undefined) return known
+    const created = this._createVictimCatalogue(run => queue === undefined ? this._getStopCostForGuaranteed(run) : this._getStopCostForOthers(run, queue))
+    this._victims.set(queue, created)
+    return created
+  }
+
+  private _createVictimCatalogue (getStopCost: (run: RunState) => number): VictimCatalogue {
     return new VictimCatalogue({
-      getStopCost: run => this._getStopCost(run, isForGuaranteed),
+      getStopCost,
       estimateWorkedMs: run => estimateWorkedMs(run, this._now, this._estimateRunTime(run.task.step)),
       checkpointMs: this._dependencies.times.checkpointMs
     })
@@ -130,18 +142,27 @@
   /** Forgets what was computed for the runs of this pass, since some of them have been stopped or a new pass begins. */
   private _forgetRuns (): void {
     this._dependencies.forecast.clear()
-    this._victims = { forGuaranteed: this._createVictimCatalogue(true), forOthers: this._createVictimCatalogue(false) }
+    this._victims.clear()
+  }
+
+  /**
+   * Returns the cost of stopping a run for work that a guarantee covers, in core-seconds and without the work that the run loses; Infinity when the
+   * run must not be stopped. Urgent work that a guarantee covers is never stopped.
+   */
+  private _getStopCostForGuaranteed (run: RunState): number {
+    const { job, spec } = run.task.step
+    if (spec.isLongRunning || this._guaranteed.has(job)) return Infinity
+    return this._dependencies.getPriority(job) > 0 ? 0 : this._computeUrgentValue(job)
   }
 
   /**
-   * Returns the cost of stopping a run in core-seconds, without the work that the run loses; Infinity when the run must not be stopped.
-   * Urgent work that a guarantee covers is never stopped; urgent work beyond a guarantee is stopped only for work that a guarantee covers.
+   * Returns the same cost for urgent work of a queue that no guarantee covers. Such work stops no urgent work, and no work of a class that is
+   * served worse than its own: a gang that has just started loses no work, so it would be stopped again and again during a burst.
    */
-  private _getStopCost (run: RunState, isForGuaranteed: boolean): number {
+  private _getStopCostForOthers (run: RunState, queue: string): number {
     const { job, spec } = run.task.step
-    if (spec.isLongRunning) return Infinity
-    if (this._dependencies.getPriority(job) > 0) return 0
-    return isForGuaranteed && !this._guaranteed.has(job) ? this._computeUrgentValue(job) : Infinity
+    if (spec.isLongRunning || this._dependencies.getPriority(job) === 0) return Infinity
+    return this._dependencies.classShares.isServedWorse(job.graph.queue.name, queue) ? Infinity : 0
   }
 
   /** Returns the core-seconds whose loss costs as much as an urgent job of mean size of the same queue gains by finishing in time. */
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -4,6 +4,7 @@
  */
 import { CapacityForecast } from './capacityForecast.js'
 import { CapacityReclaim } from './capacityReclaim.js'
+import type { ClassShares } from './classShares.js'
 import { computeCoreSeconds } from './coreSeconds.js'
 import { isIsolated } from './crashBlame.js'
 import { CrashIsolation } from './crashIsolation.js'
@@ -32,6 +33,7 @@
   readonly runTracker: RunTracker
   readonly workerHealth: WorkerHealthTracker
   readonly runTimes: RunTimeEstimator
+  readonly classShares: ClassShares
   readonly order: WaitingOrder
   readonly times: PlannerTimes
   readonly log: PlannerLog
@@ -74,7 +76,7 @@
       chooseWorkersForSuspect: (workers, task) => this._crashIsolation.chooseWorkers(workers, task, this._starvedSteps.has(task.step)),
       countFailures: worker => dependencies.workerHealth.countFailures(worker.key.id)
     })
-    const { times, runTimes, runTracker, log } = dependencies
+    const { times, runTimes, runTracker, classShares, log } = dependencies
     this._forecast = new CapacityForecast({ placement: this._placement, predictEnd: run => this._predictEnd(run) })
     this._gangReservations = new GangReservations({ forecast: this._forecast, isEligible: (worker, step) => this._isEligibleForAll(worker, step) })
     this._reclaim = new CapacityReclaim({
@@ -82,6 +84,7 @@
       runTimes,
       runTracker,
       log,
+      classShares,
       forecast: this._forecast,
       isEligible: (worker, step) => this._isEligibleForAll(worker, step),
       getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
@@ -106,6 +109,7 @@
     this._markLastAttempts(waiting)
     this._crashIsolation.beginPass(workers, now)
     const guaranteed = findGuaranteedJobs(jobs, policy, job => this._getPriority(job))
+    this._dependencies.classShares.beginPass()
     this._reclaim.beginPass(snapshot, waiting, guaranteed, now)
     this._gangReservations.beginPass(waiting, now)
     const first = waiting.filter(({ step }) => guaranteed.has(step.job))
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -3,6 +3,7 @@
  * lists the state that has to be stored. It does no I/O and reads no clock. The start of a run is sent only once
  * `recordJobStored` was called with a version of the job that contains the run.
  */
+import { ClassShares } from './classShares.js'
 import { JobPhase, isFinalPhase } from './graphTypes.js'
 import type { JobGraph, StepSpec } from './graphTypes.js'
 import { encodeProgress, restoreJob } from './jobProgress.js'
@@ -60,8 +61,9 @@
     this._options = options
     this._runTracker = new RunTracker({ log, workerHealth: this._workerHealth, runTimes: this._runTimes, getWallTime, getWorker: run => this._registry.getWorker(run.worker) })
     this._registry = new WorkerRegistry({ log, times, runTracker: this._runTracker, workerHealth: this._workerHealth, findTask: name => this._findTask(name) })
+    const classShares = new ClassShares({ runTimes: this._runTimes, getWallTime, listJobs: () => this._jobs.values() })
     const order = options.createOrder?.(this._runTimes) ?? new ObjectiveOrder({ runTimes: this._runTimes, getWallTime })
-    this._pass = new GraphPass({ registry: this._registry, runTracker: this._runTracker, workerHealth: this._workerHealth, runTimes: this._runTimes, order, times, log })
+    this._pass = new GraphPass({ registry: this._registry, runTracker: this._runTracker, workerHealth: this._workerHealth, runTimes: this._runTimes, classShares, order, times, log })
   }
 
   /** Number of jobs that have not ended. */
--- /dev/null
+++ b/packages/core/src/graphs/jobObjective.ts
@@ -0,0 +1,25 @@
+/**
+ * When an occurrence of a job is due, and how long it may take by the declarations of its queue.
+ */
+import type { JobGraph, QueuePolicy } from './graphTypes.js'
+import type { StepState } from './jobState.js'
+
+/** A job that takes up to this multiple of its objective still has a value, by the pricing rules. */
+export const MAX_LATE_FACTOR = 3
+
+/** Returns the time of day at which an occurrence of a job becomes due, in milliseconds since 1970. */
+export function getDueTime (graph: JobGraph, occurrence: number): number {
+  return graph.repeat === undefined ? graph.acceptedAt : graph.repeat.firstRunAt + occurrence * graph.repeat.intervalMs
+}
+
+/** Returns the time of the longest chain of steps of an occurrence; `getStepMs` returns the time of one step, in milliseconds. */
+export function computeChainMs (steps: readonly StepState[], getStepMs: (step: StepState) => number): number {
+  const ends: number[] = []
+  for (const step of steps) ends.push(getStepMs(step) + Math.max(0, ...step.spec.after.map(index => ends[index] ?? 0)))
+  return Math.max(0, ...ends)
+}
+
+/** Returns the time within which a job with the given chain has its full value, in milliseconds. */
+export function computeObjectiveMs (queue: QueuePolicy, chainMs: number): number {
+  return queue.stretch * chainMs + queue.targetLatencyMs
+}
--- a/packages/core/src/graphs/objectiveOrder.ts
+++ b/packages/core/src/graphs/objectiveOrder.ts
@@ -6,6 +6,7 @@
  */
 import { computeCoreSeconds, computeValueFactor } from './coreSeconds.js'
 import type { QueuePolicy } from './graphTypes.js'
+import { MAX_LATE_FACTOR, computeChainMs, computeObjectiveMs, getDueTime } from './jobObjective.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
 import type { WaitingOrder, WaitingStep } from './waitingStep.js'
 
@@ -14,8 +15,6 @@
  * below have the value of priority 2.
  */
 const VALUE_BY_PRIORITY = [4, 3, 1] as const
-/** A job that takes up to this multiple of its objective still has a value, by the pricing rules. */
-const MAX_LATE_FACTOR = 3
 
 /** Tiers of waiting steps; all steps of a lower tier come first. */
 const Tier = { urgent: 0, urgentLate: 1, other: 2, worthless: 3 } as const
@@ -45,8 +44,8 @@
     const { job } = waiting.step
     const { queue } = job.graph
     const chainMs = this._computeChainMs(waiting)
-    const ageMs = this._dependencies.getWallTime() - this._getDueTime(waiting)
-    const objectiveMs = queue.stretch * chainMs + queue.targetLatencyMs
+    const ageMs = this._dependencies.getWallTime() - getDueTime(job.graph, waiting.step.occurrence)
+    const objectiveMs = computeObjectiveMs(queue, chainMs)
     const slackMs = objectiveMs - ageMs - chainMs
     if (queue.priority === 0 && slackMs >= 0) return { tier: Tier.urgent, key: slackMs }
     const isWorthless = MAX_LATE_FACTOR * objectiveMs < ageMs + chainMs
@@ -54,20 +53,10 @@
     return { tier, key: -this._computeValueDensity(waiting, queue) }
   }
 
-  private _getDueTime (waiting: WaitingStep): number {
-    const { graph } = waiting.step.job
-    return graph.repeat === undefined ? graph.acceptedAt : graph.repeat.firstRunAt + waiting.step.occurrence * graph.repeat.intervalMs
-  }
-
   /** Returns the remaining run time of the longest chain of steps of the occurrence, in milliseconds. */
   private _computeChainMs (waiting: WaitingStep): number {
     const steps = waiting.step.job.occurrences.get(waiting.step.occurrence) ?? []
-    const ends: number[] = []
-    for (const step of steps) {
-      const stepMs = step.remaining === 0 ? 0 : this._dependencies.runTimes.estimateRunTime(step)
-      ends.push(stepMs + Math.max(0, ...step.spec.after.map(index => ends[index] ?? 0)))
-    }
-    return Math.max(...ends)
+    return computeChainMs(steps, step => step.remaining === 0 ? 0 : this._dependencies.runTimes.estimateRunTime(step))
   }
 
   private _computeValueDensity (waiting: WaitingStep, queue: QueuePolicy): number {
