Keep a worker empty for a task that must run alone after crashes

What callers would see: a job of which a task was beside two crashes by chance never ends on a busy fleet. Found by looking for the cause of the starved gangs elsewhere: after two crashes a task starts only on a worker without runs, and on a full fleet each slot that becomes free is taken at once. Starvation of work that needs several resources at once by work that needs one.

Change: the steady worker that will be empty the soonest gets no new runs until the first such task in the order has started there. One worker at a time; work that a guarantee covers may still use it. Gangs and tasks that need a rack with others are left out, since one worker does not help them; they stay listed.

Test: a task with two crashes beside 400 single tasks on three workers.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -67,12 +67,17 @@
 
   constructor (dependencies: GraphPassDependencies) {
     this._dependencies = dependencies
-    this._crashIsolation = new CrashIsolation(dependencies.workerHealth)
+    this._crashIsolation = new CrashIsolation({
+      workerHealth: dependencies.workerHealth,
+      isEligible: (worker, step) => this._isEligibleForAll(worker, step),
+      predictEnd: run => this._predictEnd(run)
+    })
     this._placement = new RackPlacement({
       isEligible: (worker, step) => this._isEligible(worker, step),
       getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
       isLocalityWaitOver: waiting => this._isLocalityWaitOver(waiting),
       isUsableForLastAttempt: (worker, step) => this._isUsableForLastAttempt(worker, step),
+      isKeptEmpty: worker => this._crashIsolation.isKeptEmpty(worker),
       chooseWorkersForSuspect: (workers, task) => this._crashIsolation.chooseWorkers(workers, task, this._starvedSteps.has(task.step)),
       countFailures: worker => dependencies.workerHealth.countFailures(worker.key.id)
     })
@@ -107,8 +112,8 @@
     const snapshot = new CapacitySnapshot(workers)
     this._markStarvedSteps(waiting)
     this._markLastAttempts(waiting)
-    this._crashIsolation.beginPass(workers, now)
     const guaranteed = findGuaranteedJobs(jobs, policy, job => this._getPriority(job))
+    this._crashIsolation.beginPass(waiting, workers, guaranteed, now)
     this._dependencies.classShares.beginPass()
     this._reclaim.beginPass(snapshot, waiting, guaranteed, now)
     this._gangReservations.beginPass(waiting, now)
--- a/packages/core/src/graphs/placement.ts
+++ b/packages/core/src/graphs/placement.ts
@@ -37,6 +37,8 @@
   readonly slots: readonly WorkerSlots[]
   /** The slots that may take the last attempt of a task. */
   readonly forLastAttempts: readonly WorkerSlots[]
+  /** The slots at a worker that only a task that must run alone may take. */
+  readonly keptEmpty: WorkerSlots | undefined
   /** The slots at workers that already got a task of the step that is suspected of crashing workers. */
   readonly takenBySuspects: Set<WorkerSlots>
   /** True if a member of the gang has failed at one of the workers. */
@@ -53,6 +55,8 @@
   readonly countFailures: (worker: WorkerState) => number
   /** True when a worker may run the last attempt of a task of a step. */
   readonly isUsableForLastAttempt: (worker: WorkerState, step: StepState) => boolean
+  /** True when a worker is kept empty for a task that must run alone. */
+  readonly isKeptEmpty: (worker: WorkerState) => boolean
   /** Returns those of the workers that may run a task that is suspected of crashing workers. */
   readonly chooseWorkersForSuspect: (workers: readonly WorkerState[], task: TaskState) => readonly WorkerState[]
   /** True when the step has waited for its rack for so long that a slower run in another rack is better. */
@@ -122,6 +126,7 @@
     const choice: SlotChoice = {
       slots,
       forLastAttempts: tasks.some(isLastAttempt) ? slots.filter(({ worker }) => this._dependencies.isUsableForLastAttempt(worker, step)) : slots,
+      keptEmpty: tasks.some(isIsolated) ? slots.find(({ worker }) => this._dependencies.isKeptEmpty(worker)) : undefined,
       takenBySuspects: new Set(),
       isFailedStep: step.spec.isGang && slots.some(({ worker }) => tasks[0] !== undefined && hasFailedAt(tasks[0], worker))
     }
@@ -138,7 +143,8 @@
 
   /** Picks the slots for one task; undefined if there are none that may run it. */
   private _pickSlot (task: TaskState, choice: SlotChoice): WorkerSlots | undefined {
-    const allowed = isLastAttempt(task) ? choice.forLastAttempts : choice.slots
+    const byAttempt = isLastAttempt(task) ? choice.forLastAttempts : choice.slots
+    const allowed = choice.keptEmpty === undefined || isIsolated(task) ? byAttempt : byAttempt.filter(slot => slot !== choice.keptEmpty)
     const usable = isCrashSuspect(task) ? this._listSlotsForSuspect(task, allowed, choice) : allowed
     return choice.isFailedStep || task.failedOn.size > 0 ? pickWithFailures(task, usable) : usable.find(({ count }) => count > 0)
   }
--- a/packages/core/test/graphs/crashBlame.test.ts
+++ b/packages/core/test/graphs/crashBlame.test.ts
@@ -3,7 +3,7 @@
  */
 import test from 'ava'
 
-import { PlannerHarness, makeStep } from './plannerHarness.js'
+import { PlannerHarness, makeQueue, makeStep } from './plannerHarness.js'
 import type { FakeWorker } from './plannerHarness.js'
 
 /** Restarts the worker that executes a task; the agent suspects all runs of the worker. Returns the worker that crashed. */
@@ -109,3 +109,25 @@
   harness.run(300)
   t.is(harness.planner.getJob('a')?.phase, 'failed')
 })
+
+test('a task that must run alone starts although single tasks wait for each slot that becomes free', t => {
+  const harness = new PlannerHarness([3])
+  const startedAt = new Map<string, number>()
+  const runBusy = (ms: number): void => {
+    for (const end = harness.now + ms; harness.now < end; harness.now += 100) {
+      for (const { task } of harness.workers.flatMap(worker => worker.running)) {
+        if (task === 'a.0.0.0') continue
+        // The first tasks end one after the other, so that single slots become free.
+        startedAt.set(task, startedAt.get(task) ?? harness.now - (startedAt.size < 24 ? startedAt.size * 160 : 0))
+        if (harness.now - (startedAt.get(task) ?? 0) >= 4_000) harness.endRun(task, 'done')
+      }
+      harness.runTurn()
+    }
+  }
+  harness.addJob('a', [makeStep({ count: 2 })])
+  crashRepeatedly(harness, 'a.0.0.0', 2)
+  harness.addJob('fill', [makeStep({ count: 400, estimatedMs: 4_000 })], { queue: makeQueue({ name: 'fill', priority: 2 }) })
+  for (let turn = 0; turn < 200 && harness.findWorker('a.0.0.0') === undefined; turn++) runBusy(100)
+  const worker = harness.findWorker('a.0.0.0')
+  t.deepEqual(worker?.running.map(({ task }) => task), ['a.0.0.0'])
+})
