Suspect a run whose start was never answered of each crash until its stop is confirmed

What callers would see: a task crashes one worker more than the limit allows. A worker may execute an order seconds after it got no answer. The agent listed as suspects of a crash only the runs whose start it had sent within the second before the worker stopped answering, so a crash under a start that was executed late counted for nobody. Found by reading; class: a time window that assumes that an order takes effect when it is sent or never.

Change: an order remembers that its last start was not answered; until the start is answered or its stop is confirmed, the run is a suspect of any crash.

Test: a worker that answers neither the start nor the stop of a run and crashes 5 s later; the run whose stop was confirmed is no suspect, the other is. Before: no suspect.

--- a/packages/daemon/src/jobAgent/orderTable.ts
+++ b/packages/daemon/src/jobAgent/orderTable.ts
@@ -21,6 +21,8 @@
   settledAt: number | undefined
   /** When the last start was sent that may have reached the worker; undefined before. */
   startSentAt: number | undefined
+  /** True if the last start that may have reached the worker was not answered; the worker may still execute it seconds later. */
+  isStartUnanswered: boolean
 }
 
 export class OrderTable {
@@ -29,7 +31,7 @@
   /** Records a start order. Returns false if there already is an order for the run. */
   beginStart (task: string, run: number): boolean {
     if (this._orders.has(makeRunKey({ task, run }))) return false
-    this._orders.set(makeRunKey({ task, run }), { task, run, status: OrderStatus.sending, reason: '', stopAnsweredAtPoll: undefined, settledAt: undefined, startSentAt: undefined })
+    this._orders.set(makeRunKey({ task, run }), { task, run, status: OrderStatus.sending, reason: '', stopAnsweredAtPoll: undefined, settledAt: undefined, startSentAt: undefined, isStartUnanswered: false })
     return true
   }
 
@@ -52,15 +54,23 @@
     return this._getOrder(task, run)?.status === OrderStatus.sending
   }
 
-  /** Records that a start which may have reached the worker was sent at `sentAt`, a monotonic time in milliseconds. */
-  recordStartSent (task: string, run: number, sentAt: number): void {
+  /**
+   * Records that a start which may have reached the worker was sent at `sentAt`, a monotonic time in milliseconds, and whether the worker
+   * answered it.
+   */
+  recordStartSent (task: string, run: number, sentAt: number, isAnswered: boolean): void {
     const order = this._getOrder(task, run)
-    if (order !== undefined) order.startSentAt = sentAt
+    if (order === undefined) return
+    order.startSentAt = sentAt
+    order.isStartUnanswered = !isAnswered
   }
 
-  /** Lists the runs whose start was last sent at `since` or later and that have not ended, in the order of their starts. */
+  /**
+   * Lists the runs that may have started at `since` or later and have not ended, in the order of their starts: those whose start was last
+   * sent then, and those whose start was not answered and is not barred yet.
+   */
   listStartedSince (since: number): RunName[] {
-    const started = [...this._orders.values()].filter(order => order.startSentAt !== undefined && order.startSentAt >= since && order.status !== OrderStatus.refused)
+    const started = [...this._orders.values()].filter(order => order.status !== OrderStatus.refused && isPossiblyStartedSince(order, since))
     return started.map(({ task, run }) => ({ task, run }))
   }
 
@@ -120,3 +130,8 @@
     return this._orders.get(makeRunKey({ task, run }))
   }
 }
+
+function isPossiblyStartedSince ({ startSentAt, isStartUnanswered, status }: Order, since: number): boolean {
+  if (startSentAt === undefined) return false
+  return startSentAt >= since || (isStartUnanswered && status !== OrderStatus.barred)
+}
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -194,7 +194,7 @@
       const leaseUntil = this._clock.permittedUntil
       const sentAt = performance.now()
       const outcome = await this._dependencies.worker.start({ ...start, epoch, leaseUntil })
-      if (outcome.kind === 'ok' || outcome.kind === 'lost') this._orders.recordStartSent(task, run, sentAt)
+      if (outcome.kind === 'ok' || outcome.kind === 'lost') this._orders.recordStartSent(task, run, sentAt, outcome.kind === 'ok')
       this._recordReachability(outcome)
       if (outcome.kind === 'ok') {
         this._clock.recordLeaseExpiry(leaseUntil)
--- a/packages/daemon/test/jobAgent/workerTable.test.ts
+++ b/packages/daemon/test/jobAgent/workerTable.test.ts
@@ -14,10 +14,10 @@
 
 const OK: RunOutcome = { kind: 'ok', clockMs: 1 }
 
-function createWorker (poll: () => PollOutcome): RunWorker {
+function createWorker (poll: () => PollOutcome, answerOrder: () => RunOutcome): RunWorker {
   return {
-    start: async () => OK,
-    stop: async () => OK,
+    start: async () => answerOrder(),
+    stop: async () => answerOrder(),
     pace: async () => OK,
     hold: async ({ waitMs }) => {
       await new Promise(resolve => setTimeout(resolve, Math.max(50, waitMs)))
@@ -44,9 +44,15 @@
   }
 }
 
-function createTable (t: ExecutionContext, poll: () => PollOutcome, onChange = (): void => {}): { readonly table: WorkerTable, readonly clock: Clock } {
+interface TableOptions {
+  readonly onChange?: () => void
+  /** Answers the orders to start and stop runs; accepts them when absent. */
+  readonly answerOrder?: () => RunOutcome
+}
+
+function createTable (t: ExecutionContext, poll: () => PollOutcome, { onChange = () => {}, answerOrder = () => OK }: TableOptions = {}): { readonly table: WorkerTable, readonly clock: Clock } {
   const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
-  const table = new WorkerTable({ region: 'r', runLeaseMs: 6_000, logger: createLogger({ level: 'silent', processId: 't' }), openWorker: () => createWorker(poll), onChange })
+  const table = new WorkerTable({ region: 'r', runLeaseMs: 6_000, logger: createLogger({ level: 'silent', processId: 't' }), openWorker: () => createWorker(poll, answerOrder), onChange })
   t.teardown(() => {
     table.close()
     clock.uninstall()
@@ -87,10 +93,15 @@
   t.deepEqual(listReported(table), ['w/2'])
 })
 
-/** Sends a start order for a task to the first worker of the table. */
+/** Sends orders for the first run of a task to a worker of the table. */
+function orderRun (table: WorkerTable, id: string, task: string, order: 'start' | 'stop'): void {
+  const starts = order === 'start' ? [{ task, run: 1, payload: '', checkpoint: '', ticket: undefined }] : []
+  const stops = order === 'stop' ? [{ task, run: 1 }] : []
+  table.applyOrders([{ key: { id, born: 1 }, seen: 0, mayExtend: true, starts, stops, paces: [] }], 1, table.collectReports())
+}
+
 function orderStart (table: WorkerTable, id: string, task: string): void {
-  const start = { task, run: 1, payload: '', checkpoint: '', ticket: undefined }
-  table.applyOrders([{ key: { id, born: 1 }, seen: 0, mayExtend: true, starts: [start], stops: [], paces: [] }], 1, table.collectReports())
+  orderRun(table, id, task, 'start')
 }
 
 function listSuspects (table: WorkerTable): string[] {
@@ -115,6 +126,23 @@
   t.deepEqual(listSuspects(table), [])
 })
 
+test.serial('a run whose start was never answered is a suspect of a crash that comes seconds later, until its stop is confirmed', async t => {
+  const outcomes: { poll: PollOutcome, order: RunOutcome } = { poll: { kind: 'ok', clockMs: 1, born: 1, running: [], ended: [] }, order: { kind: 'lost', message: 'no answer' } }
+  const { table, clock } = createTable(t, () => outcomes.poll, { answerOrder: () => outcomes.order })
+  table.acceptHeartbeat(makeAnnouncement('w', 1))
+  for (const task of ['barred.0.0.0', 'late.0.0.0']) orderStart(table, 'w', task)
+  await clock.tickAsync(500)
+  outcomes.order = OK
+  orderRun(table, 'w', 'barred.0.0.0', 'stop')
+  outcomes.order = { kind: 'lost', message: 'no answer' }
+  orderRun(table, 'w', 'late.0.0.0', 'stop')
+  await clock.tickAsync(5_000)
+  outcomes.poll = { kind: 'lost', message: 'connection closed' }
+  await clock.tickAsync(3_000)
+  table.acceptHeartbeat(makeAnnouncement('other', 2))
+  t.deepEqual(listSuspects(table), ['late.0.0.0/1'])
+})
+
 test.serial('a worker that was draining when it was replaced leaves no suspects', async t => {
   const { table, clock } = createTable(t, () => ({ kind: 'ok', clockMs: 1, born: 1, running: [], ended: [] }))
   table.acceptHeartbeat(makeAnnouncement('w', 1))
@@ -127,7 +155,7 @@
 
 test.serial('a heartbeat with another capacity is reported to the planner at once, one with the same capacity is not', async t => {
   let changes = 0
-  const { table, clock } = createTable(t, () => ({ kind: 'ok', clockMs: 1, born: 1, running: [], ended: [] }), () => { changes++ })
+  const { table, clock } = createTable(t, () => ({ kind: 'ok', clockMs: 1, born: 1, running: [], ended: [] }), { onChange: () => { changes++ } })
   table.acceptHeartbeat(makeAnnouncement('w', 1))
   await clock.tickAsync(500)
   const changesBefore = changes
