--- a/packages/bench/src/graphs/simulatedFleet.ts
+++ b/packages/bench/src/graphs/simulatedFleet.ts
@@ -16,6 +16,11 @@
 const TURN_MS = 20
 /** Time after which a worker reports even if nothing has changed, in milliseconds. */
 const REPORT_INTERVAL_MS = 700
+/** Time after a loss of power until the first worker is back, and from the first to the last, in milliseconds. */
+const POWER_LOSS_MS = 500
+const RETURN_SPAN_MS = 1_000
+/** Spreads the returns of neighbouring workers over {@link RETURN_SPAN_MS}; coprime to the usual sizes of a fleet. */
+const RETURN_STRIDE = 37
 const CORES_PER_ACCELERATOR = 8
 /** Every third worker is slower by this factor. */
 const SLOW_FACTOR = 1.3
@@ -42,6 +47,10 @@
   readonly capacity?: TaskNeeds
   /** Simulated duration in seconds; longer than the arrivals, so that late jobs can end. */
   readonly seconds: number
+  /** Time that a run holds its slot after it was told to stop, in milliseconds; runs stop at once when absent. */
+  readonly stopMs?: number
+  /** When all workers lose power, in milliseconds, a multiple of 20; they are back after 0.5 to 1.5 s. */
+  readonly powerLossAtMs?: number
   /** Creates the order of waiting steps; that of the planner when absent. */
   readonly createOrder?: (runTimes: RunTimeEstimator, getWallTime: () => number) => WaitingOrder
 }
@@ -96,6 +105,7 @@
       const due = waiting.filter(arrival => arrival.at <= this._now)
       waiting.splice(0, due.length)
       for (const arrival of due) this._addJob(arrival)
+      if (this._now === this._options.powerLossAtMs) this._losePower()
       this._finishRuns()
       const hasReports = this._reportWorkers()
       if (hasReports || due.length > 0) this._runPass()
@@ -132,8 +142,18 @@
     this._planner.addJob(arrival.graph, undefined, this._now)
   }
 
+  private _losePower (): void {
+    this._byTask.clear()
+    const count = this._workers.length
+    for (const [index, worker] of this._workers.entries()) worker.restart(this._now + POWER_LOSS_MS + RETURN_SPAN_MS * (index * RETURN_STRIDE % count) / count)
+  }
+
   private _finishRuns (): void {
     for (const { worker, run } of [...this._byTask.values()]) {
+      if (run.stoppingSince !== undefined) {
+        if (this._now - run.stoppingSince >= (this._options.stopMs ?? 0)) this._removeRun(worker, run, 'stopped')
+        continue
+      }
       if (run.workingSince === undefined || run.savedMs + computeWorkedMs(run, this._now) < run.workMs) continue
       this._removeRun(worker, run, 'done')
     }
@@ -141,7 +161,7 @@
 
   /** Passes the due reports to the planner. Returns true if there were any. */
   private _reportWorkers (): boolean {
-    const due = this._workers.filter(worker => worker.hasChanged || this._now - worker.lastReportAt >= REPORT_INTERVAL_MS)
+    const due = this._workers.filter(worker => worker.downUntil <= this._now && (worker.hasChanged || this._now - worker.lastReportAt >= REPORT_INTERVAL_MS))
     const startedAt = process.hrtime.bigint()
     for (const worker of due) this._planner.acceptReport(worker.makeReport(this._now), this._now)
     if (due.length > 0) this._reportUs.push(Number(process.hrtime.bigint() - startedAt) / 1_000)
@@ -160,7 +180,7 @@
   }
 
   private _executeOrders (worker: SimulatedWorker): void {
-    const orders = this._planner.answerReport({ id: worker.id, born: 1 }, this._now, true)
+    const orders = this._planner.answerReport({ id: worker.id, born: worker.born }, this._now, true)
     if (orders === undefined) return
     worker.applyAcknowledgement(orders)
     for (const { task, run } of orders.stops) {
@@ -171,12 +191,14 @@
   }
 
   private _stopRun (worker: SimulatedWorker, run: SimulatedRun): void {
+    if (run.stoppingSince !== undefined) return
     this._stops++
+    run.stoppingSince = this._now
     const isAlone = run.workingSince === undefined
     const lostMs = run.isCheckpointing || isAlone ? 0 : computeWorkedMs(run, this._now)
     const reason = this._stopReasons.get(run.task) ?? ''
     this._wasted[reason] = (this._wasted[reason] ?? 0) + lostMs / 1_000 * computeCores(this._getStep(run.task))
-    this._removeRun(worker, run, 'stopped')
+    if (this._options.stopMs === undefined) this._removeRun(worker, run, 'stopped')
   }
 
   private _removeRun (worker: SimulatedWorker, run: SimulatedRun, how: 'done' | 'stopped'): void {
--- a/packages/bench/src/graphs/simulatedWorker.ts
+++ b/packages/bench/src/graphs/simulatedWorker.ts
@@ -23,11 +23,17 @@
   /** Total work of the task at this place, in milliseconds. */
   workMs: number
   readonly isCheckpointing: boolean
+  /** When the run was told to stop; it holds its slot until it has stopped. */
+  stoppingSince?: number
 }
 
 export class SimulatedWorker {
   readonly id: string
   readonly rack: string
+  /** Number of the worker's incarnation. */
+  born = 1
+  /** Until when the worker is down, in milliseconds of the simulation. */
+  downUntil = 0
   readonly runs = new Map<string, SimulatedRun>()
   hasChanged = true
   lastReportAt = -Infinity
@@ -44,6 +50,17 @@
     this._capacity = capacity
   }
 
+  /** Loses all runs; the worker starts again at `until`. */
+  restart (until: number): void {
+    this.runs.clear()
+    this._ended = []
+    this._endNumber = 0
+    this._running = []
+    this.born++
+    this.downUntil = until
+    this.hasChanged = true
+  }
+
   /** Adds a run. */
   start (run: SimulatedRun): void {
     this.runs.set(run.task, run)
@@ -71,7 +88,7 @@
     this.hasChanged = false
     this.lastReportAt = now
     return {
-      key: { id: this.id, born: 1 },
+      key: { id: this.id, born: this.born },
       address: `${this.id}:1`,
       service: 's',
       rack: this.rack,
@@ -103,7 +120,7 @@
 
 /** Returns how long a run has worked since it started here, in milliseconds. */
 export function computeWorkedMs (run: SimulatedRun, now: number): number {
-  return run.workingSince === undefined ? 0 : Math.max(0, now - run.workingSince - (run.savedMs > 0 ? RESUME_MS : 0))
+  return run.workingSince === undefined ? 0 : Math.max(0, Math.min(now, run.stoppingSince ?? now) - run.workingSince - (run.savedMs > 0 ? RESUME_MS : 0))
 }
 
 function computePercent (run: SimulatedRun, now: number): number {
