Send membership heartbeats while an election waits for a slow store

What operators would see: while the store answers slowly, a process that is alive goes out of the members that an entry shows, and with it its slots. A round of the registration sent a heartbeat and then waited for its attempt to become the registrar, three calls to the store or more; the next heartbeat came only after it. An entry keeps a member that is in no list for 2.5 s after its last heartbeat. Found while looking for the cause of the known red in membership.test.ts, which shows this symptom; not shown to be its cause, so the entry stays.

Change: the rounds start an election and go on; only the first round at the start of a process waits for it, as before.

--- a/packages/daemon/src/fleet/fleetNode.ts
+++ b/packages/daemon/src/fleet/fleetNode.ts
@@ -103,7 +103,7 @@
   async start (): Promise<void> {
     this._view.recordHeartbeat(this._context.describe(), performance.now())
     this._timer = setTimeout(() => this._startRound(), ROUND_INTERVAL_MS * this._options.random.sample())
-    await this._registration.check()
+    await this._registration.join()
   }
 
   /** Announces to the fleet that this process accepts no new work; called once its member record says so. */
--- a/packages/daemon/src/fleet/memberRegistration.ts
+++ b/packages/daemon/src/fleet/memberRegistration.ts
@@ -21,9 +21,9 @@
 
 export interface MemberRegistrationOptions {
   readonly context: FleetContext
-  readonly relay: UpdateRelay
-  readonly duty: LeaderElector
-  readonly registrar: Registrar
+  readonly relay: Pick<UpdateRelay, 'request' | 'applyUpdate'>
+  readonly duty: Pick<LeaderElector, 'tryAcquire'>
+  readonly registrar: Pick<Registrar, 'register' | 'remove' | 'startEpoch'>
   /** Called when this process has become the registrar. */
   readonly onElected: () => Promise<void>
 }
@@ -34,6 +34,8 @@
   private _registrarHint: string | undefined
   private readonly _electionAllowedAt: number
   private _isRegistrarUnreachable = false
+  /** The attempt to become the registrar that is in progress. */
+  private _election: Promise<void> | undefined
 
   constructor (options: MemberRegistrationOptions) {
     this._context = options.context
@@ -58,7 +60,13 @@
     if (await this._registerAtRegistrar(own)) return
     await this._registerThroughEntries(own)
     if (this._context.board.get('isLeaving') || performance.now() < this._electionAllowedAt) return
-    await this._tryBecomeRegistrar(own)
+    this._beginElection(own)
+  }
+
+  /** Runs the first round and waits for the attempt to become the registrar, if it makes one. */
+  async join (): Promise<void> {
+    await this.check()
+    await this._election
   }
 
   /** Reports the end of this process to the registrar, or to the entries when the registrar does not accept the report. */
@@ -108,6 +116,13 @@
     if (this._registrarHint !== undefined) await this._registerAtRegistrar(own)
   }
 
+  /** Tries to become the registrar unless an attempt is in progress. The rounds don't wait for it: a slow store must not hold up the heartbeats. */
+  private _beginElection (own: Member): void {
+    this._election ??= this._tryBecomeRegistrar(own)
+      .catch((error: unknown) => this._context.logger.error({ err: error }, 'an attempt to become the registrar failed; it runs again in the next round'))
+      .finally(() => { this._election = undefined })
+  }
+
   private async _tryBecomeRegistrar (own: Member): Promise<void> {
     const outcome = await this._options.duty.tryAcquire()
     if (outcome.kind === 'held') {
