Count late jobs with their late value in the share of a class

Cause: the share of a class was the part of its value that runs or is done, so an urgent job that was done too late counted as fully served. Gangs that merely waited looked worse served than urgent work of which a quarter was late.

Change: a job that runs or is done counts with a quarter of its value when it is, or is predicted to be, late; the value tables list 0.2 to 0.3.

Tests: shares of jobs in time, late and waiting (the first form gives 1 for a late job). The replay of urgent jobs beside gangs had half of its earlier urgent jobs late; they are in time now, as the test says.

--- a/packages/core/src/graphs/classShares.ts
+++ b/packages/core/src/graphs/classShares.ts
@@ -1,6 +1,6 @@
 /**
- * Measures how well each class of work is served: the share of the value of a queue's recent jobs whose tasks run or are done. Jobs that ended
- * tell too late, since a job may wait for longer than a burst lasts.
+ * Measures how well each class of work is served: the share of the value of a queue's recent jobs that those which run or are done will earn. Jobs that
+ * ended tell too late, since a job may wait for longer than a burst lasts.
  */
 import { computeCoreSeconds, computeValueFactor } from './coreSeconds.js'
 import { JobPhase } from './graphTypes.js'
@@ -23,6 +23,8 @@
   served: number
 }
 
+/** Value of a late job as a share of its value in time; the value tables list 0.2 to 0.3. */
+const LATE_VALUE = 0.25
 /** A class counts as served worse than another if its share is below this part of the other's share. */
 const WORSE_SHARE = 0.75
 
@@ -62,17 +64,20 @@
   }
 
   /** Adds the occurrences of a job that are so recent that they could still have a value. */
-  private _addJob ({ graph, occurrences }: JobState, totals: Map<string, ClassTotals>): void {
+  private _addJob ({ graph, occurrences, endedAt }: JobState, totals: Map<string, ClassTotals>): void {
     const { runTimes, getWallTime } = this._dependencies
     const { queue } = graph
     for (const [occurrence, steps] of occurrences) {
-      const chainMs = computeChainMs(steps, step => runTimes.estimateRunTime(step))
-      if (getWallTime() - getDueTime(graph, occurrence) > MAX_LATE_FACTOR * computeObjectiveMs(queue, chainMs)) continue
+      const dueAt = getDueTime(graph, occurrence)
+      const objectiveMs = computeObjectiveMs(queue, computeChainMs(steps, step => runTimes.estimateRunTime(step)))
+      if (getWallTime() - dueAt > MAX_LATE_FACTOR * objectiveMs) continue
       const coreSeconds = this._computeCoreSeconds(steps, step => step.spec.count)
-      const started = this._computeCoreSeconds(steps, countStartedTasks)
+      const started = coreSeconds === 0 ? 1 : this._computeCoreSeconds(steps, countStartedTasks) / coreSeconds
+      const leftMs = computeChainMs(steps, step => step.remaining === 0 ? 0 : runTimes.estimateRunTime(step))
+      const isLate = (endedAt ?? getWallTime() + leftMs) - dueAt > objectiveMs
       const value = computeValueFactor(coreSeconds, runTimes.getMeanCoreSeconds(queue.name))
       const total = totals.get(queue.name) ?? { owed: 0, served: 0 }
-      totals.set(queue.name, { owed: total.owed + value, served: total.served + value * (coreSeconds === 0 ? 1 : started / coreSeconds) })
+      totals.set(queue.name, { owed: total.owed + value, served: total.served + value * started * (isLate ? LATE_VALUE : 1) })
     }
   }
 
--- a/packages/core/test/graphs/classShares.test.ts
+++ b/packages/core/test/graphs/classShares.test.ts
@@ -1,6 +1,12 @@
 /**
- * Replays a stream of urgent work beside gangs of which most wait. Tests which gangs are stopped for it.
+ * Replays a stream of urgent work beside gangs of which most wait. Tests which gangs are stopped for it, and how the share of a class is counted.
  */
+import { ClassShares } from '@dragonflylever/core/graphs/classShares'
+import { JobPhase } from '@dragonflylever/core/graphs/index'
+import type { QueuePolicy } from '@dragonflylever/core/graphs/index'
+import { addOccurrence, createJobState } from '@dragonflylever/core/graphs/jobState'
+import type { JobState } from '@dragonflylever/core/graphs/jobState'
+import { RunTimeEstimator } from '@dragonflylever/core/graphs/runTimeEstimator'
 import test from 'ava'
 
 import { PlannerHarness, makeQueue, makeStep } from './plannerHarness.js'
@@ -43,8 +49,10 @@
   const replay = makeReplay()
   const { harness, run } = replay
   harness.planner.setPolicy({ queues: [URGENT, GANG_QUEUE], guarantees: [{ organisation: 'o', accelerators: guaranteedAccelerators }] })
-  for (let number = 0; number < 8; number++) addUrgentJob(harness, `served${number}`, 1)
-  run(4_000)
+  for (let number = 0; number < 8; number++) {
+    addUrgentJob(harness, `served${number}`, 1)
+    if (number % 4 === 3) run(2_000)
+  }
   for (let number = 0; number < GANGS; number++) harness.addJob(`gang${number}`, [makeStep({ count: 3, accelerators: 8, isGang: true, estimatedMs: GANG_MS })], { queue: GANG_QUEUE })
   run(300)
   return replay
@@ -84,3 +92,28 @@
   // Eight jobs of 0.9 times the mean work are done, and one of 1.8 times waits: 8 * 0.93 / (8 * 0.93 + 1.56).
   t.deepEqual(note?.['shares'], { urgent: 0.83, gang: 1 / GANGS })
 })
+
+/** A job of one task that was accepted at time 0 and completed at the given time; `endedAt` is undefined for a job that waits. */
+function makeJob (queue: QueuePolicy, endedAt: number | undefined): JobState {
+  const job = createJobState({ id: 'j', organisation: 'o', queue, payload: '', steps: [makeStep({ estimatedMs: 5_000 })], acceptedAt: 0 }, 0)
+  const [step] = addOccurrence(job, 0)
+  if (step === undefined || endedAt === undefined) return job
+  for (const task of step.tasks) task.isDone = true
+  step.remaining = 0
+  job.phase = JobPhase.completed
+  job.endedAt = endedAt
+  return job
+}
+
+test('a job counts for its class with its whole value if it is in time, with a quarter if it is late, and not at all while it waits', t => {
+  const inTime = makeQueue({ name: 'in time' })
+  const late = makeQueue({ name: 'late' })
+  const mixed = makeQueue({ name: 'mixed' })
+  // With a stretch of 3, the objective of 5 s of work is 16 s.
+  const jobs = [makeJob(inTime, 16_000), makeJob(late, 17_000), makeJob(mixed, 16_000), makeJob(mixed, undefined)]
+  const shares = new ClassShares({ runTimes: new RunTimeEstimator(), getWallTime: () => 20_000, listJobs: () => jobs })
+  t.deepEqual([...shares.getShares()], [['in time', 1], ['late', 0.25], ['mixed', 0.5]])
+  t.true(shares.isServedWorse('mixed', 'in time'))
+  t.false(shares.isServedWorse('in time', 'late'))
+  t.false(shares.isServedWorse('queue without jobs', 'in time'))
+})
