--- a/packages/core/src/graphs/classShares.ts
+++ b/packages/core/src/graphs/classShares.ts
@@ -42,7 +42,7 @@
     this._shares = undefined
   }
 
-  /** True if a smaller share of the jobs of a queue is served than of those of another queue. False for a queue without recent jobs. */
+  /** True if the share of a queue is below {@link WORSE_SHARE} of the share of another queue. A queue without recent jobs counts as fully served. */
   isServedWorse (queue: string, other: string): boolean {
     return this._getShare(queue) < WORSE_SHARE * this._getShare(other)
   }
@@ -74,6 +74,7 @@
       const coreSeconds = this._computeCoreSeconds(steps, step => step.spec.count)
       const started = coreSeconds === 0 ? 1 : this._computeCoreSeconds(steps, countStartedTasks) / coreSeconds
       const leftMs = computeChainMs(steps, step => step.remaining === 0 ? 0 : runTimes.estimateRunTime(step))
+      // A job that has not ended counts as late if its remaining steps, started now, would end too late.
       const isLate = (endedAt ?? getWallTime() + leftMs) - dueAt > objectiveMs
       const value = computeValueFactor(coreSeconds, runTimes.getMeanCoreSeconds(queue.name))
       const total = totals.get(queue.name) ?? { owed: 0, served: 0 }
