Start the estimate of a worker's clock from the first reading

What callers would see: a task runs twice at the same time (TWICE). A worker crashes and comes back while its agent lives on; later its host is cut off. The planner waits until the lease has run out and starts the runs elsewhere, but the agent goes on extending the lease.

Cause: the estimate began at 0 with the start of the agent's process, and readings below the estimate are ignored, since answers may arrive late. So the first reading of a worker that started after its agent was ignored, and its clock was taken for as old as the agent. A permission is an absolute time on that clock; it lay ahead by the age of the agent. At 12.71 s the worker's clock stood at some 700 ms, and the estimate at 12,456. Class of fault: a default value that a filter takes for a real one. Looked for elsewhere: the numbers of reports, lists and ends start at 0 and only rise within one incarnation; no other estimate filters its first value.

Change: the clock is created with its first reading.

--- a/packages/daemon/src/jobAgent/workerClock.ts
+++ b/packages/daemon/src/jobAgent/workerClock.ts
@@ -9,16 +9,18 @@
 export class WorkerClock {
   private readonly _inheritedLeaseMs: number
   private readonly _createdAt: number
-  private _clockMs = 0
-  private _updatedAt = 0
+  private _clockMs: number
+  private _updatedAt: number
   private _permittedUntil = 0
   private _leaseUntil = 0
 
   /**
-   * `inheritedLeaseMs` is the longest lease that an earlier process of the agent may have given the worker just before `now`, the monotonic time of
-   * creation: a process that has started does not know what its predecessor did.
+   * `clockMs` is a reading of the worker's clock, not taken after `now`, the monotonic time of creation. `inheritedLeaseMs` is the longest lease that an
+   * earlier process of the agent may have given the worker just before `now`: a process that has started does not know what its predecessor did.
    */
-  constructor (inheritedLeaseMs: number, now: number) {
+  constructor (clockMs: number, inheritedLeaseMs: number, now: number) {
+    this._clockMs = clockMs
+    this._updatedAt = now
     this._inheritedLeaseMs = inheritedLeaseMs
     this._createdAt = now
   }
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -83,8 +83,7 @@
   constructor (announcement: WorkerAnnouncement, dependencies: WorkerControllerDependencies) {
     this._announcement = announcement
     this._dependencies = dependencies
-    this._clock = new WorkerClock(dependencies.runLeaseMs, performance.now())
-    this._clock.applyReading(announcement.clockMs, performance.now())
+    this._clock = new WorkerClock(announcement.clockMs, dependencies.runLeaseMs, performance.now())
     void this._pollWorker()
   }
 
--- a/packages/daemon/test/graphs/targetedFaults.test.ts
+++ b/packages/daemon/test/graphs/targetedFaults.test.ts
@@ -108,3 +108,20 @@
     t.deepEqual(faults, [], `paused for ${pauseMs} ms`)
   }
 })
+
+test.serial('the runs of a worker that has restarted end before the same tasks start on other hosts when its host is cut off', async t => {
+  const faults = await listViolations(async (simulation, clock) => {
+    await clock.tickAsync(10_000)
+    for (let index = 0; index < WORKERS; index++) simulation.crashWorker(index, 1_000)
+    await clock.tickAsync(4_000)
+    // One worker stays free, so that a lost task starts again at once.
+    void simulation.submit(makeJob(1, { durationMs: 40_000, steps: [makeStep({ count: WORKERS - 1, accelerators: 8 })] }))
+    await clock.tickAsync(3_000)
+    const cutOff = listOtherNodes(simulation.findPlanner()).filter(index => simulation.getWorker(index).runCount > 0).slice(0, 1)
+    t.is(cutOff.length, 1)
+    simulation.setPartition(cutOff, true)
+    await clock.tickAsync(20_000)
+    simulation.setPartition(cutOff, false)
+  })
+  t.deepEqual(faults, [])
+})
