--- a/review/standins/worker.js
+++ b/review/standins/worker.js
@@ -10,7 +10,10 @@
 const ACCELERATORS = 8
 
 export class Worker {
-  /** Called with what happened to a run: `begin`, how it ended, `crash`, or `end noted` when `last-seen` reaches its end. */
+  /**
+   * Called with what happened to a run: `begin`, how it ended, `crash`, or `end noted` when `last-seen` reaches its end
+   * and the lease has not lapsed between the two.
+   */
   onRun = () => {}
   isUp = false
   #options
@@ -25,6 +28,9 @@
   #highest = new Map()
   #ended = []
   #endCount = 0
+  #lapses = 0
+  /** Number of times that the lease had lapsed when a run ended, by the number of the end. */
+  #lapsesAtEnd = new Map()
   #waiters = new Set()
 
   /** `id`, `host`, `port`, `control` (address of the agent), `service`, `zone` and `rack`. */
@@ -168,7 +174,9 @@
 
   async #hold (body, response) {
     if (body['expires-ms'] !== undefined) this.#extendLease(body['expires-ms'])
-    for (const [number, task, run] of this.#ended) if (number <= body['last-seen']) this.onRun('end noted', { task, number: run }, this)
+    for (const [number, task, run] of this.#ended) {
+      if (number <= body['last-seen'] && this.#lapsesAtEnd.get(number) === this.#lapses) this.onRun('end noted', { task, number: run }, this)
+    }
     this.#ended = this.#ended.filter(([number]) => number > body['last-seen'])
     if (this.#ended.length === 0 && body['wait-ms'] > 0) await this.#waitForEnd(body['wait-ms'])
     const running = this.runs.map(run => [run.task, run.number, '', Math.min(99, Math.floor((performance.now() - run.startedAt) / run.ms * 100)), 1])
@@ -180,7 +188,12 @@
     if (bounded <= this.#leaseUntil) return
     this.#leaseUntil = bounded
     clearTimeout(this.#leaseTimer)
-    this.#leaseTimer = setTimeout(() => { for (const run of this.runs) this.#endRun(run, 'lapsed') }, bounded - this.#clockMs)
+    this.#leaseTimer = setTimeout(() => this.#lapse(), bounded - this.#clockMs)
+  }
+
+  #lapse () {
+    this.#lapses++
+    for (const run of this.runs) this.#endRun(run, 'lapsed')
   }
 
   #endRun (run, how) {
@@ -188,6 +201,7 @@
     clearTimeout(run.timer)
     this.#runs.delete(run.task)
     this.#highest.set(run.task, Math.max(run.number, this.#highest.get(run.task) ?? 0))
+    this.#lapsesAtEnd.set(this.#endCount + 1, this.#lapses)
     this.#ended.push([++this.#endCount, run.task, run.number, how, ''])
     this.onRun(how, run, this)
     for (const wake of [...this.#waiters]) wake()
