Review case 4: subtasks that last and fail are not started again either

Cause: failures of subtasks that last put workers on a probation that only a successful run ends, and such subtasks never succeed.

--- a/review/standins/worker.js
+++ b/review/standins/worker.js
@@ -89,9 +89,9 @@
     for (const wake of [...this.#waiters]) wake()
   }
 
-  /** Ends the runs of a job by themselves. */
-  endRuns (jobId, how) {
-    for (const run of this.runs) if (run.task.startsWith(`${jobId}.`)) this.#endRun(run, how)
+  /** Ends the run of a subtask by itself. */
+  endRun (task, how) {
+    this.#endRun(this.#runs.get(task), how)
   }
 
   /** Returns the body of a check-in of this worker. */
