--- a/review/2/case.js
+++ b/review/2/case.js
@@ -20,7 +20,7 @@
   await sleep(2 * STATUS_S * 1_000 - BEFORE_EXPIRY_MS)
   if (hasTrouble) {
     fleet.store.stop()
-    fleet.note('the store is down')
+    fleet.note('the store is down and resets channels')
   }
   await sleep(DOWN_MS)
   if (hasTrouble) {
@@ -28,7 +28,7 @@
     fleet.note('the store is up')
   }
   await sleep(4_000)
-  fleet.store.isDeaf = true
+  fleet.store.isDeaf = hasTrouble
   await fleet.submit('f0000000000000aa', { ms: 300 }, STEPS)
   await sleep(1_000)
   fleet.store.isDeaf = false
--- a/review/standins/fleet.js
+++ b/review/standins/fleet.js
@@ -23,7 +23,11 @@
 const ROOT = fileURLToPath(new URL('../../', import.meta.url))
 const TIME_LIMIT_MS = 112_000
 const RESTART_DELAY_MS = 500
-const PORTS = { front: 8521, ready: 8523, control: 8526, app: 8529, store: 8524, peers: 7000 }
+const PROGRAM = 'target/dragonflylever.mjs'
+const PORTS = { front: 21, ready: 23, control: 26, app: 29, store: 24, peers: 0 }
+/** Number of ports of the program's own protocol, from `PORTS.peers` on. */
+const PEER_PORTS = 16
+const METRICS_PORT = 9464
 const BOUNDS = {
   'seed-lag-s': 3,
   'addr-reuse-s': 2,
@@ -110,7 +114,7 @@
 
   /** `caseUrl` is the URL of the case's module; its folder gets `record.txt`. */
   constructor (caseUrl) {
-    this.#record = createWriteStream(fileURLToPath(new URL('record.txt', caseUrl)))
+    this.#record = createWriteStream(process.env.RECORD ?? fileURLToPath(new URL('record.txt', caseUrl)))
   }
 
   get nowMs () {
@@ -124,7 +128,7 @@
   /** Starts the store, the entries, the agents and the workers, and waits until all of them take part. */
   async open ({ entries = 1, agents = 3, bounds = {} } = {}) {
     this.#bounds = { ...BOUNDS, ...bounds }
-    this.#subnet = await findSubnet()
+    this.#subnet = await findAddresses()
     for (let index = 1; index <= entries; index++) await this.#startMachine('front', index, 10 + index)
     for (let index = 1; index <= agents; index++) await this.#startMachine('side', index, 50 + index)
     this.store.write('op/config', JSON.stringify(MANIFEST))
@@ -219,7 +223,7 @@
       region: 'pk-south',
       zones: { 'khi-a': 'pk-south' },
       'listen-addrs': type === 'front' ? { front: `${ip}:${PORTS.front}`, ready: `${ip}:${PORTS.ready}` } : { control: `${ip}:${PORTS.control}` },
-      'port-range': [PORTS.peers, PORTS.peers + 15],
+      'port-range': [PORTS.peers, PORTS.peers + PEER_PORTS - 1],
       seeds: [],
       bootstrap: true,
       limits: { 'cpu-share': 0.675, cores: 1, 'memory-mb': 350, 'max-fds': 4100, 'link-mbps': 1000, 'disk-mb': 0 },
@@ -272,7 +276,9 @@
   const fleet = new Fleet(caseUrl)
   let code = ExitCode.notRun
   let isOver = false
-  const limit = setTimeout(() => { fleet.close().finally(() => process.exit(isOver ? code : ExitCode.notRun)) }, TIME_LIMIT_MS)
+  const stop = () => { fleet.close().finally(() => process.exit(isOver ? code : ExitCode.notRun)) }
+  const limit = setTimeout(stop, TIME_LIMIT_MS)
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(signal, stop)
   try {
     fleet.note(`case starts, ${hasTrouble ? 'with' : 'without'} the disruption`)
     await fleet.open(options)
@@ -295,14 +301,19 @@
   const section = text.slice(text.indexOf(`[roles.${role}]`))
   const command = /^run = "([^"]+)"/m.exec(section)?.[1]
   if (command === undefined) throw new Error(`the deploy file has no command for ${role}`)
+  if (!command.includes(PROGRAM)) throw new Error(`the command of the deploy file for ${role} doesn't start ${PROGRAM}`)
   return command.split(' ')
 }
 
-/** Returns the first three numbers of loopback addresses at which nothing listens. */
-async function findSubnet () {
-  for (let attempt = 0; attempt < 20; attempt++) {
+/** Chooses ports, and the first three numbers of loopback addresses, at which nothing listens. Returns these numbers. */
+async function findAddresses () {
+  const offsets = { ...PORTS }
+  for (let attempt = 0; attempt < 50; attempt++) {
     const subnet = `127.${20 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`
-    if (await isFree(`${subnet}.51`, PORTS.control) && await isFree(`${subnet}.11`, PORTS.front)) return subnet
+    const base = 10_000 + 50 * Math.floor(Math.random() * 400)
+    for (const [name, offset] of Object.entries(offsets)) PORTS[name] = base + offset
+    const checks = ['11', '51', '52', '53', '111', '151'].flatMap(host => [...Object.values(PORTS), METRICS_PORT].map(port => isFree(`${subnet}.${host}`, port)))
+    if ((await Promise.all(checks)).every(Boolean)) return subnet
   }
   throw new Error('no free loopback addresses were found')
 }
--- a/review/standins/store.js
+++ b/review/standins/store.js
@@ -7,7 +7,7 @@
 const PAGE_SIZE = 500
 
 export class Store {
-  /** Called before a call is carried out; returns an HTTP status to reject it without effect, or 0. */
+  /** Called before a call is carried out; returns an HTTP status to reject it without effect, `reset` to reset its channel, or 0. */
   reject = () => 0
   /** Called after a write was carried out; returns true to leave it unanswered. */
   loses = () => false
@@ -31,10 +31,11 @@
     for (const wake of [...this.#waiters]) wake()
   }
 
-  /** Turns all machines away with 503. Leases pause meanwhile. */
+  /** Goes down: resets the channels of all machines. Leases pause meanwhile. */
   stop () {
     this.#downSince = performance.now()
-    this.reject = () => 503
+    this.reject = () => 'reset'
+    for (const server of this.#servers) server.closeAllConnections()
   }
 
   /** Serves all machines again. */
@@ -77,6 +78,7 @@
     }
     const url = new URL(request.url, 'http://store')
     const status = this.reject(machine, request.method, url.pathname)
+    if (status === 'reset') return request.socket.resetAndDestroy()
     if (status !== 0) return send(response, status, {})
     const text = Buffer.concat(chunks).toString('utf8')
     const body = text === '' ? {} : JSON.parse(text)
