--- a/packages/adapters/src/prefixWatcher.ts
+++ b/packages/adapters/src/prefixWatcher.ts
@@ -13,6 +13,8 @@
   /** Called after each list call with all current values. Keys from an earlier list that are missing now have been removed from the store. */
   readonly onList: (values: readonly StoredValue[]) => void
   readonly onEvents: (events: readonly WatchEvent[]) => void
+  /** Called when the store has confirmed that all changes up to a revision have been delivered. */
+  readonly onConfirm?: (storeRevision: number) => void
   /** Called with the error in `message` when listing or watching fails, and with an empty `message` when the prefix is watched (again). */
   readonly onHealthChange?: (isWatching: boolean, message: string) => void
 }
@@ -33,7 +35,7 @@
    * {@link close} is called.
    */
   async open (): Promise<void> {
-    const { store, prefix, onList, onEvents } = this._options
+    const { store, prefix, onList, onEvents, onConfirm } = this._options
     const listed = await store.list(prefix)
     if (this._isClosed) return
     if (listed.kind !== 'ok') {
@@ -43,8 +45,10 @@
     }
     this._updateHealth(true, '')
     onList(listed.values)
+    onConfirm?.(listed.storeRevision)
     this._watch = store.watch(prefix, listed.storeRevision + 1, {
       onEvents,
+      onConfirm: storeRevision => onConfirm?.(storeRevision),
       onEnd: message => {
         if (this._isClosed) return
         this._updateHealth(false, message)
--- a/packages/adapters/src/store.ts
+++ b/packages/adapters/src/store.ts
@@ -70,6 +70,11 @@
 export interface WatchListener {
   /** Called with changes in the order of their revisions. */
   onEvents (events: readonly WatchEvent[]): void
+  /**
+   * Called after each answer of a store that is polled, also after one without changes: all changes up to `storeRevision` have been delivered.
+   * Stores that push changes don't call it.
+   */
+  onConfirm? (storeRevision: number): void
   /** Called when the watch has ended; its owner must list again and open a new watch. */
   onEnd (message: string): void
 }
--- a/packages/adapters/src/storeClient.ts
+++ b/packages/adapters/src/storeClient.ts
@@ -126,7 +126,11 @@
       end()
       listener.onEnd(message)
     }
-    const watch = this._store.watch(prefix, fromRevision, { onEvents: events => listener.onEvents(events), onEnd })
+    const watch = this._store.watch(prefix, fromRevision, {
+      onEvents: events => listener.onEvents(events),
+      onConfirm: storeRevision => listener.onConfirm?.(storeRevision),
+      onEnd
+    })
     return { close: () => { end(); watch.close() } }
   }
 
--- a/packages/daemon/src/jobEntry/jobEntryProcess.ts
+++ b/packages/daemon/src/jobEntry/jobEntryProcess.ts
@@ -49,6 +49,11 @@
     return this._policy.index?.policy.version
   }
 
+  /** Time since the store last confirmed the declarations in force, in milliseconds; undefined if it never did. */
+  get declarationsAgeMs (): number | undefined {
+    return this._policy.ageMs
+  }
+
   async open (): Promise<void> {
     await Promise.all([this._policy.open(), this._states.open()])
   }
--- a/packages/daemon/src/jobEntry/policyWatcher.ts
+++ b/packages/daemon/src/jobEntry/policyWatcher.ts
@@ -18,10 +18,15 @@
   readonly logger: Logger
 }
 
+/** Time without a confirmation by the store after which the next one is logged, in milliseconds. */
+const LOGGED_CONFIRMATION_GAP_MS = 3_000
+
 export class PolicyWatcher {
   private readonly _dependencies: PolicyWatcherDependencies
   private _watcher: PrefixWatcher | undefined
   private _index: PolicyIndex | undefined
+  /** Revision up to which the store last confirmed the declarations, and when, on the monotonic clock. */
+  private _confirmed: { readonly revision: number, readonly at: number } | undefined
 
   constructor (dependencies: PolicyWatcherDependencies) {
     this._dependencies = dependencies
@@ -32,6 +37,11 @@
     return this._index
   }
 
+  /** Time since the store last confirmed the declarations, in milliseconds; undefined if it never did. */
+  get ageMs (): number | undefined {
+    return this._confirmed === undefined ? undefined : Math.round(performance.now() - this._confirmed.at)
+  }
+
   /** Starts to watch the declarations; may be called again after `close`. */
   open (): Promise<void> {
     this.close()
@@ -51,6 +61,7 @@
       prefix: dependencies.key,
       onList: values => { for (const value of values) this._applyDeclarations(value) },
       onEvents: events => { for (const event of events) if (event.kind === 'put') this._applyDeclarations(event.value) },
+      onConfirm: revision => this._recordConfirmation(revision),
       onHealthChange: (isWatching, message) => {
         if (isWatching) dependencies.logger.info({ key: dependencies.key }, 'watching declarations in the store')
         else dependencies.logger.warn({ key: dependencies.key, message, version: this._index?.policy.version }, 'cannot watch declarations in the store; keeping those in force')
@@ -58,16 +69,23 @@
     })
   }
 
+  private _recordConfirmation (revision: number): void {
+    const { ageMs } = this
+    const version = this._index?.policy.version
+    if (ageMs !== undefined && ageMs > LOGGED_CONFIRMATION_GAP_MS) this._dependencies.logger.warn({ version, revision, confirmedRevision: this._confirmed?.revision, ageMs }, 'declarations are confirmed again after a gap')
+    this._confirmed = { revision, at: performance.now() }
+  }
+
   private _applyDeclarations (stored: StoredValue): void {
     if (stored.key !== this._dependencies.key) return
     const policy = this._dependencies.decode(stored.value)
     const { logger } = this._dependencies
     if (policy === undefined) {
-      logger.error({ key: stored.key, revision: stored.modRevision, version: this._index?.policy.version }, 'stored declarations are unreadable; keeping those in force')
+      logger.error({ key: stored.key, revision: stored.modRevision, version: this._index?.policy.version, confirmedRevision: this._confirmed?.revision, ageMs: this.ageMs }, 'stored declarations are unreadable; keeping those in force')
       return
     }
     if (this._index !== undefined && policy.version <= this._index.policy.version) return
     this._index = new PolicyIndex(policy)
-    logger.info({ version: policy.version, revision: stored.modRevision, queues: policy.queues.length, organisations: policy.organisations.length }, 'declarations in force')
+    logger.info({ version: policy.version, revision: stored.modRevision, queues: policy.queues.length, organisations: policy.organisations.length, confirmedRevision: this._confirmed?.revision, ageMs: this.ageMs }, 'declarations in force')
   }
 }
