--- a/packages/adapters/src/prefixWatcher.ts
+++ b/packages/adapters/src/prefixWatcher.ts
@@ -10,6 +10,8 @@
 export interface PrefixWatcherOptions {
   readonly store: Store
   readonly prefix: string
+  /** Time after which a watch that hears nothing must have found out whether its connection is dead, in milliseconds. */
+  readonly maxSilenceMs?: number
   /** Called after each list call with all current values. Keys from an earlier list that are missing now have been removed from the store. */
   readonly onList: (values: readonly StoredValue[]) => void
   readonly onEvents: (events: readonly WatchEvent[]) => void
@@ -35,7 +37,7 @@
    * {@link close} is called.
    */
   async open (): Promise<void> {
-    const { store, prefix, onList, onEvents, onConfirm } = this._options
+    const { store, prefix, maxSilenceMs, onList, onEvents, onConfirm } = this._options
     const listed = await store.list(prefix)
     if (this._isClosed) return
     if (listed.kind !== 'ok') {
@@ -54,7 +56,7 @@
         this._updateHealth(false, message)
         this._retry = setTimeout(() => { void this.open() }, 0)
       }
-    })
+    }, maxSilenceMs === undefined ? {} : { maxSilenceMs })
   }
 
   close (): void {
--- a/packages/adapters/src/store.ts
+++ b/packages/adapters/src/store.ts
@@ -83,6 +83,15 @@
   close (): void
 }
 
+/** Options of a watch. */
+export interface WatchOptions {
+  /**
+   * Time after which a watch that hears nothing must have found out whether its connection is dead, in milliseconds; the adapter's default if absent. For
+   * adapters that poll.
+   */
+  readonly maxSilenceMs?: number
+}
+
 /** Health of the store as seen by the calls of this process: `slow` after a slow answer, `down` while the store does not answer. */
 export const StoreHealth = { up: 'up', slow: 'slow', down: 'down' } as const
 export type StoreHealth = typeof StoreHealth[keyof typeof StoreHealth]
@@ -101,7 +110,7 @@
   renewLease (leaseId: string): Promise<LeaseOutcome>
   revokeLease (leaseId: string): Promise<LeaseOutcome>
   /** Watches the keys with a prefix, starting at the given store revision. */
-  watch (prefix: string, fromRevision: number, listener: WatchListener): Watch
+  watch (prefix: string, fromRevision: number, listener: WatchListener, options?: WatchOptions): Watch
   close (): Promise<void>
 }
 
--- a/packages/adapters/src/storeClient.ts
+++ b/packages/adapters/src/storeClient.ts
@@ -8,7 +8,7 @@
 import type { Random } from '@dragonflylever/core'
 
 import { CircuitBreaker } from './circuitBreaker.js'
-import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, StoreHealth, TransactOutcome, Transaction, Unavailable, Watch, WatchListener } from './store.js'
+import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, StoreHealth, TransactOutcome, Transaction, Unavailable, Watch, WatchListener, WatchOptions } from './store.js'
 import { TokenBucket } from './tokenBucket.js'
 
 const DEFAULT_RATE_PER_S = 10
@@ -114,7 +114,7 @@
     return this._callStore<LeaseOutcome>('leases', () => this._store.revokeLease(leaseId), true)
   }
 
-  watch (prefix: string, fromRevision: number, listener: WatchListener): Watch {
+  watch (prefix: string, fromRevision: number, listener: WatchListener, options?: WatchOptions): Watch {
     this._usage.watchesOpened++
     this._usage.openWatches++
     let isOpen = true
@@ -130,7 +130,7 @@
       onEvents: events => listener.onEvents(events),
       onConfirm: storeRevision => listener.onConfirm?.(storeRevision),
       onEnd
-    })
+    }, options)
     return { close: () => { end(); watch.close() } }
   }
 
--- a/packages/daemon/src/jobEntry/jobEntryProcess.ts
+++ b/packages/daemon/src/jobEntry/jobEntryProcess.ts
@@ -19,10 +19,15 @@
   readonly policyKey: string
   /** Decodes the declarations; returns undefined if they are invalid. */
   readonly decodePolicy: (text: string) => FleetPolicy | undefined
+  /** Time within which a change of the declarations must be in force, in milliseconds. */
+  readonly applyMs: number
   readonly logger: Logger
   readonly metrics: Metrics
 }
 
+/** Share of the time for a change in which a watch that hears nothing must notice; the rest is for another way to the store. */
+const NOTICE_SHARE = 0.5
+
 export class JobEntryProcess {
   readonly front: JobEntryHandler
   private readonly _lifecycle = new Lifecycle()
@@ -32,7 +37,13 @@
 
   constructor (dependencies: JobEntryDependencies) {
     const { store, keys, logger, metrics } = dependencies
-    this._policy = new PolicyWatcher({ store, key: dependencies.policyKey, decode: dependencies.decodePolicy, logger: createPartLogger(logger, 'config') })
+    this._policy = new PolicyWatcher({
+      store,
+      key: dependencies.policyKey,
+      decode: dependencies.decodePolicy,
+      logger: createPartLogger(logger, 'config'),
+      maxSilenceMs: dependencies.applyMs * NOTICE_SHARE
+    })
     this._states = new JobStates({ store, keys, logger: createPartLogger(logger, 'states') })
     this.front = new JobEntryHandler({ store, keys, states: this._states, logger: createPartLogger(logger, 'front'), metrics, getPolicy: () => this._policy.index })
     this._lifecycle.add('declarations', () => this._policy.close())
--- a/packages/daemon/src/jobEntry/policyWatcher.ts
+++ b/packages/daemon/src/jobEntry/policyWatcher.ts
@@ -16,6 +16,8 @@
   /** Decodes the declarations; returns undefined if they are invalid. */
   readonly decode: (text: string) => FleetPolicy | undefined
   readonly logger: Logger
+  /** Time after which a watch that hears nothing must have found out whether its connection is dead, in milliseconds. */
+  readonly maxSilenceMs?: number
 }
 
 /** Time without a confirmation by the store after which the next one is logged, in milliseconds. */
@@ -59,6 +61,7 @@
     return new PrefixWatcher({
       store: dependencies.store,
       prefix: dependencies.key,
+      ...(dependencies.maxSilenceMs === undefined ? {} : { maxSilenceMs: dependencies.maxSilenceMs }),
       onList: values => { for (const value of values) this._applyDeclarations(value) },
       onEvents: events => { for (const event of events) if (event.kind === 'put') this._applyDeclarations(event.value) },
       onConfirm: revision => this._recordConfirmation(revision),
--- /dev/null
+++ b/packages/daemon/src/storeRelay/directPath.ts
@@ -0,0 +1,89 @@
+/**
+ * The direct path of a process to the store, and whether the store serves the process over it. While the path fails, it is probed at intervals, so that no
+ * caller's call has to be the probe.
+ */
+import type { HttpCall, HttpCaller, HttpOutcome, Logger } from '@dragonflylever/runtime'
+
+/** Time between two probes while the path fails, and timeout of a probe, in milliseconds. */
+const PROBE_INTERVAL_MS = 500
+/** Statuses with which the store rejects a call without carrying it out. */
+const REJECTION_STATUSES = new Set([429, 503])
+
+/** Dependencies of {@link DirectPath}. */
+export interface DirectPathDependencies {
+  readonly caller: HttpCaller
+  /** A read without effect that the store answers at once. */
+  readonly probe: Pick<HttpCall, 'address' | 'path'>
+  readonly logger: Logger
+}
+
+/** True if the store processed the call, also if it did so with a negative answer. */
+export function isServed (outcome: HttpOutcome): boolean {
+  return outcome.kind === 'answered' && !REJECTION_STATUSES.has(outcome.status)
+}
+
+export class DirectPath implements HttpCaller {
+  private readonly _dependencies: DirectPathDependencies
+  private readonly _longPolls = new Set<AbortController>()
+  private _isFailing = false
+  private _isClosed = false
+  private _timer: NodeJS.Timeout | undefined
+
+  constructor (dependencies: DirectPathDependencies) {
+    this._dependencies = dependencies
+  }
+
+  /** True from the first call that the store did not serve until a call or probe is served again. */
+  get isFailing (): boolean {
+    return this._isFailing
+  }
+
+  /** Calls the store directly. A long poll ends with `lost` as soon as a probe gets no answer. */
+  async call (call: HttpCall): Promise<HttpOutcome> {
+    const outcome = await (call.isLongPoll === true ? this._callLongPoll(call) : this._dependencies.caller.call(call))
+    if (call.signal?.aborted !== true) this._recordOutcome(outcome)
+    return outcome
+  }
+
+  close (): void {
+    this._isClosed = true
+    clearTimeout(this._timer)
+    this._dependencies.caller.close()
+  }
+
+  private async _callLongPoll (call: HttpCall): Promise<HttpOutcome> {
+    const abort = new AbortController()
+    const onAbort = (): void => abort.abort()
+    call.signal?.addEventListener('abort', onAbort, { once: true })
+    if (call.signal?.aborted === true) abort.abort()
+    this._longPolls.add(abort)
+    const outcome = await this._dependencies.caller.call({ ...call, signal: abort.signal })
+    this._longPolls.delete(abort)
+    call.signal?.removeEventListener('abort', onAbort)
+    return outcome
+  }
+
+  private _recordOutcome (outcome: HttpOutcome): void {
+    const isFailing = !isServed(outcome)
+    if (this._isFailing === isFailing) return
+    this._isFailing = isFailing
+    const { logger } = this._dependencies
+    if (!isFailing) logger.info({}, 'store is directly reachable again')
+    else logger.warn({ outcome: outcome.kind === 'answered' ? outcome.status : outcome.message }, 'cannot reach the store directly; relaying calls through agents')
+    clearTimeout(this._timer)
+    if (isFailing) void this._checkStore()
+  }
+
+  /** Probes the store until it serves a probe. Without an answer, the long polls that wait for one are taken for dead, too. */
+  private async _checkStore (): Promise<void> {
+    if (this._isClosed) return
+    const startedAt = performance.now()
+    const outcome = await this._dependencies.caller.call({ ...this._dependencies.probe, method: 'GET', timeoutMs: PROBE_INTERVAL_MS })
+    if (this._isClosed || !this._isFailing) return
+    if (outcome.kind !== 'answered') for (const abort of this._longPolls) abort.abort()
+    this._recordOutcome(outcome)
+    if (!this._isFailing) return
+    clearTimeout(this._timer)
+    this._timer = setTimeout(() => { void this._checkStore() }, Math.max(0, PROBE_INTERVAL_MS - (performance.now() - startedAt))).unref()
+  }
+}
--- a/packages/daemon/src/storeRelay/relayHandler.ts
+++ b/packages/daemon/src/storeRelay/relayHandler.ts
@@ -5,41 +5,56 @@
 
 import { parseJson } from '@dragonflylever/protocol'
 import { readBody } from '@dragonflylever/runtime'
-import type { HttpCaller, Logger } from '@dragonflylever/runtime'
+import type { Logger } from '@dragonflylever/runtime'
 import * as z from 'zod'
 
+import type { DirectPath } from './directPath.js'
 import { RELAY_FAILED } from './relayedCaller.js'
 
 const MAX_BODY_BYTES = 2 * 1024 * 1024
-const requestSchema = z.object({ method: z.enum(['GET', 'POST', 'DELETE']), path: z.string(), body: z.string().optional(), timeoutMs: z.number().min(1).max(60_000) })
+const requestSchema = z.object({ method: z.enum(['GET', 'POST', 'DELETE']), path: z.string(), body: z.string().optional(), timeoutMs: z.number().min(1).max(60_000), isLongPoll: z.boolean().optional() })
 
 /** Dependencies of {@link createRelayHandler}. */
 export interface RelayHandlerDependencies {
   /** Calls the store directly, never through another agent. */
-  readonly direct: HttpCaller
+  readonly direct: DirectPath
   readonly storeAddress: string
   readonly logger: Logger
 }
 
-/**
- * Creates the handler of requests at `RELAY_PATH`. Answers with the store's
- * answer, with status 400 if the request is invalid, and with status {@link RELAY_FAILED} if the store did not answer.
- */
+/** Answer to a request to relay a call. */
+export interface RelayAnswer {
+  readonly status: number
+  readonly body: string
+}
+
+/** Creates the HTTP handler of requests at `RELAY_PATH`. */
 export function createRelayHandler (dependencies: RelayHandlerDependencies): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
   return async (request, response) => {
     const read = await readBody(request, { maxBytes: MAX_BODY_BYTES })
-    const checked = requestSchema.safeParse(read.kind === 'whole' ? parseJson(read.body.toString('utf8')) : undefined)
-    if (!checked.success) return sendAnswer(response, 400, 'expected a call to the store')
-    const { method, path, body, timeoutMs } = checked.data
-    const outcome = await dependencies.direct.call({ address: dependencies.storeAddress, method, path, timeoutMs, ...(body === undefined ? {} : { body }) })
-    if (outcome.kind === 'answered') return sendAnswer(response, outcome.status, outcome.body)
-    dependencies.logger.info({ method, message: outcome.message }, 'failed to relay a store call for another process')
-    sendAnswer(response, RELAY_FAILED, outcome.message)
+    sendAnswer(response, await serveRelayCall(dependencies, read.kind === 'whole' ? read.body.toString('utf8') : ''))
   }
 }
 
-function sendAnswer (response: ServerResponse, status: number, text: string): void {
-  const body = Buffer.from(text)
-  response.writeHead(status, { 'content-type': 'application/json', 'content-length': body.length })
+/**
+ * Calls the store as the text of a request asks. Returns the store's answer, status 400 if the request is invalid, and status {@link RELAY_FAILED} if
+ * the store did not answer or does not serve this process.
+ */
+export async function serveRelayCall (dependencies: RelayHandlerDependencies, text: string): Promise<RelayAnswer> {
+  const { direct, storeAddress, logger } = dependencies
+  const checked = requestSchema.safeParse(parseJson(text))
+  if (!checked.success) return { status: 400, body: 'expected a call to the store' }
+  // Answered at once, so that the caller can ask another agent.
+  if (direct.isFailing) return { status: RELAY_FAILED, body: 'the store does not serve this process either' }
+  const { method, path, body, timeoutMs, isLongPoll } = checked.data
+  const outcome = await direct.call({ address: storeAddress, method, path, timeoutMs, ...(body === undefined ? {} : { body }), ...(isLongPoll === undefined ? {} : { isLongPoll }) })
+  if (outcome.kind === 'answered') return { status: outcome.status, body: outcome.body }
+  logger.info({ method, message: outcome.message }, 'failed to relay a store call for another process')
+  return { status: RELAY_FAILED, body: outcome.message }
+}
+
+function sendAnswer (response: ServerResponse, answer: RelayAnswer): void {
+  const body = Buffer.from(answer.body)
+  response.writeHead(answer.status, { 'content-type': 'application/json', 'content-length': body.length })
   response.end(body)
 }
--- a/packages/daemon/src/storeRelay/relayedCaller.ts
+++ b/packages/daemon/src/storeRelay/relayedCaller.ts
@@ -5,24 +5,27 @@
  */
 import type { HttpCall, HttpCaller, HttpOutcome, Logger } from '@dragonflylever/runtime'
 
+import { isServed } from './directPath.js'
+import type { DirectPath } from './directPath.js'
+
 /** Path at which agents accept calls to relay. */
 export const RELAY_PATH = '/store-relay'
-/** Minimum time between two direct calls to the store while direct calls fail, in milliseconds; other calls go to agents first. */
-const PROBE_INTERVAL_MS = 500
 /** After no agent could reach the store, agents are not asked to relay calls for this time, in milliseconds. */
 const RELAY_PAUSE_MS = 400
-/** Maximum number of agents that are asked to relay one call. */
+/** Maximum number of agents that are asked to relay one write or long poll. */
 const MAX_RELAYS = 2
+/** Maximum number of agents that are asked to relay one read, which is harmless to repeat. */
+const MAX_READ_RELAYS = 6
+/** Time without an answer after which the next agent is asked to relay a read as well, in milliseconds; an answer takes up to 130 ms between regions. */
+const READ_RELAY_INTERVAL_MS = 150
 /** Added to a call's timeout when an agent relays it, in milliseconds. */
 const RELAY_TIMEOUT_MARGIN_MS = 100
-/** Statuses with which the store rejects a call without carrying it out. */
-const REJECTION_STATUSES = new Set([429, 503])
 /** HTTP status by which an agent reports that it can't reach the store either. */
 export const RELAY_FAILED = 502
 
 /** Dependencies of {@link RelayedCaller}. */
 export interface RelayedCallerDependencies {
-  readonly direct: HttpCaller
+  readonly direct: DirectPath
   readonly peers: HttpCaller
   readonly logger: Logger
   /** Lists the addresses of the agents that may relay calls, those of the same region first. */
@@ -35,12 +38,11 @@
   readonly path: string
   readonly body?: string
   readonly timeoutMs: number
+  readonly isLongPoll?: boolean
 }
 
 export class RelayedCaller implements HttpCaller {
   private readonly _dependencies: RelayedCallerDependencies
-  private _isDirectFailing = false
-  private _probedAt = -Infinity
   private _relaysPausedUntil = -Infinity
   private _relayIndex = 0
 
@@ -49,20 +51,16 @@
   }
 
   async call (call: HttpCall): Promise<HttpOutcome> {
-    const isProbe = !this._isDirectFailing || performance.now() - this._probedAt > PROBE_INTERVAL_MS
-    if (!isProbe) {
+    const { direct } = this._dependencies
+    if (direct.isFailing) {
       const relayed = await this._callRelays(call)
       if (relayed !== undefined) return relayed
     }
-    this._probedAt = performance.now()
-    const outcome = await this._dependencies.direct.call(call)
-    const isServed = outcome.kind === 'answered' && !REJECTION_STATUSES.has(outcome.status)
-    if (call.signal?.aborted === true) return outcome
-    this._recordDirectOutcome(isServed, outcome)
-    if (isServed) return outcome
-    const relayed = await this._callRelays(call)
-    if (relayed !== undefined) return relayed
-    return outcome
+    const outcome = await direct.call(call)
+    if (isServed(outcome) || call.signal?.aborted === true) return outcome
+    // The answer to a long poll is awaited for long, and through an agent that may not reach the store either; its caller finds a working path first.
+    if (call.isLongPoll === true) return outcome
+    return await this._callRelays(call) ?? outcome
   }
 
   close (): void {
@@ -73,35 +71,69 @@
   /** Sends a call through agents; resolves with the store's answer, or with undefined if no agent obtained one. */
   private async _callRelays (call: HttpCall): Promise<HttpOutcome | undefined> {
     const relays = this._dependencies.listRelays()
-    if (performance.now() < this._relaysPausedUntil) return undefined
-    const request: RelayRequest = { method: call.method, path: call.path, timeoutMs: call.timeoutMs, ...(call.body === undefined ? {} : { body: call.body }) }
+    if (performance.now() < this._relaysPausedUntil || relays.length === 0) return undefined
+    const isRead = call.method === 'GET' && call.isLongPoll !== true
+    const relayed = await (isRead ? this._readThroughRelays(call, relays) : this._callRelaysInTurn(call, relays))
+    if (relayed === undefined) this._relaysPausedUntil = performance.now() + RELAY_PAUSE_MS
+    return relayed
+  }
+
+  /** Asks one agent after the other. */
+  private async _callRelaysInTurn (call: HttpCall, relays: readonly string[]): Promise<HttpOutcome | undefined> {
     const startedAt = performance.now()
     for (let count = 0; count < Math.min(MAX_RELAYS, relays.length); count++) {
       // A second agent is asked only if the first one failed quickly.
       if (performance.now() - startedAt > RELAY_TIMEOUT_MARGIN_MS) break
-      const address = relays[this._relayIndex % relays.length]
-      if (address === undefined) return undefined
-      const outcome = await this._dependencies.peers.call({
-        address,
-        method: 'POST',
-        path: RELAY_PATH,
-        body: JSON.stringify(request),
-        timeoutMs: call.timeoutMs + RELAY_TIMEOUT_MARGIN_MS,
-        ...(call.signal === undefined ? {} : { signal: call.signal })
-      })
-      if (outcome.kind === 'answered' && outcome.status !== RELAY_FAILED && !REJECTION_STATUSES.has(outcome.status)) return outcome
-      if (call.signal?.aborted === true) return outcome
-      this._relayIndex++
+      const index = this._relayIndex % relays.length
+      const outcome = await this._callRelay(call, relays[index] ?? '', call.signal)
+      if (isRelayed(outcome) || call.signal?.aborted === true) return outcome
+      this._relayIndex = index + 1
     }
-    this._relaysPausedUntil = performance.now() + RELAY_PAUSE_MS
     return undefined
   }
 
-  private _recordDirectOutcome (isServed: boolean, outcome: HttpOutcome): void {
-    if (this._isDirectFailing === !isServed) return
-    this._isDirectFailing = !isServed
-    const { logger } = this._dependencies
-    if (isServed) logger.info({}, 'store is directly reachable again')
-    else logger.warn({ outcome: outcome.kind === 'answered' ? outcome.status : outcome.message, relays: this._dependencies.listRelays().length }, 'cannot reach the store directly; relaying calls through agents')
+  /** Asks the next agent as soon as one fails, or has not answered for a short time, and returns the first answer. */
+  private async _readThroughRelays (call: HttpCall, relays: readonly string[]): Promise<HttpOutcome | undefined> {
+    const abort = new AbortController()
+    const firstIndex = this._relayIndex
+    const count = Math.min(MAX_READ_RELAYS, relays.length)
+    const outcome = await new Promise<HttpOutcome | undefined>(resolve => {
+      let asked = 0
+      let failed = 0
+      let timer: NodeJS.Timeout | undefined
+      const callNext = (): void => {
+        clearTimeout(timer)
+        if (abort.signal.aborted || asked >= count) return
+        const index = (firstIndex + asked++) % relays.length
+        timer = setTimeout(callNext, READ_RELAY_INTERVAL_MS)
+        void this._callRelay(call, relays[index] ?? '', abort.signal).then(answer => {
+          if (abort.signal.aborted) return
+          if (!isRelayed(answer)) return ++failed === count ? resolve(undefined) : callNext()
+          this._relayIndex = index
+          resolve(answer)
+        })
+      }
+      callNext()
+    })
+    abort.abort()
+    return outcome
   }
+
+  private _callRelay (call: HttpCall, address: string, signal: AbortSignal | undefined): Promise<HttpOutcome> {
+    const { method, path, body, timeoutMs, isLongPoll } = call
+    const request: RelayRequest = { method, path, timeoutMs, ...(body === undefined ? {} : { body }), ...(isLongPoll === undefined ? {} : { isLongPoll }) }
+    return this._dependencies.peers.call({
+      address,
+      method: 'POST',
+      path: RELAY_PATH,
+      body: JSON.stringify(request),
+      timeoutMs: timeoutMs + RELAY_TIMEOUT_MARGIN_MS,
+      ...(signal === undefined ? {} : { signal })
+    })
+  }
+}
+
+/** True if the answer of an agent is the store's answer to the relayed call. */
+function isRelayed (outcome: HttpOutcome): boolean {
+  return isServed(outcome) && !(outcome.kind === 'answered' && outcome.status === RELAY_FAILED)
 }
--- a/packages/daemon/test/storeRelay/relayedCaller.test.ts
+++ b/packages/daemon/test/storeRelay/relayedCaller.test.ts
@@ -4,6 +4,7 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 
+import { DirectPath } from '@dragonflylever/daemon/storeRelay/directPath'
 import { RELAY_PATH, RelayedCaller } from '@dragonflylever/daemon/storeRelay/relayedCaller'
 import { createRelayHandler } from '@dragonflylever/daemon/storeRelay/relayHandler'
 import { HttpClient, createLogger } from '@dragonflylever/runtime'
@@ -12,9 +13,10 @@
 import type { ExecutionContext } from 'ava'
 
 const LOGGER = createLogger({ level: 'silent', processId: 't' })
+const PROBE_PATH = '/probe'
 const CALL: HttpCall = { address: 'store', method: 'POST', path: '/x', body: '{"a":1}', timeoutMs: 500 }
 
-/** HTTP client for the store that counts the calls and returns the answer set by the test. */
+/** HTTP client for the store that counts the calls, apart from probes, and returns the answer set by the test. */
 class ScriptedCaller implements HttpCaller {
   calls = 0
   answer: HttpOutcome
@@ -23,8 +25,8 @@
     this.answer = answer
   }
 
-  async call (): Promise<HttpOutcome> {
-    this.calls++
+  async call (call: HttpCall): Promise<HttpOutcome> {
+    if (call.path !== PROBE_PATH) this.calls++
     return this.answer
   }
 
@@ -35,9 +37,15 @@
   return { kind: 'answered', status, headers: {}, body }
 }
 
+function createDirectPath (t: ExecutionContext, caller: HttpCaller): DirectPath {
+  const path = new DirectPath({ caller, probe: { address: 'store', path: PROBE_PATH }, logger: LOGGER })
+  t.teardown(() => path.close())
+  return path
+}
+
 /** Opens an HTTP server that relays calls as an agent does, through the given caller; returns its address. */
 async function openRelay (t: ExecutionContext, direct: HttpCaller): Promise<string> {
-  const handle = createRelayHandler({ direct, storeAddress: 'store', logger: LOGGER })
+  const handle = createRelayHandler({ direct: createDirectPath(t, direct), storeAddress: 'store', logger: LOGGER })
   const server = createServer((request, response) => { void (request.url === RELAY_PATH ? handle(request, response) : response.end()) })
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   t.teardown(() => { server.closeAllConnections(); server.close() })
@@ -46,7 +54,7 @@
 
 function createCaller (t: ExecutionContext, direct: HttpCaller, relays: readonly string[]): RelayedCaller {
   const peers = new HttpClient({ maxConnections: 2, maxAnswerBytes: 10_000 })
-  const caller = new RelayedCaller({ direct, peers, logger: LOGGER, listRelays: () => relays })
+  const caller = new RelayedCaller({ direct: createDirectPath(t, direct), peers, logger: LOGGER, listRelays: () => relays })
   t.teardown(() => caller.close())
   return caller
 }
--- a/packages/runtime/src/httpClient.ts
+++ b/packages/runtime/src/httpClient.ts
@@ -20,6 +20,8 @@
   readonly body?: string
   /** Timeout of the whole call, in milliseconds. */
   readonly timeoutMs: number
+  /** True if the server may keep the call waiting for as long as the timeout, so that its silence until then means nothing. */
+  readonly isLongPoll?: boolean
   /** Aborts the call. */
   readonly signal?: AbortSignal
 }
