--- a/packages/runtime/src/httpClient.ts
+++ b/packages/runtime/src/httpClient.ts
@@ -1,7 +1,8 @@
 /**
  * HTTP client with keep-alive connections. It uses Node's own client, which takes a quarter of undici's memory and less than half
  * of its processor time for the frequent small calls of an agent. Every call has a timeout, after which its connection is
- * destroyed, so that an unresponsive connection is never reused.
+ * destroyed, so that an unresponsive connection is never reused. Idle connections to the same server are destroyed with it: what silenced one, such as a lost
+ * route, may have silenced all of them, and each would cost another call its whole timeout.
  */
 import { Agent, request as openRequest } from 'node:http'
 import type { IncomingHttpHeaders } from 'node:http'
@@ -66,7 +67,10 @@
       let isConnected = false
       const request = openRequest({ agent: this._agent, host, port, method: call.method, path: call.path, headers })
       const onAbort = (): void => { request.destroy(new Error('the call was given up')) }
-      const timer = setTimeout(() => request.destroy(new Error(`no answer within ${call.timeoutMs} ms`)), call.timeoutMs)
+      const timer = setTimeout(() => {
+        request.destroy(new Error(`no answer within ${call.timeoutMs} ms`))
+        this._closeIdleConnections(host, port)
+      }, call.timeoutMs)
       const settle = (outcome: HttpOutcome): void => {
         clearTimeout(timer)
         call.signal?.removeEventListener('abort', onAbort)
@@ -97,4 +101,8 @@
   close (): void {
     this._agent.destroy()
   }
+
+  private _closeIdleConnections (host: string, port: number): void {
+    for (const socket of this._agent.freeSockets[this._agent.getName({ host, port })] ?? []) socket.destroy()
+  }
 }
