--- a/packages/runtime/src/httpClient.ts
+++ b/packages/runtime/src/httpClient.ts
@@ -5,9 +5,9 @@
  * route, may have silenced all of them, and each would cost another call its whole timeout.
  */
 import { Agent, request as openRequest } from 'node:http'
-import type { IncomingHttpHeaders } from 'node:http'
+import type { ClientRequest, IncomingHttpHeaders, RequestOptions } from 'node:http'
 
-import { parseAddress } from './httpServer.js'
+import { isPort, parseAddress } from './httpServer.js'
 import { readBody } from './readBody.js'
 
 /** One HTTP call. */
@@ -64,8 +64,10 @@
     const body = call.body === undefined ? undefined : Buffer.from(call.body)
     const headers = { ...call.headers, ...(body === undefined ? {} : { 'content-type': 'application/json', 'content-length': String(body.length) }) }
     return new Promise(resolve => {
+      const opened = openCheckedRequest({ agent: this._agent, host, port, method: call.method, path: call.path, headers })
+      if (opened instanceof Error) return resolve({ kind: 'notSent', message: `${call.method} ${call.address}${call.path}: ${opened.message}`, isRefused: false })
+      const request = opened
       let isConnected = false
-      const request = openRequest({ agent: this._agent, host, port, method: call.method, path: call.path, headers })
       const onAbort = (): void => { request.destroy(new Error('the call was given up')) }
       const timer = setTimeout(() => {
         request.destroy(new Error(`no answer within ${call.timeoutMs} ms`))
@@ -106,3 +108,14 @@
     for (const socket of this._agent.freeSockets[this._agent.getName({ host, port })] ?? []) socket.destroy()
   }
 }
+
+/** Opens a request. Returns an error if its address, path or a header has a value that no request can have; such values may come from other processes. */
+function openCheckedRequest (options: RequestOptions & { readonly host: string, readonly port: number }): ClientRequest | Error {
+  // Node takes an empty host for the local one and a port that is no number for port 80.
+  if (options.host === '' || !isPort(options.port)) return new Error('the address has no host or no valid port')
+  try {
+    return openRequest(options)
+  } catch (error) {
+    return error as Error
+  }
+}
--- a/packages/runtime/test/httpClient.test.ts
+++ b/packages/runtime/test/httpClient.test.ts
@@ -1,5 +1,5 @@
 /**
- * The HTTP client over connections that fall silent without being reset.
+ * The HTTP client over connections that fall silent without being reset, and with values that no request can be made of.
  */
 import { createServer } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
@@ -7,6 +7,7 @@
 import { HttpClient } from '@dragonflylever/runtime'
 import type { HttpOutcome } from '@dragonflylever/runtime'
 import test from 'ava'
+import fc from 'fast-check'
 
 const CONNECTIONS = 4
 
@@ -35,3 +36,17 @@
   t.is((await call()).kind, 'lost')
   for (let count = 0; count < CONNECTIONS; count++) t.is((await call()).kind, 'answered')
 })
+
+test('a call with an address, path or header value that no request can be made of is not sent, and does not reject', async t => {
+  const client = new HttpClient({ maxConnections: 1, maxAnswerBytes: 1_000 })
+  t.teardown(() => client.close())
+  const call = { address: '127.0.0.1:1', method: 'GET', path: '/', timeoutMs: 100 } as const
+  for (const change of [{ address: '127.0.0.1:85290' }, { address: '127.0.0.1:-1' }, { address: '127.0.0.1:x' }, { address: '' }, { path: '/a b\n' }, { headers: { 'x-id': 'i-\nodd' } }]) {
+    t.like(await client.call({ ...call, ...change }), { kind: 'notSent', isRefused: false })
+  }
+  const text = fc.string({ unit: 'binary' })
+  await fc.assert(fc.asyncProperty(text, text, text, fc.integer(), async (host, path, header, port) => {
+    const outcome = await client.call({ ...call, address: `${host.includes('.') ? '' : '127.0.0.1'}:${port < 0 || port > 65_535 ? port : port + 65_536}`, path, headers: { 'x-id': header } })
+    t.is(outcome.kind, 'notSent')
+  }), { seed: 30, numRuns: 200 })
+})
