--- a/packages/daemon/src/duties/leaderElector.ts
+++ b/packages/daemon/src/duties/leaderElector.ts
@@ -8,8 +8,10 @@
 
 import { putWithRetry } from '@dragonflylever/adapters'
 import type { Store, StoredValue } from '@dragonflylever/adapters'
+import { parseJson } from '@dragonflylever/protocol'
 import { measureAge, readClocks } from '@dragonflylever/runtime'
 import type { ClockReading, Logger } from '@dragonflylever/runtime'
+import * as z from 'zod'
 
 /** Default time to live of a leader's lease, in milliseconds. */
 export const LEADER_LEASE_TTL_MS = 5_000
@@ -23,11 +25,8 @@
 }
 
 /** Value of a leader's key in the store. The nonce distinguishes the records that one process wrote in several attempts to become leader. */
-export interface LeaderRecord {
-  readonly holder: string
-  readonly address: string
-  readonly nonce: string
-}
+const leaderRecordSchema = z.object({ holder: z.string(), address: z.string(), nonce: z.string() })
+export type LeaderRecord = z.infer<typeof leaderRecordSchema>
 
 /** The leader of a role, as last seen by this process. */
 export interface LeaderView {
@@ -70,10 +69,12 @@
   return `${prefix}/duties/${duty}`
 }
 
-/** Decodes the record stored at a leader's key; throws if it is not valid JSON. */
-export function decodeLeaderRecord (duty: string, stored: StoredValue): LeaderView {
-  const record = JSON.parse(stored.value) as LeaderRecord
-  return { duty, holder: record.holder, address: record.address, epoch: stored.createRevision }
+/** Decodes the record stored at a leader's key; returns undefined if it is not the record of a leader. */
+export function decodeLeaderRecord (duty: string, stored: StoredValue): LeaderView | undefined {
+  const checked = leaderRecordSchema.safeParse(parseJson(stored.value))
+  if (!checked.success) return undefined
+  const { holder, address } = checked.data
+  return { duty, holder, address, epoch: stored.createRevision }
 }
 
 export class LeaderElector {
@@ -138,10 +139,10 @@
   private async _tryAcquire (): Promise<AcquireOutcome> {
     const held = this.epoch
     if (held !== undefined) return { kind: 'held', epoch: held }
-    const { store, duty } = this._options
+    const { store } = this._options
     const found = await store.get(this._key)
     if (found.kind !== 'ok') return found
-    if (found.value !== undefined && !await this._removeStaleRecord(found.value)) return { kind: 'other', view: decodeLeaderRecord(duty, found.value) }
+    if (found.value !== undefined && !await this._removeStaleRecord(found.value)) return this._describeLeader(found.value)
     const callStartedAt = readClocks()
     const lease = await store.grantLease(this._options.times?.ttlMs ?? LEADER_LEASE_TTL_MS)
     if (lease.kind !== 'ok') return { kind: 'unavailable', message: lease.kind === 'expired' ? 'the lease expired' : lease.message }
@@ -155,14 +156,14 @@
   private async _removeStaleRecord (stored: StoredValue): Promise<boolean> {
     const { store, duty, holder, getAddress, isFencedByStore, logger } = this._options
     const view = decodeLeaderRecord(duty, stored)
-    if (isFencedByStore !== true || view.holder !== holder || view.address !== getAddress()) return false
+    if (view === undefined || isFencedByStore !== true || view.holder !== holder || view.address !== getAddress()) return false
     const removed = await store.remove(this._key, { kind: 'revision', modRevision: stored.modRevision })
     logger.info({ duty, epoch: view.epoch, outcome: removed.kind }, 'tried to remove the leader key of an earlier process at this address')
     return removed.kind === 'ok'
   }
 
   private async _writeRecord (leaseId: string, callStartedAt: ClockReading, validUntil: number): Promise<AcquireOutcome> {
-    const { store, duty, holder, getAddress } = this._options
+    const { store, holder, getAddress } = this._options
     const record: LeaderRecord = { holder, address: getAddress(), nonce: randomUUID() }
     const value = JSON.stringify(record)
     const put = await putWithRetry(store, { key: this._key, value, expect: { kind: 'absent' }, leaseId, isLeadershipWrite: true }, stored => stored.value === value)
@@ -172,10 +173,16 @@
       return { kind: 'held', epoch: put.modRevision }
     }
     await store.revokeLease(leaseId)
-    if (put.kind === 'conflict' && put.current !== undefined) return { kind: 'other', view: decodeLeaderRecord(duty, put.current) }
+    if (put.kind === 'conflict' && put.current !== undefined) return this._describeLeader(put.current)
     return { kind: 'unavailable', message: 'the leader key could not be written in time' }
   }
 
+  private _describeLeader (stored: StoredValue): AcquireOutcome {
+    const { duty } = this._options
+    const view = decodeLeaderRecord(duty, stored)
+    return view === undefined ? { kind: 'unavailable', message: `the leader key of ${duty} holds an unreadable record of revision ${stored.modRevision}` } : { kind: 'other', view }
+  }
+
   private _beginLeadership (leaseId: string, epoch: number, validUntil: number): void {
     this._leaseId = leaseId
     this._epoch = epoch
--- a/packages/daemon/src/duties/leaderWatcher.ts
+++ b/packages/daemon/src/duties/leaderWatcher.ts
@@ -82,11 +82,9 @@
     if (stored.createRevision < (this._leader?.epoch ?? 0)) return
     this._isVacant = false
     if (stored.createRevision === this._leader?.epoch) return
-    try {
-      this._setLeader(decodeLeaderRecord(this._options.duty, stored))
-    } catch (error) {
-      this._options.logger.error({ duty: this._options.duty, revision: stored.modRevision, message: (error as Error).message }, 'leader record is unreadable; ignoring it')
-    }
+    const view = decodeLeaderRecord(this._options.duty, stored)
+    if (view !== undefined) return this._setLeader(view)
+    this._options.logger.error({ duty: this._options.duty, revision: stored.modRevision }, 'leader record is unreadable; ignoring it')
   }
 
   private _recordVacancy (): void {
--- a/packages/daemon/src/fleet/registrarSync.ts
+++ b/packages/daemon/src/fleet/registrarSync.ts
@@ -58,7 +58,7 @@
     const base = `${prefix}/duties/`
     const outcome = await store.list(base)
     if (outcome.kind !== 'ok') return
-    const views = outcome.values.map(stored => decodeLeaderRecord(stored.key.slice(base.length), stored))
+    const views = outcome.values.flatMap(stored => decodeLeaderRecord(stored.key.slice(base.length), stored) ?? [])
     const unknown = views.filter(view => this._isUnknownRegistrar(view))
     await Promise.all(unknown.map(view => relay.request(view.address)))
   }
--- a/packages/daemon/src/planner/plannerLeadership.ts
+++ b/packages/daemon/src/planner/plannerLeadership.ts
@@ -56,8 +56,9 @@
     if (this._session !== undefined) return copyExplanation(this._session.explain(jobId))
     const found = await this._dependencies.store.get(getLeaderKey(this._dependencies.prefix, PLANNER_ROLE))
     if (found.kind !== 'ok' || found.value === undefined) return undefined
-    const { address } = decodeLeaderRecord(PLANNER_ROLE, found.value)
-    const outcome = await this._dependencies.peers.call(address, 'explainJob', { jobId }, CALL_TIMEOUT_MS)
+    const leader = decodeLeaderRecord(PLANNER_ROLE, found.value)
+    if (leader === undefined) return undefined
+    const outcome = await this._dependencies.peers.call(leader.address, 'explainJob', { jobId }, CALL_TIMEOUT_MS)
     return outcome.kind === 'ok' ? copyExplanation(outcome.value) : undefined
   }
 
--- a/packages/daemon/test/jobPlanner/malformedRecords.test.ts
+++ b/packages/daemon/test/jobPlanner/malformedRecords.test.ts
@@ -3,16 +3,18 @@
  */
 import { JobPhase } from '@dragonflylever/core/graphs/index'
 import type { JobGraph } from '@dragonflylever/core/graphs/index'
+import { getLeaderKey } from '@dragonflylever/daemon/duties/leaderElector'
 import { createQueuedJobState } from '@dragonflylever/daemon/jobPlanner/graphKeys'
 import { MemoryPeers, MemoryStore } from '@dragonflylever/standins'
 import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
 
-import { KEYS } from '../graphs/graphNode.js'
+import { KEYS, PREFIX } from '../graphs/graphNode.js'
 import { makeQueue, makeStep } from '../graphs/graphSimulation.js'
 import { createCandidate } from './candidateFixture.js'
 
 const MALFORMED = ['', '{', 'null', '[]', '{"phase":"queued"}', '{"phase":"queued","steps":{"0.0":{"tasks":null}}}', '{"phase":"queued","steps":{"x":1}}']
+const LEADER_KEY = getLeaderKey(PREFIX, 'graph-planner')
 
 function makeGraph (id: string): JobGraph {
   return { id, organisation: 'o', queue: makeQueue(1), payload: '', steps: [makeStep()], acceptedAt: 0 }
@@ -45,3 +47,23 @@
   void candidate.close()
   await clock.tickAsync(2_000)
 })
+
+test.serial('a malformed leader record ends no candidate, and a planner is elected once the record is gone', async t => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance', 'Date'] })
+  t.teardown(() => clock.uninstall())
+  for (const value of [...MALFORMED, '{"holder":1,"address":{}}', '"\\ud800"', `{"holder":"a","address":"a:1","nonce":${'9'.repeat(400)}}`]) {
+    const store = new MemoryStore()
+    const peers = new MemoryPeers()
+    const candidate = createCandidate(store, peers, 'a', 'a:1')
+    await candidate.open(peers.open('a:1'))
+    // Before its first attempt: the record is read by the attempt itself.
+    store.engine.put({ key: LEADER_KEY, value, expect: { kind: 'any' } })
+    await clock.tickAsync(3_000)
+    t.is(candidate.session, undefined, value)
+    store.engine.remove(LEADER_KEY, { kind: 'any' })
+    await clock.tickAsync(3_000)
+    t.not(candidate.session, undefined, value)
+    void candidate.close()
+    await clock.tickAsync(2_000)
+  }
+})
