--- a/packages/core/src/graphs/graphTypes.ts
+++ b/packages/core/src/graphs/graphTypes.ts
@@ -74,6 +74,9 @@
   readonly firstRunAt: number
 }
 
+/** Maximum number of tasks in the steps of one job; a planner holds the state of each. */
+export const MAX_TASKS_PER_JOB = 10_000
+
 /** A job as it was accepted; immutable. */
 export interface JobGraph {
   readonly id: string
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -165,7 +165,7 @@
 
   private _addJob (jobId: string, value: StoredValue, now: number): void {
     const graph = decodeJobSpec(value.value)
-    if (graph === undefined) {
+    if (graph?.id !== jobId) {
       this._dependencies.logger.error({ job: jobId, revision: value.modRevision }, 'job spec is unreadable; skipping the job')
       return
     }
--- a/packages/daemon/test/jobPlanner/malformedRecords.test.ts
+++ b/packages/daemon/test/jobPlanner/malformedRecords.test.ts
@@ -15,6 +15,8 @@
 
 const MALFORMED = ['', '{', 'null', '[]', '{"phase":"queued"}', '{"phase":"queued","steps":{"0.0":{"tasks":null}}}', '{"phase":"queued","steps":{"x":1}}']
 const LEADER_KEY = getLeaderKey(PREFIX, 'graph-planner')
+/** Job specs with a valid shape that no planner can hold or plan. */
+const OVERSIZED_STEPS = [[{ count: 2 ** 31 }], [{ count: 6_000 }, { count: 6_000 }], [{ count: 1, after: [7] }]]
 
 function makeGraph (id: string): JobGraph {
   return { id, organisation: 'o', queue: makeQueue(1), payload: '', steps: [makeStep()], acceptedAt: 0 }
@@ -33,6 +35,11 @@
     put(KEYS.getProgressKey(`job${index}`), value)
     put(KEYS.getNodeKey(`node${index}`), value)
   }
+  for (const [index, changes] of OVERSIZED_STEPS.entries()) {
+    const graph = { ...makeGraph(`big${index}`), steps: changes.map(change => ({ ...makeStep(), ...change })) }
+    put(KEYS.getSpecKey(graph.id), JSON.stringify(graph))
+    put(KEYS.getStateKey(graph.id), JSON.stringify(createQueuedJobState(graph)))
+  }
   put(KEYS.getSpecKey('good'), JSON.stringify(makeGraph('good')))
   put(KEYS.getStateKey('good'), JSON.stringify(createQueuedJobState(makeGraph('good'))))
   const peers = new MemoryPeers()
@@ -40,6 +47,7 @@
   await candidate.open(peers.open('a:1'))
   await clock.tickAsync(2_000)
   t.is(candidate.session?.planner.getJob('good')?.phase, JobPhase.queued)
+  for (const index of OVERSIZED_STEPS.keys()) t.is(candidate.session?.planner.getJob(`big${index}`), undefined)
   put(KEYS.getSpecKey('later'), JSON.stringify(makeGraph('later')))
   put(KEYS.getStateKey('later'), JSON.stringify(createQueuedJobState(makeGraph('later'))))
   await clock.tickAsync(500)
