--- a/packages/daemon/src/storeRelay/relayHandler.ts
+++ b/packages/daemon/src/storeRelay/relayHandler.ts
@@ -9,7 +9,7 @@
 import * as z from 'zod'
 
 import type { DirectPath } from './directPath.js'
-import { RELAY_FAILED } from './relayedCaller.js'
+import { RELAY_REJECTED, RELAY_UNDECIDED } from './relayedCaller.js'
 
 const MAX_BODY_BYTES = 2 * 1024 * 1024
 const requestSchema = z.object({ method: z.enum(['GET', 'POST', 'DELETE']), path: z.string(), body: z.string().optional(), timeoutMs: z.number().min(1).max(60_000), isLongPoll: z.boolean().optional() })
@@ -37,20 +37,20 @@
 }
 
 /**
- * Calls the store as the text of a request asks. Returns the store's answer, status 400 if the request is invalid, and status {@link RELAY_FAILED} if
- * the store did not answer or does not serve this process.
+ * Calls the store as the text of a request asks. Returns the store's answer, status 400 if the request is invalid, {@link RELAY_REJECTED} if nothing
+ * was sent to the store, and {@link RELAY_UNDECIDED} if the store did not answer.
  */
 export async function serveRelayCall (dependencies: RelayHandlerDependencies, text: string): Promise<RelayAnswer> {
   const { direct, storeAddress, logger } = dependencies
   const checked = requestSchema.safeParse(parseJson(text))
   if (!checked.success) return { status: 400, body: 'expected a call to the store' }
   // Answered at once, so that the caller can ask another agent.
-  if (direct.isFailing) return { status: RELAY_FAILED, body: 'the store does not serve this process either' }
+  if (direct.isFailing) return { status: RELAY_REJECTED, body: 'the store does not serve this process either' }
   const { method, path, body, timeoutMs, isLongPoll } = checked.data
   const outcome = await direct.call({ address: storeAddress, method, path, timeoutMs, ...(body === undefined ? {} : { body }), ...(isLongPoll === undefined ? {} : { isLongPoll }) })
   if (outcome.kind === 'answered') return { status: outcome.status, body: outcome.body }
   logger.info({ method, message: outcome.message }, 'failed to relay a store call for another process')
-  return { status: RELAY_FAILED, body: outcome.message }
+  return { status: outcome.kind === 'notSent' ? RELAY_REJECTED : RELAY_UNDECIDED, body: outcome.message }
 }
 
 function sendAnswer (response: ServerResponse, answer: RelayAnswer): void {
--- a/packages/daemon/src/storeRelay/relayedCaller.ts
+++ b/packages/daemon/src/storeRelay/relayedCaller.ts
@@ -1,7 +1,8 @@
 /**
  * HTTP client for the store with a fallback: if the store rejects a call or can't be reached from this host, an agent that can reach the
  * store relays the call. This helps when an overloaded store serves only some hosts. An unanswered write is sent again through
- * an agent, which is safe: conditional writes take effect at most once, and repeating the other writes does no harm.
+ * an agent, which is safe: conditional writes take effect at most once, and repeating the other writes does no harm. A write that no attempt confirmed has the
+ * outcome `lost` if any of its attempts may have been carried out.
  */
 import type { HttpCall, HttpCaller, HttpOutcome, Logger } from '@dragonflylever/runtime'
 
@@ -20,8 +21,10 @@
 const READ_RELAY_INTERVAL_MS = 150
 /** Added to a call's timeout when an agent relays it, in milliseconds. */
 const RELAY_TIMEOUT_MARGIN_MS = 100
-/** HTTP status by which an agent reports that it can't reach the store either. */
-export const RELAY_FAILED = 502
+/** HTTP status by which an agent reports that the store has not carried out a call, nor will. */
+export const RELAY_REJECTED = 503
+/** HTTP status by which an agent reports that the store did not answer a call, which it may have carried out. */
+export const RELAY_UNDECIDED = 502
 
 /** Dependencies of {@link RelayedCaller}. */
 export interface RelayedCallerDependencies {
@@ -41,6 +44,13 @@
   readonly isLongPoll?: boolean
 }
 
+/** Result of asking agents to relay a call. `isUndecided` is true if the store may have carried out an attempt. */
+type RelayResult =
+  | { readonly kind: 'relayed', readonly outcome: HttpOutcome }
+  | { readonly kind: 'failed', readonly isUndecided: boolean }
+
+const NOT_RELAYED: RelayResult = { kind: 'failed', isUndecided: false }
+
 export class RelayedCaller implements HttpCaller {
   private readonly _dependencies: RelayedCallerDependencies
   private _relaysPausedUntil = -Infinity
@@ -52,15 +62,16 @@
 
   async call (call: HttpCall): Promise<HttpOutcome> {
     const { direct } = this._dependencies
-    if (direct.isFailing) {
-      const relayed = await this._callRelays(call)
-      if (relayed !== undefined) return relayed
-    }
+    const first = direct.isFailing ? await this._callRelays(call) : NOT_RELAYED
+    if (first.kind === 'relayed') return first.outcome
     const outcome = await direct.call(call)
     if (isServed(outcome) || call.signal?.aborted === true) return outcome
     // The answer to a long poll is awaited for long, and through an agent that may not reach the store either; its caller finds a working path first.
     if (call.isLongPoll === true) return outcome
-    return await this._callRelays(call) ?? outcome
+    const second = await this._callRelays(call)
+    if (second.kind === 'relayed') return second.outcome
+    if (first.isUndecided || second.isUndecided) return { kind: 'lost', message: `${call.method} ${call.path}: no answer to the call that an agent relayed` }
+    return outcome
   }
 
   close (): void {
@@ -68,36 +79,37 @@
     this._dependencies.peers.close()
   }
 
-  /** Sends a call through agents; resolves with the store's answer, or with undefined if no agent obtained one. */
-  private async _callRelays (call: HttpCall): Promise<HttpOutcome | undefined> {
+  private async _callRelays (call: HttpCall): Promise<RelayResult> {
     const relays = this._dependencies.listRelays()
-    if (performance.now() < this._relaysPausedUntil || relays.length === 0) return undefined
+    if (performance.now() < this._relaysPausedUntil || relays.length === 0) return NOT_RELAYED
     const isRead = call.method === 'GET' && call.isLongPoll !== true
-    const relayed = await (isRead ? this._readThroughRelays(call, relays) : this._callRelaysInTurn(call, relays))
-    if (relayed === undefined) this._relaysPausedUntil = performance.now() + RELAY_PAUSE_MS
-    return relayed
+    const result = await (isRead ? this._readThroughRelays(call, relays) : this._callRelaysInTurn(call, relays))
+    if (result.kind === 'failed') this._relaysPausedUntil = performance.now() + RELAY_PAUSE_MS
+    return result
   }
 
   /** Asks one agent after the other. */
-  private async _callRelaysInTurn (call: HttpCall, relays: readonly string[]): Promise<HttpOutcome | undefined> {
+  private async _callRelaysInTurn (call: HttpCall, relays: readonly string[]): Promise<RelayResult> {
     const startedAt = performance.now()
+    let isUndecided = false
     for (let count = 0; count < Math.min(MAX_RELAYS, relays.length); count++) {
       // A second agent is asked only if the first one failed quickly.
       if (performance.now() - startedAt > RELAY_TIMEOUT_MARGIN_MS) break
       const index = this._relayIndex % relays.length
       const outcome = await this._callRelay(call, relays[index] ?? '', call.signal)
-      if (isRelayed(outcome) || call.signal?.aborted === true) return outcome
+      if (isRelayed(outcome) || call.signal?.aborted === true) return { kind: 'relayed', outcome }
+      isUndecided ||= outcome.kind === 'lost' || (outcome.kind === 'answered' && outcome.status === RELAY_UNDECIDED)
       this._relayIndex = index + 1
     }
-    return undefined
+    return { kind: 'failed', isUndecided }
   }
 
   /** Asks the next agent as soon as one fails, or has not answered for a short time, and returns the first answer. */
-  private async _readThroughRelays (call: HttpCall, relays: readonly string[]): Promise<HttpOutcome | undefined> {
+  private async _readThroughRelays (call: HttpCall, relays: readonly string[]): Promise<RelayResult> {
     const abort = new AbortController()
     const firstIndex = this._relayIndex
     const count = Math.min(MAX_READ_RELAYS, relays.length)
-    const outcome = await new Promise<HttpOutcome | undefined>(resolve => {
+    const result = await new Promise<RelayResult>(resolve => {
       let asked = 0
       let failed = 0
       let timer: NodeJS.Timeout | undefined
@@ -106,17 +118,17 @@
         if (abort.signal.aborted || asked >= count) return
         const index = (firstIndex + asked++) % relays.length
         timer = setTimeout(callNext, READ_RELAY_INTERVAL_MS)
-        void this._callRelay(call, relays[index] ?? '', abort.signal).then(answer => {
+        void this._callRelay(call, relays[index] ?? '', abort.signal).then(outcome => {
           if (abort.signal.aborted) return
-          if (!isRelayed(answer)) return ++failed === count ? resolve(undefined) : callNext()
+          if (!isRelayed(outcome)) return ++failed === count ? resolve(NOT_RELAYED) : callNext()
           this._relayIndex = index
-          resolve(answer)
+          resolve({ kind: 'relayed', outcome })
         })
       }
       callNext()
     })
     abort.abort()
-    return outcome
+    return result
   }
 
   private _callRelay (call: HttpCall, address: string, signal: AbortSignal | undefined): Promise<HttpOutcome> {
@@ -135,5 +147,5 @@
 
 /** True if the answer of an agent is the store's answer to the relayed call. */
 function isRelayed (outcome: HttpOutcome): boolean {
-  return isServed(outcome) && !(outcome.kind === 'answered' && outcome.status === RELAY_FAILED)
+  return isServed(outcome) && !(outcome.kind === 'answered' && outcome.status === RELAY_UNDECIDED)
 }
--- a/packages/daemon/test/storeRelay/relayedCaller.test.ts
+++ b/packages/daemon/test/storeRelay/relayedCaller.test.ts
@@ -75,12 +75,19 @@
 })
 
 test('when no agent reaches the store either, the outcome of the direct call is returned and agents are not asked for a while', async t => {
-  const agentCaller = new ScriptedCaller({ kind: 'lost', message: 'x' })
+  const agentCaller = new ScriptedCaller({ kind: 'notSent', message: 'x', isRefused: true })
   const caller = createCaller(t, new ScriptedCaller({ kind: 'notSent', message: 'down', isRefused: true }), [await openRelay(t, agentCaller)])
   for (let count = 0; count < 5; count++) t.like(await caller.call(CALL), { kind: 'notSent' })
   t.is(agentCaller.calls, 1)
 })
 
+test('when an agent got no answer to a write, the outcome is `lost`, although the direct call was not sent', async t => {
+  const agentCaller = new ScriptedCaller({ kind: 'lost', message: 'x' })
+  const caller = createCaller(t, new ScriptedCaller({ kind: 'notSent', message: 'down', isRefused: true }), [await openRelay(t, agentCaller)])
+  t.like(await caller.call(CALL), { kind: 'lost' })
+  t.is(agentCaller.calls, 1)
+})
+
 test('an agent refuses a request that is not a store call', async t => {
   const client = new HttpClient({ maxConnections: 1, maxAnswerBytes: 1_000 })
   t.teardown(() => client.close())
