--- a/packages/core/src/graphs/workerRegistry.ts
+++ b/packages/core/src/graphs/workerRegistry.ts
@@ -1,6 +1,7 @@
 /**
  * Registry of all workers that the planner knows; applies their reports to the runs. A silent worker keeps its runs until they can no
- * longer be alive. A later incarnation under the same id or address ends the earlier one at once.
+ * longer be alive. A later incarnation under the same id or address ends the earlier one at once, but only after it has answered its agent: whoever knows a
+ * worker's id can announce one.
  */
 import { hasSurvivedStart, isGangMember } from './crashBlame.js'
 import type { TaskNeeds } from './graphTypes.js'
@@ -71,6 +72,7 @@
   acceptReport (report: WorkerReport, now: number): WorkerState | undefined {
     const known = this._workers.get(report.key.id)
     if (known !== undefined && known.key.born > report.key.born) return undefined
+    if (known?.key.born !== report.key.born && report.listNumber === 0) return undefined
     this._acceptCrashListings(report, now)
     if (known !== undefined && known.key.born < report.key.born) this._removeRestartedWorker(known, 'it restarted', now)
     this._removeEarlierIncarnations(report, now)
--- a/packages/core/test/graphs/graphPlanner.test.ts
+++ b/packages/core/test/graphs/graphPlanner.test.ts
@@ -23,6 +23,22 @@
   t.is(harness.findWorker('a.0.0.0')?.running[0]?.run, 2)
 })
 
+test('a later incarnation that its agent has heard of, but that has not answered it, ends no runs of the worker that is there', t => {
+  for (const change of [{ id: 'w0' }, { id: 'other' }]) {
+    const harness = new PlannerHarness([1, 1])
+    harness.addJob('a', [makeStep()])
+    harness.run(300)
+    const worker = harness.findWorker('a.0.0.0')
+    if (worker === undefined) return t.fail()
+    const id = change.id === 'w0' ? worker.id : change.id
+    const announced = { ...harness.report(worker), key: { id, born: worker.born + 1_000 }, listNumber: 0, running: [], orders: [] }
+    t.false(harness.planner.acceptReport(announced, harness.now))
+    harness.run(1_000)
+    t.deepEqual(harness.listNotes('run lost'), [])
+    t.is(harness.workers.flatMap(candidate => candidate.running).length, 1)
+  }
+})
+
 test('a run restored from a stored record is not started again before its worker has listed its ended runs', t => {
   const harness = new PlannerHarness([1])
   harness.addJob('a', [makeStep()])
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -34,6 +34,8 @@
   readonly logger: Logger
   /** Lease time that an answer of the planner permits, counted from the time of the answered report, in milliseconds of the worker's clock. */
   readonly runLeaseMs: number
+  /** Highest epoch of a planner that the agent knows. A worker refuses polls with a lower epoch than it has seen, also from an agent that has restarted. */
+  readonly epoch: number
   /** Lists recent crashes of earlier incarnations at the worker's address. */
   readonly listRecentCrashes: () => readonly CrashListing[]
   /** Called after a change that should be reported to the planner at once. */
@@ -63,7 +65,7 @@
   private readonly _orders = new OrderTable()
   private readonly _clock: WorkerClock
   private _announcement: WorkerAnnouncement
-  private _epoch = 0
+  private _epoch: number
   private _lastAcknowledgedEnd = 0
   private _running: readonly RunListing[] = []
   private _ended: readonly EndListing[] = []
@@ -83,6 +85,7 @@
   constructor (announcement: WorkerAnnouncement, dependencies: WorkerControllerDependencies) {
     this._announcement = announcement
     this._dependencies = dependencies
+    this._epoch = dependencies.epoch
     this._clock = new WorkerClock(announcement.clockMs, dependencies.runLeaseMs, performance.now())
     void this._pollWorker()
   }
@@ -111,6 +114,11 @@
     return this._failedCalls < UNREACHABLE_AFTER_CALLS
   }
 
+  /** True if the worker answered the last poll as this incarnation. */
+  get isAnswering (): boolean {
+    return !this._isOver && this._listNumber > 0 && this._unconfirmedSince === undefined
+  }
+
   /** Records that the worker announced its shutdown. The incarnation counts as ended once connections to its address are refused. */
   markLeaving (): void {
     this._isLeaving = true
@@ -164,6 +172,11 @@
     }
   }
 
+  /** Records the epoch of a planner that has answered a report of the agent. */
+  recordEpoch (epoch: number): void {
+    this._epoch = Math.max(this._epoch, epoch)
+  }
+
   /** Applies the orders in the planner's answer to a report. `clockMs` is the estimated clock of the worker when the report was made. */
   applyOrders (orders: WorkerOrders, epoch: number, clockMs: number): void {
     if (epoch < this._epoch || this._isClosed) return
@@ -246,7 +259,7 @@
       const pollNumber = ++this._pollCount
       const hasUnacknowledged = this._ended.some(end => end.number > this._lastAcknowledgedEnd)
       const leaseUntil = this._running.length > 0 || this._orders.hasUnconfirmedOrder() ? this._clock.permittedUntil : undefined
-      const waitMs = hasUnacknowledged || this._orders.hasUnconfirmedOrder() ? 0 : POLL_WAIT_MS
+      const waitMs = this._listNumber === 0 || hasUnacknowledged || this._orders.hasUnconfirmedOrder() ? 0 : POLL_WAIT_MS
       const outcome = await this._dependencies.worker.hold({ epoch: this._epoch, seen: this._lastAcknowledgedEnd, leaseUntil, waitMs })
       if (this._isClosed) return
       if (leaseUntil !== undefined && outcome.kind !== 'notSent') this._clock.recordLeaseExpiry(leaseUntil)
@@ -268,12 +281,13 @@
     const lastEnd = this._ended.at(-1)?.number ?? 0
     const hasNewEnd = (list.ended.at(-1)?.number ?? 0) > lastEnd
     const hasNewRun = list.running.length !== this._running.length
+    const isFirstList = this._listNumber === 0
     this._running = list.running
     this._ended = mergeRunEnds(this._ended, list.ended, this._lastAcknowledgedEnd)
     this._listNumber = pollNumber
     const hasBarred = this._orders.recordConfirmedStops(list.running, pollNumber)
     this._orders.dropEndedRuns(list.ended)
-    if (hasNewEnd || hasNewRun || hasBarred) this._dependencies.onChange()
+    if (isFirstList || hasNewEnd || hasNewRun || hasBarred) this._dependencies.onChange()
     return hasNewEnd
   }
 
--- a/packages/daemon/src/jobAgent/workerTable.ts
+++ b/packages/daemon/src/jobAgent/workerTable.ts
@@ -36,6 +36,9 @@
 export class WorkerTable {
   private readonly _dependencies: WorkerTableDependencies
   private readonly _workers = new Map<string, TrackedWorker>()
+  /** Announced incarnations that would replace a worker which still answers as an earlier one, by worker id. */
+  private readonly _pending = new Map<string, WorkerAnnouncement>()
+  private _epoch = 0
   private readonly _recentCrashes = new RecentCrashes()
 
   constructor (dependencies: WorkerTableDependencies) {
@@ -55,6 +58,18 @@
       known.controller.applyHeartbeat(announcement)
       return
     }
+    const rival = this._findAnsweringRival(announcement)
+    if (rival !== undefined) {
+      this._pending.set(announcement.id, announcement)
+      const { id, born } = rival.announcement
+      this._dependencies.logger.warn({ worker: announcement.id, born: announcement.born, address: announcement.address, service: announcement.service, answering: id, answeringBorn: born }, 'ignoring an announced worker for now: an earlier one answers at its address')
+      return
+    }
+    this._addWorker(announcement, now)
+  }
+
+  private _addWorker (announcement: WorkerAnnouncement, now: number): void {
+    this._pending.delete(announcement.id)
     this._removeCrashedWorker(announcement.id, 'it restarted')
     this._removeWorkersAtAddress(announcement)
     this._workers.set(announcement.id, { controller: this._createController(announcement), lastHeartbeatAt: now })
@@ -71,6 +86,7 @@
   /** Collects the reports of all workers for the planner, after removing the workers whose heartbeats have timed out. */
   collectReports (): CollectedReports {
     const now = performance.now()
+    this._addPendingWorkers()
     for (const [id, { controller, lastHeartbeatAt }] of this._workers) {
       // A worker whose heartbeats are lost or late still works as long as it answers; removing it would end its runs.
       if (now - lastHeartbeatAt > HEARTBEAT_TIMEOUT_MS && !controller.isReachable) this._removeWorker(id, 'its heartbeats stopped and it does not answer')
@@ -82,6 +98,8 @@
 
   /** Passes the planner's orders to the controllers of the workers; orders for other incarnations are ignored. */
   applyOrders (orders: readonly WorkerOrdersMessage[], epoch: number, collected: CollectedReports): void {
+    this._epoch = Math.max(this._epoch, epoch)
+    for (const { controller } of this._workers.values()) controller.recordEpoch(this._epoch)
     for (const workerOrders of orders) {
       const worker = this._workers.get(workerOrders.key.id)
       if (worker === undefined || worker.controller.announcement.born !== workerOrders.key.born) continue
@@ -91,6 +109,7 @@
   }
 
   close (): void {
+    this._pending.clear()
     for (const id of [...this._workers.keys()]) this._removeWorker(id, 'the agent is stopping')
   }
 
@@ -100,6 +119,7 @@
       region: this._dependencies.region,
       logger: this._dependencies.logger,
       runLeaseMs: this._dependencies.runLeaseMs,
+      epoch: this._epoch,
       listRecentCrashes: () => this._recentCrashes.list(announcement.address, performance.now()),
       onChange: this._dependencies.onChange,
       onOtherIncarnation: () => this._removeIncarnation(announcement)
@@ -111,9 +131,26 @@
     const worker = this._workers.get(announcement.id)
     if (worker === undefined || worker.controller.announcement.born !== announcement.born) return
     this._removeCrashedWorker(announcement.id, 'another incarnation of it answers')
+    this._addPendingWorkers()
     this._dependencies.onChange()
   }
 
+  /** Adds the announced workers whose earlier incarnations no longer answer. */
+  private _addPendingWorkers (): void {
+    for (const announcement of [...this._pending.values()]) {
+      if (this._findAnsweringRival(announcement) === undefined) this._addWorker(announcement, performance.now())
+    }
+  }
+
+  /** Finds a worker that an announced one would replace, and that still answers. */
+  private _findAnsweringRival (announcement: WorkerAnnouncement): WorkerController | undefined {
+    for (const { controller } of this._workers.values()) {
+      const { id, address, born } = controller.announcement
+      if ((id === announcement.id || address === announcement.address) && born < announcement.born && controller.isAnswering) return controller
+    }
+    return undefined
+  }
+
   /** Removes workers with other ids that were started earlier at the same address. They have ended, since the new worker uses that address. */
   private _removeWorkersAtAddress (announcement: WorkerAnnouncement): void {
     for (const [id, { controller }] of this._workers) {
--- a/packages/daemon/test/jobAgent/workerController.test.ts
+++ b/packages/daemon/test/jobAgent/workerController.test.ts
@@ -56,7 +56,7 @@
     drainLeftMs: undefined,
     clockMs: 0,
     sequence: 1
-  }, { worker, region: 'r', logger: createLogger({ level: 'silent', processId: 't' }), runLeaseMs: 6_000, listRecentCrashes: () => [], onChange: () => {}, onOtherIncarnation })
+  }, { worker, region: 'r', logger: createLogger({ level: 'silent', processId: 't' }), runLeaseMs: 6_000, epoch: 0, listRecentCrashes: () => [], onChange: () => {}, onOtherIncarnation })
   t.teardown(() => controller.close())
   return controller
 }
--- a/packages/daemon/test/jobAgent/workerTable.test.ts
+++ b/packages/daemon/test/jobAgent/workerTable.test.ts
@@ -2,6 +2,7 @@
  * Which workers an agent reports when heartbeats are lost, late, or come from an earlier incarnation.
  */
 import type { HoldResult, RunOutcome, RunWorker } from '@dragonflylever/adapters'
+import { StartRefusal } from '@dragonflylever/core/graphs/index'
 import { WorkerTable } from '@dragonflylever/daemon/jobAgent/workerTable'
 import type { WorkerAnnouncement } from '@dragonflylever/daemon/jobAgent/workerController'
 import { createLogger } from '@dragonflylever/runtime'
@@ -14,14 +15,14 @@
 
 const OK: RunOutcome = { kind: 'ok', clockMs: 1 }
 
-function createWorker (poll: () => PollOutcome, answerOrder: () => RunOutcome): RunWorker {
+function createWorker (poll: (epoch: number) => PollOutcome, answerOrder: () => RunOutcome): RunWorker {
   return {
     start: async () => answerOrder(),
     stop: async () => answerOrder(),
     pace: async () => OK,
-    hold: async ({ waitMs }) => {
+    hold: async ({ epoch, waitMs }) => {
       await new Promise(resolve => setTimeout(resolve, Math.max(50, waitMs)))
-      return poll()
+      return poll(epoch)
     },
     close: () => {}
   }
@@ -50,7 +51,7 @@
   readonly answerOrder?: () => RunOutcome
 }
 
-function createTable (t: ExecutionContext, poll: () => PollOutcome, { onChange = () => {}, answerOrder = () => OK }: TableOptions = {}): { readonly table: WorkerTable, readonly clock: Clock } {
+function createTable (t: ExecutionContext, poll: (epoch: number) => PollOutcome, { onChange = () => {}, answerOrder = () => OK }: TableOptions = {}): { readonly table: WorkerTable, readonly clock: Clock } {
   const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
   const table = new WorkerTable({ region: 'r', runLeaseMs: 6_000, logger: createLogger({ level: 'silent', processId: 't' }), openWorker: () => createWorker(poll, answerOrder), onChange })
   t.teardown(() => {
@@ -165,3 +166,50 @@
   t.is(changes, changesBefore + 1)
   t.is(table.collectReports().reports[0]?.capacity.accelerators, 0)
 })
+
+test.serial('a heartbeat of another writer with a later start, under the id or at the address of a worker that answers, does not replace the worker', async t => {
+  const outcomes: { poll: PollOutcome } = { poll: { kind: 'ok', clockMs: 1, born: 1, running: [], ended: [] } }
+  const { table, clock } = createTable(t, () => outcomes.poll)
+  table.acceptHeartbeat(makeAnnouncement('w', 1))
+  await clock.tickAsync(200)
+  for (const odd of [makeAnnouncement('w', 9), makeAnnouncement('odd', 9)]) {
+    table.acceptHeartbeat({ ...odd, service: 'another' })
+    t.deepEqual(listReported(table), ['w/1'])
+    await clock.tickAsync(3_000)
+    t.deepEqual(listReported(table), ['w/1'])
+  }
+  orderStart(table, 'w', 'a.0.0.0')
+  table.acceptHeartbeat({ ...makeAnnouncement('w', 1), sequence: 2 })
+  await clock.tickAsync(200)
+  t.like(table.collectReports().reports[0], { service: 's', orders: [{ task: 'a.0.0.0', status: 'accepted' }] })
+})
+
+test.serial('a worker that has restarted replaces its earlier incarnation as soon as it answers, without another heartbeat', async t => {
+  const outcomes: { poll: PollOutcome } = { poll: { kind: 'ok', clockMs: 1, born: 1, running: [], ended: [] } }
+  const { table, clock } = createTable(t, () => outcomes.poll)
+  table.acceptHeartbeat(makeAnnouncement('w', 1))
+  await clock.tickAsync(200)
+  outcomes.poll = { kind: 'ok', clockMs: 1, born: 2, running: [], ended: [] }
+  table.acceptHeartbeat(makeAnnouncement('w', 2))
+  await clock.tickAsync(1_200)
+  t.deepEqual(listReported(table), ['w/2'])
+  outcomes.poll = { kind: 'lost', message: 'connection closed' }
+  await clock.tickAsync(1_200)
+  outcomes.poll = { kind: 'ok', clockMs: 1, born: 3, running: [], ended: [] }
+  table.acceptHeartbeat(makeAnnouncement('w', 3))
+  t.deepEqual(listReported(table), ['w/3'])
+})
+
+test.serial('a worker that refuses polls below the epoch of the planner lists its runs once the agent has heard from the planner', async t => {
+  const fenced: PollOutcome = { kind: 'refused', reason: StartRefusal.fenced, clockMs: 1 }
+  const { table, clock } = createTable(t, epoch => epoch < 7 ? fenced : { kind: 'ok', clockMs: 1, born: 1, running: [], ended: [] })
+  table.acceptHeartbeat(makeAnnouncement('w', 1))
+  await clock.tickAsync(1_000)
+  t.is(table.collectReports().reports[0]?.listNumber, 0)
+  table.applyOrders([], 7, table.collectReports())
+  await clock.tickAsync(500)
+  t.true((table.collectReports().reports[0]?.listNumber ?? 0) > 0)
+  table.acceptHeartbeat(makeAnnouncement('other', 2))
+  await clock.tickAsync(500)
+  t.deepEqual(listReported(table), ['w/1'])
+})
