--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -59,6 +59,9 @@
   private readonly _writer: ProgressWriter
   private readonly _storedProgress = new Map<string, StoredValue>()
   private readonly _states = new Map<string, JobStateRecord>()
+  /** Ended jobs that the planner no longer holds, and whose records the store has not confirmed to be removed. */
+  private readonly _jobsToRemove = new Set<string>()
+  private _isRemoving = false
   private readonly _timers: NodeJS.Timeout[] = []
   private _inputWatcher: PrefixWatcher | undefined
   private _passTimer: NodeJS.Timeout | undefined
@@ -169,6 +172,10 @@
       this._dependencies.logger.error({ job: jobId, revision: value.modRevision }, 'job spec is unreadable; skipping the job')
       return
     }
+    if (this._isEnded(jobId)) {
+      this._jobsToRemove.add(jobId)
+      return
+    }
     if (!this._states.has(jobId)) {
       const state = createQueuedJobState(graph)
       this._states.set(jobId, state)
@@ -178,6 +185,15 @@
     this._storedProgress.delete(jobId)
   }
 
+  /**
+   * True if a listed job has ended and the planner need not know it any more: it has forgotten the job, or there is no progress record with runs that may
+   * still have to be stopped.
+   */
+  private _isEnded (jobId: string): boolean {
+    const state = this._states.get(jobId)
+    return state !== undefined && isFinalPhase(state.phase) && this._planner.getJob(jobId) === undefined && !this._storedProgress.has(jobId)
+  }
+
   /** Adds a job to the planner. A job with an unreadable progress record is left alone, since its runs are unknown and must not start again. */
   private _addJobWithProgress (graph: JobGraph, progress: StoredValue | undefined, now: number): void {
     try {
@@ -224,8 +240,15 @@
   }
 
   private async _removeExpiredJobs (): Promise<void> {
-    const removed = this._planner.removeExpiredJobs(performance.now())
-    if (removed.length > 0) await this._writer.remove(removed)
+    if (this._isRemoving) return
+    this._isRemoving = true
+    for (const jobId of this._planner.removeExpiredJobs(performance.now())) this._jobsToRemove.add(jobId)
+    for (const jobId of await this._writer.remove([...this._jobsToRemove])) this._jobsToRemove.delete(jobId)
+    await this._removeExpiredStates()
+    this._isRemoving = false
+  }
+
+  private async _removeExpiredStates (): Promise<void> {
     const expired = this._listExpiredStates()
     if (expired.length === 0 || !await this._writer.removeStates(expired)) return
     for (const jobId of expired) this._states.delete(jobId)
@@ -236,7 +259,8 @@
     for (const [jobId, state] of this._states) {
       if (expired.length >= STATES_PER_REMOVAL) break
       const isOld = isFinalPhase(state.phase) && Date.now() - state.acceptedAt > STATE_RETENTION_MS
-      if (isOld && this._planner.getJob(jobId) === undefined) expired.push(jobId)
+      // Without its state, a job whose records are still there would look like a new one.
+      if (isOld && this._planner.getJob(jobId) === undefined && !this._jobsToRemove.has(jobId)) expired.push(jobId)
     }
     return expired
   }
--- a/packages/daemon/src/jobPlanner/progressWriter.ts
+++ b/packages/daemon/src/jobPlanner/progressWriter.ts
@@ -67,16 +67,22 @@
     this._isClosed = true
   }
 
-  /** Removes the specs, progress records and cancellation requests of jobs; their states are kept. */
-  async remove (jobIds: readonly string[]): Promise<void> {
+  /**
+   * Removes the specs, progress records and cancellation requests of jobs; their states are kept. Resolves with the ids of the jobs for which the store
+   * confirmed the removal.
+   */
+  async remove (jobIds: readonly string[]): Promise<string[]> {
     const { store, keys, leaderKey, epoch } = this._dependencies
+    const removed: string[] = []
     for (const jobId of jobIds) {
       this._storedRevisions.delete(jobId)
       this._storedPhases.delete(jobId)
       const removes = [keys.getSpecKey(jobId), keys.getProgressKey(jobId), keys.getCancelKey(jobId)]
       const outcome = await store.transact({ expect: [{ key: leaderKey, modRevision: epoch }], puts: [], removes })
-      if (outcome.kind !== 'ok') this._dependencies.logger.warn({ job: jobId, outcome: outcome.kind }, 'could not remove the records of an expired job; leaving them to the next leader')
+      if (outcome.kind === 'ok') removed.push(jobId)
+      else this._dependencies.logger.warn({ job: jobId, outcome: outcome.kind }, 'could not remove the records of an expired job; will retry')
     }
+    return removed
   }
 
   /** Removes the states of jobs, so that the job ids can be used again. Resolves with false if the store did not confirm the removal. */
