--- a/packages/core/src/graphs/workerHealthTracker.ts
+++ b/packages/core/src/graphs/workerHealthTracker.ts
@@ -49,7 +49,7 @@
     this._recordSuccess(health, now)
   }
 
-  /** Records that a run failed at its worker. */
+  /** Records that a run failed at its worker. The failure of a steady run says nothing about the worker. */
   recordFailure (run: RunState, now: number): void {
     if (isSteadyRun(run, now)) return
     const health = this._getHealth(run.worker.id)
--- a/packages/daemon/src/jobAgent/workerTable.ts
+++ b/packages/daemon/src/jobAgent/workerTable.ts
@@ -17,6 +17,9 @@
  */
 const HEARTBEAT_TIMEOUT_MS = 30_000
 
+/** Time after which an announced worker that was ignored is forgotten unless it is announced again, in milliseconds; about three heartbeat intervals. */
+const PENDING_MS = 5_000
+
 /** Dependencies of {@link WorkerTable}. */
 export interface WorkerTableDependencies {
   readonly region: string
@@ -28,6 +31,12 @@
   readonly onChange: () => void
 }
 
+/** An announced worker that is not taken up yet. */
+interface PendingWorker {
+  readonly announcement: WorkerAnnouncement
+  readonly announcedAt: number
+}
+
 interface TrackedWorker {
   readonly controller: WorkerController
   lastHeartbeatAt: number
@@ -37,7 +46,7 @@
   private readonly _dependencies: WorkerTableDependencies
   private readonly _workers = new Map<string, TrackedWorker>()
   /** Announced incarnations that would replace a worker which still answers as an earlier one, by worker id. */
-  private readonly _pending = new Map<string, WorkerAnnouncement>()
+  private readonly _pending = new Map<string, PendingWorker>()
   private _epoch = 0
   private readonly _recentCrashes = new RecentCrashes()
 
@@ -60,7 +69,7 @@
     }
     const rival = this._findAnsweringRival(announcement)
     if (rival !== undefined) {
-      this._pending.set(announcement.id, announcement)
+      this._pending.set(announcement.id, { announcement, announcedAt: now })
       const { id, born } = rival.announcement
       this._dependencies.logger.warn({ worker: announcement.id, born: announcement.born, address: announcement.address, service: announcement.service, answering: id, answeringBorn: born }, 'ignoring an announced worker for now: an earlier one answers at its address')
       return
@@ -137,8 +146,10 @@
 
   /** Adds the announced workers whose earlier incarnations no longer answer. */
   private _addPendingWorkers (): void {
-    for (const announcement of [...this._pending.values()]) {
-      if (this._findAnsweringRival(announcement) === undefined) this._addWorker(announcement, performance.now())
+    const now = performance.now()
+    for (const [id, { announcement, announcedAt }] of [...this._pending]) {
+      if (now - announcedAt > PENDING_MS) this._pending.delete(id)
+      else if (this._findAnsweringRival(announcement) === undefined) this._addWorker(announcement, now)
     }
   }
 
--- a/packages/daemon/test/jobAgent/workerTable.test.ts
+++ b/packages/daemon/test/jobAgent/workerTable.test.ts
@@ -213,3 +213,15 @@
   await clock.tickAsync(500)
   t.deepEqual(listReported(table), ['w/1'])
 })
+
+test.serial('an announced worker that was ignored and never heard of again does not replace one that stops answering later', async t => {
+  const outcomes: { poll: PollOutcome } = { poll: { kind: 'ok', clockMs: 1, born: 1, running: [], ended: [] } }
+  const { table, clock } = createTable(t, () => outcomes.poll)
+  table.acceptHeartbeat(makeAnnouncement('w', 1))
+  await clock.tickAsync(200)
+  table.acceptHeartbeat(makeAnnouncement('w', 9))
+  await clock.tickAsync(6_000)
+  outcomes.poll = { kind: 'lost', message: 'cut off' }
+  await clock.tickAsync(3_000)
+  t.deepEqual(listReported(table), ['w/1'])
+})
