--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,3 +1,4 @@
+export * from './address.js'
 export * from './callerHeaders.js'
 export * from './declarations.js'
 export * from './gangMessages.js'
--- a/packages/protocol/src/settings.ts
+++ b/packages/protocol/src/settings.ts
@@ -1,29 +1,19 @@
 /**
  * Schema and types of the settings of one process. The file is JSON with comments.
  */
-import { isIP } from 'node:net'
-
 import * as z from 'zod'
 
+import { isAddress } from './address.js'
+
 const id = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, 'expected letters, digits, dots, hyphens and underscores, at most 64')
-const MAX_PORT = 65_535
 const ADDRESS_HINT = 'expected IP:PORT with a port up to 65535, for instance "10.0.0.7:7700"'
 const URL_HINT = 'expected http://IP:PORT with a port from 1 to 65535'
 const URL_PATTERN = /^https?:\/\/([^/]+)$/
 
-/** Returns whether a text has the form `IP:PORT`, with an IPv6 address in brackets. */
-function isAddress (text: string, minPort: number): boolean {
-  const match = /^(?:\[([0-9a-fA-F:.]+)\]|([0-9.]+)):(\d{1,5})$/.exec(text)
-  if (match === null) return false
-  const port = Number(match[3])
-  const family = isIP(match[1] ?? match[2] ?? '')
-  return family === (match[1] === undefined ? 4 : 6) && port >= minPort && port <= MAX_PORT
-}
-
 /** Address to listen at; port 0 selects a free port. */
 const listenAddress = z.string().refine(text => isAddress(text, 0), ADDRESS_HINT)
-const address = z.string().refine(text => isAddress(text, 1), ADDRESS_HINT)
-const url = z.string().refine(text => isAddress(URL_PATTERN.exec(text)?.[1] ?? '', 1), URL_HINT)
+const address = z.string().refine(text => isAddress(text), ADDRESS_HINT)
+const url = z.string().refine(text => isAddress(URL_PATTERN.exec(text)?.[1] ?? ''), URL_HINT)
 const logLevel = z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info')
 
 const common = {
--- a/packages/runtime/src/httpClient.ts
+++ b/packages/runtime/src/httpClient.ts
@@ -7,7 +7,9 @@
 import { Agent, request as openRequest } from 'node:http'
 import type { ClientRequest, IncomingHttpHeaders, RequestOptions } from 'node:http'
 
-import { isPort, parseAddress } from './httpServer.js'
+import { isPort } from '@dragonflylever/protocol'
+
+import { parseAddress } from './httpServer.js'
 import { readBody } from './readBody.js'
 
 /** One HTTP call. */
--- a/packages/runtime/src/httpServer.ts
+++ b/packages/runtime/src/httpServer.ts
@@ -2,11 +2,9 @@
  * Opens HTTP servers and closes them gracefully.
  */
 import type { Server } from 'node:http'
-import { isIP } from 'node:net'
 import type { AddressInfo } from 'node:net'
 
 const DRAIN_POLL_MS = 50
-const MAX_PORT = 65_535
 
 /** Splits `IP:PORT`; the brackets of an IPv6 address are removed. */
 export function parseAddress (address: string): { host: string, port: number } {
@@ -14,17 +12,6 @@
   return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
 }
 
-/** True if a text is an IP address and a port to which a connection can be opened. */
-export function isAddress (text: string): boolean {
-  const { host, port } = parseAddress(text)
-  return isIP(host) !== 0 && isPort(port) && /:\d+$/.test(text)
-}
-
-/** True if a connection can be opened to a port of this number. */
-export function isPort (port: number): boolean {
-  return Number.isInteger(port) && port > 0 && port <= MAX_PORT
-}
-
 /** Starts listening and returns the bound address as IP:PORT. Rejects if the server can't listen at the address. */
 export async function openServer (server: Server, address: string): Promise<string> {
   const { host, port } = parseAddress(address)
