--- a/packages/bench/src/graphs/jobScore.ts
+++ b/packages/bench/src/graphs/jobScore.ts
@@ -3,6 +3,7 @@
  * grows with the job's work.
  */
 import { computeCoreSeconds, computeValueFactor } from '@dragonflylever/core/graphs/coreSeconds'
+import { countTasks } from '@dragonflylever/core/graphs/graphTypes'
 
 import type { GraphArrival } from './graphWorkload.js'
 
@@ -40,5 +41,5 @@
   const values = VALUES[queue.priority] ?? VALUES[2]
   const factor = computeValueFactor(computeWork(arrival), meanWork)
   const earned = result === JobResult.unserved ? 0 : values[result] * factor
-  return { queue: queue.name, organisation, tasks: steps.reduce((sum, step) => sum + step.count, 0), result, earned, owed: values.inTime * factor }
+  return { queue: queue.name, organisation, tasks: countTasks(steps), result, earned, owed: values.inTime * factor }
 }
--- a/packages/core/src/graphs/graphTypes.ts
+++ b/packages/core/src/graphs/graphTypes.ts
@@ -77,6 +77,16 @@
 /** Maximum number of tasks in the steps of one job; a planner holds the state of each. */
 export const MAX_TASKS_PER_JOB = 10_000
 
+/** Counts the tasks of one occurrence of a job. */
+export function countTasks (steps: ReadonlyArray<Pick<StepSpec, 'count'>>): number {
+  return steps.reduce((sum, step) => sum + step.count, 0)
+}
+
+/** True if each step comes only after earlier ones. */
+export function hasOrderedSteps (steps: ReadonlyArray<Pick<StepSpec, 'after'>>): boolean {
+  return steps.every((step, index) => step.after.every(before => before < index))
+}
+
 /** A job as it was accepted; immutable. */
 export interface JobGraph {
   readonly id: string
--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -3,6 +3,7 @@
  * time whether the store carried out a write, the answer is `undecided`.
  */
 import type { Store, StoredValue, TransactOutcome, Transaction } from '@dragonflylever/adapters'
+import { countTasks } from '@dragonflylever/core/graphs/index'
 import type { JobGraph, JobPhase, PolicyIndex, RoutedQueue, StepSpec } from '@dragonflylever/core/graphs/index'
 import type { Logger, Metrics } from '@dragonflylever/runtime'
 
@@ -111,7 +112,7 @@
     if (this._dependencies.states.get(id) !== undefined) return { kind: 'accepted' }
     const graph = makeGraph(id, organisation, queue, draft)
     const answer = await this._storeJob(call, graph)
-    this._dependencies.logger.info({ job: id, queue: queue.name, organisation, version: this._dependencies.getPolicy()?.policy.version, tasks: draft.steps.reduce((sum, step) => sum + step.count, 0), answer }, 'submission answered')
+    this._dependencies.logger.info({ job: id, queue: queue.name, organisation, version: this._dependencies.getPolicy()?.policy.version, tasks: countTasks(draft.steps), answer }, 'submission answered')
     return answer
   }
 
--- a/packages/daemon/src/jobPlanner/graphKeys.ts
+++ b/packages/daemon/src/jobPlanner/graphKeys.ts
@@ -1,7 +1,7 @@
 /**
  * Store keys of job graphs, and the formats of the records stored at them.
  */
-import { JobPhase, MAX_TASKS_PER_JOB, isTimed } from '@dragonflylever/core/graphs/index'
+import { JobPhase, MAX_TASKS_PER_JOB, countTasks, hasOrderedSteps, isTimed } from '@dragonflylever/core/graphs/index'
 import type { JobGraph } from '@dragonflylever/core/graphs/index'
 import { parseJson } from '@dragonflylever/protocol'
 import * as z from 'zod'
@@ -55,8 +55,8 @@
   steps: z.array(stepSchema),
   repeat: z.object({ count: nonNegativeInteger, intervalMs: z.number(), firstRunAt: z.number() }).optional(),
   acceptedAt: z.number()
-}).refine(graph => graph.steps.every((step, index) => step.after.every(before => before < index)), 'a step may only come after earlier ones')
-  .refine(graph => graph.steps.reduce((sum, step) => sum + step.count, 0) <= MAX_TASKS_PER_JOB, `expected at most ${MAX_TASKS_PER_JOB} tasks`)
+}).refine(graph => hasOrderedSteps(graph.steps), 'a step may only come after earlier ones')
+  .refine(graph => countTasks(graph.steps) <= MAX_TASKS_PER_JOB, `expected at most ${MAX_TASKS_PER_JOB} tasks`)
 
 /** Builds the store keys of one deployment, which share a prefix. */
 export class GraphKeys {
