--- a/packages/daemon/src/storeRelay/relayedCaller.ts
+++ b/packages/daemon/src/storeRelay/relayedCaller.ts
@@ -4,7 +4,7 @@
  * an agent, which is safe: conditional writes take effect at most once, and repeating the other writes does no harm. A write that no attempt confirmed has the
  * outcome `lost` if any of its attempts may have been carried out.
  */
-import type { HttpCall, HttpCaller, HttpOutcome, Logger } from '@dragonflylever/runtime'
+import type { HttpCall, HttpCaller, HttpOutcome } from '@dragonflylever/runtime'
 
 import { isServed } from './directPath.js'
 import type { DirectPath } from './directPath.js'
@@ -30,7 +30,6 @@
 export interface RelayedCallerDependencies {
   readonly direct: DirectPath
   readonly peers: HttpCaller
-  readonly logger: Logger
   /** Lists the addresses of the agents that may relay calls, those of the same region first. */
   readonly listRelays: () => readonly string[]
 }
