--- a/packages/daemon/src/jobEntry/policyWatcher.ts
+++ b/packages/daemon/src/jobEntry/policyWatcher.ts
@@ -39,7 +39,7 @@
     return this._index
   }
 
-  /** Time since the store last confirmed the declarations, in milliseconds; undefined if it never did. */
+  /** Time since the store last confirmed the declarations, in milliseconds; undefined before the first time and while they are not watched. */
   get ageMs (): number | undefined {
     return this._confirmed === undefined ? undefined : Math.round(performance.now() - this._confirmed.at)
   }
@@ -54,6 +54,7 @@
   close (): void {
     this._watcher?.close()
     this._watcher = undefined
+    this._confirmed = undefined
   }
 
   private _createWatcher (): PrefixWatcher {
--- a/packages/daemon/test/jobEntry/policyWatcher.test.ts
+++ b/packages/daemon/test/jobEntry/policyWatcher.test.ts
@@ -67,3 +67,13 @@
   t.is(second.index?.checkKey(QUEUE, 'old').kind, 'unknown')
   t.is(second.index?.checkKey(QUEUE, 'new').kind, 'organisation')
 })
+
+test('the age of the declarations is unknown while they are not watched, so that reopening is not logged as a gap', async t => {
+  const store = new MemoryStore()
+  const watcher = createWatcher(store)
+  t.is(watcher.ageMs, undefined)
+  await watcher.open()
+  t.is(typeof watcher.ageMs, 'number')
+  watcher.close()
+  t.is(watcher.ageMs, undefined)
+})
