Answer concurrent submissions of one job alike

A job counted as undecided only once the first call had been answered.

Change: a submission waits for the one of the same job that this process is storing, and is answered alike.

--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -82,6 +82,8 @@
   private readonly _dependencies: JobEntryHandlerDependencies
   /** Until when the write of a job may still take effect without this process knowing, on the monotonic clock, by job id. */
   private readonly _undecidedUntil = new Map<string, number>()
+  /** Answers to the submissions that are being stored, by job id. */
+  private readonly _pendingSubmissions = new Map<string, Promise<JobEntryAnswer>>()
 
   constructor (dependencies: JobEntryHandlerDependencies) {
     this._dependencies = dependencies
@@ -111,7 +113,7 @@
     if (!JOB_ID.test(id)) return makeRefusal(Refusal.invalid, 'a job id has 16 hexadecimal digits')
     if (this._dependencies.states.get(id) !== undefined) return { kind: 'accepted' }
     const graph = makeGraph(id, organisation, queue, draft)
-    const answer = await this._storeJob(call, graph)
+    const answer = await this._storeJobOnce(call, graph)
     this._dependencies.logger.info({ job: id, queue: queue.name, organisation, version: this._dependencies.getPolicy()?.policy.version, tasks: countTasks(draft.steps), answer }, 'submission answered')
     return answer
   }
@@ -142,6 +144,22 @@
     return answer
   }
 
+  /**
+   * Stores a job. While another call of this process stores the same job, waits for the answer to that one: a rejection of this call alone would tell the client that
+   * the job never runs, although the other call's write may still be carried out.
+   */
+  private async _storeJobOnce (call: JobEntryCall, graph: JobGraph): Promise<JobEntryAnswer> {
+    const pending = this._pendingSubmissions.get(graph.id)
+    if (pending !== undefined) return pending
+    const submission = this._storeJob(call, graph)
+    this._pendingSubmissions.set(graph.id, submission)
+    try {
+      return await submission
+    } finally {
+      this._pendingSubmissions.delete(graph.id)
+    }
+  }
+
   private async _storeJob (call: JobEntryCall, graph: JobGraph): Promise<JobEntryAnswer> {
     const { keys, states } = this._dependencies
     const state = createQueuedJobState(graph)
--- a/packages/daemon/test/jobEntry/jobEntryHandler.test.ts
+++ b/packages/daemon/test/jobEntry/jobEntryHandler.test.ts
@@ -2,25 +2,17 @@
  * What a client is told about a submitted job when the store's answers are lost: a refusal promises that the job never runs.
  */
 import { PolicyIndex } from '@dragonflylever/core/graphs/index'
-import type { FleetPolicy } from '@dragonflylever/core/graphs/index'
 import { JobEntryHandler } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
 import type { JobEntryAnswer } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
 import { JobStates } from '@dragonflylever/daemon/jobEntry/jobStates'
-import { GraphKeys } from '@dragonflylever/daemon/jobPlanner/graphKeys'
 import { NoMetrics, createLogger } from '@dragonflylever/runtime'
 import { MemoryStore } from '@dragonflylever/standins'
 import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 
-const KEYS = new GraphKeys('p')
-const JOB_ID = '00000000000000a1'
-const POLICY: FleetPolicy = {
-  version: 1,
-  queues: [{ name: 'q', service: 's', priority: 1, maxAttempts: 2, stretch: 3, targetLatencyMs: 500, host: 'h', prefix: '/q/', isOpen: true }],
-  organisations: [],
-  limits: { maxBodyBytes: 1, maxHeaderBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
-}
+import { KEYS } from '../graphs/graphNode.js'
+import { JOB_ID, POLICY, makeSubmission } from './entryFixture.js'
 
 interface Fixture {
   readonly store: MemoryStore
@@ -42,7 +34,8 @@
     store,
     handler,
     submit: async () => {
-      const answer = handler.submit({ host: 'h', path: `/q/${JOB_ID}`, key: undefined, deadlineAt: performance.now() + 3_000 }, { payload: '', steps: [], repeat: undefined })
+      const { call, draft } = makeSubmission()
+      const answer = handler.submit(call, draft)
       await clock.tickAsync(3_000)
       return answer
     },
