Leave a job with an unreadable progress record alone, however often it is listed

Cause: the planner left a job alone whose progress record it could not read, and dropped the record from memory. When the watch ended, as it does when the store drops its history, the job was listed again, had no record, and was added as one that had never run; the first write then took over the revision of the stored record. The record was also decoded without a check: `{"phase":"queued","steps":{"0":...}}` or runs above the last run number restored a job with other runs than the stored ones, and an end on a running job let it expire.

Change: records are decoded by a schema in the daemon, whole or not at all, and against the job's spec (steps, number of tasks, occurrences); an unreadable one stays remembered. The planner takes decoded records only.

The record in endedJobs.test.ts had the step key `0` in place of `0.0` (a number as a property name), which the planner never writes; it is now of the written form.

--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -7,6 +7,7 @@
 import { JobPhase, isFinalPhase } from './graphTypes.js'
 import type { JobGraph, StepSpec } from './graphTypes.js'
 import { encodeProgress, restoreJob } from './jobProgress.js'
+import type { ProgressRecord } from './jobProgress.js'
 import { addOccurrence, countOccurrences, isActive, isTimed, listTasks, markChanged } from './jobState.js'
 import type { JobState, TaskState, WorkerKey } from './jobState.js'
 import { listOrders } from './orderList.js'
@@ -87,7 +88,7 @@
   }
 
   /** Adds a job; `progress` is its stored record, if there is one. Does nothing for a known job. */
-  addJob (graph: JobGraph, progress: string | undefined, now: number): void {
+  addJob (graph: JobGraph, progress: ProgressRecord | undefined, now: number): void {
     if (this._jobs.has(graph.id)) return
     const job = restoreJob(graph, progress, now)
     this._jobs.set(graph.id, job)
--- a/packages/core/src/graphs/jobProgress.ts
+++ b/packages/core/src/graphs/jobProgress.ts
@@ -8,7 +8,7 @@
 import type { JobState, RunState, StepState, TaskState, WorkerLocation } from './jobState.js'
 
 /** Stored run: run number, id of the worker, start time of the worker's incarnation, address of the worker. */
-type RunRecord = readonly [number, string, number, string]
+export type RunRecord = readonly [number, string, number, string]
 /** Stored crashes: see `crashes`, `soleCrashes` and `lastCrashedRun` of a task. */
 type CrashRecord = readonly [number, number, number]
 /**
@@ -17,15 +17,18 @@
  */
 type TaskRecord = readonly [number, number, number, string, readonly RunRecord[], readonly string[], CrashRecord?]
 
-interface StepRecord {
+/** Stored progress of one step of an occurrence. */
+export interface StepRecord {
   /** Number of failed runs of a gang; `failedRun` is the run number of the last failure. */
   readonly failures: number
   readonly failedRun: number
   readonly tasks: readonly TaskRecord[]
 }
 
-interface ProgressRecord {
+/** Stored progress of a job. */
+export interface ProgressRecord {
   readonly phase: JobPhase
+  /** Wall time at which the job ended, in milliseconds since 1970. */
   readonly endedAt?: number
   /** Steps by `OCCURRENCE.STEP`, the numbers of the occurrence and of the step. */
   readonly steps: Readonly<Record<string, StepRecord>>
@@ -42,10 +45,9 @@
 }
 
 /** Restores a job from its stored record; a job without a record has not started. */
-export function restoreJob (graph: JobGraph, text: string | undefined, now: number): JobState {
+export function restoreJob (graph: JobGraph, record: ProgressRecord | undefined, now: number): JobState {
   const job = createJobState(graph, now)
-  if (text === undefined) return job
-  const record = JSON.parse(text) as ProgressRecord
+  if (record === undefined) return job
   job.phase = record.phase
   job.endedAt = record.endedAt
   for (const [key, stepRecord] of Object.entries(record.steps)) {
--- a/packages/core/test/graphs/plannerHarness.ts
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -2,7 +2,7 @@
  * A planner with fake workers that execute its orders at once, for tests of single decisions.
  */
 import { GraphPlanner, StartRefusal } from '@dragonflylever/core/graphs/index'
-import type { CrashListing, EndListing, GraphPlannerOptions, JobGraph, OrderListing, PlannerTimes, QueuePolicy, RunEnd, RunListing, StepSpec, TaskNeeds, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
+import type { CrashListing, EndListing, GraphPlannerOptions, JobGraph, OrderListing, PlannerTimes, ProgressRecord, QueuePolicy, RunEnd, RunListing, StepSpec, TaskNeeds, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
 
 export const TIMES: PlannerTimes = {
   runLeaseMs: 6_000,
@@ -150,7 +150,10 @@
   /** Replaces the planner by a new one that restores the jobs from the stored records. */
   replacePlanner (): void {
     this.planner = this._createPlanner()
-    for (const [id, graph] of this._graphs) this.planner.addJob(graph, this.records.get(id), this.now)
+    for (const [id, graph] of this._graphs) {
+      const stored = this.records.get(id)
+      this.planner.addJob(graph, stored === undefined ? undefined : JSON.parse(stored) as ProgressRecord, this.now)
+    }
   }
 
   listNotes (event: string): Array<Readonly<Record<string, unknown>>> {
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -13,6 +13,7 @@
 import { ReportLongPoll } from './reportLongPoll.js'
 import { createQueuedJobState, decodeJobSpec, decodeJobState } from './graphKeys.js'
 import type { GraphKeys, JobStateRecord } from './graphKeys.js'
+import { decodeProgress } from './progressRecord.js'
 import { ProgressWriter } from './progressWriter.js'
 
 /** Maximum time between scheduler passes, in milliseconds, for timeouts and other changes that no report triggers. */
@@ -181,8 +182,7 @@
       this._states.set(jobId, state)
       this._writer.recordStoredProgress(jobId, this._storedProgress.get(jobId)?.modRevision ?? 0, state.phase)
     }
-    this._addJobWithProgress(graph, this._storedProgress.get(jobId), now)
-    this._storedProgress.delete(jobId)
+    this._addJobWithProgress(graph, now)
   }
 
   /**
@@ -194,13 +194,19 @@
     return state !== undefined && isFinalPhase(state.phase) && this._planner.getJob(jobId) === undefined && !this._storedProgress.has(jobId)
   }
 
-  /** Adds a job to the planner. A job with an unreadable progress record is left alone, since its runs are unknown and must not start again. */
-  private _addJobWithProgress (graph: JobGraph, progress: StoredValue | undefined, now: number): void {
-    try {
-      this._planner.addJob(graph, progress?.value, now)
-    } catch (error) {
-      this._dependencies.logger.error({ job: graph.id, revision: progress?.modRevision, message: (error as Error).message }, 'progress record of a job is unreadable; leaving the job alone')
+  /**
+   * Adds a job to the planner. A job with an unreadable progress record is left alone, since its runs are unknown and must not start again; its record is kept in
+   * mind, since the job is listed again whenever the watch ends.
+   */
+  private _addJobWithProgress (graph: JobGraph, now: number): void {
+    const stored = this._storedProgress.get(graph.id)
+    const progress = stored === undefined ? undefined : decodeProgress(graph, stored.value)
+    if (stored !== undefined && progress === undefined) {
+      this._dependencies.logger.error({ job: graph.id, revision: stored.modRevision }, 'progress record of a job is unreadable; leaving the job alone')
+      return
     }
+    this._planner.addJob(graph, progress, now)
+    this._storedProgress.delete(graph.id)
   }
 
   private _schedulePass (): void {
--- /dev/null
+++ b/packages/daemon/src/jobPlanner/progressRecord.ts
@@ -0,0 +1,32 @@
+/**
+ * Decodes the stored progress records of jobs. A record is taken whole or not at all: a run that is left out would be started a second time.
+ */
+import { JobPhase, countOccurrences, isFinalPhase } from '@dragonflylever/core/graphs/index'
+import type { JobGraph, ProgressRecord, StepRecord } from '@dragonflylever/core/graphs/index'
+import { parseJson } from '@dragonflylever/protocol'
+import * as z from 'zod'
+
+const count = z.number().int().min(0)
+/** Run number, id of the worker, start time of its incarnation, address. */
+const runSchema = z.tuple([z.number().int().min(1), z.string(), z.number().int(), z.string()])
+const crashSchema = z.tuple([count, count, count])
+/** Done (0 or 1), failed runs, number of the last run, checkpoint, runs, ids of the workers on which it failed, crashes. */
+const taskSchema = z.tuple([z.literal([0, 1]), count, count, z.string(), z.array(runSchema), z.array(z.string()), crashSchema.optional()])
+  .refine(([, , lastRun, , runs]) => runs.every(([number]) => number <= lastRun), 'a run may not have a number above that of the last run')
+const stepSchema = z.object({ failures: count, failedRun: count, tasks: z.array(taskSchema) })
+const progressSchema = z.object({ phase: z.enum(JobPhase), endedAt: z.number().optional(), steps: z.record(z.string().regex(/^\d{1,9}\.\d{1,9}$/), stepSchema) })
+  .refine(({ phase, endedAt }) => endedAt === undefined || isFinalPhase(phase), 'only a job that has ended has an end')
+
+/** Decodes the progress record of a job; returns undefined if the text is not a valid record of this job. */
+export function decodeProgress (graph: JobGraph, text: string): ProgressRecord | undefined {
+  const checked = progressSchema.safeParse(parseJson(text))
+  if (!checked.success) return undefined
+  const record = checked.data as ProgressRecord
+  return Object.entries(record.steps).every(([key, step]) => isStepOf(graph, key, step)) ? record : undefined
+}
+
+/** True if a stored step has the place and the number of tasks that the job's spec says. */
+function isStepOf (graph: JobGraph, key: string, step: StepRecord): boolean {
+  const [occurrence = NaN, index = NaN] = key.split('.').map(Number)
+  return occurrence < countOccurrences(graph) && graph.steps[index]?.count === step.tasks.length
+}
--- a/packages/daemon/test/jobPlanner/endedJobs.test.ts
+++ b/packages/daemon/test/jobPlanner/endedJobs.test.ts
@@ -22,7 +22,7 @@
   const put = (key: string, value: object): unknown => store.engine.put({ key, value: JSON.stringify(value), expect: { kind: 'any' } })
   put(KEYS.getSpecKey(id), graph)
   put(KEYS.getStateKey(id), { ...createQueuedJobState(graph), phase })
-  put(KEYS.getProgressKey(id), { phase, endedAt: NOW - TIMES.retentionMs, steps: { 0.0: { failures: 0, failedRun: 0, tasks: [[1, 0, 1, '', [], []]] } } })
+  put(KEYS.getProgressKey(id), { phase, endedAt: NOW - TIMES.retentionMs, steps: { '0.0': { failures: 0, failedRun: 0, tasks: [[1, 0, 1, '', [], []]] } } })
 }
 
 const fault = fc.record({ atMs: fc.integer({ min: -20_000, max: 20_000 }), downMs: fc.integer({ min: 0, max: 15_000 }), losesHistory: fc.boolean() })
