--- a/packages/daemon/src/agent/agentProcess.ts
+++ b/packages/daemon/src/agent/agentProcess.ts
@@ -79,7 +79,7 @@
     this._lifecycle.add('endpoint', () => endpoint.close())
     const runner = this._createSlotRunner(endpoint)
     const { clusterKey } = this._settings
-    const control = new ControlServer({ clusterKey, maxConnections: this._settings.endpoint.maxConnections })
+    const control = new ControlServer({ clusterKey, maxConnections: this._settings.endpoint.maxConnections, logger: log })
     const handler = new DispatchHandler({ runner, tracer, clusterKey, incarnation, isLeaving: () => this.board.get('isLeaving') })
     const connections = new DispatchConnections({ handler, maxConnections: this._settings.endpoint.maxConnections })
     control.add(DISPATCH_PATH, (request, response) => connections.handle(request, response))
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -106,7 +106,7 @@
     })
     const memberLog = new MemberLog(this.board, createPartLogger(logger, 'members'))
     this._lifecycle.add('member log', () => memberLog.close())
-    const control = new ControlServer({ clusterKey: this._settings.clusterKey })
+    const control = new ControlServer({ clusterKey: this._settings.clusterKey, logger: createPartLogger(logger, 'control') })
     const node = this._createNode(control)
     this._controlAddress = await control.open(this._settings.listen.control)
     this._lifecycle.add('control server', () => control.close())
--- a/packages/daemon/src/jobAgent/jobAgentProcess.ts
+++ b/packages/daemon/src/jobAgent/jobAgentProcess.ts
@@ -6,13 +6,12 @@
 import type { FleetPolicy, PlannerTimes } from '@dragonflylever/core/graphs/index'
 import type { PeerRpc } from '@dragonflylever/protocol'
 import { Lifecycle, createPartLogger } from '@dragonflylever/runtime'
-import type { Logger, Metrics } from '@dragonflylever/runtime'
+import type { Logger, Metrics, RequestHandler } from '@dragonflylever/runtime'
 
 import { PolicyWatcher } from '../jobEntry/policyWatcher.js'
 import type { GraphKeys } from '../jobPlanner/graphKeys.js'
 import { PlannerCandidate } from '../jobPlanner/plannerCandidate.js'
 import { ControlServer } from '../shared/controlServer.js'
-import type { PathHandler } from '../shared/controlServer.js'
 import type { NodeRecord } from '../storeRelay/nodeDirectory.js'
 import { RELAY_PATH } from '../storeRelay/relayedCaller.js'
 import { PlannerLink } from './plannerLink.js'
@@ -43,7 +42,7 @@
   readonly plannerDelayMs: number
   readonly openWorker: (announcement: WorkerAnnouncement) => RunWorker
   /** Handler of the requests to relay store calls of other processes. */
-  readonly relay: PathHandler
+  readonly relay: RequestHandler
 }
 
 export class JobAgentProcess {
@@ -59,7 +58,7 @@
   constructor (dependencies: JobAgentDependencies) {
     this._dependencies = dependencies
     const { store, prefix, keys, name, address, peers, logger, metrics, times } = dependencies
-    this._control = new ControlServer({ clusterKey: dependencies.clusterKey })
+    this._control = new ControlServer({ clusterKey: dependencies.clusterKey, logger: createPartLogger(logger, 'control') })
     this._control.add(RELAY_PATH, dependencies.relay)
     this._policy = new PolicyWatcher({ store, key: dependencies.policyKey, decode: dependencies.decodePolicy, logger: createPartLogger(logger, 'config') })
     this._candidate = new PlannerCandidate({
--- a/packages/daemon/src/shared/controlServer.ts
+++ b/packages/daemon/src/shared/controlServer.ts
@@ -5,33 +5,32 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
 import { RPC_PATH } from '@dragonflylever/protocol'
-import { RpcServer, closeServer, openServer, sendJson } from '@dragonflylever/runtime'
+import { RpcServer, closeServer, createRequestListener, openServer, sendJson } from '@dragonflylever/runtime'
+import type { Logger, RequestHandler } from '@dragonflylever/runtime'
 
 const KEEP_ALIVE_MS = 65_000
 
-/** Handles the HTTP requests to one path. */
-export type PathHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
-
 /** Options of {@link ControlServer}; the number of connections is unlimited when `maxConnections` is absent. */
 export interface ControlServerOptions {
   readonly clusterKey: string
   readonly maxConnections?: number
+  readonly logger: Logger
 }
 
 export class ControlServer {
   readonly rpc: RpcServer
   private readonly _server: Server
-  private readonly _handlers = new Map<string, PathHandler>()
+  private readonly _handlers = new Map<string, RequestHandler>()
 
   constructor (options: ControlServerOptions) {
     this.rpc = new RpcServer(options.clusterKey)
     this._handlers.set(RPC_PATH, (request, response) => this.rpc.handle(request, response))
-    this._server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => { void this._handleRequest(request, response) })
+    this._server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, createRequestListener((request, response) => this._handleRequest(request, response), options.logger))
     if (options.maxConnections !== undefined) this._server.maxConnections = options.maxConnections
   }
 
   /** Adds the handler for the requests to a path. */
-  add (path: string, handler: PathHandler): void {
+  add (path: string, handler: RequestHandler): void {
     this._handlers.set(path, handler)
   }
 
@@ -52,10 +51,6 @@
       sendJson(response, 404, { error: `no such path: ${request.url}` })
       return
     }
-    try {
-      await handler(request, response)
-    } catch {
-      response.destroy()
-    }
+    await handler(request, response)
   }
 }
