End a planner's session rather than write over progress that it has not read

Any other way in which a planner comes to know less than the store would have ended the same.

Cause: a conflict under one's own leader key was always taken for an own write whose answer had been lost.

Change: it is taken so only for jobs of which a write was left unanswered. Otherwise the session ends and the next planner loads the records; nothing has been started, since starts wait for the write. The log line names the job and both revisions, which tells this from a lost answer (`job progress conflicted with the stored revisions`).

Evidence: progressWriter.test.ts; before, the stored record is replaced by 'from the beginning', and one changed by another writer by 'second'.

--- a/packages/daemon/src/duties/leaderElector.ts
+++ b/packages/daemon/src/duties/leaderElector.ts
@@ -116,9 +116,9 @@
     this._options.onLeadershipConfirmed?.(callStartedAt)
   }
 
-  /** Records that the leader's key in the store has changed, which ends leadership. */
-  recordLeadershipLost (): void {
-    if (this._epoch !== undefined) this._endLeadership('the leader key in the store has changed')
+  /** Ends leadership, for a reason that this process found out otherwise than by its lease. */
+  recordLeadershipLost (reason: string): void {
+    if (this._epoch !== undefined) this._endLeadership(reason)
   }
 
   /** Attempts to become leader. Makes one store call if there already is a leader, three if there is none. */
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -50,7 +50,8 @@
   readonly mayGrant: () => boolean
   readonly getPolicy: () => PolicyIndex | undefined
   readonly onLeadershipConfirmed: (callStartedAt: ClockReading) => void
-  readonly onFenced: () => void
+  /** Called with the reason when the session must end because this process must not act as the planner any longer. */
+  readonly onFenced: (reason: string) => void
 }
 
 export class GraphSession {
--- a/packages/daemon/src/jobPlanner/plannerCandidate.ts
+++ b/packages/daemon/src/jobPlanner/plannerCandidate.ts
@@ -108,7 +108,7 @@
     if (leader === undefined || this._isFromEarlierProcess(leader)) return this._scheduleAcquireAttempt()
     clearTimeout(this._attemptTimer)
     this._attemptTimer = undefined
-    if (leader.epoch !== this._elector.epoch && this._elector.epoch !== undefined && leader.epoch > this._elector.epoch) this._elector.recordLeadershipLost()
+    if (leader.epoch !== this._elector.epoch && this._elector.epoch !== undefined && leader.epoch > this._elector.epoch) this._elector.recordLeadershipLost('a later leader is known')
     this._dependencies.onPlannerChange()
   }
 
@@ -147,7 +147,7 @@
       mayGrant: () => this._elector.leadershipConfirmedAgeMs < GRANT_CONFIRMATION_MAX_AGE_MS,
       getPolicy,
       onLeadershipConfirmed: callStartedAt => this._elector.recordLeadershipConfirmed(callStartedAt),
-      onFenced: () => this._elector.recordLeadershipLost()
+      onFenced: reason => this._elector.recordLeadershipLost(reason)
     })
     this._session = session
     this._dependencies.onSessionChange(true)
--- a/packages/daemon/src/jobPlanner/progressWriter.ts
+++ b/packages/daemon/src/jobPlanner/progressWriter.ts
@@ -35,8 +35,8 @@
    * the leader's key.
    */
   readonly onLeadershipConfirmed: (callStartedAt: ClockReading) => void
-  /** Called when a transaction is rejected because this process is no longer the leader. */
-  readonly onFenced: () => void
+  /** Called with the reason when this process must not act as the planner any longer. */
+  readonly onFenced: (reason: string) => void
 }
 
 export class ProgressWriter {
@@ -44,6 +44,8 @@
   /** Revision of the stored progress record of each job, by job id; 0 if there is no record. */
   private readonly _storedRevisions = new Map<string, number>()
   private readonly _storedPhases = new Map<string, string>()
+  /** Jobs whose progress the store may hold in a version that this process wrote without getting an answer. */
+  private readonly _undecidedJobs = new Set<string>()
   private _writeLoop: Promise<void> | undefined
   private _isClosed = false
   private _isFailing = false
@@ -77,6 +79,7 @@
     for (const jobId of jobIds) {
       this._storedRevisions.delete(jobId)
       this._storedPhases.delete(jobId)
+      this._undecidedJobs.delete(jobId)
       const removes = [keys.getSpecKey(jobId), keys.getProgressKey(jobId), keys.getCancelKey(jobId)]
       const outcome = await store.transact({ expect: [{ key: leaderKey, modRevision: epoch }], puts: [], removes })
       if (outcome.kind === 'ok') removed.push(jobId)
@@ -116,40 +119,57 @@
     const callStartedAt = readClocks()
     const outcome = await store.transact({ expect, puts, removes: [] })
     if (outcome.kind === 'ok') {
-      for (const job of batch) this.recordStoredProgress(job.jobId, outcome.modRevision, job.phase)
+      for (const job of batch) {
+        this.recordStoredProgress(job.jobId, outcome.modRevision, job.phase)
+        this._undecidedJobs.delete(job.jobId)
+      }
       this._recordStoreHealth(true, '')
       this._dependencies.onLeadershipConfirmed(callStartedAt)
       this._dependencies.onDurable(batch)
       return true
     }
     if (outcome.kind === 'conflict') return this._resolveConflict(batch, outcome.current)
+    if (outcome.kind === 'ambiguous') for (const job of batch) this._undecidedJobs.add(job.jobId)
     this._recordStoreHealth(false, outcome.message)
     logger.debug({ jobs: batch.length, outcome: outcome.kind }, 'could not store job progress; will retry')
     return false
   }
 
   /**
-   * Handles a conflict, which means either that leadership was lost, or that an earlier write of this process succeeded but its
-   * answer was lost. In the second case the current revision of the record is noted, and the progress is written again. Returns true in that case.
+   * Handles a conflict. If an earlier write of this process succeeded but its answer was lost, the current revision of the record is noted, and the progress is written
+   * again; returns true in that case. Otherwise leadership was lost, or the store holds progress that this process has never read: writing over it would run tasks twice, so
+   * the session ends, and the next planner reads the record.
    */
   private _resolveConflict (batch: readonly ChangedJob[], current: readonly StoredValue[]): boolean {
     const { leaderKey, epoch, keys, logger } = this._dependencies
     const duty = current.find(value => value.key === leaderKey)
     if (duty?.modRevision !== epoch) {
       logger.warn({ epoch, holder: duty?.value, revision: duty?.modRevision }, 'job progress rejected because this process is no longer the leader; ending the session')
-      this._isClosed = true
-      this._dependencies.onFenced()
+      this._endSession('the leader key in the store has changed')
       return false
     }
-    for (const job of batch) {
-      const found = current.find(value => value.key === keys.getProgressKey(job.jobId))
-      this._storedRevisions.set(job.jobId, found?.modRevision ?? 0)
-      this._storedPhases.delete(job.jobId)
+    const found = new Map(batch.map(job => [job.jobId, current.find(value => value.key === keys.getProgressKey(job.jobId))?.modRevision]))
+    for (const { jobId } of batch) {
+      const revision = found.get(jobId)
+      const knownRevision = this._storedRevisions.get(jobId) ?? 0
+      if (revision === undefined || revision === knownRevision || this._undecidedJobs.has(jobId)) continue
+      logger.error({ job: jobId, epoch, revision, knownRevision }, 'the store holds progress of a job that this planner has not read; ending the session')
+      this._endSession('the store holds progress that this planner has not read')
+      return false
+    }
+    for (const { jobId } of batch) {
+      this._storedRevisions.set(jobId, found.get(jobId) ?? 0)
+      this._storedPhases.delete(jobId)
     }
     logger.info({ jobs: batch.map(job => job.jobId) }, 'job progress conflicted with the stored revisions; retrying with those')
     return true
   }
 
+  private _endSession (reason: string): void {
+    this._isClosed = true
+    this._dependencies.onFenced(reason)
+  }
+
   private _recordStoreHealth (isStored: boolean, message: string): void {
     if (this._isFailing !== isStored) return
     this._isFailing = !isStored
--- /dev/null
+++ b/packages/daemon/test/jobPlanner/progressWriter.test.ts
@@ -0,0 +1,93 @@
+/**
+ * Case 2 of the review: completed jobs ran again, since a planner that did not know their progress wrote over the stored records.
+ */
+import { ProgressWriter } from '@dragonflylever/daemon/jobPlanner/progressWriter'
+import { createLogger } from '@dragonflylever/runtime'
+import { MemoryStore } from '@dragonflylever/standins'
+import FakeTimers from '@sinonjs/fake-timers'
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+
+import { KEYS } from '../graphs/graphNode.js'
+
+const LEADER_KEY = 'leader'
+const JOB = 'a'
+
+interface Fixture {
+  readonly clock: FakeTimers.Clock
+  readonly store: MemoryStore
+  readonly writer: ProgressWriter
+  /** Why the writer gave up leadership, in turn. */
+  readonly fences: string[]
+  /** Records that were reported as stored. */
+  readonly durable: string[]
+  /** Changes the job and lets the writer store it. */
+  readonly write: (record: string) => Promise<void>
+}
+
+function createFixture (t: ExecutionContext): Fixture {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] })
+  t.teardown(() => clock.uninstall())
+  const store = new MemoryStore()
+  const put = store.engine.put({ key: LEADER_KEY, value: '', expect: { kind: 'absent' } })
+  const fences: string[] = []
+  const durable: string[] = []
+  const changed: string[] = []
+  const writer = new ProgressWriter({
+    store,
+    keys: KEYS,
+    leaderKey: LEADER_KEY,
+    epoch: put.kind === 'ok' ? put.modRevision : 0,
+    logger: createLogger({ level: 'silent', processId: 't' }),
+    listChangedJobs: () => changed.map((record, version) => ({ jobId: JOB, version, phase: 'running' as const, queue: 'q', organisation: 'o', record })),
+    makeState: () => undefined,
+    onDurable: jobs => {
+      durable.push(...jobs.map(({ record }) => record))
+      changed.length = 0
+    },
+    onLeadershipConfirmed: () => {},
+    onFenced: reason => { fences.push(reason) }
+  })
+  const write = async (record: string): Promise<void> => {
+    changed[0] = record
+    writer.flush()
+    await clock.tickAsync(500)
+  }
+  return { clock, store, writer, fences, durable, write }
+}
+
+function putProgress (store: MemoryStore, value: string): void {
+  store.engine.put({ key: KEYS.getProgressKey(JOB), value, expect: { kind: 'any' } })
+}
+
+function readProgress (store: MemoryStore): string | undefined {
+  return store.engine.get(KEYS.getProgressKey(JOB))?.value
+}
+
+test.serial('a stored progress record that the planner has not read is not overwritten; the planner gives up leadership and the next one reads it', async t => {
+  const { store, fences, durable, write } = createFixture(t)
+  putProgress(store, 'runs that this planner does not know')
+  await write('from the beginning')
+  t.is(readProgress(store), 'runs that this planner does not know')
+  t.deepEqual(durable, [])
+  t.is(fences.length, 1)
+})
+
+test.serial('a record that has changed since this planner wrote it is not overwritten either', async t => {
+  const { store, fences, write } = createFixture(t)
+  await write('first')
+  putProgress(store, 'of another writer')
+  await write('second')
+  t.is(readProgress(store), 'of another writer')
+  t.is(fences.length, 1)
+})
+
+test.serial('after writes of this planner whose answers were lost, it goes on with the record that the store holds', async t => {
+  const { store, fences, durable, write } = createFixture(t)
+  store.faults.loseAnswers = 3
+  await write('first')
+  await write('second')
+  t.is(readProgress(store), 'second')
+  t.deepEqual(durable, ['first', 'second'])
+  t.deepEqual(fences, [])
+})
