Keep the state of an ended job until no list can still bring the job back

What callers would see: a job that was completed runs again (TWICE), if it was accepted over an hour before its end.

Cause: the state of a job, by which a listed job is known to have ended, is removed an hour after the job's acceptance, and for a long job in the same moment as its records. A list that was read before and arrives after that holds the spec of a job that nothing knows.

Change: the state stays for 30 s after the store has confirmed the removal of the records.

--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -29,6 +29,11 @@
  * state, and the job id is not reused, during this time; two minutes are required.
  */
 const STATE_RETENTION_MS = 60 * 60_000
+/**
+ * How long the state of a job is kept after its records have been removed, in milliseconds: a list of the jobs that was read before may arrive until then, and a listed job
+ * without a state would be taken for a new one. A list call ends within 1.3 s.
+ */
+const STATE_AFTER_RECORDS_MS = 30_000
 /** Maximum number of job states removed in one transaction; below the store's limit of keys per transaction. */
 const STATES_PER_REMOVAL = 30
 /** Times at which the planner sends its address to agents that have not reported yet, in milliseconds after the start of the session. */
@@ -63,6 +68,8 @@
   private readonly _states = new Map<string, JobStateRecord>()
   /** Ended jobs that the planner no longer holds, and whose records the store has not confirmed to be removed. */
   private readonly _jobsToRemove = new Set<string>()
+  /** When the store confirmed the removal of the records of jobs whose states it still holds, on the monotonic clock, by job id. */
+  private readonly _recordsRemovedAt = new Map<string, number>()
   private _isRemoving = false
   private readonly _timers: NodeJS.Timeout[] = []
   private _inputWatcher: PrefixWatcher | undefined
@@ -250,7 +257,10 @@
     if (this._isRemoving) return
     this._isRemoving = true
     for (const jobId of this._planner.removeExpiredJobs(performance.now())) this._jobsToRemove.add(jobId)
-    for (const jobId of await this._writer.remove([...this._jobsToRemove])) this._jobsToRemove.delete(jobId)
+    for (const jobId of await this._writer.remove([...this._jobsToRemove])) {
+      this._jobsToRemove.delete(jobId)
+      this._recordsRemovedAt.set(jobId, performance.now())
+    }
     await this._removeExpiredStates()
     this._isRemoving = false
   }
@@ -258,7 +268,10 @@
   private async _removeExpiredStates (): Promise<void> {
     const expired = this._listExpiredStates()
     if (expired.length === 0 || !await this._writer.removeStates(expired)) return
-    for (const jobId of expired) this._states.delete(jobId)
+    for (const jobId of expired) {
+      this._states.delete(jobId)
+      this._recordsRemovedAt.delete(jobId)
+    }
   }
 
   private _listExpiredStates (): string[] {
@@ -266,8 +279,9 @@
     for (const [jobId, state] of this._states) {
       if (expired.length >= STATES_PER_REMOVAL) break
       const isOld = isFinalPhase(state.phase) && Date.now() - state.acceptedAt > STATE_RETENTION_MS
-      // Without its state, a job whose records are still there would look like a new one.
-      if (isOld && this._planner.getJob(jobId) === undefined && !this._jobsToRemove.has(jobId)) expired.push(jobId)
+      // Without its state, a job whose records are still there, or are listed late, would look like a new one.
+      const isUnlisted = !this._jobsToRemove.has(jobId) && performance.now() - (this._recordsRemovedAt.get(jobId) ?? -Infinity) > STATE_AFTER_RECORDS_MS
+      if (isOld && isUnlisted && this._planner.getJob(jobId) === undefined) expired.push(jobId)
     }
     return expired
   }
