Forget an ended job only once its end is stored

Cause: the planner forgot an ended job when its retention time was over, whether or not the write of its end had succeeded. The write was then never repeated; the records were removed, and the state `running` stayed.

Change: a job whose last change is not stored is kept.

--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -160,12 +160,12 @@
     return orders
   }
 
-  /** Removes the ended jobs without runs whose retention time is over; returns their ids. */
+  /** Removes the ended jobs without runs whose end is stored and whose retention time is over; returns their ids. */
   removeExpiredJobs (now: number): string[] {
     const removed: string[] = []
     for (const [jobId, job] of this._jobs) {
       const isOld = job.endedAt !== undefined && this._options.getWallTime() - job.endedAt > this._options.times.retentionMs && now - job.addedAt > this._options.times.retentionMs
-      if (!isOld || listTasks(job).some(task => task.runs.length > 0)) continue
+      if (!isOld || job.version > job.durableVersion || listTasks(job).some(task => task.runs.length > 0)) continue
       this._jobs.delete(jobId)
       removed.push(jobId)
     }
