Drop a job's state at an entry when a list shows that it was removed

What callers would see: a job that ended and was removed long ago is shown as queued for ever by one entry, and counts there as waiting (MIXED).

Change: what the watch had shown and a later list lacks is dropped. What an entry recorded by itself stays until the watch has shown it, since a list may be older.

--- a/packages/daemon/src/jobEntry/jobStates.ts
+++ b/packages/daemon/src/jobEntry/jobStates.ts
@@ -20,13 +20,15 @@
   private readonly _dependencies: JobStatesDependencies
   private readonly _watcher: PrefixWatcher
   private readonly _states = new Map<string, JobStateRecord>()
+  /** Jobs whose states a list or the watch has shown; the others were recorded by this process when it stored or read them. */
+  private readonly _watchedJobs = new Set<string>()
 
   constructor (dependencies: JobStatesDependencies) {
     this._dependencies = dependencies
     this._watcher = new PrefixWatcher({
       store: dependencies.store,
       prefix: dependencies.keys.states,
-      onList: values => { for (const value of values) this._applyStoredState(value) },
+      onList: values => this._applyList(values),
       onEvents: events => this._applyEvents(events),
       onHealthChange: (isWatching, message) => {
         if (isWatching) dependencies.logger.info({ known: this._states.size }, 'watching job states in the store')
@@ -65,16 +67,37 @@
   private _applyEvents (events: readonly WatchEvent[]): void {
     for (const event of events) {
       if (event.kind === 'put') this._applyStoredState(event.value)
-      else this._states.delete(event.key.slice(this._dependencies.keys.states.length))
+      else this._forgetJob(this._parseJobId(event.key))
     }
   }
 
+  /**
+   * Applies a list of all states. A state that the watch has shown before and that is missing now was removed while there was no watch. One that this process recorded itself
+   * may be newer than the list; the watch shows it next.
+   */
+  private _applyList (values: readonly StoredValue[]): void {
+    const listed = new Set(values.map(value => this._parseJobId(value.key)))
+    for (const jobId of [...this._watchedJobs]) if (!listed.has(jobId)) this._forgetJob(jobId)
+    for (const value of values) this._applyStoredState(value)
+  }
+
+  private _forgetJob (jobId: string): void {
+    this._states.delete(jobId)
+    this._watchedJobs.delete(jobId)
+  }
+
+  private _parseJobId (key: string): string {
+    return key.slice(this._dependencies.keys.states.length)
+  }
+
   private _applyStoredState (value: StoredValue): void {
     const state = decodeJobState(value.value)
     if (state === undefined) {
       this._dependencies.logger.error({ key: value.key, revision: value.modRevision }, 'stored job state is unreadable; ignoring it')
       return
     }
-    this.recordState(value.key.slice(this._dependencies.keys.states.length), state)
+    const jobId = this._parseJobId(value.key)
+    this._watchedJobs.add(jobId)
+    this.recordState(jobId, state)
   }
 }
