Don't report a job with an unreadable state as unknown

What callers would see: 410, no such job, for an accepted job whose stored state an entry can't read (LOST). The watch already ignored such a state with a log line; the read of a single state took it for absent.

Change: the answer is 500 and names the revision.

Evidence: jobEntryHandler.test.ts; before, `noSuchJob`.

--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -34,7 +34,9 @@
   unknownKey: 'unknownKey',
   unknownQueue: 'unknownQueue',
   invalid: 'invalid',
-  storeAway: 'storeAway'
+  storeAway: 'storeAway',
+  /** The stored state of the job can't be read, so nothing can be said of the job. */
+  unreadable: 'unreadable'
 } as const
 export type Refusal = typeof Refusal[keyof typeof Refusal]
 
@@ -222,8 +224,9 @@
     for (;;) {
       const outcome = await this._dependencies.store.get(this._dependencies.keys.getStateKey(jobId))
       if (outcome.kind === 'ok') {
-        const state = outcome.value === undefined ? undefined : decodeJobState(outcome.value.value)
-        if (state === undefined) return { kind: 'noSuchJob' }
+        if (outcome.value === undefined) return { kind: 'noSuchJob' }
+        const state = decodeJobState(outcome.value.value)
+        if (state === undefined) return makeRefusal(Refusal.unreadable, `the stored state of the job can't be read; its revision is ${outcome.value.modRevision}`)
         this._dependencies.states.recordState(jobId, state)
         return { kind: 'state', phase: state.phase }
       }
--- a/packages/daemon/test/jobEntry/jobEntryHandler.test.ts
+++ b/packages/daemon/test/jobEntry/jobEntryHandler.test.ts
@@ -74,3 +74,13 @@
   }
   t.is(store.counts.reads + store.counts.writes, 0)
 })
+
+test.serial('a job whose stored state can not be read is not reported as unknown, since it was accepted', async t => {
+  const { store, handler } = createFixture(t)
+  for (const value of ['', '{', 'null', '{"phase":"dancing"}']) {
+    store.engine.put({ key: KEYS.getStateKey(JOB_ID), value, expect: { kind: 'any' } })
+    const { call } = makeSubmission()
+    t.like(await handler.getState(call), { kind: 'refused', reason: 'unreadable' })
+    t.like(await handler.cancel(call), { kind: 'refused', reason: 'unreadable' })
+  }
+})
