Create the occurrences of a repeated job a limited number at a time, and drop those that are done

Cause: all due occurrences were created at once; each pass listed all tasks of the job for each of its waiting steps, and went through all numbers for the due ones; done ones stayed in memory and in the stored record, which a store refuses above 1 MB.

Change: at most 1,000 tasks of occurrences that are not done (two occurrences, if they are larger) are open; above 100 held occurrences the done ones are dropped, and the record names the next number and those that are held. Records without dropped occurrences have the form of before; a process of an earlier build can't plan jobs with dropped ones correctly, nor could it plan jobs of that length at all.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -211,10 +211,9 @@
     }
     this._starvedSteps.clear()
     if (used >= total * MAX_USED_SHARE) return
-    for (const { step, since } of waiting) {
-      const isRunning = listTasks(step.job).some(task => task.runs.length > 0)
-      if (!isRunning && this._now - since > STARVATION_MS) this._starvedSteps.add(step)
-    }
+    const longWaiting = waiting.filter(({ since }) => this._now - since > STARVATION_MS)
+    const running = new Set([...new Set(longWaiting.map(({ step }) => step.job))].filter(job => listTasks(job).some(task => task.runs.length > 0)))
+    for (const { step } of longWaiting) if (!running.has(step.job)) this._starvedSteps.add(step)
   }
 
   /** Marks the steps of which a waiting task has one attempt left. */
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -8,11 +8,12 @@
 import type { JobGraph, StepSpec } from './graphTypes.js'
 import { encodeProgress, restoreJob } from './jobProgress.js'
 import type { ProgressRecord } from './jobProgress.js'
-import { addOccurrence, countOccurrences, isActive, isTimed, listTasks, markChanged } from './jobState.js'
+import { addOccurrence, isActive, isTimed, listTasks, markChanged } from './jobState.js'
 import type { JobState, TaskState, WorkerKey } from './jobState.js'
 import { listOrders } from './orderList.js'
 import { ObjectiveOrder } from './objectiveOrder.js'
 import { GraphPass } from './graphPass.js'
+import { updateOccurrences } from './occurrences.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { PlannerPolicy } from './plannerPolicy.js'
 import type { PlannerTimes } from './plannerTimes.js'
@@ -181,16 +182,7 @@
 
   private _addDueOccurrences (): void {
     const wallTime = this._options.getWallTime()
-    for (const job of this._jobs.values()) {
-      const { repeat } = job.graph
-      if (repeat === undefined || !isActive(job)) continue
-      for (let number = 0; number < countOccurrences(job.graph); number++) {
-        if (job.occurrences.has(number)) continue
-        if (repeat.firstRunAt + number * repeat.intervalMs > wallTime) break
-        addOccurrence(job, number)
-        markChanged(job)
-      }
-    }
+    for (const job of this._jobs.values()) if (isActive(job)) updateOccurrences(job, wallTime)
   }
 
   private _findTask (name: TaskName): TaskState | undefined {
--- a/packages/core/src/graphs/jobProgress.ts
+++ b/packages/core/src/graphs/jobProgress.ts
@@ -6,6 +6,7 @@
 import type { JobGraph } from './graphTypes.js'
 import { RunPhase, addOccurrence, createJobState, markChanged } from './jobState.js'
 import type { JobState, RunState, StepState, TaskState, WorkerLocation } from './jobState.js'
+import { countDroppedOccurrences, isOccurrenceDone } from './occurrences.js'
 
 /** Stored run: run number, id of the worker, start time of the worker's incarnation, address of the worker. */
 export type RunRecord = readonly [number, string, number, string]
@@ -30,6 +31,8 @@
   readonly phase: JobPhase
   /** Wall time at which the job ended, in milliseconds since 1970. */
   readonly endedAt?: number
+  /** Present if occurrences were dropped: the number of the next occurrence, and the numbers of those that are held; the others before the next one are done. */
+  readonly occurrences?: { readonly next: number, readonly held: readonly number[] }
   /** Steps by `OCCURRENCE.STEP`, the numbers of the occurrence and of the step. */
   readonly steps: Readonly<Record<string, StepRecord>>
 }
@@ -40,7 +43,8 @@
   for (const [occurrence, list] of job.occurrences) {
     for (const step of list) if (hasStarted(step)) steps[`${occurrence}.${step.index}`] = encodeStep(step)
   }
-  const record: ProgressRecord = { phase: job.phase, ...(job.endedAt === undefined ? {} : { endedAt: job.endedAt }), steps }
+  const occurrences = countDroppedOccurrences(job) === 0 ? {} : { occurrences: { next: job.nextOccurrence, held: [...job.occurrences.keys()] } }
+  const record: ProgressRecord = { phase: job.phase, ...(job.endedAt === undefined ? {} : { endedAt: job.endedAt }), ...occurrences, steps }
   return JSON.stringify(record)
 }
 
@@ -55,12 +59,22 @@
     const step = getStep(job, occurrence ?? 0, index ?? 0)
     if (step !== undefined) restoreStep(step, stepRecord, now)
   }
-  for (const steps of job.occurrences.values()) if (steps.every(step => step.remaining === 0)) job.doneOccurrences++
+  restoreOccurrences(job, record)
   markChanged(job)
   job.durableVersion = job.version
   return job
 }
 
+/** Creates the occurrences of which no step has started, which are not among the stored steps, and counts those that are done. */
+function restoreOccurrences (job: JobState, { occurrences }: ProgressRecord): void {
+  const next = occurrences?.next ?? job.nextOccurrence
+  const held = occurrences?.held ?? Array.from({ length: next }, (_, number) => number)
+  for (const number of held) if (!job.occurrences.has(number)) addOccurrence(job, number)
+  job.nextOccurrence = next
+  job.doneOccurrences = countDroppedOccurrences(job)
+  for (const steps of job.occurrences.values()) if (isOccurrenceDone(steps)) job.doneOccurrences++
+}
+
 function hasStarted (step: StepState): boolean {
   return step.tasks.some(task => task.lastRun > 0)
 }
--- a/packages/core/src/graphs/jobState.ts
+++ b/packages/core/src/graphs/jobState.ts
@@ -105,8 +105,11 @@
   durableVersion: number
   /** True when a checkpoint was reported since the job was last marked for storing. */
   hasNewCheckpoint: boolean
-  /** Steps of each occurrence, by the number of the occurrence, which is created when it is due. */
+  /** Steps of each occurrence, by the number of the occurrence, which is created when it is due; of a repeated job, old occurrences that are done are dropped. */
   readonly occurrences: Map<number, StepState[]>
+  /** Number of the next occurrence to be created; those before it were created, in the order of their numbers. */
+  nextOccurrence: number
+  /** Number of occurrences that are done, also of those that were dropped. */
   doneOccurrences: number
   endedAt: number | undefined
   /** When the job was added to this planner, on the planner's clock. */
@@ -115,13 +118,14 @@
 
 /** Creates the state of a job without any occurrence. */
 export function createJobState (graph: JobGraph, now: number): JobState {
-  return { graph, phase: JobPhase.queued, version: 0, durableVersion: 0, hasNewCheckpoint: false, occurrences: new Map(), doneOccurrences: 0, endedAt: undefined, addedAt: now }
+  return { graph, phase: JobPhase.queued, version: 0, durableVersion: 0, hasNewCheckpoint: false, occurrences: new Map(), nextOccurrence: 0, doneOccurrences: 0, endedAt: undefined, addedAt: now }
 }
 
 /** Creates the steps of an occurrence and adds them to the job. */
 export function addOccurrence (job: JobState, occurrence: number): StepState[] {
   const steps = job.graph.steps.map((spec, index) => createStep(job, occurrence, index, spec))
   job.occurrences.set(occurrence, steps)
+  job.nextOccurrence = Math.max(job.nextOccurrence, occurrence + 1)
   return steps
 }
 
--- /dev/null
+++ b/packages/core/src/graphs/occurrences.ts
@@ -0,0 +1,49 @@
+/**
+ * Occurrences of repeated jobs: which of them the planner holds. A job may be due any number of times, for example after an outage or with a first time in the past, so those
+ * that are not done are created a limited number at a time, and those that are done are dropped.
+ */
+import { countTasks } from './graphTypes.js'
+import { addOccurrence, countOccurrences, markChanged } from './jobState.js'
+import type { JobState, StepState } from './jobState.js'
+
+/** Number of tasks in the occurrences of a job that are not done, beyond which no further occurrence is created. */
+const MAX_OPEN_TASKS = 1_000
+/** Number of occurrences that may always overlap, however large they are. */
+const MIN_OPEN_OCCURRENCES = 2
+/** Number of occurrences above which those that are done are dropped. */
+const MAX_KEPT_OCCURRENCES = 100
+
+/** Creates the occurrences of a repeated job that are due by `wallTime`, in milliseconds since 1970, as far as the limits allow, and drops done ones. */
+export function updateOccurrences (job: JobState, wallTime: number): void {
+  const { repeat, steps } = job.graph
+  if (repeat === undefined) return
+  dropDoneOccurrences(job)
+  const maxOpen = Math.max(MIN_OPEN_OCCURRENCES, Math.floor(MAX_OPEN_TASKS / countTasks(steps)))
+  while (job.nextOccurrence < countOccurrences(job.graph) && job.nextOccurrence - job.doneOccurrences < maxOpen) {
+    if (repeat.firstRunAt + job.nextOccurrence * repeat.intervalMs > wallTime) return
+    addOccurrence(job, job.nextOccurrence)
+    markChanged(job)
+  }
+}
+
+/** True once all tasks of an occurrence are done. */
+export function isOccurrenceDone (steps: readonly StepState[]): boolean {
+  return steps.every(step => step.remaining === 0)
+}
+
+/** Number of occurrences that are done and no longer held. */
+export function countDroppedOccurrences (job: JobState): number {
+  return job.nextOccurrence - job.occurrences.size
+}
+
+/** Drops done occurrences without runs, the oldest first. */
+function dropDoneOccurrences (job: JobState): void {
+  if (job.occurrences.size <= MAX_KEPT_OCCURRENCES) return
+  for (const [number, steps] of [...job.occurrences].sort(([a], [b]) => a - b)) {
+    if (job.occurrences.size <= MAX_KEPT_OCCURRENCES) break
+    const isIdle = steps.every(step => step.tasks.every(task => task.runs.length === 0))
+    if (!isIdle || !isOccurrenceDone(steps)) continue
+    job.occurrences.delete(number)
+    markChanged(job)
+  }
+}
--- a/packages/daemon/src/jobPlanner/progressRecord.ts
+++ b/packages/daemon/src/jobPlanner/progressRecord.ts
@@ -14,7 +14,8 @@
 const taskSchema = z.tuple([z.literal([0, 1]), count, count, z.string(), z.array(runSchema), z.array(z.string()), crashSchema.optional()])
   .refine(([, , lastRun, , runs]) => runs.every(([number]) => number <= lastRun), 'a run may not have a number above that of the last run')
 const stepSchema = z.object({ failures: count, failedRun: count, tasks: z.array(taskSchema) })
-const progressSchema = z.object({ phase: z.enum(JobPhase), endedAt: z.number().optional(), steps: z.record(z.string().regex(/^\d{1,9}\.\d{1,9}$/), stepSchema) })
+const occurrencesSchema = z.object({ next: count, held: z.array(count) })
+const progressSchema = z.object({ phase: z.enum(JobPhase), endedAt: z.number().optional(), occurrences: occurrencesSchema.optional(), steps: z.record(z.string().regex(/^\d{1,9}\.\d{1,9}$/), stepSchema) })
   .refine(({ phase, endedAt }) => endedAt === undefined || isFinalPhase(phase), 'only a job that has ended has an end')
 
 /** Decodes the progress record of a job; returns undefined if the text is not a valid record of this job. */
@@ -22,7 +23,15 @@
   const checked = progressSchema.safeParse(parseJson(text))
   if (!checked.success) return undefined
   const record = checked.data as ProgressRecord
-  return Object.entries(record.steps).every(([key, step]) => isStepOf(graph, key, step)) ? record : undefined
+  const isWhole = hasPossibleOccurrences(graph, record) && Object.entries(record.steps).every(([key, step]) => isStepOf(graph, key, step))
+  return isWhole ? record : undefined
+}
+
+/** True if the occurrences that a record says to be held are of the job, and include those of its steps. */
+function hasPossibleOccurrences (graph: JobGraph, { occurrences, steps }: ProgressRecord): boolean {
+  if (occurrences === undefined) return true
+  const held = new Set(occurrences.held)
+  return occurrences.next <= countOccurrences(graph) && occurrences.held.every(number => number < occurrences.next) && Object.keys(steps).every(key => held.has(Number(key.split('.')[0])))
 }
 
 /** True if a stored step has the place and the number of tasks that the job's spec says. */
