Ignore a grant for a report that was made before the worker was reported unreachable

Cause: an unreachable worker's runs are given up once the lease that its agent reports has run out, and the report can't know of a grant that is still on its way to the agent.

Change: an answer to an earlier report than the last one that called the worker unreachable extends no lease and starts nothing. The planner repeats the starts that it still wants.

Test: workerController.test.ts, "a grant for a report that was made before ..."; it fails without the change.

--- a/packages/daemon/src/jobAgent/plannerLink.ts
+++ b/packages/daemon/src/jobAgent/plannerLink.ts
@@ -33,10 +33,18 @@
   readonly applyOrders: (orders: readonly WorkerOrdersMessage[], epoch: number, collected: CollectedReports) => void
 }
 
-/** Reports of all workers. `clocks` holds the estimated clock of each worker at the time of the reports, in milliseconds, by worker id. */
+/** What an answer to the report on a worker refers to. */
+export interface ReportBase {
+  /** Estimated clock of the worker when the report was made, in milliseconds. */
+  readonly clockMs: number
+  /** Number of the report among those on this worker. */
+  readonly number: number
+}
+
+/** Reports of all workers, and the bases of the answers to them, by worker id. */
 export interface CollectedReports {
   readonly reports: readonly WorkerReport[]
-  readonly clocks: ReadonlyMap<string, number>
+  readonly bases: ReadonlyMap<string, ReportBase>
 }
 
 export class PlannerLink {
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -8,6 +8,7 @@
 import type { Logger } from '@dragonflylever/runtime'
 
 import { OrderTable } from './orderTable.js'
+import type { ReportBase } from './plannerLink.js'
 import { WorkerClock } from './workerClock.js'
 
 /** Contents of a worker's heartbeat. */
@@ -71,6 +72,9 @@
   private _ended: readonly EndListing[] = []
   private _listNumber = 0
   private _pollCount = 0
+  private _reportNumber = 0
+  /** Number of the last report that said that the worker doesn't answer. */
+  private _unreachableReportNumber = 0
   private _failedCalls = 0
   /**
    * Monotonic time of the first failed poll or connection since the last answered poll; undefined if there was none. From then on the worker may have
@@ -147,8 +151,15 @@
     return this._orders.listStartedSince((this._unconfirmedSince ?? performance.now()) - CRASH_SUSPECT_MS)
   }
 
+  /** Number of the last report that was made. */
+  get reportNumber (): number {
+    return this._reportNumber
+  }
+
   /** Creates the worker's report for the planner. */
   makeReport (): WorkerReport {
+    this._reportNumber++
+    if (!this.isReachable) this._unreachableReportNumber = this._reportNumber
     const { id, born, address, service, rack, labels, failureDomain, capacity, isDraining, drainLeftMs } = this._announcement
     return {
       key: { id, born },
@@ -177,14 +188,21 @@
     this._epoch = Math.max(this._epoch, epoch)
   }
 
-  /** Applies the orders in the planner's answer to a report. `clockMs` is the estimated clock of the worker when the report was made. */
-  applyOrders (orders: WorkerOrders, epoch: number, clockMs: number): void {
+  /**
+   * Applies the orders in the planner's answer to a report. If a later report has said that the worker doesn't answer, the answer extends no lease and starts nothing: the planner gives the
+   * worker's runs up after the lease that the later report named, and repeats the starts that it still wants.
+   */
+  applyOrders (orders: WorkerOrders, epoch: number, base: ReportBase): void {
     if (epoch < this._epoch || this._isClosed) return
     this._epoch = epoch
     this._lastAcknowledgedEnd = Math.max(this._lastAcknowledgedEnd, orders.seen)
-    if (orders.mayExtend) this._clock.permitLease(clockMs + this._dependencies.runLeaseMs)
+    const isOutdated = base.number < this._unreachableReportNumber
+    if (orders.mayExtend && !isOutdated) this._clock.permitLease(base.clockMs + this._dependencies.runLeaseMs)
     for (const stop of orders.stops) if (this._orders.beginStop(stop.task, stop.run)) void this._stopRun(stop.task, stop.run)
-    for (const start of orders.starts) if (this._orders.beginStart(start.task, start.run)) void this._startRun(start, epoch)
+    if (!isOutdated) for (const start of orders.starts) if (this._orders.beginStart(start.task, start.run)) void this._startRun(start, epoch)
+    if (isOutdated && orders.starts.length > 0) {
+      this._dependencies.logger.info({ worker: this._announcement.id, starts: orders.starts.length, report: base.number, unreachableReport: this._unreachableReportNumber }, 'ignored starts for a report that was made before the worker was reported as not answering')
+    }
     for (const pace of orders.paces) void this._dependencies.worker.pace(pace.task, pace.run, pace.percent, epoch)
   }
 
--- a/packages/daemon/src/jobAgent/workerTable.ts
+++ b/packages/daemon/src/jobAgent/workerTable.ts
@@ -101,8 +101,10 @@
       if (now - lastHeartbeatAt > HEARTBEAT_TIMEOUT_MS && !controller.isReachable) this._removeWorker(id, 'its heartbeats stopped and it does not answer')
     }
     const controllers = [...this._workers.values()].map(worker => worker.controller)
-    const clocks = new Map(controllers.map(controller => [controller.announcement.id, controller.readClock()]))
-    return { reports: controllers.map(controller => controller.makeReport()), clocks }
+    const clocks = controllers.map(controller => controller.readClock())
+    const reports = controllers.map(controller => controller.makeReport())
+    const bases = new Map(controllers.map((controller, index) => [controller.announcement.id, { clockMs: clocks[index] ?? 0, number: controller.reportNumber }]))
+    return { reports, bases }
   }
 
   /** Passes the planner's orders to the controllers of the workers; orders for other incarnations are ignored. */
@@ -111,9 +113,10 @@
     for (const { controller } of this._workers.values()) controller.recordEpoch(this._epoch)
     for (const workerOrders of orders) {
       const worker = this._workers.get(workerOrders.key.id)
-      if (worker === undefined || worker.controller.announcement.born !== workerOrders.key.born) continue
+      const base = collected.bases.get(workerOrders.key.id)
+      if (base === undefined || worker === undefined || worker.controller.announcement.born !== workerOrders.key.born) continue
       const starts = workerOrders.starts.map(start => ({ ...start, ticket: start.ticket }))
-      worker.controller.applyOrders({ ...workerOrders, starts }, epoch, collected.clocks.get(workerOrders.key.id) ?? 0)
+      worker.controller.applyOrders({ ...workerOrders, starts }, epoch, base)
     }
   }
 
--- a/packages/daemon/test/jobAgent/workerController.test.ts
+++ b/packages/daemon/test/jobAgent/workerController.test.ts
@@ -79,7 +79,7 @@
   const worker = new ScriptedWorker()
   worker.answerStart = () => ({ kind: 'refused', reason: 'old', clockMs: 1 })
   const controller = createController(t, worker)
-  controller.applyOrders(makeOrders({ starts: [START] }), 1, 0)
+  controller.applyOrders(makeOrders({ starts: [START] }), 1, { clockMs: 0, number: 1 })
   const order = await waitForOrder(controller, one => one.status === 'refused' || one.status === 'barred')
   t.is(order.status, 'barred')
   t.is(worker.stops, 1)
@@ -89,7 +89,7 @@
   const worker = new ScriptedWorker()
   worker.answerStart = () => worker.starts.length === 1 ? { kind: 'lost', message: 'x' } : { kind: 'refused', reason: 'room', clockMs: 1 }
   const controller = createController(t, worker)
-  controller.applyOrders(makeOrders({ starts: [START] }), 1, 0)
+  controller.applyOrders(makeOrders({ starts: [START] }), 1, { clockMs: 0, number: 1 })
   t.is((await waitForOrder(controller, one => one.status !== 'sending' && one.status !== 'stopping')).status, 'barred')
   t.deepEqual(worker.starts.map(start => start.run), [1, 1])
 })
@@ -98,7 +98,7 @@
   const worker = new ScriptedWorker()
   worker.answerStart = start => start.run === 1 ? { kind: 'refused', reason: 'room', clockMs: 1 } : { kind: 'ok', clockMs: 1 }
   const controller = createController(t, worker)
-  controller.applyOrders(makeOrders({ starts: [START, { ...START, task: 'j.0.0.1', run: 2 }] }), 1, 0)
+  controller.applyOrders(makeOrders({ starts: [START, { ...START, task: 'j.0.0.1', run: 2 }] }), 1, { clockMs: 0, number: 1 })
   t.is((await waitForOrder(controller, one => one.run === 1 && one.status !== 'sending')).status, 'refused')
   t.is((await waitForOrder(controller, one => one.run === 2 && one.status !== 'sending')).status, 'accepted')
 })
@@ -106,8 +106,8 @@
 test('orders of a planner with an older epoch are ignored', async t => {
   const worker = new ScriptedWorker()
   const controller = createController(t, worker)
-  controller.applyOrders(makeOrders({}), 5, 0)
-  controller.applyOrders(makeOrders({ starts: [START] }), 4, 0)
+  controller.applyOrders(makeOrders({}), 5, { clockMs: 0, number: 1 })
+  controller.applyOrders(makeOrders({ starts: [START] }), 4, { clockMs: 0, number: 1 })
   await sleep(30)
   t.is(worker.starts.length, 0)
 })
@@ -115,8 +115,8 @@
 test('while the planner does not permit lease extensions, the lease is not extended beyond the time permitted earlier', async t => {
   const worker = new ScriptedWorker()
   const controller = createController(t, worker)
-  controller.applyOrders(makeOrders({}), 1, 1_000)
-  controller.applyOrders(makeOrders({ mayExtend: false, starts: [START] }), 1, 9_000)
+  controller.applyOrders(makeOrders({}), 1, { clockMs: 1_000, number: 1 })
+  controller.applyOrders(makeOrders({ mayExtend: false, starts: [START] }), 1, { clockMs: 9_000, number: 1 })
   await waitForOrder(controller, one => one.status === 'accepted')
   t.is(worker.starts[0]?.leaseUntil, 7_000)
 })
@@ -153,7 +153,7 @@
     hasChanged = true
     controller.close()
   })
-  controller.applyOrders(makeOrders({ starts: [START] }), 1, 0)
+  controller.applyOrders(makeOrders({ starts: [START] }), 1, { clockMs: 0, number: 1 })
   await sleep(150)
   const startsBefore = worker.starts.length
   worker.lists = { born: 2, running: [], ended: [] }
@@ -162,3 +162,24 @@
   t.true(hasChanged)
   t.is(worker.starts.length, startsBefore)
 })
+
+test('a grant for a report that was made before the worker was reported unreachable is ignored, since the planner counts on the lease in the later report', async t => {
+  const worker = new ScriptedWorker()
+  const controller = createController(t, worker)
+  await sleep(50)
+  controller.makeReport()
+  const base = { clockMs: 100_000, number: controller.reportNumber }
+  worker.failure = { kind: 'notSent', message: 'no connection', isRefused: false }
+  while (controller.isReachable) await sleep(5)
+  t.false(controller.makeReport().isReachable)
+  // The planner's answer to the earlier report was on its way when the later report was made.
+  controller.applyOrders(makeOrders({ starts: [START] }), 1, base)
+  t.true(controller.makeReport().leaseLeftMs <= 6_000)
+  worker.failure = undefined
+  await sleep(600)
+  t.true(controller.isReachable)
+  t.deepEqual(worker.starts, [])
+  controller.makeReport()
+  controller.applyOrders(makeOrders({ starts: [START] }), 1, { clockMs: controller.readClock(), number: controller.reportNumber })
+  await waitForOrder(controller, one => one.status === 'accepted')
+})
