Stop the pending start of a run that was given up

Change: an order that an agent lists as pending, and that the planner doesn't have, is stopped by the answer that permits the next extension. The reason of `run lost` tells a silent agent from a worker that doesn't answer its agent, and `stray run` says whether the run is running or pending.

--- a/packages/core/src/graphs/workerRegistry.ts
+++ b/packages/core/src/graphs/workerRegistry.ts
@@ -16,7 +16,7 @@
 import { parseTaskName } from './taskName.js'
 import type { TaskName } from './taskName.js'
 import { OrderStatus } from './workerReport.js'
-import type { EndListing, OrderListing, RunListing, WorkerReport } from './workerReport.js'
+import type { EndListing, OrderListing, RunListing, RunName, WorkerReport } from './workerReport.js'
 import { WorkerState } from './workerState.js'
 import type { WorkerHealthTracker } from './workerHealthTracker.js'
 
@@ -118,7 +118,9 @@
       if (now < worker.aliveUntil) continue
       if (this.isResponsive(worker, now)) continue
       const hadRuns = worker.runs.size > 0 || worker.orphanedRuns.size > 0
-      for (const run of [...worker.runs]) this._dependencies.runTracker.markLost(run, 'its worker was silent for longer than a run can live', now)
+      const isHeard = now - worker.lastReportAt < this._dependencies.times.reportTimeoutMs
+      const reason = isHeard ? 'its worker is unreachable, and its lease has run out' : 'its worker was silent for longer than a run can live'
+      for (const run of [...worker.runs]) this._dependencies.runTracker.markLost(run, reason, now)
       worker.orphanedRuns.clear()
       if (hadRuns) this._dependencies.log.note('worker silent', { worker: worker.key.id, silentMs: worker.firstReportAt === undefined ? undefined : now - worker.lastReportAt })
       if (now - worker.lastReportAt > this._dependencies.times.retentionMs) this._workers.delete(worker.key.id)
@@ -189,8 +191,9 @@
   private _acceptRunListings (worker: WorkerState, report: WorkerReport, now: number): void {
     const listed = new Set(report.running.map(makeRunKey))
     const ended = new Set(report.ended.map(makeRunKey))
+    const pending = new Set(report.orders.filter(({ status }) => status === OrderStatus.sending).map(makeRunKey))
     for (const listing of report.running) this._acceptRunListing(worker, listing, ended, now)
-    for (const key of [...worker.orphanedRuns.keys()]) if (!listed.has(key)) worker.orphanedRuns.delete(key)
+    for (const key of [...worker.orphanedRuns.keys()]) if (!listed.has(key) && !pending.has(key)) worker.orphanedRuns.delete(key)
     for (const run of worker.runs) this._stopUnlistedRun(run, report, listed, now)
   }
 
@@ -202,11 +205,15 @@
       if (hasSurvivedStart(run, worker.listedAt)) this._dependencies.runTracker.clearCrashes(run.task)
       return updateRun(run, listing, now)
     }
-    const key = makeRunKey(listing)
-    if (ended.has(key) || worker.orphanedRuns.has(key)) return
-    const needs = this._findTask(listing.task)?.step.spec
-    worker.orphanedRuns.set(key, { task: listing.task, run: listing.run, needs: needs ?? WHOLE_WORKER })
-    this._dependencies.log.note('stray run', { task: listing.task, run: listing.run, worker: worker.key.id })
+    if (!ended.has(makeRunKey(listing))) this._addOrphanedRun(worker, listing, 'it is running')
+  }
+
+  /** Has a run stopped that the planner doesn't have at the worker, for example since it was given up. */
+  private _addOrphanedRun (worker: WorkerState, { task, run }: RunName, reason: string): void {
+    const key = makeRunKey({ task, run })
+    if (worker.orphanedRuns.has(key)) return
+    worker.orphanedRuns.set(key, { task, run, needs: this._findTask(task)?.step.spec ?? WHOLE_WORKER })
+    this._dependencies.log.note('stray run', { task, run, worker: worker.key.id, reason })
   }
 
   /** Stops a run that the worker lists neither as running nor as ended; the answer to the stop confirms that the run is gone. */
@@ -220,6 +227,8 @@
   private _acceptOrderListings (worker: WorkerState, orders: readonly OrderListing[], now: number): void {
     for (const order of orders) {
       const run = findRun(worker, order)
+      // The agent would start a run that was given up as soon as the worker answers again and its lease may be extended.
+      if (run === undefined && order.status === OrderStatus.sending) this._addOrphanedRun(worker, order, 'its start is pending')
       if (run === undefined) continue
       if (order.status === OrderStatus.accepted) this._dependencies.runTracker.markRunning(run, now)
       if (order.status === OrderStatus.barred && order.reason !== '') this._dependencies.runTracker.markRefused(run, order.reason, now)
