Show and cancel a job only for calls of its own organisation

The users' page says that a call carries a key of the job's organisation.

Calls without a key to an open queue, and jobs that came in by such calls, belong to no organisation and stay as they were.

Evidence: jobEntryHandler.test.ts, from memory and from the store; before, the state is shown and the cancellation stored.

--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -8,7 +8,7 @@
 import type { Logger, Metrics } from '@dragonflylever/runtime'
 
 import { createQueuedJobState, decodeJobState } from '../jobPlanner/graphKeys.js'
-import type { GraphKeys } from '../jobPlanner/graphKeys.js'
+import type { GraphKeys, JobStateRecord } from '../jobPlanner/graphKeys.js'
 import type { JobStates } from './jobStates.js'
 
 /** A job as submitted by a client. */
@@ -126,10 +126,10 @@
     if (admission.kind !== 'admitted') return admission
     if (admission.rest === '') return { kind: 'waiting', count: this._dependencies.states.countWaiting(admission.queue.name) }
     const known = this._dependencies.states.get(admission.rest)
-    if (known !== undefined) return { kind: 'state', phase: known.phase }
+    if (known !== undefined) return makeStateAnswer(known, admission.organisation)
     // No job has such an id; the store could reject the key, which would look like an outage.
     if (!JOB_ID.test(admission.rest)) return { kind: 'noSuchJob' }
-    return this._readState(call, admission.rest)
+    return this._readState(call, admission.rest, admission.organisation)
   }
 
   /** Cancels a job; has no effect on a job that has ended. */
@@ -219,7 +219,7 @@
     }
   }
 
-  private async _readState (call: JobEntryCall, jobId: string): Promise<JobEntryAnswer> {
+  private async _readState (call: JobEntryCall, jobId: string, organisation: string): Promise<JobEntryAnswer> {
     const retryUntil = computeRetryDeadline(call)
     for (;;) {
       const outcome = await this._dependencies.store.get(this._dependencies.keys.getStateKey(jobId))
@@ -228,7 +228,7 @@
         const state = decodeJobState(outcome.value.value)
         if (state === undefined) return makeRefusal(Refusal.unreadable, `the stored state of the job can't be read; its revision is ${outcome.value.modRevision}`)
         this._dependencies.states.recordState(jobId, state)
-        return { kind: 'state', phase: state.phase }
+        return makeStateAnswer(state, organisation)
       }
       if (performance.now() + STORE_RETRY_MS > retryUntil) return makeRefusal(Refusal.storeAway, `the state is not known here and the store does not answer: ${outcome.message}`, STORE_RETRY_AFTER_MS)
       await new Promise(resolve => setTimeout(resolve, STORE_RETRY_MS))
@@ -246,6 +246,15 @@
   return { id, organisation, queue: policy, payload: draft.payload, steps: draft.steps, ...(draft.repeat === undefined ? {} : { repeat: draft.repeat }), acceptedAt: Date.now() }
 }
 
+/**
+ * Shows a job's state to a caller of an organisation, which is empty for calls without a key to an open queue. A job of another organisation is not shown, so that its id can't be
+ * found out either.
+ */
+function makeStateAnswer (state: JobStateRecord, organisation: string): JobEntryAnswer {
+  const isForeign = state.organisation !== '' && organisation !== '' && state.organisation !== organisation
+  return isForeign ? { kind: 'noSuchJob' } : { kind: 'state', phase: state.phase }
+}
+
 function makeRefusal (reason: Refusal, message: string, retryAfterMs = 0): Extract<JobEntryAnswer, { kind: 'refused' }> {
   return { kind: 'refused', reason, message, retryAfterMs }
 }
--- a/packages/daemon/test/jobEntry/entryFixture.ts
+++ b/packages/daemon/test/jobEntry/entryFixture.ts
@@ -8,7 +8,7 @@
 export const POLICY: FleetPolicy = {
   version: 1,
   queues: [{ name: 'q', service: 's', priority: 1, maxAttempts: 2, stretch: 3, targetLatencyMs: 500, host: 'h', prefix: '/q/', isOpen: true }],
-  organisations: [],
+  organisations: ['a', 'b'].map(name => ({ name, keys: [`key-${name}`], guaranteedAccelerators: 0 })),
   limits: { maxBodyBytes: 1, maxHeaderBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
 }
 const DEADLINE_MS = 3_000
--- a/packages/daemon/test/jobEntry/jobEntryHandler.test.ts
+++ b/packages/daemon/test/jobEntry/jobEntryHandler.test.ts
@@ -3,7 +3,7 @@
  */
 import { PolicyIndex } from '@dragonflylever/core/graphs/index'
 import { JobEntryHandler } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
-import type { JobEntryAnswer } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
+import type { JobEntryAnswer, JobEntryCall } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
 import { JobStates } from '@dragonflylever/daemon/jobEntry/jobStates'
 import { NoMetrics, createLogger } from '@dragonflylever/runtime'
 import { MemoryStore } from '@dragonflylever/standins'
@@ -84,3 +84,23 @@
     t.like(await handler.cancel(call), { kind: 'refused', reason: 'unreadable' })
   }
 })
+
+test.serial('a job of one organisation is neither shown to another one nor cancelled by it, from memory or from the store', async t => {
+  const { store, handler, advance } = createFixture(t)
+  const makeCall = (key: string | undefined, id = JOB_ID): JobEntryCall => ({ ...makeSubmission().call, path: `/q/${id}`, key })
+  const submitted = handler.submit(makeCall('key-a'), makeSubmission().draft)
+  await advance(100)
+  t.is((await submitted).kind, 'accepted')
+  const stored = store.engine.get(KEYS.getStateKey(JOB_ID))?.value ?? ''
+  const other = JOB_ID.replace('a1', 'a2')
+  store.engine.put({ key: KEYS.getStateKey(other), value: stored, expect: { kind: 'any' } })
+  for (const id of [JOB_ID, other]) {
+    t.is((await handler.getState(makeCall('key-b', id))).kind, 'noSuchJob')
+    t.is((await handler.cancel(makeCall('key-b', id))).kind, 'noSuchJob')
+    t.is(store.engine.get(KEYS.getCancelKey(id)), undefined)
+    t.is((await handler.getState(makeCall('key-a', id))).kind, 'state')
+    // The queue takes calls without a key, which belong to no organisation.
+    t.is((await handler.getState(makeCall(undefined, id))).kind, 'state')
+  }
+  t.is((await handler.cancel(makeCall('key-a'))).kind, 'accepted')
+})
