--- a/packages/daemon/test/jobPlanner/endedJobs.test.ts
+++ b/packages/daemon/test/jobPlanner/endedJobs.test.ts
@@ -22,7 +22,7 @@
 /** Below the timeout of a store call of the fixture, 1,100 ms. */
 const SLOW_LIST_MS = 1_000
 
-/** A store that answers list calls late, with the values of the time at which they were called, or rejects removals. */
+/** A store that answers list calls late, with the values of the time at which they were called, or rejects the removal of jobs' records. */
 class FaultyStore extends MemoryStore {
   listDelayMs = 0
   isRejectingRemovals = false
@@ -34,7 +34,7 @@
   }
 
   override async transact (transaction: Transaction): Promise<TransactOutcome> {
-    if (this.isRejectingRemovals && transaction.removes.length > 0) return { kind: 'unavailable', message: 'rejected' }
+    if (this.isRejectingRemovals && transaction.removes.some(key => key.startsWith(KEYS.inputPrefix))) return { kind: 'unavailable', message: 'rejected' }
     return super.transact(transaction)
   }
 }
