--- a/packages/daemon/test/graphs/graphSimulation.ts
+++ b/packages/daemon/test/graphs/graphSimulation.ts
@@ -10,11 +10,10 @@
 import type { WorkerAnnouncement } from '@dragonflylever/daemon/jobAgent/workerController'
 import { NoMetrics, createLogger, createPartLogger } from '@dragonflylever/runtime'
 import type { Logger } from '@dragonflylever/runtime'
-import { GangBarrier, MemoryPeers, MemoryStore, RunWorkerEngine, StoreEngine } from '@dragonflylever/standins'
+import { GangBarrier, GraphInvariantChecker, MemoryPeers, MemoryStore, RunWorkerEngine, StoreEngine } from '@dragonflylever/standins'
 import type { RunBehaviour } from '@dragonflylever/standins'
 
 import { GraphNode, KEYS, LEASE_MAX_MS, createClient } from './graphNode.js'
-import { GraphInvariantChecker } from './graphInvariantChecker.js'
 
 export const CAPACITY = { cpuMillis: 8_000, memoryMb: 8_000, accelerators: 8 } as const
 const WORKERS_PER_RACK = 2
--- a/packages/daemon/test/graphs/graphInvariantChecker.ts
+++ b/packages/standins/src/runs/graphInvariantChecker.ts
@@ -3,7 +3,7 @@
  */
 import { parseTaskName } from '@dragonflylever/core/graphs/index'
 import type { StepSpec } from '@dragonflylever/core/graphs/index'
-import type { RunObserver } from '@dragonflylever/standins'
+import type { RunObserver } from './runBehaviour.js'
 
 /** A task under which this number of workers have crashed may be started less than {@link MAX_STARTS_AFTER_CRASHES} times more. */
 const MAX_CRASHES = 3
