--- a/packages/core/src/graphs/jobProgress.ts
+++ b/packages/core/src/graphs/jobProgress.ts
@@ -9,7 +9,7 @@
 import { countDroppedOccurrences, isOccurrenceDone } from './occurrences.js'
 
 /** Stored run: run number, id of the worker, start time of the worker's incarnation, address of the worker. */
-export type RunRecord = readonly [number, string, number, string]
+type RunRecord = readonly [number, string, number, string]
 /** Stored crashes: see `crashes`, `soleCrashes` and `lastCrashedRun` of a task. */
 type CrashRecord = readonly [number, number, number]
 /**
