Count a conflict with the records of the same call as a success

Cause: took a conflict for an own write only after a call without an answer. A call can have two attempts, direct and through an agent: the first was carried out and its answer lost, the second conflicts with it, and the call is answered.

Change: if the conflict shows the very records of the call, all of one revision, under the own leader key, the transaction was carried out; it counts as stored.

Tried first: to take such a record for an own write and write it again.

Test: progressWriter.test.ts, a store that carries out each write at a first attempt and answers a second one; before, the session ends.

--- a/packages/daemon/src/jobPlanner/progressWriter.ts
+++ b/packages/daemon/src/jobPlanner/progressWriter.ts
@@ -118,23 +118,40 @@
     const puts = [...batch.map(job => ({ key: keys.getProgressKey(job.jobId), value: job.record })), ...statePuts]
     const callStartedAt = readClocks()
     const outcome = await store.transact({ expect, puts, removes: [] })
-    if (outcome.kind === 'ok') {
-      for (const job of batch) {
-        this.recordStoredProgress(job.jobId, outcome.modRevision, job.phase)
-        this._undecidedJobs.delete(job.jobId)
-      }
-      this._recordStoreHealth(true, '')
-      this._dependencies.onLeadershipConfirmed(callStartedAt)
-      this._dependencies.onDurable(batch)
-      return true
+    if (outcome.kind === 'ok') return this._recordStored(batch, outcome.modRevision, callStartedAt)
+    if (outcome.kind === 'conflict') {
+      const modRevision = this._findOwnWrite(batch, outcome.current)
+      return modRevision === undefined ? this._resolveConflict(batch, outcome.current) : this._recordStored(batch, modRevision, callStartedAt)
     }
-    if (outcome.kind === 'conflict') return this._resolveConflict(batch, outcome.current)
     if (outcome.kind === 'ambiguous') for (const job of batch) this._undecidedJobs.add(job.jobId)
     this._recordStoreHealth(false, outcome.message)
     logger.debug({ jobs: batch.length, outcome: outcome.kind }, 'could not store job progress; will retry')
     return false
   }
 
+  private _recordStored (batch: readonly ChangedJob[], modRevision: number, callStartedAt: ClockReading): true {
+    for (const job of batch) {
+      this.recordStoredProgress(job.jobId, modRevision, job.phase)
+      this._undecidedJobs.delete(job.jobId)
+    }
+    this._recordStoreHealth(true, '')
+    this._dependencies.onLeadershipConfirmed(callStartedAt)
+    this._dependencies.onDurable(batch)
+    return true
+  }
+
+  /**
+   * Returns the revision of a conflicting transaction if the store has carried it out: a call can have several attempts, and one of them may have been carried out and not answered before the
+   * answered one found a conflict. Undefined if the store holds anything else.
+   */
+  private _findOwnWrite (batch: readonly ChangedJob[], current: readonly StoredValue[]): number | undefined {
+    const { leaderKey, epoch, keys } = this._dependencies
+    if (current.find(value => value.key === leaderKey)?.modRevision !== epoch) return undefined
+    const stored = batch.map(job => current.find(value => value.key === keys.getProgressKey(job.jobId) && value.value === job.record))
+    const modRevision = stored[0]?.modRevision
+    return stored.every(value => value !== undefined && value.modRevision === modRevision) ? modRevision : undefined
+  }
+
   /**
    * Handles a conflict. If an earlier write of this process succeeded but its answer was lost, the current revision of the record is noted, and the progress is written
    * again; returns true in that case. Otherwise leadership was lost, or the store holds progress that this process has never read: writing over it would run tasks twice, so
@@ -148,17 +165,17 @@
       this._endSession('the leader key in the store has changed')
       return false
     }
-    const found = new Map(batch.map(job => [job.jobId, current.find(value => value.key === keys.getProgressKey(job.jobId))?.modRevision]))
-    for (const { jobId } of batch) {
-      const revision = found.get(jobId)
-      const knownRevision = this._storedRevisions.get(jobId) ?? 0
-      if (revision === undefined || revision === knownRevision || this._undecidedJobs.has(jobId)) continue
-      logger.error({ job: jobId, epoch, revision, knownRevision }, 'the store holds progress of a job that this planner has not read; ending the session')
+    const found = new Map(batch.map(job => [job.jobId, current.find(value => value.key === keys.getProgressKey(job.jobId))]))
+    for (const job of batch) {
+      const stored = found.get(job.jobId)
+      const knownRevision = this._storedRevisions.get(job.jobId) ?? 0
+      if (stored === undefined || stored.modRevision === knownRevision || this._undecidedJobs.has(job.jobId)) continue
+      logger.error({ job: job.jobId, epoch, revision: stored.modRevision, knownRevision }, 'the store holds progress of a job that this planner has not read; ending the session')
       this._endSession('the store holds progress that this planner has not read')
       return false
     }
     for (const { jobId } of batch) {
-      this._storedRevisions.set(jobId, found.get(jobId) ?? 0)
+      this._storedRevisions.set(jobId, found.get(jobId)?.modRevision ?? 0)
       this._storedPhases.delete(jobId)
     }
     logger.info({ jobs: batch.map(job => job.jobId) }, 'job progress conflicted with the stored revisions; retrying with those')
--- a/packages/daemon/test/jobPlanner/progressWriter.test.ts
+++ b/packages/daemon/test/jobPlanner/progressWriter.test.ts
@@ -1,6 +1,7 @@
 /**
  * Case 2 of the review: completed jobs ran again, since a planner that did not know their progress wrote over the stored records.
  */
+import type { TransactOutcome, Transaction } from '@dragonflylever/adapters'
 import { ProgressWriter } from '@dragonflylever/daemon/jobPlanner/progressWriter'
 import { createLogger } from '@dragonflylever/runtime'
 import { MemoryStore } from '@dragonflylever/standins'
@@ -13,9 +14,19 @@
 const LEADER_KEY = 'leader'
 const JOB = 'a'
 
+/** A store that carries each write out at its first attempt, loses the answer, and answers a second attempt of the same call, as calls through an agent do. */
+class RepeatingStore extends MemoryStore {
+  isRepeating = false
+
+  override async transact (transaction: Transaction): Promise<TransactOutcome> {
+    if (this.isRepeating) this.engine.transact(transaction)
+    return super.transact(transaction)
+  }
+}
+
 interface Fixture {
   readonly clock: FakeTimers.Clock
-  readonly store: MemoryStore
+  readonly store: RepeatingStore
   readonly writer: ProgressWriter
   /** Why the writer gave up leadership, in turn. */
   readonly fences: string[]
@@ -28,7 +39,7 @@
 function createFixture (t: ExecutionContext): Fixture {
   const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] })
   t.teardown(() => clock.uninstall())
-  const store = new MemoryStore()
+  const store = new RepeatingStore()
   const put = store.engine.put({ key: LEADER_KEY, value: '', expect: { kind: 'absent' } })
   const fences: string[] = []
   const durable: string[] = []
@@ -91,3 +102,16 @@
   t.deepEqual(durable, ['first', 'second'])
   t.deepEqual(fences, [])
 })
+
+test.serial('a write whose first attempt was carried out unanswered and whose second one conflicts with it does not end the session', async t => {
+  const { store, fences, durable, write } = createFixture(t)
+  store.isRepeating = true
+  await write('first')
+  await write('second')
+  t.is(readProgress(store), 'second')
+  t.deepEqual(fences, [])
+  store.isRepeating = false
+  await write('third')
+  t.is(readProgress(store), 'third')
+  t.is(durable.at(-1), 'third')
+})
