Keep long work without checkpoints away from workers that a release is about to replace

Cause: during a rolling release a gang that was moved off a draining worker started on others of the old version, which drained next. Change: the planner knows the version of each worker.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -18,6 +18,7 @@
 import type { PlannerLog } from './plannerLog.js'
 import type { PlannerPolicy } from './plannerPolicy.js'
 import type { PlannerTimes } from './plannerTimes.js'
+import { ReleaseAvoidance } from './releaseAvoidance.js'
 import type { RunTracker } from './runTracker.js'
 import { estimateWorkedMs, measureStall, predictEnd } from './runProgress.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
@@ -38,6 +39,8 @@
   readonly order: WaitingOrder
   readonly times: PlannerTimes
   readonly log: PlannerLog
+  /** Returns the time of day in milliseconds since 1970. */
+  readonly getWallTime: () => number
 }
 
 /**
@@ -65,6 +68,7 @@
   /** Steps with a waiting task that has one attempt left. */
   private readonly _lastAttemptSteps = new Set<StepState>()
   private readonly _crashIsolation: CrashIsolation
+  private readonly _releaseAvoidance: ReleaseAvoidance
 
   constructor (dependencies: GraphPassDependencies) {
     this._dependencies = dependencies
@@ -73,6 +77,7 @@
       isEligible: (worker, step) => this._isEligibleForAll(worker, step),
       predictEnd: run => this._predictEnd(run)
     })
+    this._releaseAvoidance = new ReleaseAvoidance({ runTimes: dependencies.runTimes, getWallTime: dependencies.getWallTime, log: dependencies.log, isStarved: step => this._starvedSteps.has(step) })
     this._placement = new RackPlacement({
       isEligible: (worker, step) => this._isEligible(worker, step),
       getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
@@ -114,6 +119,7 @@
     this._markStarvedSteps(waiting)
     this._markLastAttempts(waiting)
     const guaranteed = findGuaranteedJobs(jobs, policy, job => this._getPriority(job))
+    this._releaseAvoidance.beginPass(waiting, workers, now)
     this._crashIsolation.beginPass(waiting, workers, guaranteed, now)
     this._dependencies.classShares.beginPass()
     this._reclaim.beginPass(snapshot, waiting, guaranteed, now)
@@ -238,7 +244,7 @@
     const { report } = worker
     if (report === undefined || report.isDraining || !this._dependencies.registry.isResponsive(worker, this._now)) return false
     if (report.service !== step.job.graph.queue.service) return false
-    if (this._crashIsolation.isReserved(worker, step)) return false
+    if (this._crashIsolation.isReserved(worker, step) || this._releaseAvoidance.isAvoided(worker, step)) return false
     const { requiredLabel } = step.spec
     if (requiredLabel !== undefined && !report.labels.includes(requiredLabel)) return false
     return this._starvedSteps.has(step) || !this._dependencies.workerHealth.isAvoided(worker.key.id, this._now)
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -65,7 +65,7 @@
     this._registry = new WorkerRegistry({ log, times, runTracker: this._runTracker, workerHealth: this._workerHealth, findTask: name => this._findTask(name) })
     const classShares = new ClassShares({ runTimes: this._runTimes, getWallTime, listJobs: () => this._jobs.values() })
     const order = options.createOrder?.(this._runTimes) ?? new ObjectiveOrder({ runTimes: this._runTimes, getWallTime })
-    this._pass = new GraphPass({ registry: this._registry, runTracker: this._runTracker, workerHealth: this._workerHealth, runTimes: this._runTimes, classShares, order, times, log })
+    this._pass = new GraphPass({ registry: this._registry, runTracker: this._runTracker, workerHealth: this._workerHealth, runTimes: this._runTimes, classShares, order, times, log, getWallTime })
   }
 
   /** Number of jobs that have not ended. */
--- a/packages/core/src/graphs/jobObjective.ts
+++ b/packages/core/src/graphs/jobObjective.ts
@@ -23,3 +23,16 @@
 export function computeObjectiveMs (queue: QueuePolicy, chainMs: number): number {
   return queue.stretch * chainMs + queue.targetLatencyMs
 }
+
+/**
+ * Returns how long an occurrence of a job may still wait, in milliseconds, and end within its objective; negative if it will be late. `chainMs` is the time of the longest
+ * chain of steps that are left, `wallTime` the time of day in milliseconds since 1970.
+ */
+export function computeSlackMs (graph: JobGraph, occurrence: number, chainMs: number, wallTime: number): number {
+  return computeObjectiveMs(graph.queue, chainMs) - (wallTime - getDueTime(graph, occurrence)) - chainMs
+}
+
+/** Returns the time of the longest chain of the steps of an occurrence that are not done, in milliseconds. */
+export function computeRemainingChainMs (steps: readonly StepState[], getStepMs: (step: StepState) => number): number {
+  return computeChainMs(steps, step => step.remaining === 0 ? 0 : getStepMs(step))
+}
--- a/packages/core/src/graphs/objectiveOrder.ts
+++ b/packages/core/src/graphs/objectiveOrder.ts
@@ -6,7 +6,7 @@
  */
 import { computeCoreSeconds, computeValueFactor } from './coreSeconds.js'
 import type { QueuePolicy } from './graphTypes.js'
-import { MAX_LATE_FACTOR, computeChainMs, computeObjectiveMs, getDueTime } from './jobObjective.js'
+import { MAX_LATE_FACTOR, computeObjectiveMs, computeRemainingChainMs, computeSlackMs, getDueTime } from './jobObjective.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
 import type { WaitingOrder, WaitingStep } from './waitingStep.js'
 
@@ -44,11 +44,11 @@
     const { job } = waiting.step
     const { queue } = job.graph
     const chainMs = this._computeChainMs(waiting)
-    const ageMs = this._dependencies.getWallTime() - getDueTime(job.graph, waiting.step.occurrence)
-    const objectiveMs = computeObjectiveMs(queue, chainMs)
-    const slackMs = objectiveMs - ageMs - chainMs
+    const wallTime = this._dependencies.getWallTime()
+    const slackMs = computeSlackMs(job.graph, waiting.step.occurrence, chainMs, wallTime)
     if (queue.priority === 0 && slackMs >= 0) return { tier: Tier.urgent, key: slackMs }
-    const isWorthless = MAX_LATE_FACTOR * objectiveMs < ageMs + chainMs
+    const ageMs = wallTime - getDueTime(job.graph, waiting.step.occurrence)
+    const isWorthless = MAX_LATE_FACTOR * computeObjectiveMs(queue, chainMs) < ageMs + chainMs
     const tier = isWorthless ? Tier.worthless : queue.priority === 0 ? Tier.urgentLate : Tier.other
     return { tier, key: -this._computeValueDensity(waiting, queue) }
   }
@@ -56,7 +56,7 @@
   /** Returns the remaining run time of the longest chain of steps of the occurrence, in milliseconds. */
   private _computeChainMs (waiting: WaitingStep): number {
     const steps = waiting.step.job.occurrences.get(waiting.step.occurrence) ?? []
-    return computeChainMs(steps, step => step.remaining === 0 ? 0 : this._dependencies.runTimes.estimateRunTime(step))
+    return computeRemainingChainMs(steps, step => this._dependencies.runTimes.estimateRunTime(step))
   }
 
   private _computeValueDensity (waiting: WaitingStep, queue: QueuePolicy): number {
--- a/packages/core/src/graphs/workerReport.ts
+++ b/packages/core/src/graphs/workerReport.ts
@@ -85,6 +85,8 @@
   readonly service: string
   readonly rack: string
   readonly labels: readonly string[]
+  /** Version of the worker's software; absent if the worker or an older agent doesn't say. */
+  readonly version?: string
   readonly failureDomain: string
   readonly region: string
   readonly capacity: TaskNeeds
--- a/packages/core/src/graphs/workerState.ts
+++ b/packages/core/src/graphs/workerState.ts
@@ -38,6 +38,8 @@
   aliveUntil: number
   /** Earliest time at which a draining worker may leave, on the planner's clock. */
   drainsUntil: number | undefined
+  /** When the first report said that the worker drains, on the planner's clock; undefined before. */
+  drainingSince: number | undefined
   /** Highest sequence number of a recorded end of a run. */
   lastEndNumber = 0
   /** Recorded ends of runs that are not acknowledged yet, by ascending sequence number. */
@@ -68,6 +70,7 @@
     this.report = report
     this.lastReportAt = now
     this.firstReportAt ??= now
+    this.drainingSince = report.isDraining ? this.drainingSince ?? now : undefined
     this.drainsUntil = report.isDraining ? now + (report.drainLeftMs ?? 0) : undefined
   }
 
--- a/packages/core/test/graphs/plannerHarness.ts
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -39,6 +39,8 @@
   crashes: CrashListing[]
   /** True when the worker refuses starts as an unhealthy worker does. */
   refusesStarts: boolean
+  /** Version of the worker's software. */
+  version?: string
 }
 
 /** Makes a queue of priority 1 with defaults for everything that isn't overridden. */
@@ -161,13 +163,14 @@
   }
 
   report (worker: FakeWorker): WorkerReport {
-    const { id, born, address, rack, capacity, running, ended, orders, isDraining, drainLeftMs } = worker
+    const { id, born, address, rack, capacity, running, ended, orders, isDraining, drainLeftMs, version } = worker
     return {
       key: { id, born },
       address,
       service: 's',
       rack,
       labels: ['a', rack],
+      ...(version === undefined ? {} : { version }),
       failureDomain: 'd',
       region: 'r',
       capacity,
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -19,6 +19,8 @@
   readonly service: string
   readonly rack: string
   readonly labels: readonly string[]
+  /** Version of the worker's software, if its heartbeat names one. */
+  readonly version?: string
   readonly failureDomain: string
   readonly capacity: { readonly cpuMillis: number, readonly memoryMb: number, readonly accelerators: number }
   readonly isDraining: boolean
@@ -160,13 +162,14 @@
   makeReport (): WorkerReport {
     this._reportNumber++
     if (!this.isReachable) this._unreachableReportNumber = this._reportNumber
-    const { id, born, address, service, rack, labels, failureDomain, capacity, isDraining, drainLeftMs } = this._announcement
+    const { id, born, address, service, rack, labels, version, failureDomain, capacity, isDraining, drainLeftMs } = this._announcement
     return {
       key: { id, born },
       address,
       service,
       rack,
       labels,
+      ...(version === undefined ? {} : { version }),
       failureDomain,
       region: this._dependencies.region,
       capacity,
--- a/packages/protocol/src/runMessages.ts
+++ b/packages/protocol/src/runMessages.ts
@@ -14,6 +14,7 @@
   service: z.string(),
   rack: z.string(),
   labels: z.array(z.string()),
+  version: z.string().optional(),
   failureDomain: z.string(),
   region: z.string(),
   capacity: resources,
