--- a/packages/adapters/src/circuitBreaker.ts
+++ b/packages/adapters/src/circuitBreaker.ts
@@ -28,7 +28,7 @@
     return this._health
   }
 
-  /** True if the last call was not answered, so that the store may be unavailable even while the circuit is closed. */
+  /** True if a call was not answered since the last answer, so that the store may be unavailable even while the circuit is closed. */
   get isSuspect (): boolean {
     return this._failures > 0
   }
@@ -45,6 +45,11 @@
     this._health = elapsedMs > SLOW_CALL_MS ? StoreHealth.slow : StoreHealth.up
   }
 
+  /** Records that a call stayed unanswered although a later one was answered. The circuit stays as it is, but the store may be unavailable again. */
+  recordLateFailure (): void {
+    this._failures = Math.max(this._failures, 1)
+  }
+
   /**
    * Records that the store did not answer a call. Opens the circuit when the number of consecutive failures reaches the threshold. Returns
    * the delay until the next probe, in milliseconds.
--- a/packages/adapters/src/store.ts
+++ b/packages/adapters/src/store.ts
@@ -43,7 +43,8 @@
   | { readonly kind: 'ok', readonly modRevision: number }
   | { readonly kind: 'conflict', readonly current: readonly StoredValue[] }
 
-export type Unavailable = { readonly kind: 'unavailable', readonly message: string }
+/** The call had no effect. `outageMs` is the time since the first call that the store left unanswered, in milliseconds, while no later call has been answered. */
+export type Unavailable = { readonly kind: 'unavailable', readonly message: string, readonly outageMs?: number }
 export type Ambiguous = { readonly kind: 'ambiguous', readonly message: string }
 
 export type GetOutcome = { readonly kind: 'ok', readonly value: StoredValue | undefined, readonly storeRevision: number } | Unavailable
@@ -62,6 +63,14 @@
 /** Outcome of a lease call. `expired`: the lease no longer exists and cannot be renewed. */
 export type LeaseOutcome = { readonly kind: 'ok', readonly leaseId: string, readonly ttlMs: number } | { readonly kind: 'expired' } | Unavailable | Ambiguous
 
+/** How long a call may be held before it is sent, for a store client that knows whether the store answers; others ignore it. */
+export interface WaitOptions {
+  /** Maximum time to wait for the return of a store that is known to be unavailable, in milliseconds; 0 to refuse the call at once. */
+  readonly maxOutageWaitMs: number
+  /** Maximum time to wait for a read, or for the read that precedes a write, in milliseconds, while it is not known whether the store answers. */
+  readonly maxReadWaitMs: number
+}
+
 export type WatchEvent =
   | { readonly kind: 'put', readonly value: StoredValue }
   | { readonly kind: 'removed', readonly key: string, readonly modRevision: number }
@@ -98,14 +107,14 @@
 
 export interface Store {
   readonly health: StoreHealth
-  get (key: string): Promise<GetOutcome>
+  get (key: string, wait?: WaitOptions): Promise<GetOutcome>
   list (prefix: string): Promise<ListOutcome>
   put (request: PutRequest): Promise<PutOutcome>
   /** Performs several independent writes in one call, at most {@link MAX_PUTS_PER_CALL}. */
   putMany (requests: readonly PutRequest[]): Promise<PutManyOutcome>
   remove (key: string, expect: Expectation): Promise<RemoveOutcome>
   /** Changes several keys atomically, with at most {@link MAX_KEYS_PER_TRANSACTION} preconditions, puts and removals together. */
-  transact (transaction: Transaction): Promise<TransactOutcome>
+  transact (transaction: Transaction, wait?: WaitOptions): Promise<TransactOutcome>
   grantLease (ttlMs: number): Promise<LeaseOutcome>
   renewLease (leaseId: string): Promise<LeaseOutcome>
   revokeLease (leaseId: string): Promise<LeaseOutcome>
--- a/packages/adapters/src/storeClient.ts
+++ b/packages/adapters/src/storeClient.ts
@@ -2,13 +2,14 @@
  * The store client of the processes: a rate limit, timeouts and a circuit breaker around an adapter, with counts of calls by kind.
  * A call that exceeds the rate limit, or is made while the circuit is open, is not sent, so that its outcome is `unavailable` even for a write.
  * After a call without an answer, and optionally after a time without calls, a write is sent only once the store has answered a read: an
- * unanswered read is harmless, but an unanswered write leaves its caller without an outcome.
+ * unanswered read is harmless, but an unanswered write leaves its caller without an outcome. Callers share this read, and may wait a bounded time for it or
+ * for the store's return. A call that was sent before one that was answered says nothing about the store any more when it times out.
  * Calls for leases have a rate limit of their own, so that many other calls cannot make a process lose its leadership.
  */
 import type { Random } from '@dragonflylever/core'
 
 import { CircuitBreaker } from './circuitBreaker.js'
-import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, StoreHealth, TransactOutcome, Transaction, Unavailable, Watch, WatchListener, WatchOptions } from './store.js'
+import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, StoreHealth, TransactOutcome, Transaction, Unavailable, WaitOptions, Watch, WatchListener, WatchOptions } from './store.js'
 import { TokenBucket } from './tokenBucket.js'
 
 const DEFAULT_RATE_PER_S = 10
@@ -48,6 +49,12 @@
 
 type CallKind = 'reads' | 'writes' | 'leases'
 
+/** How a call is admitted: from which rate limit it is taken, and how long it may wait. */
+interface AdmissionOptions {
+  readonly usesLeaseBudget?: boolean
+  readonly wait?: WaitOptions | undefined
+}
+
 export class StoreClient implements Store {
   private readonly _store: Store
   private readonly _bucket: TokenBucket
@@ -56,6 +63,14 @@
   private readonly _timeoutMs: number
   private readonly _maxAnswerAgeMs: number
   private _answeredAt = -Infinity
+  /** When the latest call that was answered was sent. */
+  private _answeredCallAt = -Infinity
+  /** When the first call was sent that the store has left unanswered; undefined while the last call was answered. */
+  private _silentSince: number | undefined
+  /** The read that is under way to find out whether the store answers. */
+  private _check: Promise<boolean> | undefined
+  /** Called when the store answers a call. */
+  private readonly _waiting = new Set<() => void>()
   private _probeTimer: NodeJS.Timeout | undefined
   private _isClosed = false
   private readonly _usage = { reads: 0, writes: 0, leases: 0, watchesOpened: 0, openWatches: 0, overBudget: 0, rejectedByCircuit: 0 }
@@ -78,8 +93,18 @@
     return { ...this._usage, budgetUsed: this._bucket.getUsedShare(performance.now()) }
   }
 
-  get (key: string): Promise<GetOutcome> {
-    return this._read(() => this._store.get(key))
+  /** Time since the first call that the store left unanswered, in milliseconds; undefined if the store answered since. */
+  get outageMs (): number | undefined {
+    return this._silentSince === undefined ? undefined : performance.now() - this._silentSince
+  }
+
+  /** Records that the store answered a call that was not made through this client, after `elapsedMs` milliseconds. */
+  recordAnswer (elapsedMs: number): void {
+    this._recordOutcome(true, performance.now() - elapsedMs)
+  }
+
+  get (key: string, wait?: WaitOptions): Promise<GetOutcome> {
+    return this._read(() => this._store.get(key), wait)
   }
 
   list (prefix: string): Promise<ListOutcome> {
@@ -87,7 +112,7 @@
   }
 
   put (request: PutRequest): Promise<PutOutcome> {
-    return this._callStore<PutOutcome>('writes', () => this._store.put(request), request.isLeadershipWrite === true)
+    return this._callStore<PutOutcome>('writes', () => this._store.put(request), { usesLeaseBudget: request.isLeadershipWrite === true })
   }
 
   putMany (requests: readonly PutRequest[]): Promise<PutManyOutcome> {
@@ -98,20 +123,20 @@
     return this._callStore<RemoveOutcome>('writes', () => this._store.remove(key, expect))
   }
 
-  transact (transaction: Transaction): Promise<TransactOutcome> {
-    return this._callStore<TransactOutcome>('writes', () => this._store.transact(transaction))
+  transact (transaction: Transaction, wait?: WaitOptions): Promise<TransactOutcome> {
+    return this._callStore<TransactOutcome>('writes', () => this._store.transact(transaction), { wait })
   }
 
   grantLease (ttlMs: number): Promise<LeaseOutcome> {
-    return this._callStore<LeaseOutcome>('leases', () => this._store.grantLease(ttlMs), true)
+    return this._callStore<LeaseOutcome>('leases', () => this._store.grantLease(ttlMs), { usesLeaseBudget: true })
   }
 
   renewLease (leaseId: string): Promise<LeaseOutcome> {
-    return this._callStore<LeaseOutcome>('leases', () => this._store.renewLease(leaseId), true)
+    return this._callStore<LeaseOutcome>('leases', () => this._store.renewLease(leaseId), { usesLeaseBudget: true })
   }
 
   revokeLease (leaseId: string): Promise<LeaseOutcome> {
-    return this._callStore<LeaseOutcome>('leases', () => this._store.revokeLease(leaseId), true)
+    return this._callStore<LeaseOutcome>('leases', () => this._store.revokeLease(leaseId), { usesLeaseBudget: true })
   }
 
   watch (prefix: string, fromRevision: number, listener: WatchListener, options?: WatchOptions): Watch {
@@ -140,29 +165,39 @@
     return this._store.close()
   }
 
-  private async _read<T extends { kind: string }> (call: () => Promise<T | Unavailable>): Promise<T | Unavailable> {
-    const outcome = await this._callStore('reads', call)
-    return outcome.kind === 'ambiguous' ? { kind: 'unavailable', message: (outcome as Ambiguous).message } : outcome as T | Unavailable
+  private async _read<T extends { kind: string }> (call: () => Promise<T | Unavailable>, wait?: WaitOptions): Promise<T | Unavailable> {
+    const outcome = await this._waitAtMost<T | Unavailable | Ambiguous>(this._callStore('reads', call, { wait }), wait?.maxReadWaitMs, 'the store does not answer')
+    return outcome.kind === 'ambiguous' ? this._makeUnavailable((outcome as Ambiguous).message) : outcome as T | Unavailable
   }
 
-  private async _callStore<T extends { kind: string }> (kind: CallKind, call: () => Promise<T>, usesLeaseBudget = false): Promise<T | Unavailable | Ambiguous> {
+  private async _callStore<T extends { kind: string }> (kind: CallKind, call: () => Promise<T>, options: AdmissionOptions = {}): Promise<T | Unavailable | Ambiguous> {
+    const { usesLeaseBudget = false, wait } = options
+    if (this._circuitBreaker.isOpen && wait !== undefined) await this._waitForReturn(wait.maxOutageWaitMs)
     const refusal = this._checkAdmission(usesLeaseBudget ? this._leaseBucket : this._bucket)
     if (refusal !== undefined) return refusal
-    if (kind === 'writes' && !usesLeaseBudget && this._isCheckDue() && !await this._checkStoreAnswers()) {
-      return { kind: 'unavailable', message: 'the store does not answer reads; the write was not sent' }
+    if (kind === 'writes' && !usesLeaseBudget && this._isCheckDue()) {
+      const checked = await this._waitAtMost(this._checkStoreAnswers(), wait?.maxReadWaitMs, '')
+      if (checked !== true) return this._makeUnavailable('the store does not answer reads; the write was not sent')
     }
     this._usage[kind]++
     const startedAt = performance.now()
     const outcome = await this._waitWithTimeout(call())
     this._recordOutcome(outcome.kind !== 'unavailable' && outcome.kind !== 'ambiguous', startedAt)
-    return outcome
+    return outcome.kind === 'unavailable' ? this._makeUnavailable((outcome as unknown as Unavailable).message) : outcome
   }
 
+  /** Records whether the store answered a call that was sent at `startedAt`. */
   private _recordOutcome (isAnswered: boolean, startedAt: number): void {
     if (isAnswered) {
       this._answeredAt = performance.now()
-      return this._circuitBreaker.recordAnswer(this._answeredAt - startedAt)
+      this._answeredCallAt = Math.max(this._answeredCallAt, startedAt)
+      this._silentSince = undefined
+      this._circuitBreaker.recordAnswer(this._answeredAt - startedAt)
+      for (const resume of this._waiting) resume()
+      return
     }
+    if (startedAt < this._answeredCallAt) return this._circuitBreaker.recordLateFailure()
+    this._silentSince = Math.min(this._silentSince ?? Infinity, startedAt)
     const probeDelayMs = this._circuitBreaker.fail()
     if (this._circuitBreaker.isOpen && !this._isClosed) this._scheduleProbe(probeDelayMs)
   }
@@ -180,8 +215,23 @@
     return this._circuitBreaker.isSuspect || performance.now() - this._answeredAt > this._maxAnswerAgeMs
   }
 
-  /** Reads a key to find out whether the store answers, and records the result. */
-  private async _checkStoreAnswers (): Promise<boolean> {
+  /**
+   * Reads a key to find out whether the store answers, and records the result. Joins a read for this purpose that is already under way. Resolves with true as
+   * soon as the store answers any call.
+   */
+  private _checkStoreAnswers (): Promise<boolean> {
+    this._check ??= new Promise<boolean>(resolve => {
+      const resume = (): void => resolve(true)
+      this._waiting.add(resume)
+      void this._readProbeKey().then(isAnswered => {
+        this._waiting.delete(resume)
+        resolve(isAnswered)
+      })
+    }).finally(() => { this._check = undefined })
+    return this._check
+  }
+
+  private async _readProbeKey (): Promise<boolean> {
     this._usage.reads++
     const startedAt = performance.now()
     const outcome = await this._waitWithTimeout(this._store.get(PROBE_KEY))
@@ -190,14 +240,42 @@
   }
 
   private _checkAdmission (bucket: TokenBucket): Unavailable | undefined {
-    const now = performance.now()
     if (this._circuitBreaker.isOpen) {
       this._usage.rejectedByCircuit++
-      return { kind: 'unavailable', message: 'the store has not answered lately; not sent' }
+      return this._makeUnavailable('the store has not answered lately; not sent')
     }
-    if (bucket.tryTake(now)) return undefined
+    if (bucket.tryTake(performance.now())) return undefined
     this._usage.overBudget++
-    return { kind: 'unavailable', message: 'over the call budget of this process; not sent' }
+    return this._makeUnavailable('over the call budget of this process; not sent')
+  }
+
+  /** Resolves when the store has answered a call, and otherwise after `maxMs` milliseconds. */
+  private async _waitForReturn (maxMs: number): Promise<void> {
+    if (maxMs <= 0) return
+    await new Promise<void>(resolve => {
+      const resume = (): void => {
+        clearTimeout(timer)
+        this._waiting.delete(resume)
+        resolve()
+      }
+      const timer = setTimeout(resume, maxMs)
+      this._waiting.add(resume)
+    })
+  }
+
+  /** Waits for a call at most `maxMs` milliseconds, without a limit if undefined. The call goes on, so that its outcome is still recorded. */
+  private async _waitAtMost<T> (call: Promise<T>, maxMs: number | undefined, message: string): Promise<T | Unavailable> {
+    if (maxMs === undefined) return call
+    let timer: NodeJS.Timeout | undefined
+    const timeout = new Promise<Unavailable>(resolve => { timer = setTimeout(() => resolve(this._makeUnavailable(message)), maxMs) })
+    const outcome = await Promise.race([call, timeout])
+    clearTimeout(timer)
+    return outcome
+  }
+
+  private _makeUnavailable (message: string): Unavailable {
+    const { outageMs } = this
+    return { kind: 'unavailable', message, ...(outageMs === undefined ? {} : { outageMs }) }
   }
 
   private async _waitWithTimeout<T> (call: Promise<T>): Promise<T | Ambiguous> {
--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -2,8 +2,9 @@
  * Handles clients' calls for jobs. A job is accepted once it is stored, and a refused job never runs. If it is not known in
  * time whether the store carried out a write, the answer is `undecided`.
  */
-import type { Store, StoredValue, TransactOutcome, Transaction } from '@dragonflylever/adapters'
-import { countTasks } from '@dragonflylever/core/graphs/index'
+import type { Store, StoredValue, TransactOutcome, Transaction, Unavailable, WaitOptions } from '@dragonflylever/adapters'
+import type { Random } from '@dragonflylever/core'
+import { computeOutageRetryAfter, countTasks } from '@dragonflylever/core/graphs/index'
 import type { JobGraph, JobPhase, PolicyIndex, RoutedQueue, StepSpec } from '@dragonflylever/core/graphs/index'
 import type { Logger, Metrics } from '@dragonflylever/runtime'
 
@@ -57,6 +58,8 @@
   readonly states: JobStates
   readonly logger: Logger
   readonly metrics: Metrics
+  /** Spreads the times at which refused clients come back. */
+  readonly random: Random
   readonly getPolicy: () => PolicyIndex | undefined
 }
 
@@ -66,8 +69,12 @@
 const ANSWER_MARGIN_MS = 150
 /** Maximum time for retries of a store call, in milliseconds; after that, a client that retries at another entry succeeds sooner. */
 const STORE_DECISION_MS = 900
-/** Delay after which clients should retry if the store is unavailable, in milliseconds: other entries may reach it, and outages last seconds. */
-const STORE_RETRY_AFTER_MS = 1_000
+/**
+ * Maximum time for which a call waits for a store that is known to be unavailable, in milliseconds: enough for the probe that finds the store back and its answer
+ * from another region. It also is at most the share {@link OUTAGE_WAIT_SHARE} of the target latency of the call's queue.
+ */
+const OUTAGE_WAIT_MS = 250
+const OUTAGE_WAIT_SHARE = 0.25
 /**
  * How long an unanswered write counts as undecided after its last attempt, in milliseconds: the store may carry it out seconds later. During
  * this time the job is not refused as `storeAway`, which would tell the client that it never runs.
@@ -115,7 +122,7 @@
     if (!JOB_ID.test(id)) return makeRefusal(Refusal.invalid, 'a job id has 16 hexadecimal digits')
     if (this._dependencies.states.get(id) !== undefined) return { kind: 'accepted' }
     const graph = makeGraph(id, organisation, queue, draft)
-    const answer = await this._storeJobOnce(call, graph)
+    const answer = await this._storeJobOnce(computeCallTimes(call, queue), graph)
     this._dependencies.logger.info({ job: id, queue: queue.name, organisation, version: this._dependencies.getPolicy()?.policy.version, tasks: countTasks(draft.steps), answer }, 'submission answered')
     return answer
   }
@@ -129,7 +136,7 @@
     if (known !== undefined) return makeStateAnswer(known, admission.organisation)
     // No job has such an id; the store could reject the key, which would look like an outage.
     if (!JOB_ID.test(admission.rest)) return { kind: 'noSuchJob' }
-    return this._readState(call, admission.rest, admission.organisation)
+    return this._readState(computeCallTimes(call, admission.queue), admission.rest, admission.organisation)
   }
 
   /** Cancels a job; has no effect on a job that has ended. */
@@ -140,8 +147,9 @@
     const state = await this.getState(call)
     if (state.kind !== 'state') return state
     const key = this._dependencies.keys.getCancelKey(id)
-    const outcome = await this._transactUntilDecided(call, { expect: [{ key, modRevision: 0 }], puts: [{ key, value: '1' }], removes: [] })
-    const answer = outcome.kind === 'ok' || outcome.kind === 'conflict' ? { kind: 'accepted' } as const : makeUndecidedAnswer(outcome)
+    const times = computeCallTimes(call, admission.queue)
+    const outcome = await this._transactUntilDecided(times, { expect: [{ key, modRevision: 0 }], puts: [{ key, value: '1' }], removes: [] })
+    const answer = outcome.kind === 'ok' || outcome.kind === 'conflict' ? { kind: 'accepted' } as const : this._makeUndecidedAnswer(outcome)
     this._dependencies.logger.info({ job: id, phase: state.phase, answer }, 'cancellation answered')
     return answer
   }
@@ -150,10 +158,10 @@
    * Stores a job. While another call of this process stores the same job, waits for the answer to that one: a rejection of this call alone would tell the client that
    * the job never runs, although the other call's write may still be carried out.
    */
-  private async _storeJobOnce (call: JobEntryCall, graph: JobGraph): Promise<JobEntryAnswer> {
+  private async _storeJobOnce (times: CallTimes, graph: JobGraph): Promise<JobEntryAnswer> {
     const pending = this._pendingSubmissions.get(graph.id)
     if (pending !== undefined) return pending
-    const submission = this._storeJob(call, graph)
+    const submission = this._storeJob(times, graph)
     this._pendingSubmissions.set(graph.id, submission)
     try {
       return await submission
@@ -162,12 +170,12 @@
     }
   }
 
-  private async _storeJob (call: JobEntryCall, graph: JobGraph): Promise<JobEntryAnswer> {
+  private async _storeJob (times: CallTimes, graph: JobGraph): Promise<JobEntryAnswer> {
     const { keys, states } = this._dependencies
     const state = createQueuedJobState(graph)
     const specKey = keys.getSpecKey(graph.id)
     const stateKey = keys.getStateKey(graph.id)
-    const outcome = await this._transactUntilDecided(call, {
+    const outcome = await this._transactUntilDecided(times, {
       expect: [{ key: specKey, modRevision: 0 }, { key: stateKey, modRevision: 0 }],
       puts: [{ key: specKey, value: JSON.stringify(graph) }, { key: stateKey, value: JSON.stringify(state) }],
       removes: []
@@ -180,7 +188,7 @@
       return { kind: 'accepted' }
     }
     if (outcome.kind === 'ambiguous') this._recordUndecided(graph.id)
-    return makeUndecidedAnswer(outcome)
+    return this._makeUndecidedAnswer(outcome)
   }
 
   private _recordCurrentState (jobId: string, stored: StoredValue | undefined): void {
@@ -201,28 +209,27 @@
 
   /**
    * Retries a conditional write until its outcome is known or the time for retries is over. If the store is unavailable, the write is
-   * retried only after an ambiguous attempt; otherwise nothing was stored, and the call can be refused immediately. If an earlier call left
+   * retried for a short time only, unless an attempt was ambiguous: nothing was stored, and the call can be refused. If an earlier call left
    * the write undecided (`wasUndecided`), the retries go on until the deadline: a refusal would be untrue, and another undecided answer would
    * not help the client.
    */
-  private async _transactUntilDecided (call: JobEntryCall, transaction: Transaction, wasUndecided = false): Promise<TransactOutcome> {
-    const retryUntil = wasUndecided ? call.deadlineAt - ANSWER_MARGIN_MS : computeRetryDeadline(call)
+  private async _transactUntilDecided (times: CallTimes, transaction: Transaction, wasUndecided = false): Promise<TransactOutcome> {
+    const retryUntil = wasUndecided ? times.answerUntil : times.retryUntil
     let isAmbiguous = wasUndecided
     for (;;) {
-      const outcome = await this._dependencies.store.transact(transaction)
+      const outcome = await this._dependencies.store.transact(transaction, makeWaitOptions(isAmbiguous ? retryUntil : times.outageUntil, retryUntil))
       if (outcome.kind === 'ok' || outcome.kind === 'conflict') return outcome
       if (outcome.kind === 'ambiguous') isAmbiguous = true
       this._dependencies.metrics.count('store_retries')
-      const isOver = performance.now() + STORE_RETRY_MS > retryUntil
-      if (isOver || (!isAmbiguous && outcome.kind === 'unavailable')) return isAmbiguous ? { kind: 'ambiguous', message: outcome.message } : outcome
+      const isOver = performance.now() + STORE_RETRY_MS > (isAmbiguous ? retryUntil : times.outageUntil)
+      if (isOver) return isAmbiguous ? { kind: 'ambiguous', message: outcome.message } : outcome
       await new Promise(resolve => setTimeout(resolve, STORE_RETRY_MS))
     }
   }
 
-  private async _readState (call: JobEntryCall, jobId: string, organisation: string): Promise<JobEntryAnswer> {
-    const retryUntil = computeRetryDeadline(call)
+  private async _readState (times: CallTimes, jobId: string, organisation: string): Promise<JobEntryAnswer> {
     for (;;) {
-      const outcome = await this._dependencies.store.get(this._dependencies.keys.getStateKey(jobId))
+      const outcome = await this._dependencies.store.get(this._dependencies.keys.getStateKey(jobId), makeWaitOptions(times.outageUntil, times.retryUntil))
       if (outcome.kind === 'ok') {
         if (outcome.value === undefined) return { kind: 'noSuchJob' }
         const state = decodeJobState(outcome.value.value)
@@ -230,14 +237,43 @@
         this._dependencies.states.recordState(jobId, state)
         return makeStateAnswer(state, organisation)
       }
-      if (performance.now() + STORE_RETRY_MS > retryUntil) return makeRefusal(Refusal.storeAway, `the state is not known here and the store does not answer: ${outcome.message}`, STORE_RETRY_AFTER_MS)
+      if (performance.now() + STORE_RETRY_MS > times.outageUntil) return this._refuseForOutage(outcome, 'the state is not known here and the store does not answer: ')
       await new Promise(resolve => setTimeout(resolve, STORE_RETRY_MS))
     }
   }
+
+  private _makeUndecidedAnswer (outcome: Unavailable | { readonly kind: 'ambiguous', readonly message: string }): JobEntryAnswer {
+    return outcome.kind === 'unavailable' ? this._refuseForOutage(outcome) : { kind: 'undecided', message: outcome.message }
+  }
+
+  private _refuseForOutage (outcome: Unavailable, prefix = ''): JobEntryAnswer {
+    return makeRefusal(Refusal.storeAway, prefix + outcome.message, computeOutageRetryAfter(outcome.outageMs ?? 0, this._dependencies.random.sample()))
+  }
 }
 
-function computeRetryDeadline (call: JobEntryCall): number {
-  return Math.min(call.deadlineAt - ANSWER_MARGIN_MS, performance.now() + STORE_DECISION_MS)
+/** Times up to which parts of a call may last, in milliseconds of the monotonic clock. */
+interface CallTimes {
+  /** Up to when the call waits for a store that is known to be unavailable. */
+  readonly outageUntil: number
+  /** Up to when the call waits for a read, and retries a write that may have been carried out. */
+  readonly retryUntil: number
+  /** Up to when the call must be answered so that the answer reaches the client in time. */
+  readonly answerUntil: number
+}
+
+function computeCallTimes (call: JobEntryCall, queue: RoutedQueue): CallTimes {
+  const now = performance.now()
+  const answerUntil = call.deadlineAt - ANSWER_MARGIN_MS
+  return {
+    outageUntil: Math.min(answerUntil, now + Math.min(OUTAGE_WAIT_MS, queue.targetLatencyMs * OUTAGE_WAIT_SHARE)),
+    retryUntil: Math.min(answerUntil, now + STORE_DECISION_MS),
+    answerUntil
+  }
+}
+
+function makeWaitOptions (outageUntil: number, readUntil: number): WaitOptions {
+  const now = performance.now()
+  return { maxOutageWaitMs: Math.max(0, outageUntil - now), maxReadWaitMs: Math.max(0, readUntil - now) }
 }
 
 function makeGraph (id: string, organisation: string, queue: RoutedQueue, draft: JobDraft): JobGraph {
@@ -258,8 +294,3 @@
 function makeRefusal (reason: Refusal, message: string, retryAfterMs = 0): Extract<JobEntryAnswer, { kind: 'refused' }> {
   return { kind: 'refused', reason, message, retryAfterMs }
 }
-
-function makeUndecidedAnswer (outcome: { readonly kind: 'unavailable' | 'ambiguous', readonly message: string }): JobEntryAnswer {
-  if (outcome.kind === 'unavailable') return makeRefusal(Refusal.storeAway, outcome.message, STORE_RETRY_AFTER_MS)
-  return { kind: 'undecided', message: outcome.message }
-}
--- a/packages/daemon/src/jobEntry/jobEntryProcess.ts
+++ b/packages/daemon/src/jobEntry/jobEntryProcess.ts
@@ -2,6 +2,7 @@
  * The entry role for job graphs: watches the declarations and the job states in the store, answers clients' calls and reports readiness.
  */
 import type { Store } from '@dragonflylever/adapters'
+import type { Random } from '@dragonflylever/core'
 import type { FleetPolicy } from '@dragonflylever/core/graphs/index'
 import { Lifecycle, createPartLogger } from '@dragonflylever/runtime'
 import type { Logger, Metrics } from '@dragonflylever/runtime'
@@ -23,6 +24,8 @@
   readonly applyMs: number
   readonly logger: Logger
   readonly metrics: Metrics
+  /** Spreads the times at which refused clients come back. */
+  readonly random: Random
 }
 
 /** Share of the time for a change in which a watch that hears nothing must notice; the rest is for another way to the store. */
@@ -36,7 +39,7 @@
   private _isStopping = false
 
   constructor (dependencies: JobEntryDependencies) {
-    const { store, keys, logger, metrics } = dependencies
+    const { store, keys, logger, metrics, random } = dependencies
     this._policy = new PolicyWatcher({
       store,
       key: dependencies.policyKey,
@@ -45,7 +48,7 @@
       maxSilenceMs: dependencies.applyMs * NOTICE_SHARE
     })
     this._states = new JobStates({ store, keys, logger: createPartLogger(logger, 'states') })
-    this.front = new JobEntryHandler({ store, keys, states: this._states, logger: createPartLogger(logger, 'front'), metrics, getPolicy: () => this._policy.index })
+    this.front = new JobEntryHandler({ store, keys, states: this._states, logger: createPartLogger(logger, 'front'), metrics, random, getPolicy: () => this._policy.index })
     this._lifecycle.add('declarations', () => this._policy.close())
     this._lifecycle.add('states', () => this._states.close())
   }
--- a/packages/daemon/src/storeRelay/directPath.ts
+++ b/packages/daemon/src/storeRelay/directPath.ts
@@ -4,8 +4,9 @@
  */
 import type { HttpCall, HttpCaller, HttpOutcome, Logger } from '@dragonflylever/runtime'
 
-/** Time between two probes while the path fails, and timeout of a probe, in milliseconds. */
-const PROBE_INTERVAL_MS = 500
+/** Time between the starts of two probes while the path fails, unless its owner sets another, in milliseconds. */
+const DEFAULT_PROBE_INTERVAL_MS = 500
+const PROBE_TIMEOUT_MS = 500
 /** Statuses with which the store rejects a call without carrying it out. */
 const REJECTION_STATUSES = new Set([429, 503])
 
@@ -14,6 +15,10 @@
   readonly caller: HttpCaller
   /** A read without effect that the store answers at once. */
   readonly probe: Pick<HttpCall, 'address' | 'path'>
+  /** Time between the starts of two probes while the path fails, in milliseconds. A probe is sent also while the one before is unanswered. */
+  readonly probeIntervalMs?: number
+  /** Called when the store serves this path again, with the duration of the call that showed it, in milliseconds. */
+  readonly onServedAgain?: (elapsedMs: number) => void
   readonly logger: Logger
 }
 
@@ -25,6 +30,8 @@
 export class DirectPath implements HttpCaller {
   private readonly _dependencies: DirectPathDependencies
   private readonly _longPolls = new Set<AbortController>()
+  /** When the latest call that the store served was sent. A call that was sent earlier says nothing about the path any more when it fails. */
+  private _servedCallAt = -Infinity
   private _isFailing = false
   private _isClosed = false
   private _timer: NodeJS.Timeout | undefined
@@ -40,8 +47,9 @@
 
   /** Calls the store directly. A long poll ends with `lost` as soon as a probe gets no answer. */
   async call (call: HttpCall): Promise<HttpOutcome> {
+    const startedAt = performance.now()
     const outcome = await (call.isLongPoll === true ? this._callLongPoll(call) : this._dependencies.caller.call(call))
-    if (call.signal?.aborted !== true) this._recordOutcome(outcome)
+    if (call.signal?.aborted !== true) this._recordOutcome(outcome, startedAt)
     return outcome
   }
 
@@ -63,27 +71,35 @@
     return outcome
   }
 
-  private _recordOutcome (outcome: HttpOutcome): void {
+  private _recordOutcome (outcome: HttpOutcome, startedAt: number): void {
     const isFailing = !isServed(outcome)
+    if (!isFailing) this._servedCallAt = Math.max(this._servedCallAt, startedAt)
+    else if (startedAt < this._servedCallAt) return
     if (this._isFailing === isFailing) return
     this._isFailing = isFailing
-    const { logger } = this._dependencies
-    if (!isFailing) logger.info({}, 'store is directly reachable again')
-    else logger.warn({ outcome: outcome.kind === 'answered' ? outcome.status : outcome.message }, 'cannot reach the store directly; relaying calls through agents')
+    const { logger, onServedAgain } = this._dependencies
     clearTimeout(this._timer)
-    if (isFailing) void this._checkStore()
+    if (isFailing) {
+      logger.warn({ outcome: outcome.kind === 'answered' ? outcome.status : outcome.message }, 'cannot reach the store directly; relaying calls through agents')
+      return this._startProbe()
+    }
+    logger.info({}, 'store is directly reachable again')
+    onServedAgain?.(performance.now() - startedAt)
   }
 
-  /** Probes the store until it serves a probe. Without an answer, the long polls that wait for one are taken for dead, too. */
-  private async _checkStore (): Promise<void> {
-    if (this._isClosed) return
+  /** Probes the store at intervals until it serves a probe. */
+  private _startProbe (): void {
+    if (this._isClosed || !this._isFailing) return
+    this._timer = setTimeout(() => this._startProbe(), this._dependencies.probeIntervalMs ?? DEFAULT_PROBE_INTERVAL_MS).unref()
+    void this._sendProbe()
+  }
+
+  /** Probes the store once. Without an answer, the long polls that wait for one are taken for dead, too. */
+  private async _sendProbe (): Promise<void> {
     const startedAt = performance.now()
-    const outcome = await this._dependencies.caller.call({ ...this._dependencies.probe, method: 'GET', timeoutMs: PROBE_INTERVAL_MS })
+    const outcome = await this._dependencies.caller.call({ ...this._dependencies.probe, method: 'GET', timeoutMs: PROBE_TIMEOUT_MS })
     if (this._isClosed || !this._isFailing) return
     if (outcome.kind !== 'answered') for (const abort of this._longPolls) abort.abort()
-    this._recordOutcome(outcome)
-    if (!this._isFailing) return
-    clearTimeout(this._timer)
-    this._timer = setTimeout(() => { void this._checkStore() }, Math.max(0, PROBE_INTERVAL_MS - (performance.now() - startedAt))).unref()
+    this._recordOutcome(outcome, startedAt)
   }
 }
--- a/packages/daemon/test/graphs/graphSimulation.ts
+++ b/packages/daemon/test/graphs/graphSimulation.ts
@@ -2,6 +2,7 @@
  * A small simulated fleet on a fake clock: agents with workers, one store, one entry, and faults that tests start and end. The planner,
  * the leader election, the agents' worker controllers and the store client are production code.
  */
+import { SeededRandom } from '@dragonflylever/core'
 import { JobPhase, PolicyIndex } from '@dragonflylever/core/graphs/index'
 import type { RoutedQueue, StepSpec } from '@dragonflylever/core/graphs/index'
 import { JobEntryHandler } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
@@ -97,7 +98,7 @@
       organisations: [{ name: 'o', keys: ['k'], guaranteedAccelerators: 8 }],
       limits: { maxBodyBytes: 1_000_000, maxHeaderBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
     })
-    this._entryHandler = new JobEntryHandler({ store: client, keys: KEYS, states: this.states, logger: createPartLogger(logger, 'front'), metrics: new NoMetrics(), getPolicy: () => index })
+    this._entryHandler = new JobEntryHandler({ store: client, keys: KEYS, states: this.states, logger: createPartLogger(logger, 'front'), metrics: new NoMetrics(), random: new SeededRandom(1), getPolicy: () => index })
     void this.states.open()
     this._leaseExpiryTimer = setInterval(() => this.store.expireLeases(), LEASE_EXPIRY_CHECK_MS)
   }
--- a/packages/daemon/test/jobEntry/jobEntryHandler.test.ts
+++ b/packages/daemon/test/jobEntry/jobEntryHandler.test.ts
@@ -1,6 +1,7 @@
 /**
  * What a client is told about a submitted job when the store's answers are lost: a refusal promises that the job never runs.
  */
+import { SeededRandom } from '@dragonflylever/core'
 import { PolicyIndex } from '@dragonflylever/core/graphs/index'
 import { JobEntryHandler } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
 import type { JobEntryAnswer, JobEntryCall } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
@@ -29,7 +30,7 @@
   const logger = createLogger({ level: 'silent', processId: 't' })
   const states = new JobStates({ store, keys: KEYS, logger })
   const index = new PolicyIndex(POLICY)
-  const handler = new JobEntryHandler({ store, keys: KEYS, states, logger, metrics: new NoMetrics(), getPolicy: () => index })
+  const handler = new JobEntryHandler({ store, keys: KEYS, states, logger, metrics: new NoMetrics(), random: new SeededRandom(1), getPolicy: () => index })
   return {
     store,
     handler,
--- a/packages/daemon/test/jobEntry/refusedSubmissions.test.ts
+++ b/packages/daemon/test/jobEntry/refusedSubmissions.test.ts
@@ -3,6 +3,7 @@
  * at the same time, and the store leaves some of their writes unanswered.
  */
 import type { TransactOutcome, Transaction } from '@dragonflylever/adapters'
+import { SeededRandom } from '@dragonflylever/core'
 import { PolicyIndex } from '@dragonflylever/core/graphs/index'
 import { JobEntryHandler } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
 import { JobStates } from '@dragonflylever/daemon/jobEntry/jobStates'
@@ -58,7 +59,7 @@
   const pausesMs = fc.array(fc.integer({ min: 1, max: 2_000 }), { minLength: 1, maxLength: 5 })
   await fc.assert(fc.asyncProperty(fc.array(fate, { minLength: 1, maxLength: 8 }), pausesMs, async (fates, pauses) => {
     const store = new FatefulStore(fates)
-    const handler = new JobEntryHandler({ store, keys: KEYS, states: new JobStates({ store, keys: KEYS, logger }), logger, metrics: new NoMetrics(), getPolicy: () => index })
+    const handler = new JobEntryHandler({ store, keys: KEYS, states: new JobStates({ store, keys: KEYS, logger }), logger, metrics: new NoMetrics(), random: new SeededRandom(1), getPolicy: () => index })
     const refusedAt: number[] = []
     for (const pauseMs of pauses) {
       const { call, draft } = makeSubmission()
--- a/packages/standins/test/storeClient.test.ts
+++ b/packages/standins/test/storeClient.test.ts
@@ -5,7 +5,9 @@
 import { StoreClient, StoreHealth, putWithRetry } from '@dragonflylever/adapters'
 import { MemoryStore } from '@dragonflylever/standins'
 import FakeTimers from '@sinonjs/fake-timers'
+import type { Clock } from '@sinonjs/fake-timers'
 import test from 'ava'
+import type { ExecutionContext } from 'ava'
 
 function createClient (rate = 10, burst = 40, options: { readonly maxAnswerAgeMs?: number } = {}): { memory: MemoryStore, client: StoreClient } {
   const memory = new MemoryStore()
@@ -122,3 +124,69 @@
   t.is((await write).kind, 'unavailable')
   t.is(memory.counts.writes, 1)
 })
+
+/** Store client with a store that leaves the calls unanswered that are made while `faults.delayMs` is large, and how long a caller may wait. */
+function createWaitingClient (t: ExecutionContext): { readonly clock: Clock, readonly memory: MemoryStore, readonly client: StoreClient } {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
+  t.teardown(() => clock.uninstall())
+  return { clock, ...createClient(100, 200, { maxAnswerAgeMs: 400 }) }
+}
+
+const WAIT = { maxOutageWaitMs: 250, maxReadWaitMs: 900 }
+const WRITE = { expect: [], puts: [{ key: 'a', value: 'v' }], removes: [] }
+
+test.serial('calls from before the return of the store that time out after it do not open the circuit again', async t => {
+  const { clock, memory, client } = createWaitingClient(t)
+  memory.faults.delayMs = 60_000
+  for (let count = 0; count < 5; count++) {
+    void client.get('k')
+    await clock.tickAsync(100)
+  }
+  memory.faults.delayMs = 0
+  client.recordAnswer(10)
+  for (let count = 0; count < 12; count++) {
+    t.is((await client.get('k')).kind, 'ok')
+    t.is(client.outageMs, undefined)
+    await clock.tickAsync(100)
+  }
+})
+
+test.serial('writes that find out whether the store answers share one read', async t => {
+  const { clock, memory, client } = createWaitingClient(t)
+  memory.faults.delayMs = 200
+  const writes = Array.from({ length: 5 }, () => client.transact(WRITE, WAIT))
+  await clock.tickAsync(400)
+  for (const write of writes) t.is((await write).kind, 'ok')
+  t.deepEqual([memory.counts.reads, memory.counts.writes], [1, 5])
+})
+
+test.serial('a call waits for the return of the store for a bounded time, goes on as soon as the store answers, and is otherwise never sent', async t => {
+  const { clock, memory, client } = createWaitingClient(t)
+  memory.faults.delayMs = 60_000
+  void client.get('k')
+  void client.get('k')
+  await clock.tickAsync(1_500)
+  const refused = client.transact(WRITE, WAIT)
+  await clock.tickAsync(250)
+  t.like(await refused, { kind: 'unavailable', outageMs: 1_750 })
+  const waiting = client.transact(WRITE, WAIT)
+  await clock.tickAsync(100)
+  t.is(memory.counts.writes, 0)
+  memory.faults.delayMs = 0
+  client.recordAnswer(10)
+  await clock.tickAsync(0)
+  t.is((await waiting).kind, 'ok')
+  await clock.tickAsync(60_000)
+  t.is(memory.counts.writes, 1)
+})
+
+test.serial('a write whose caller stops waiting for the read before it is not sent later', async t => {
+  const { clock, memory, client } = createWaitingClient(t)
+  memory.faults.delayMs = 950
+  const write = client.transact(WRITE, WAIT)
+  await clock.tickAsync(900)
+  t.is((await write).kind, 'unavailable')
+  memory.faults.delayMs = 0
+  await clock.tickAsync(10_000)
+  t.is(memory.counts.writes, 0)
+})
