Planner of job graphs: evacuated failure domains and workers that are slow after their start

Change: the planner takes the set of evacuated domains. Their workers are not eligible and are left out of the capacity of a pass and of the share of the fleet that is in use; orders to them contain no starts; runs there that are not confirmed as started are stopped, with their gang unless it makes progress. Orders leave out starts on demand, so that the session can send them only while its knowledge is fresh. A worker that is slow after its start comes last in a placement, its runs are not learned from, and it is not taken for stalled.

Conclusion: nothing changes while no domain is evacuated and no worker says that it is slow.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -9,6 +9,7 @@
 import { isIsolated } from './crashBlame.js'
 import { CrashIsolation } from './crashIsolation.js'
 import { CapacitySnapshot } from './capacitySnapshot.js'
+import type { EvacuatedDomains } from './evacuatedDomains.js'
 import { GangReservations } from './gangReservations.js'
 import { findGuaranteedJobs } from './guaranteedJobs.js'
 import { RunPhase, listTasks } from './jobState.js'
@@ -35,6 +36,7 @@
   readonly runTracker: RunTracker
   readonly workerHealth: WorkerHealthTracker
   readonly runTimes: RunTimeEstimator
+  readonly evacuations: EvacuatedDomains
   readonly classShares: ClassShares
   readonly order: WaitingOrder
   readonly times: PlannerTimes
@@ -83,6 +85,7 @@
       getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
       isLocalityWaitOver: waiting => this._isLocalityWaitOver(waiting),
       isUsableForLastAttempt: (worker, step) => this._isUsableForLastAttempt(worker, step),
+      isCold: worker => worker.isCold(this._now),
       isKeptEmpty: worker => this._crashIsolation.isKeptEmpty(worker),
       chooseWorkersForSuspect: (workers, task) => this._crashIsolation.chooseWorkers(workers, task, this._starvedSteps.has(task.step)),
       countFailures: worker => dependencies.workerHealth.countFailures(worker.key.id)
@@ -109,12 +112,13 @@
     this._now = now
     for (const worker of this._dependencies.registry.listWorkers()) {
       this._stopUnconfirmedRuns(worker)
-      this._evacuateWorker(worker)
+      this._stopStartsInEvacuatedDomain(worker)
+      this._stopRunsOfDrainingWorker(worker)
       this._stopStalledRuns(worker)
     }
     const waiting = this._dependencies.order.sort(jobs.flatMap(job => listWaitingSteps(job, now)), now)
     if (waiting.length === 0) return
-    const workers = this._dependencies.registry.listWorkers()
+    const workers = this._listUsableWorkers()
     const snapshot = new CapacitySnapshot(workers)
     this._markStarvedSteps(waiting)
     this._markLastAttempts(waiting)
@@ -153,8 +157,20 @@
     }
   }
 
+  /**
+   * Stops the runs that a worker of an evacuated failure domain has not confirmed as started, as no start may be sent there. The members of a gang that
+   * makes progress have all started, so it goes on. A worker that has not listed its runs yet may still be executing the recorded ones.
+   */
+  private _stopStartsInEvacuatedDomain (worker: WorkerState): void {
+    if (!this._dependencies.evacuations.hasWorker(worker) || worker.report?.listNumber === 0) return
+    for (const run of worker.runs) {
+      if (run.phase !== RunPhase.assigned || (run.task.step.spec.isGang && isGangWorking(run))) continue
+      this._dependencies.runTracker.stopWithGang(run, 'its failure domain is evacuated', 'the failure domain of a member of the gang is evacuated', this._now)
+    }
+  }
+
   /** Stops the runs that can't end before their draining worker leaves. Tasks that write checkpoints save their work when they are stopped. */
-  private _evacuateWorker (worker: WorkerState): void {
+  private _stopRunsOfDrainingWorker (worker: WorkerState): void {
     const { drainsUntil } = worker
     if (drainsUntil === undefined) return
     for (const run of worker.runs) {
@@ -165,9 +181,11 @@
 
   /**
    * Stops stalled runs, so that they restart elsewhere. Waiting may be cheaper than a restart, so a run is stopped only once it has
-   * stalled for at least the time that the lost work would take to repeat. Meanwhile the worker gets no new runs.
+   * stalled for at least the time that the lost work would take to repeat. Meanwhile the worker gets no new runs. A worker that is slow after its start is
+   * not taken for a stalled one.
    */
   private _stopStalledRuns (worker: WorkerState): void {
+    if (worker.isCold(this._now)) return
     for (const run of worker.runs) {
       const stalledMs = measureStall(run, Math.min(this._now, worker.listedAt))
       if (stalledMs === undefined) continue
@@ -200,6 +218,11 @@
     else if (step.spec.isGang) this._gangReservations.reserveFor(waiting, snapshot)
   }
 
+  /** Lists the workers outside evacuated failure domains; the others count neither as capacity nor as part of the fleet. */
+  private _listUsableWorkers (): WorkerState[] {
+    return this._dependencies.evacuations.selectUsable(this._dependencies.registry.listWorkers())
+  }
+
   private _predictEnd (run: RunState): number {
     return predictEnd(run, this._now, this._dependencies.runTimes.estimateRunTime(run.task.step), this._dependencies.times.stopGraceMs)
   }
@@ -211,7 +234,7 @@
   private _markStarvedSteps (waiting: readonly WaitingStep[]): void {
     let used = 0
     let total = 0
-    for (const worker of this._dependencies.registry.listWorkers()) {
+    for (const worker of this._listUsableWorkers()) {
       total += worker.capacity.accelerators
       for (const run of worker.runs) used += run.task.step.spec.accelerators
     }
@@ -242,6 +265,7 @@
 
   private _isEligible (worker: WorkerState, step: StepState): boolean {
     const { report } = worker
+    if (this._dependencies.evacuations.hasWorker(worker)) return false
     if (report === undefined || report.isDraining || !this._dependencies.registry.isResponsive(worker, this._now)) return false
     if (report.service !== step.job.graph.queue.service) return false
     if (this._crashIsolation.isReserved(worker, step) || this._releaseAvoidance.isAvoided(worker, step)) return false
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -10,6 +10,7 @@
 import type { ProgressRecord } from './jobProgress.js'
 import { addOccurrence, isActive, isTimed, listTasks, markChanged } from './jobState.js'
 import type { JobState, TaskState, WorkerKey } from './jobState.js'
+import { EvacuatedDomains } from './evacuatedDomains.js'
 import { listOrders } from './orderList.js'
 import { ObjectiveOrder } from './objectiveOrder.js'
 import { GraphPass } from './graphPass.js'
@@ -23,6 +24,7 @@
 import type { WaitingOrder } from './waitingStep.js'
 import { WorkerRegistry } from './workerRegistry.js'
 import type { WorkerOrders, WorkerReport } from './workerReport.js'
+import type { WorkerState } from './workerState.js'
 import { WorkerHealthTracker } from './workerHealthTracker.js'
 
 /** Settings and dependencies of {@link GraphPlanner}. */
@@ -54,6 +56,7 @@
   private readonly _runTracker: RunTracker
   private readonly _registry: WorkerRegistry
   private readonly _pass: GraphPass
+  private readonly _evacuations = new EvacuatedDomains()
   private _policy: PlannerPolicy = { queues: [], guarantees: [] }
   private _leadershipConfirmedAt = -Infinity
   private _checkpointsMarkedAt = -Infinity
@@ -65,7 +68,7 @@
     this._registry = new WorkerRegistry({ log, times, runTracker: this._runTracker, workerHealth: this._workerHealth, findTask: name => this._findTask(name) })
     const classShares = new ClassShares({ runTimes: this._runTimes, getWallTime, listJobs: () => this._jobs.values() })
     const order = options.createOrder?.(this._runTimes) ?? new ObjectiveOrder({ runTimes: this._runTimes, getWallTime })
-    this._pass = new GraphPass({ registry: this._registry, runTracker: this._runTracker, workerHealth: this._workerHealth, runTimes: this._runTimes, classShares, order, times, log, getWallTime })
+    this._pass = new GraphPass({ registry: this._registry, runTracker: this._runTracker, workerHealth: this._workerHealth, runTimes: this._runTimes, evacuations: this._evacuations, classShares, order, times, log, getWallTime })
   }
 
   /** Number of jobs that have not ended. */
@@ -83,6 +86,11 @@
     this._policy = policy
   }
 
+  /** Sets the failure domains in which no task may start. From now on no start is listed for their workers; the next pass stops those that may be on their way. */
+  setEvacuations (domains: ReadonlySet<string>): void {
+    this._evacuations.replace(domains)
+  }
+
   /** Records that this process was confirmed as the leader at `confirmedAt`, in milliseconds of the planner's clock. */
   recordLeadershipConfirmed (confirmedAt: number): void {
     this._leadershipConfirmedAt = Math.max(this._leadershipConfirmedAt, confirmedAt)
@@ -139,24 +147,27 @@
     if (job !== undefined) job.durableVersion = Math.max(job.durableVersion, version)
   }
 
-  /** True when there are starts, stops or speed changes for a worker that are not yet reflected in its last report. */
-  hasOrders (key: WorkerKey): boolean {
+  /**
+   * True when there are starts, stops or speed changes for a worker that are not yet reflected in its last report. Starts count only if
+   * `mayStart` is true.
+   */
+  hasOrders (key: WorkerKey, mayStart = true): boolean {
     const worker = this._registry.getWorker(key)
     if (worker === undefined) return false
-    const { starts, stops, paces } = listOrders(worker, false, this._leadershipConfirmedAt)
+    const { starts, stops, paces } = this._listOrders(worker, false, mayStart)
     return starts.length + stops.length + paces.length > 0
   }
 
   /**
    * Returns the orders for a worker that are not yet reflected in its last report; undefined for an unknown incarnation. `mayGrant` permits
-   * the agent to extend the lease of a reachable worker.
+   * the agent to extend the lease of a reachable worker. The answer contains starts only if `mayStart` is true.
    */
-  answerReport (key: WorkerKey, receivedAt: number, mayGrant: boolean): WorkerOrders | undefined {
+  answerReport (key: WorkerKey, receivedAt: number, mayGrant: boolean, mayStart = true): WorkerOrders | undefined {
     const worker = this._registry.getWorker(key)
     if (worker === undefined) return undefined
     const mayExtend = mayGrant && worker.report?.isReachable === true
     if (mayExtend) this._registry.grant(worker, receivedAt)
-    const orders = listOrders(worker, mayExtend, this._leadershipConfirmedAt)
+    const orders = this._listOrders(worker, mayExtend, mayStart)
     for (const run of worker.runs) run.sentPace = run.pace
     return orders
   }
@@ -173,6 +184,10 @@
     return removed
   }
 
+  private _listOrders (worker: WorkerState, mayExtend: boolean, mayStart: boolean): WorkerOrders {
+    return listOrders(worker, { mayExtend, mayStart: mayStart && !this._evacuations.hasWorker(worker), leadershipConfirmedAt: this._leadershipConfirmedAt })
+  }
+
   /** Marks all jobs with new checkpoints for storing, at a fixed interval, so that little work is lost when planner and workers fail together. */
   private _markNewCheckpoints (now: number): void {
     if (now - this._checkpointsMarkedAt < this._options.times.checkpointMs) return
--- a/packages/core/src/graphs/jobProgress.ts
+++ b/packages/core/src/graphs/jobProgress.ts
@@ -137,6 +137,7 @@
     usage: 0,
     pace: 100,
     sentPace: 100,
+    wasCold: false,
     startCheckpoint: task.checkpoint
   }
 }
--- a/packages/core/src/graphs/jobState.ts
+++ b/packages/core/src/graphs/jobState.ts
@@ -55,6 +55,8 @@
   /** Speed at which the run should work, 0 to 100 percent of full speed; `sentPace` is the value last sent to its agent. */
   pace: number
   sentPace: number
+  /** True if the run, or a member of its gang, was at a worker that was slow after its start, so that its duration and speed say nothing about others. */
+  wasCold: boolean
   /** Checkpoint from which the run starts; empty when it starts from the beginning. */
   readonly startCheckpoint: string
 }
--- a/packages/core/src/graphs/orderList.ts
+++ b/packages/core/src/graphs/orderList.ts
@@ -10,8 +10,18 @@
 
 const STOP_STATUSES: ReadonlySet<OrderStatus | undefined> = new Set([OrderStatus.stopping, OrderStatus.barred])
 
+/** What the orders for a worker may contain. */
+export interface OrderLimits {
+  /** True if the agent may extend the worker's lease. */
+  readonly mayExtend: boolean
+  /** False while no start may be sent to the worker. */
+  readonly mayStart: boolean
+  /** When this planner's leadership was last confirmed, on its clock. */
+  readonly leadershipConfirmedAt: number
+}
+
 /** Lists the orders for a worker. An order is repeated until a report on the worker reflects it. */
-export function listOrders (worker: WorkerState, mayExtend: boolean, leadershipConfirmedAt: number): WorkerOrders {
+export function listOrders (worker: WorkerState, { mayExtend, mayStart, leadershipConfirmedAt }: OrderLimits): WorkerOrders {
   const orders = new Map<string, OrderListing>()
   for (const order of worker.report?.orders ?? []) orders.set(makeRunKey(order), order)
   // Until a worker has listed its runs, runs in the stored records may have ended there without this planner knowing.
@@ -23,7 +33,7 @@
     const name = { task: run.task.name, run: run.number }
     const status = orders.get(makeRunKey(name))?.status
     if (run.phase === RunPhase.stopping && !STOP_STATUSES.has(status)) stops.push(name)
-    if (run.phase === RunPhase.assigned && status === undefined && hasListedRuns && isStartable(run)) starts.push(makeStartOrder(run))
+    if (mayStart && run.phase === RunPhase.assigned && status === undefined && hasListedRuns && isStartable(run)) starts.push(makeStartOrder(run))
     if (run.phase === RunPhase.running && run.pace !== run.sentPace) paces.push({ ...name, percent: run.pace })
   }
   for (const [key, orphan] of worker.orphanedRuns) if (!STOP_STATUSES.has(orders.get(key)?.status)) stops.push({ task: orphan.task, run: orphan.run })
--- a/packages/core/src/graphs/placement.ts
+++ b/packages/core/src/graphs/placement.ts
@@ -12,10 +12,12 @@
 
 /**
  * Weights in the score of a worker, in units of one free processor core; the worker with the lowest score is chosen. A failure outweighs
- * any free capacity, and a failure of the task itself outweighs any number of other failures.
+ * any free capacity, and a failure of the task itself outweighs any number of other failures. A worker that is slow after its start comes after all
+ * sound ones, but before those with failures, since a slow run loses less than a failed one.
  */
 const OWN_FAILURE_PENALTY = 10_000_000
 const FAILURE_PENALTY = 100_000
+const COLD_PENALTY = 50_000
 const ACCELERATOR_WEIGHT = 1_000
 
 /** A task with the worker on which it is placed. */
@@ -55,6 +57,8 @@
   readonly countFailures: (worker: WorkerState) => number
   /** True when a worker may run the last attempt of a task of a step. */
   readonly isUsableForLastAttempt: (worker: WorkerState, step: StepState) => boolean
+  /** True while a worker is slow after its start. */
+  readonly isCold: (worker: WorkerState) => boolean
   /** True when a worker is kept empty for a task that must run alone. */
   readonly isKeptEmpty: (worker: WorkerState) => boolean
   /** Returns those of the workers that may run a task that is suspected of crashing workers. */
@@ -94,12 +98,22 @@
     if (!spec.isSameRack) return this._listDataGroups(waiting, eligible, isOver)
     const racks = groupByRack(eligible)
     const localRack = spec.dataRack === undefined ? undefined : racks.get(spec.dataRack)
-    const others = [...racks.values()].filter(group => group !== localRack).sort((a, b) => countFreeSlots(a, waiting.step, snapshot) - countFreeSlots(b, waiting.step, snapshot))
+    const others = this._sortRacks([...racks.values()].filter(group => group !== localRack), waiting, snapshot)
     const isWide = [...racks.values()].every(group => countTasksOfGroupWhenEmpty(group, waiting.step) < waiting.tasks.length)
     if (localRack !== undefined && !isOver && countTasksOfGroupWhenEmpty(localRack, waiting.step) >= waiting.tasks.length) return [localRack]
     return [...(localRack === undefined ? [] : [localRack]), ...others, ...(isWide || isOver ? [[...eligible]] : [])]
   }
 
+  /** Sorts racks by their free slots, the fewest first; those come last that can hold the tasks only with workers that are slow after their start. */
+  private _sortRacks (racks: WorkerState[][], waiting: WaitingStep, snapshot: CapacitySnapshot): WorkerState[][] {
+    const rank = (group: readonly WorkerState[]): number => {
+      const warm = group.filter(worker => !this._dependencies.isCold(worker))
+      return warm.length < group.length && countFreeSlots(warm, waiting.step, snapshot) < waiting.tasks.length ? 1 : 0
+    }
+    const ranked = racks.map(group => ({ group, rank: rank(group), free: countFreeSlots(group, waiting.step, snapshot) }))
+    return ranked.sort((a, b) => a.rank - b.rank || a.free - b.free).map(({ group }) => group)
+  }
+
   private _listDataGroups (waiting: WaitingStep, eligible: readonly WorkerState[], isOver: boolean): WorkerState[][] {
     const { dataRack, isGang } = waiting.step.spec
     if (dataRack === undefined) return [[...eligible]]
@@ -155,10 +169,11 @@
     return slots.filter(({ worker }) => workers.has(worker))
   }
 
-  /** Prefers workers at which the fewest jobs failed, then the one with the least free capacity. */
+  /** Prefers workers at which the fewest jobs failed, then those that aren't slow after their start, then the one with the least free capacity. */
   private _computeScore (worker: WorkerState, snapshot: CapacitySnapshot): number {
     const free = snapshot.getFree(worker)
-    return this._dependencies.countFailures(worker) * FAILURE_PENALTY + free.accelerators * ACCELERATOR_WEIGHT + free.cpuMillis / 1_000
+    const coldPenalty = this._dependencies.isCold(worker) ? COLD_PENALTY : 0
+    return this._dependencies.countFailures(worker) * FAILURE_PENALTY + coldPenalty + free.accelerators * ACCELERATOR_WEIGHT + free.cpuMillis / 1_000
   }
 }
 
--- a/packages/core/src/graphs/runTracker.ts
+++ b/packages/core/src/graphs/runTracker.ts
@@ -48,9 +48,11 @@
     markChanged(job)
     step.readySince = undefined
     const gangRun = Math.max(...step.tasks.map(task => task.lastRun)) + 1
+    const hasColdWorker = placed.some(({ worker }) => worker.isCold(now))
     return placed.map(({ task, worker, ticket }) => {
       task.lastRun = step.spec.isGang ? gangRun : task.lastRun + 1
       const run = createRun(task, task.lastRun, worker.key, job.version, now, ticket)
+      run.wasCold = step.spec.isGang ? hasColdWorker : worker.isCold(now)
       task.runs.push(run)
       worker.runs.add(run)
       this._dependencies.log.note('run assigned', { task: task.name, run: run.number, worker: worker.key.id, checkpoint: task.checkpoint })
@@ -71,6 +73,13 @@
     markChanged(job)
   }
 
+  /** Records that a run is at a worker that is slow after its start. The members of a gang end together, so this slows all of them. */
+  markCold (run: RunState): void {
+    if (run.wasCold) return
+    const { step } = run.task
+    for (const member of step.spec.isGang ? step.tasks.flatMap(task => task.runs) : [run]) member.wasCold = true
+  }
+
   /** Requests that a run stops. The run counts against its worker's capacity until its end is known. */
   stop (run: RunState, reason: string, now: number): void {
     if (run.phase === RunPhase.stopping) return
@@ -168,7 +177,7 @@
 
   private _finishRun (run: RunState, now: number): void {
     this._dependencies.workerHealth.recordDone(run, now)
-    if (run.startCheckpoint === '' && !run.isAdopted && run.runningSince !== undefined) this._dependencies.runTimes.learnRunTime(run.task.step, now - run.runningSince)
+    if (run.startCheckpoint === '' && !run.isAdopted && !run.wasCold && run.runningSince !== undefined) this._dependencies.runTimes.learnRunTime(run.task.step, now - run.runningSince)
     this._finishTask(run.task, now)
   }
 
--- a/packages/core/src/graphs/workerRegistry.ts
+++ b/packages/core/src/graphs/workerRegistry.ts
@@ -82,6 +82,7 @@
     this._workers.set(report.key.id, worker)
     if (worker.report?.isDraining !== true && report.isDraining) this._dependencies.log.note('worker draining', { worker: report.key.id, leftMs: report.drainLeftMs })
     worker.update(report, now)
+    if (worker.isCold(now)) for (const run of worker.runs) this._dependencies.runTracker.markCold(run)
     if (!report.isReachable) worker.aliveUntil = Math.min(worker.aliveUntil, now + report.leaseLeftMs / this._dependencies.times.minClockRate + this._dependencies.times.runLeaseMarginMs)
     this._acceptEndListings(worker, report.ended, now)
     if (report.listNumber > 0) this._acceptRunListings(worker, report, now)
--- a/packages/core/src/graphs/workerReport.ts
+++ b/packages/core/src/graphs/workerReport.ts
@@ -52,7 +52,7 @@
 } as const
 export type OrderStatus = typeof OrderStatus[keyof typeof OrderStatus]
 
-/** Why a worker refused to start a run. */
+/** Why a worker, or its agent, refused to start a run. */
 export const StartRefusal = {
   /** The worker has already accepted orders of a later planner. */
   fenced: 'fenced',
@@ -64,6 +64,8 @@
   ticket: 'ticket',
   /** The worker is unhealthy and has not executed the start. */
   unhealthy: 'unhealthy',
+  /** The agent has not sent the start within the validity of its order. */
+  expired: 'expired',
   invalid: 'invalid'
 } as const
 export type StartRefusal = typeof StartRefusal[keyof typeof StartRefusal]
@@ -93,6 +95,8 @@
   readonly isDraining: boolean
   /** Minimum time until a draining worker leaves, in milliseconds. */
   readonly drainLeftMs: number | undefined
+  /** How much longer a worker stays slow after its start, in milliseconds; absent once it isn't slow any more. */
+  readonly coldLeftMs?: number | undefined
   /** True when this incarnation of the worker has certainly ended, so that none of its runs is alive. */
   readonly isOver: boolean
   /** False while the worker doesn't answer the agent's calls. */
--- a/packages/core/src/graphs/workerState.ts
+++ b/packages/core/src/graphs/workerState.ts
@@ -40,6 +40,8 @@
   drainsUntil: number | undefined
   /** When the first report said that the worker drains, on the planner's clock; undefined before. */
   drainingSince: number | undefined
+  /** Until when the worker is slow after its start, on the planner's clock; undefined if it isn't. */
+  coldUntil: number | undefined
   /** Highest sequence number of a recorded end of a run. */
   lastEndNumber = 0
   /** Recorded ends of runs that are not acknowledged yet, by ascending sequence number. */
@@ -72,6 +74,12 @@
     this.firstReportAt ??= now
     this.drainingSince = report.isDraining ? this.drainingSince ?? now : undefined
     this.drainsUntil = report.isDraining ? now + (report.drainLeftMs ?? 0) : undefined
+    this.coldUntil = report.coldLeftMs === undefined ? undefined : now + report.coldLeftMs
+  }
+
+  /** True while the worker is slow after its start. */
+  isCold (now: number): boolean {
+    return this.coldUntil !== undefined && now < this.coldUntil
   }
 
   /** Returns the capacity of the worker minus the needs of all runs that may exist there, orphaned runs included. */
--- a/packages/core/test/graphs/plannerHarness.ts
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -25,6 +25,9 @@
 export interface FakeWorker {
   readonly id: string
   readonly rack: string
+  failureDomain: string
+  /** How much longer the worker is slow after its start, in milliseconds; undefined if it isn't. */
+  coldLeftMs: number | undefined
   born: number
   address: string
   running: RunListing[]
@@ -171,11 +174,12 @@
       rack,
       labels: ['a', rack],
       ...(version === undefined ? {} : { version }),
-      failureDomain: 'd',
+      failureDomain: worker.failureDomain,
       region: 'r',
       capacity,
       isDraining,
       drainLeftMs,
+      coldLeftMs: worker.coldLeftMs,
       isOver: false,
       isReachable: true,
       leaseLeftMs: 0,
@@ -205,5 +209,5 @@
 }
 
 function makeWorker (id: string, rack: string): FakeWorker {
-  return { id, rack, born: 1, address: `${id}:1`, running: [], ended: [], orders: [], lastEndNumber: 0, isDraining: false, drainLeftMs: undefined, capacity: CAPACITY, listNumber: 0, refusesStarts: false, crashes: [] }
+  return { id, rack, failureDomain: 'd', coldLeftMs: undefined, born: 1, address: `${id}:1`, running: [], ended: [], orders: [], lastEndNumber: 0, isDraining: false, drainLeftMs: undefined, capacity: CAPACITY, listNumber: 0, refusesStarts: false, crashes: [] }
 }
--- a/packages/core/test/graphs/randomFleet.ts
+++ b/packages/core/test/graphs/randomFleet.ts
@@ -19,6 +19,7 @@
   readonly estimateWorkedMs: (run: RunState) => number
   readonly countFailures: (worker: WorkerState) => number
   readonly isUsableForLastAttempt: () => boolean
+  readonly isCold: () => boolean
   readonly isKeptEmpty: () => boolean
   readonly chooseWorkersForSuspect: (workers: readonly WorkerState[]) => readonly WorkerState[]
   readonly isLocalityWaitOver: () => boolean
@@ -63,6 +64,7 @@
       estimateWorkedMs: run => workedMs.get(run) ?? 0,
       countFailures: worker => failures.get(worker) ?? 0,
       isUsableForLastAttempt: () => true,
+      isCold: () => false,
       isKeptEmpty: () => false,
       chooseWorkersForSuspect: workers => workers,
       isLocalityWaitOver: () => isOver
