Evacuation of failure domains on the users' platform

Change: the session of the planner watches the requests and loads them before its first pass. Starts are sent only while the store has confirmed this knowledge less than half of the bound ago, counted from the start of the confirming call by both clocks; stores tell watchers when that call started. An agent drops a start that it could not send within 2 s of the planner's answer, whose age it counts from its own report plus the time for which the planner held the answer back (new optional field heldMs). Without evacuation-ms in the settings, none of this is active. Heartbeats may say that a worker is slow after its start (cold-left-ms), which agents pass on as coldLeftMs.

Tests: the watcher, the session, the agent's validity of starts, the store's path with silent hosts, simulations with drawn faults and evacuations, and one end-to-end test over sockets.

Conclusion: the budget is 2.5 s of knowledge, 2.0 s of validity and 0.4 s of the call within the bound of 5 s.

--- a/packages/adapters/src/prefixWatcher.ts
+++ b/packages/adapters/src/prefixWatcher.ts
@@ -1,7 +1,7 @@
 /**
  * Watches all keys under a prefix: lists them, then opens a watch, and lists again whenever the watch ends.
  */
-import type { Store, StoredValue, Watch, WatchEvent } from './store.js'
+import type { CallStart, Store, StoredValue, Watch, WatchEvent } from './store.js'
 
 /** Delay before a failed list call is retried, in milliseconds. */
 const RETRY_MS = 250
@@ -15,8 +15,8 @@
   /** Called after each list call with all current values. Keys from an earlier list that are missing now have been removed from the store. */
   readonly onList: (values: readonly StoredValue[]) => void
   readonly onEvents: (events: readonly WatchEvent[]) => void
-  /** Called when the store has confirmed that all changes up to a revision have been delivered. */
-  readonly onConfirm?: (storeRevision: number) => void
+  /** Called when the store has confirmed that all changes up to a revision have been delivered; they are as old as the start of the call. */
+  readonly onConfirm?: (storeRevision: number, callStartedAt: CallStart) => void
   /** Called with the error in `message` when listing or watching fails, and with an empty `message` when the prefix is watched (again). */
   readonly onHealthChange?: (isWatching: boolean, message: string) => void
 }
@@ -38,6 +38,7 @@
    */
   async open (): Promise<void> {
     const { store, prefix, maxSilenceMs, onList, onEvents, onConfirm } = this._options
+    const callStartedAt = { monotonicMs: performance.now(), wallMs: Date.now() }
     const listed = await store.list(prefix)
     if (this._isClosed) return
     if (listed.kind !== 'ok') {
@@ -47,10 +48,10 @@
     }
     this._updateHealth(true, '')
     onList(listed.values)
-    onConfirm?.(listed.storeRevision)
+    onConfirm?.(listed.storeRevision, callStartedAt)
     this._watch = store.watch(prefix, listed.storeRevision + 1, {
       onEvents,
-      onConfirm: storeRevision => onConfirm?.(storeRevision),
+      onConfirm: (storeRevision, startedAt) => onConfirm?.(storeRevision, startedAt),
       onEnd: message => {
         if (this._isClosed) return
         this._updateHealth(false, message)
--- a/packages/adapters/src/store.ts
+++ b/packages/adapters/src/store.ts
@@ -75,15 +75,21 @@
   | { readonly kind: 'put', readonly value: StoredValue }
   | { readonly kind: 'removed', readonly key: string, readonly modRevision: number }
 
+/** Both clocks of this process at the start of a call, in milliseconds; the monotonic clock stands still while the host is suspended. */
+export interface CallStart {
+  readonly monotonicMs: number
+  readonly wallMs: number
+}
+
 /** Receives the events of a watch. */
 export interface WatchListener {
   /** Called with changes in the order of their revisions. */
   onEvents (events: readonly WatchEvent[]): void
   /**
    * Called after each answer of a store that is polled, also after one without changes: all changes up to `storeRevision` have been delivered.
-   * Stores that push changes don't call it.
+   * Stores that push changes don't call it. What was delivered is as old as the start of the call: its answer may have been on its way for as long.
    */
-  onConfirm? (storeRevision: number): void
+  onConfirm? (storeRevision: number, callStartedAt: CallStart): void
   /** Called when the watch has ended; its owner must list again and open a new watch. */
   onEnd (message: string): void
 }
--- a/packages/adapters/src/storeClient.ts
+++ b/packages/adapters/src/storeClient.ts
@@ -153,7 +153,7 @@
     }
     const watch = this._store.watch(prefix, fromRevision, {
       onEvents: events => listener.onEvents(events),
-      onConfirm: storeRevision => listener.onConfirm?.(storeRevision),
+      onConfirm: (storeRevision, callStartedAt) => listener.onConfirm?.(storeRevision, callStartedAt),
       onEnd
     }, options)
     return { close: () => { end(); watch.close() } }
--- a/packages/daemon/src/jobAgent/jobAgentProcess.ts
+++ b/packages/daemon/src/jobAgent/jobAgentProcess.ts
@@ -9,6 +9,8 @@
 import type { Logger, Metrics, RequestHandler } from '@dragonflylever/runtime'
 
 import { PolicyWatcher } from '../jobEntry/policyWatcher.js'
+import { computeEvacuationTimes } from '../jobPlanner/evacuationTimes.js'
+import type { EvacuationSettings } from '../jobPlanner/evacuationWatcher.js'
 import type { GraphKeys } from '../jobPlanner/graphKeys.js'
 import { PlannerCandidate } from '../jobPlanner/plannerCandidate.js'
 import { ControlServer } from '../shared/controlServer.js'
@@ -38,6 +40,8 @@
   readonly logger: Logger
   readonly metrics: Metrics
   readonly times: PlannerTimes
+  /** Where operators request evacuations of failure domains; absent if they can't. */
+  readonly evacuations?: EvacuationSettings | undefined
   /** Delay before this process attempts to become the planner when there is none, in milliseconds. */
   readonly plannerDelayMs: number
   readonly openWorker: (announcement: WorkerAnnouncement) => RunWorker
@@ -57,7 +61,7 @@
 
   constructor (dependencies: JobAgentDependencies) {
     this._dependencies = dependencies
-    const { store, prefix, keys, name, address, peers, logger, metrics, times } = dependencies
+    const { store, prefix, keys, name, address, peers, logger, metrics, times, evacuations } = dependencies
     this._control = new ControlServer({ clusterKey: dependencies.clusterKey, logger: createPartLogger(logger, 'control') })
     this._control.add(RELAY_PATH, dependencies.relay)
     this._policy = new PolicyWatcher({ store, key: dependencies.policyKey, decode: dependencies.decodePolicy, logger: createPartLogger(logger, 'config') })
@@ -71,6 +75,7 @@
       logger: createPartLogger(logger, 'planner'),
       metrics,
       times,
+      evacuations,
       delayMs: dependencies.plannerDelayMs,
       getPolicy: () => this._policy.index,
       onSessionChange: isOpen => this._onSessionChange(isOpen),
@@ -79,6 +84,7 @@
     this.workers = new WorkerTable({
       region: dependencies.region,
       runLeaseMs: times.runLeaseMs,
+      startValidityMs: evacuations === undefined ? undefined : computeEvacuationTimes(evacuations.boundMs).startValidityMs,
       logger: createPartLogger(logger, 'worker'),
       openWorker: dependencies.openWorker,
       onChange: () => this._link.reportChange()
@@ -92,7 +98,7 @@
       metrics,
       getPlanner: () => this._candidate.planner,
       collectReports: () => this.workers.collectReports(),
-      applyOrders: (orders, epoch, collected) => this.workers.applyOrders(orders, epoch, collected)
+      applyOrders: (orders, epoch, collected, answeredSince) => this.workers.applyOrders(orders, epoch, collected, answeredSince)
     })
     this._lifecycle.add('control', () => this._control.close())
     this._lifecycle.add('workers', () => this.workers.close())
--- a/packages/daemon/src/jobAgent/plannerLink.ts
+++ b/packages/daemon/src/jobAgent/plannerLink.ts
@@ -4,7 +4,8 @@
  */
 import type { PeerRpc, WorkerOrdersMessage } from '@dragonflylever/protocol'
 import type { WorkerReport } from '@dragonflylever/core/graphs/index'
-import type { Logger, Metrics } from '@dragonflylever/runtime'
+import { readClocks } from '@dragonflylever/runtime'
+import type { ClockReading, Logger, Metrics } from '@dragonflylever/runtime'
 
 import type { LeaderView } from '../duties/leaderElector.js'
 
@@ -30,7 +31,8 @@
   readonly metrics: Metrics
   readonly getPlanner: () => LeaderView | undefined
   readonly collectReports: () => CollectedReports
-  readonly applyOrders: (orders: readonly WorkerOrdersMessage[], epoch: number, collected: CollectedReports) => void
+  /** Applies the orders in an answer, which the planner made at `answeredSince` or later. */
+  readonly applyOrders: (orders: readonly WorkerOrdersMessage[], epoch: number, collected: CollectedReports, answeredSince: ClockReading) => void
 }
 
 /** What an answer to the report on a worker refers to. */
@@ -85,17 +87,19 @@
     const planner = this._dependencies.getPlanner()
     if (planner === undefined) return this._scheduleReport(RETRY_DELAY_MS)
     const number = ++this._reportNumber
+    const reportedAt = readClocks()
     const collected = this._dependencies.collectReports()
     const { agent, address, start, peers } = this._dependencies
-    const startedAt = performance.now()
     const params = { agent, address, start, number, waitMs: REPORT_WAIT_MS, reports: collected.reports as never }
     const outcome = await peers.call(planner.address, 'workerReports', params, REPORT_WAIT_MS + CALL_TIMEOUT_MARGIN_MS)
-    this._dependencies.metrics.time('report_ms', performance.now() - startedAt, { outcome: outcome.kind })
+    this._dependencies.metrics.time('report_ms', performance.now() - reportedAt.monotonicMs, { outcome: outcome.kind })
     if (this._isClosed) return
     const isAnswered = outcome.kind === 'ok' && outcome.value.epoch !== undefined
     if (outcome.kind === 'ok' && outcome.value.epoch !== undefined && outcome.value.epoch >= this._epoch) {
       this._epoch = outcome.value.epoch
-      this._dependencies.applyOrders(outcome.value.orders, outcome.value.epoch, collected)
+      const { heldMs = 0 } = outcome.value
+      const answeredSince = { monotonicMs: reportedAt.monotonicMs + heldMs, wallMs: reportedAt.wallMs + heldMs }
+      this._dependencies.applyOrders(outcome.value.orders, outcome.value.epoch, collected, answeredSince)
     }
     this._recordAvailability(isAnswered, planner, outcome.kind === 'failed' ? outcome.message : 'the process is not the planner')
     if (number === this._reportNumber) this._scheduleReport(isAnswered ? 0 : RETRY_DELAY_MS)
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -4,31 +4,18 @@
  */
 import type { HoldResult, RunOutcome, RunWorker } from '@dragonflylever/adapters'
 import { OrderStatus, StartRefusal } from '@dragonflylever/core/graphs/index'
-import type { CrashListing, EndListing, RunListing, RunName, StartOrder, TaskNeeds, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
+import type { CrashListing, EndListing, RunListing, RunName, StartOrder, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
 import type { Logger } from '@dragonflylever/runtime'
 
 import { OrderTable } from './orderTable.js'
 import type { ReportBase } from './plannerLink.js'
+import { mergeRunEnds } from './runEnds.js'
+import type { StartValidity } from './startValidity.js'
+import { isSameCapacity } from './workerAnnouncement.js'
+import type { WorkerAnnouncement } from './workerAnnouncement.js'
 import { WorkerClock } from './workerClock.js'
 
-/** Contents of a worker's heartbeat. */
-export interface WorkerAnnouncement {
-  readonly id: string
-  readonly born: number
-  readonly address: string
-  readonly service: string
-  readonly rack: string
-  readonly labels: readonly string[]
-  /** Version of the worker's software, if its heartbeat names one. */
-  readonly version?: string
-  readonly failureDomain: string
-  readonly capacity: { readonly cpuMillis: number, readonly memoryMb: number, readonly accelerators: number }
-  readonly isDraining: boolean
-  readonly drainLeftMs: number | undefined
-  readonly clockMs: number
-  /** Increases with each heartbeat of one incarnation. */
-  readonly sequence: number
-}
+export type { WorkerAnnouncement } from './workerAnnouncement.js'
 
 /** Dependencies of {@link WorkerController}. */
 export interface WorkerControllerDependencies {
@@ -162,7 +149,7 @@
   makeReport (): WorkerReport {
     this._reportNumber++
     if (!this.isReachable) this._unreachableReportNumber = this._reportNumber
-    const { id, born, address, service, rack, labels, version, failureDomain, capacity, isDraining, drainLeftMs } = this._announcement
+    const { id, born, address, service, rack, labels, version, failureDomain, capacity, isDraining, drainLeftMs, coldLeftMs } = this._announcement
     return {
       key: { id, born },
       address,
@@ -175,6 +162,7 @@
       capacity,
       isDraining,
       drainLeftMs,
+      coldLeftMs,
       isOver: this._isOver,
       isReachable: this.isReachable,
       leaseLeftMs: this._clock.computeMaxLeaseLeft(performance.now()),
@@ -193,16 +181,16 @@
 
   /**
    * Applies the orders in the planner's answer to a report. If a later report has said that the worker doesn't answer, the answer extends no lease and starts nothing: the planner gives the
-   * worker's runs up after the lease that the later report named, and repeats the starts that it still wants.
+   * worker's runs up after the lease that the later report named, and repeats the starts that it still wants. Starts are sent only while `validity` lasts.
    */
-  applyOrders (orders: WorkerOrders, epoch: number, base: ReportBase): void {
+  applyOrders (orders: WorkerOrders, epoch: number, base: ReportBase, validity?: StartValidity): void {
     if (epoch < this._epoch || this._isClosed) return
     this._epoch = epoch
     this._lastAcknowledgedEnd = Math.max(this._lastAcknowledgedEnd, orders.seen)
     const isOutdated = base.number < this._unreachableReportNumber
     if (orders.mayExtend && !isOutdated) this._clock.permitLease(base.clockMs + this._dependencies.runLeaseMs)
     for (const stop of orders.stops) if (this._orders.beginStop(stop.task, stop.run)) void this._stopRun(stop.task, stop.run)
-    if (!isOutdated) for (const start of orders.starts) if (this._orders.beginStart(start.task, start.run)) void this._startRun(start, epoch)
+    if (!isOutdated) for (const start of orders.starts) if (this._orders.beginStart(start.task, start.run)) void this._startRun(start, epoch, validity)
     if (isOutdated && orders.starts.length > 0) {
       this._dependencies.logger.info({ worker: this._announcement.id, starts: orders.starts.length, report: base.number, unreachableReport: this._unreachableReportNumber }, 'ignored starts for a report that was made before the worker was reported as not answering')
     }
@@ -215,10 +203,15 @@
     this._dependencies.worker.close()
   }
 
-  private async _startRun (start: StartOrder, epoch: number): Promise<void> {
+  private async _startRun (start: StartOrder, epoch: number, validity: StartValidity | undefined): Promise<void> {
     const { task, run } = start
     let wasUnanswered = false
     while (!this._isClosed && this._orders.isStarting(task, run)) {
+      if (validity?.isOver === true) {
+        this._dependencies.logger.warn({ task, run, worker: this._announcement.id, ageMs: Math.round(validity.ageMs), wasUnanswered }, 'start of a run is too old to be sent')
+        this._settleRefusedStart(task, run, StartRefusal.expired, wasUnanswered)
+        break
+      }
       // A worker accepts a start that was meant for an earlier incarnation with its id; only the answer to a poll names the incarnation.
       if (this._unconfirmedSince !== undefined) {
         await new Promise(resolve => setTimeout(resolve, ORDER_RETRY_MS))
@@ -236,10 +229,7 @@
       }
       if (outcome.kind === 'refused') {
         this._dependencies.logger.warn({ task, run, worker: this._announcement.id, reason: outcome.reason, wasUnanswered }, 'worker refused to start a run')
-        // After an unanswered attempt, the worker may still carry that attempt out. If it refuses a run as `old`, it knew the run before and
-        // will still report its end. In both cases, only a stop followed by a poll shows that the run has ended.
-        if (wasUnanswered || outcome.reason === StartRefusal.old) this._beginRunStop(task, run, outcome.reason)
-        else this._orders.recordStartResult(task, run, OrderStatus.refused, outcome.reason)
+        this._settleRefusedStart(task, run, outcome.reason, wasUnanswered)
         break
       }
       if (outcome.kind === 'otherIncarnation') return this._dependencies.onOtherIncarnation()
@@ -254,8 +244,13 @@
     this._dependencies.onChange()
   }
 
-  private _beginRunStop (task: string, run: number, refusalReason: string): void {
-    if (this._orders.beginStop(task, run, refusalReason)) void this._stopRun(task, run)
+  /**
+   * Settles a start that was refused. After an unanswered attempt, the worker may still carry that attempt out. If it refuses a run as `old`, it knew the
+   * run before and will still report its end. In both cases, only a stop followed by a poll shows that the run has ended.
+   */
+  private _settleRefusedStart (task: string, run: number, reason: StartRefusal, wasUnanswered: boolean): void {
+    if (!wasUnanswered && reason !== StartRefusal.old) this._orders.recordStartResult(task, run, OrderStatus.refused, reason)
+    else if (this._orders.beginStop(task, run, reason)) void this._stopRun(task, run)
   }
 
   private async _stopRun (task: string, run: number): Promise<void> {
@@ -336,17 +331,3 @@
     this._endPause = undefined
   }
 }
-
-function isSameCapacity (one: TaskNeeds, other: TaskNeeds): boolean {
-  return one.cpuMillis === other.cpuMillis && one.memoryMb === other.memoryMb && one.accelerators === other.accelerators
-}
-
-/**
- * Merges the known and the newly listed run ends by number. Keeps all ends with a number above `seen`, the number of the last end that the
- * planner acknowledged, even if the new list is older and lacks some known ends.
- */
-function mergeRunEnds (known: readonly EndListing[], listed: readonly EndListing[], seen: number): EndListing[] {
-  const ends = new Map<number, EndListing>()
-  for (const end of [...known, ...listed]) if (end.number > seen) ends.set(end.number, end)
-  return [...ends.values()].sort((a, b) => a.number - b.number)
-}
--- a/packages/daemon/src/jobAgent/workerTable.ts
+++ b/packages/daemon/src/jobAgent/workerTable.ts
@@ -4,10 +4,12 @@
  */
 import type { RunWorker } from '@dragonflylever/adapters'
 import type { WorkerOrdersMessage } from '@dragonflylever/protocol'
+import { readClocks } from '@dragonflylever/runtime'
 import type { Logger } from '@dragonflylever/runtime'
 
 import type { CollectedReports } from './plannerLink.js'
 import { RecentCrashes } from './recentCrashes.js'
+import { StartValidity } from './startValidity.js'
 import { WorkerController } from './workerController.js'
 import type { WorkerAnnouncement } from './workerController.js'
 
@@ -25,6 +27,8 @@
   readonly region: string
   /** Lease time that an answer of the planner permits, in milliseconds of the worker's clock. */
   readonly runLeaseMs: number
+  /** Time after an answer of the planner within which its starts may be sent to the workers, in milliseconds; without a limit if undefined. */
+  readonly startValidityMs?: number | undefined
   readonly logger: Logger
   /** Creates the client for calls to a worker. */
   readonly openWorker: (announcement: WorkerAnnouncement) => RunWorker
@@ -107,8 +111,13 @@
     return { reports, bases }
   }
 
-  /** Passes the planner's orders to the controllers of the workers; orders for other incarnations are ignored. */
-  applyOrders (orders: readonly WorkerOrdersMessage[], epoch: number, collected: CollectedReports): void {
+  /**
+   * Passes the planner's orders to the controllers of the workers; orders for other incarnations are ignored. The planner made its answer at `answeredSince`
+   * or later.
+   */
+  applyOrders (orders: readonly WorkerOrdersMessage[], epoch: number, collected: CollectedReports, answeredSince = readClocks()): void {
+    const { startValidityMs } = this._dependencies
+    const validity = startValidityMs === undefined ? undefined : new StartValidity(answeredSince, startValidityMs)
     this._epoch = Math.max(this._epoch, epoch)
     for (const { controller } of this._workers.values()) controller.recordEpoch(this._epoch)
     for (const workerOrders of orders) {
@@ -116,7 +125,7 @@
       const base = collected.bases.get(workerOrders.key.id)
       if (base === undefined || worker === undefined || worker.controller.announcement.born !== workerOrders.key.born) continue
       const starts = workerOrders.starts.map(start => ({ ...start, ticket: start.ticket }))
-      worker.controller.applyOrders({ ...workerOrders, starts }, epoch, base)
+      worker.controller.applyOrders({ ...workerOrders, starts }, epoch, base, validity)
     }
   }
 
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -10,6 +10,8 @@
 import type { ClockReading, Logger, Metrics } from '@dragonflylever/runtime'
 
 import { decodeNodeRecord } from '../storeRelay/nodeDirectory.js'
+import { EvacuationWatcher } from './evacuationWatcher.js'
+import type { EvacuationSettings } from './evacuationWatcher.js'
 import { ReportLongPoll } from './reportLongPoll.js'
 import { createQueuedJobState, decodeJobSpec, decodeJobState } from './graphKeys.js'
 import type { GraphKeys, JobStateRecord } from './graphKeys.js'
@@ -52,6 +54,8 @@
   readonly logger: Logger
   readonly metrics: Metrics
   readonly times: PlannerTimes
+  /** Where operators request evacuations of failure domains; absent if they can't. */
+  readonly evacuations?: EvacuationSettings | undefined
   readonly mayGrant: () => boolean
   readonly getPolicy: () => PolicyIndex | undefined
   readonly onLeadershipConfirmed: (callStartedAt: ClockReading) => void
@@ -64,6 +68,7 @@
   private readonly _planner: GraphPlanner
   private readonly _reports: ReportLongPoll
   private readonly _writer: ProgressWriter
+  private readonly _evacuations: EvacuationWatcher | undefined
   private readonly _storedProgress = new Map<string, StoredValue>()
   private readonly _states = new Map<string, JobStateRecord>()
   /** Ended jobs that the planner no longer holds, and whose records the store has not confirmed to be removed. */
@@ -82,7 +87,8 @@
     this._dependencies = dependencies
     const { store, keys, leaderKey, epoch, logger, onLeadershipConfirmed, onFenced } = dependencies
     this._planner = new GraphPlanner({ times: dependencies.times, getWallTime: () => Date.now(), log: { note: (event, fields) => this._recordDecision(event, fields) } })
-    this._reports = new ReportLongPoll({ planner: this._planner, epoch, mayGrant: dependencies.mayGrant, onReports: () => this._schedulePass() })
+    this._reports = new ReportLongPoll({ planner: this._planner, epoch, mayGrant: dependencies.mayGrant, mayStart: () => this._evacuations?.isFresh ?? true, onReports: () => this._schedulePass() })
+    this._evacuations = dependencies.evacuations === undefined ? undefined : this._createEvacuationWatcher(dependencies.evacuations)
     this._writer = new ProgressWriter({
       store,
       keys,
@@ -101,9 +107,9 @@
     return this._planner
   }
 
-  /** Loads the jobs from the store and starts the scheduler passes. */
+  /** Loads the jobs and the evacuations of failure domains from the store and starts the scheduler passes. */
   async open (): Promise<void> {
-    await this._loadRecords()
+    await Promise.all([this._loadRecords(), this._evacuations?.open()])
     if (this._isClosed) return
     const { store, keys } = this._dependencies
     this._inputWatcher = new PrefixWatcher({
@@ -129,10 +135,25 @@
     for (const timer of this._timers) clearInterval(timer)
     clearTimeout(this._passTimer)
     this._inputWatcher?.close()
+    this._evacuations?.close()
     this._writer.close()
     this._reports.close()
   }
 
+  private _createEvacuationWatcher (settings: EvacuationSettings): EvacuationWatcher {
+    const { store, logger, metrics } = this._dependencies
+    return new EvacuationWatcher({
+      ...settings,
+      store,
+      logger,
+      metrics,
+      onChange: domains => {
+        this._planner.setEvacuations(domains)
+        this._schedulePass()
+      }
+    })
+  }
+
   private _recordDecision (event: string, fields: Readonly<Record<string, unknown>>): void {
     this._dependencies.logger.info(fields, event)
     this._dependencies.metrics.count('planner_decisions', 1, { event })
--- a/packages/daemon/src/jobPlanner/plannerCandidate.ts
+++ b/packages/daemon/src/jobPlanner/plannerCandidate.ts
@@ -10,6 +10,7 @@
 import { LeaderWatcher } from '../duties/leaderWatcher.js'
 import { LeaderElector, getLeaderKey } from '../duties/leaderElector.js'
 import type { LeaderView } from '../duties/leaderElector.js'
+import type { EvacuationSettings } from './evacuationWatcher.js'
 import type { GraphKeys } from './graphKeys.js'
 import { GraphSession } from './graphSession.js'
 
@@ -37,6 +38,8 @@
   readonly logger: Logger
   readonly metrics: Metrics
   readonly times: PlannerTimes
+  /** Where operators request evacuations of failure domains; absent if they can't. */
+  readonly evacuations?: EvacuationSettings | undefined
   /** Delay before this process attempts to become leader when there is none, in milliseconds. */
   readonly delayMs: number
   readonly getPolicy: () => PolicyIndex | undefined
@@ -132,7 +135,7 @@
 
   private async _beginSession (epoch: number): Promise<void> {
     if (this._session !== undefined) return
-    const { store, prefix, keys, address, peers, logger, metrics, times, getPolicy, name } = this._dependencies
+    const { store, prefix, keys, address, peers, logger, metrics, times, evacuations, getPolicy, name } = this._dependencies
     this._watcher.acceptLeader({ duty: PLANNER_ROLE, holder: name, address, epoch })
     const session = new GraphSession({
       store,
@@ -144,6 +147,7 @@
       logger,
       metrics,
       times,
+      evacuations,
       mayGrant: () => this._elector.leadershipConfirmedAgeMs < GRANT_CONFIRMATION_MAX_AGE_MS,
       getPolicy,
       onLeadershipConfirmed: callStartedAt => this._elector.recordLeadershipConfirmed(callStartedAt),
--- a/packages/daemon/src/jobPlanner/reportLongPoll.ts
+++ b/packages/daemon/src/jobPlanner/reportLongPoll.ts
@@ -17,6 +17,8 @@
   readonly epoch: number
   /** Returns true while answers may permit agents to extend the leases of runs. */
   readonly mayGrant: () => boolean
+  /** Returns true while answers may contain starts. */
+  readonly mayStart: () => boolean
   /** Called after reports have been accepted. */
   readonly onReports: () => void
 }
@@ -61,8 +63,9 @@
 
   /** Answers the pending requests for which the planner has orders for at least one reported worker. */
   answerRequestsWithOrders (): void {
+    const mayStart = this._dependencies.mayStart()
     for (const [agent, pending] of this._pending) {
-      if (pending.keys.some(key => this._dependencies.planner.hasOrders(key))) this._answerWithOrders(agent)
+      if (pending.keys.some(key => this._dependencies.planner.hasOrders(key, mayStart))) this._answerWithOrders(agent)
     }
   }
 
@@ -83,13 +86,14 @@
     const pending = this._pending.get(agent)
     if (pending === undefined) return
     const mayGrant = this._dependencies.mayGrant()
-    const orders = pending.keys.map(key => this._dependencies.planner.answerReport(key, pending.receivedAt, mayGrant)).filter(answer => answer !== undefined)
+    const mayStart = this._dependencies.mayStart()
+    const orders = pending.keys.map(key => this._dependencies.planner.answerReport(key, pending.receivedAt, mayGrant, mayStart)).filter(answer => answer !== undefined)
     this._answerRequest(agent, pending, orders)
   }
 
   private _answerRequest (agent: string, pending: PendingReport, orders: readonly WorkerOrders[]): void {
     clearTimeout(pending.timer)
     this._pending.delete(agent)
-    pending.resolve({ epoch: this._dependencies.epoch, orders: orders as WorkerOrdersMessage[] })
+    pending.resolve({ epoch: this._dependencies.epoch, heldMs: performance.now() - pending.receivedAt, orders: orders as WorkerOrdersMessage[] })
   }
 }
--- a/packages/daemon/test/graphs/graphNode.ts
+++ b/packages/daemon/test/graphs/graphNode.ts
@@ -4,6 +4,8 @@
 import { SeededRandom } from '@dragonflylever/core'
 import type { PlannerTimes } from '@dragonflylever/core/graphs/index'
 import { StoreClient } from '@dragonflylever/adapters'
+import type { EvacuationSettings } from '@dragonflylever/daemon/jobPlanner/evacuationWatcher'
+import { computeEvacuationTimes } from '@dragonflylever/daemon/jobPlanner/evacuationTimes'
 import { FORMER_LEADER_MS, PlannerCandidate } from '@dragonflylever/daemon/jobPlanner/plannerCandidate'
 import { GraphKeys } from '@dragonflylever/daemon/jobPlanner/graphKeys'
 import { PlannerLink } from '@dragonflylever/daemon/jobAgent/plannerLink'
@@ -45,6 +47,10 @@
   readonly peers: MemoryPeers
   readonly worker: RunWorkerEngine
   readonly announce: () => WorkerAnnouncement
+  /** Where and how evacuations are requested; absent if they can't be. */
+  readonly evacuations?: EvacuationSettings | undefined
+  /** Called when the agent sends a start to its worker. */
+  readonly onStartSent?: ((task: string) => void) | undefined
   readonly onLine?: (line: string) => void
 }
 
@@ -61,7 +67,7 @@
 
   constructor (options: GraphNodeOptions) {
     this._options = options
-    const { index, incarnation, peers, worker } = options
+    const { index, incarnation, peers, worker, evacuations } = options
     this.address = `10.0.0.${index}:${incarnation}`
     this.memory = new MemoryStore({ engine: options.store })
     const store = createClient(this.memory)
@@ -77,6 +83,7 @@
       logger,
       metrics: new NoMetrics(),
       times: TIMES,
+      evacuations,
       delayMs: 50 * index,
       getPolicy: () => undefined,
       onSessionChange: () => {},
@@ -85,8 +92,9 @@
     this._table = new WorkerTable({
       region: 'r',
       runLeaseMs: LEASE_MAX_MS,
+      startValidityMs: evacuations === undefined ? undefined : computeEvacuationTimes(evacuations.boundMs).startValidityMs,
       logger,
-      openWorker: () => new MemoryRunWorker(worker, this.workerFaults),
+      openWorker: () => this._openWorker(),
       onChange: () => this._link.reportChange()
     })
     this._link = new PlannerLink({
@@ -98,7 +106,7 @@
       metrics: new NoMetrics(),
       getPlanner: () => this.candidate.planner,
       collectReports: () => this._table.collectReports(),
-      applyOrders: (orders, epoch, collected) => this._table.applyOrders(orders, epoch, collected)
+      applyOrders: (orders, epoch, collected, answeredSince) => this._table.applyOrders(orders, epoch, collected, answeredSince)
     })
     this._heartbeat = setInterval(() => { if (!this.workerFaults.isPartitioned && !worker.isDown) this._table.acceptHeartbeat(options.announce()) }, 500)
     void store.put({ key: KEYS.getNodeKey(`agent-${index}`), value: JSON.stringify({ address: this.address, region: 'r' }), expect: { kind: 'any' } })
@@ -139,6 +147,16 @@
     this._stop()
   }
 
+  private _openWorker (): MemoryRunWorker {
+    const client = new MemoryRunWorker(this._options.worker, this.workerFaults)
+    const start = client.start.bind(client)
+    client.start = request => {
+      this._options.onStartSent?.(request.task)
+      return start(request)
+    }
+    return client
+  }
+
   private _stop (): void {
     clearInterval(this._heartbeat)
     this._link.close()
--- a/packages/daemon/test/graphs/graphSimulation.ts
+++ b/packages/daemon/test/graphs/graphSimulation.ts
@@ -8,6 +8,7 @@
 import { JobEntryHandler } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
 import type { JobEntryAnswer, JobEntryCall } from '@dragonflylever/daemon/jobEntry/jobEntryHandler'
 import { JobStates } from '@dragonflylever/daemon/jobEntry/jobStates'
+import type { EvacuationSettings } from '@dragonflylever/daemon/jobPlanner/evacuationWatcher'
 import type { WorkerAnnouncement } from '@dragonflylever/daemon/jobAgent/workerController'
 import { NoMetrics, createLogger, createPartLogger } from '@dragonflylever/runtime'
 import type { Logger } from '@dragonflylever/runtime'
@@ -62,6 +63,20 @@
   return { name: `q${priority}`, service: 's', priority, maxAttempts: MAX_ATTEMPTS, stretch: 3, targetLatencyMs: 1_000, host: 'h', prefix: `/q${priority}/`, isOpen: false }
 }
 
+/** Options of {@link GraphSimulation}. */
+export interface SimulationOptions {
+  readonly isRecordingLog?: boolean
+  /** Where and how evacuations are requested; absent if they can't be. */
+  readonly evacuations?: EvacuationSettings
+  /** Called when an agent sends a start to its worker. */
+  readonly onStartSent?: (failureDomain: string, task: string) => void
+}
+
+/** Returns the failure domain of a worker: each rack is one. */
+function getFailureDomain (index: number): string {
+  return `d${Math.floor(index / WORKERS_PER_RACK)}`
+}
+
 interface NodeSlot {
   readonly engine: RunWorkerEngine
   node: GraphNode
@@ -82,15 +97,15 @@
   private readonly _jobs = new Map<string, SimulatedJob>()
   private readonly _entryHandler: JobEntryHandler
   private readonly _slots: NodeSlot[]
-  private readonly _isRecordingLog: boolean
+  private readonly _options: SimulationOptions
   private readonly _leaseExpiryTimer: NodeJS.Timeout
 
-  constructor (workers: number, isRecordingLog = false) {
-    this._isRecordingLog = isRecordingLog
+  constructor (workers: number, options: SimulationOptions = {}) {
+    this._options = options
     this._slots = Array.from({ length: workers }, (_, index) => this._makeSlot(index))
     this.entryMemory = new MemoryStore({ engine: this.store })
     const client = createClient(this.entryMemory)
-    const logger = isRecordingLog ? this._createLogger('entry') : SILENT_LOGGER
+    const logger = options.isRecordingLog === true ? this._createLogger('entry') : SILENT_LOGGER
     this.states = new JobStates({ store: client, keys: KEYS, logger: createPartLogger(logger, 'states') })
     const index = new PolicyIndex({
       version: 1,
@@ -254,7 +269,9 @@
       peers: this._peers,
       worker: slot.engine,
       announce: () => this._announce(index, slot),
-      ...(this._isRecordingLog ? { onLine: (line: string) => this._recordLine(line) } : {})
+      evacuations: this._options.evacuations,
+      onStartSent: task => this._options.onStartSent?.(getFailureDomain(index), task),
+      ...(this._options.isRecordingLog === true ? { onLine: (line: string) => this._recordLine(line) } : {})
     })
   }
 
@@ -266,7 +283,7 @@
       service: 's',
       rack: `r${Math.floor(index / WORKERS_PER_RACK)}`,
       labels: ['a', `r${Math.floor(index / WORKERS_PER_RACK)}`],
-      failureDomain: 'd',
+      failureDomain: getFailureDomain(index),
       capacity: CAPACITY,
       isDraining: false,
       drainLeftMs: undefined,
--- a/packages/daemon/test/graphs/operations.test.ts
+++ b/packages/daemon/test/graphs/operations.test.ts
@@ -28,7 +28,7 @@
 /** Runs a scenario in a simulation on a fake clock; returns the log lines of all processes, in order. */
 async function recordLog (scenario: (simulation: GraphSimulation, clock: Clock) => Promise<void>): Promise<Line[]> {
   const clock = FakeTimers.install({ now: 1_700_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance', 'Date'] })
-  const simulation = new GraphSimulation(WORKERS, true)
+  const simulation = new GraphSimulation(WORKERS, { isRecordingLog: true })
   try {
     await clock.tickAsync(START_MS)
     await scenario(simulation, clock)
--- a/packages/daemon/test/jobAgent/workerController.test.ts
+++ b/packages/daemon/test/jobAgent/workerController.test.ts
@@ -5,8 +5,9 @@
 
 import type { HoldRequest, HoldResult, RunOutcome, RunStartRequest, RunWorker } from '@dragonflylever/adapters'
 import type { OrderListing, WorkerOrders } from '@dragonflylever/core/graphs/index'
+import { StartValidity } from '@dragonflylever/daemon/jobAgent/startValidity'
 import { WorkerController } from '@dragonflylever/daemon/jobAgent/workerController'
-import { createLogger } from '@dragonflylever/runtime'
+import { createLogger, readClocks } from '@dragonflylever/runtime'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 
@@ -183,3 +184,43 @@
   controller.applyOrders(makeOrders({ starts: [START] }), 1, { clockMs: controller.readClock(), number: controller.reportNumber })
   await waitForOrder(controller, one => one.status === 'accepted')
 })
+
+/** Makes the validity of starts in an answer that the planner made `ageMs` ago, by the clock that is named. */
+function makeValidity (clock: 'monotonicMs' | 'wallMs', ageMs: number): StartValidity {
+  const now = readClocks()
+  return new StartValidity({ ...now, [clock]: now[clock] - ageMs }, 2_000)
+}
+
+for (const clock of ['monotonicMs', 'wallMs'] as const) {
+  test(`a start whose order is too old by one of the clocks is not sent and reported as refused: ${clock}`, async t => {
+    const worker = new ScriptedWorker()
+    const controller = createController(t, worker)
+    controller.applyOrders(makeOrders({ starts: [START] }), 1, { clockMs: 0, number: 1 }, makeValidity(clock, 2_001))
+    t.like(await waitForOrder(controller, one => one.status !== 'sending'), { status: 'refused', reason: 'expired' })
+    t.deepEqual(worker.starts, [])
+    controller.applyOrders(makeOrders({ starts: [{ ...START, run: 2 }] }), 1, { clockMs: 0, number: 1 }, makeValidity(clock, 1_000))
+    t.is((await waitForOrder(controller, one => one.run === 2 && one.status !== 'sending')).status, 'accepted')
+  })
+}
+
+test('a start is not sent once its order has become too old while the agent waited for the worker to answer', async t => {
+  const worker = new ScriptedWorker()
+  worker.failure = { kind: 'notSent', message: 'no connection', isRefused: false }
+  const controller = createController(t, worker)
+  await sleep(50)
+  controller.applyOrders(makeOrders({ starts: [START] }), 1, { clockMs: 0, number: 1 }, makeValidity('monotonicMs', 1_900))
+  await sleep(300)
+  worker.failure = undefined
+  t.like(await waitForOrder(controller, one => one.status !== 'sending'), { status: 'refused', reason: 'expired' })
+  t.deepEqual(worker.starts, [])
+})
+
+test('an unanswered start is not repeated once its order has become too old; the run is stopped, since the worker may have started it', async t => {
+  const worker = new ScriptedWorker()
+  worker.answerStart = () => ({ kind: 'lost', message: 'x' })
+  const controller = createController(t, worker)
+  controller.applyOrders(makeOrders({ starts: [START] }), 1, { clockMs: 0, number: 1 }, makeValidity('monotonicMs', 1_850))
+  t.like(await waitForOrder(controller, one => one.status === 'barred' || one.status === 'refused'), { status: 'barred', reason: 'expired' })
+  t.true(worker.starts.length >= 1 && worker.starts.length <= 2)
+  t.is(worker.stops, 1)
+})
--- a/packages/daemon/test/jobPlanner/reportLongPoll.test.ts
+++ b/packages/daemon/test/jobPlanner/reportLongPoll.test.ts
@@ -37,7 +37,7 @@
 test('a report that arrives after a later one is ignored, and the first report of a restarted agent is accepted', async t => {
   const events: string[] = []
   const planner = new GraphPlanner({ times: TIMES, getWallTime: () => 0, log: { note: event => { events.push(event) } } })
-  const poll = new ReportLongPoll({ planner, epoch: 1, mayGrant: () => true, onReports: () => {} })
+  const poll = new ReportLongPoll({ planner, epoch: 1, mayGrant: () => true, mayStart: () => true, onReports: () => {} })
   const old = [{ task: '1.0.0.0', run: 1, checkpoint: '', percent: 5, usage: 0 }]
   t.is((await poll.acceptReports(makeParams('one', 2, 2, []))).orders.length, 1)
   t.is((await poll.acceptReports(makeParams('one', 1, 1, old))).orders.length, 0)
--- a/packages/protocol/src/runMessages.ts
+++ b/packages/protocol/src/runMessages.ts
@@ -20,6 +20,7 @@
   capacity: resources,
   isDraining: z.boolean(),
   drainLeftMs: z.number().optional(),
+  coldLeftMs: z.number().optional(),
   isOver: z.boolean(),
   isReachable: z.boolean(),
   leaseLeftMs: z.number(),
@@ -48,8 +49,8 @@
    */
   workerReports: {
     params: z.object({ agent: z.string(), address: z.string(), start: z.string(), number: integer, waitMs: z.number(), reports: z.array(workerReport) }),
-    /** `epoch` is absent if the receiver is not the planner. */
-    result: z.object({ epoch: integer.optional(), orders: z.array(workerOrders) })
+    /** `epoch` is absent if the receiver is not the planner. `heldMs` is how long the planner delayed the answer; 0 if absent. */
+    result: z.object({ epoch: integer.optional(), heldMs: z.number().min(0).optional(), orders: z.array(workerOrders) })
   },
   /** Planner to agent: announces the current planner to agents that can't read it from the store. */
   plannerChanged: {
--- a/packages/standins/src/memoryStore.ts
+++ b/packages/standins/src/memoryStore.ts
@@ -3,7 +3,7 @@
  * Several instances may share one engine, as several processes share one store.
  */
 import { StoreHealth } from '@dragonflylever/adapters'
-import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, TransactOutcome, Transaction, Unavailable, Watch, WatchEvent, WatchListener } from '@dragonflylever/adapters'
+import type { Ambiguous, Expectation, GetOutcome, LeaseOutcome, ListOutcome, PutManyOutcome, PutOutcome, PutRequest, RemoveOutcome, Store, TransactOutcome, Transaction, Unavailable, Watch, WatchEvent, WatchListener, WatchOptions } from '@dragonflylever/adapters'
 
 import { StoreEngine } from './storeEngine.js'
 import { createCallCounts, createStoreFaults } from './storeFaults.js'
@@ -80,10 +80,16 @@
     return this._performLeaseCall(() => this.engine.revokeLease(leaseId) ? { kind: 'ok', leaseId, ttlMs: 0 } : { kind: 'expired' })
   }
 
-  watch (prefix: string, fromRevision: number, listener: WatchListener): Watch {
+  /** Watches a prefix. With `maxSilenceMs`, the watch confirms twice in that time that it has delivered all changes, unless it has left some out. */
+  watch (prefix: string, fromRevision: number, listener: WatchListener, { maxSilenceMs }: WatchOptions = {}): Watch {
     this.counts.watches++
+    let hasSkipped = false
+    const notifyConfirmed = (): void => { if (!this.faults.isDown && !hasSkipped) listener.onConfirm?.(this.engine.revision, { monotonicMs: performance.now(), wallMs: Date.now() }) }
+    const timer = maxSilenceMs === undefined ? undefined : setInterval(notifyConfirmed, maxSilenceMs / 2)
     const send = (events: readonly WatchEvent[]): void => {
-      if (!this._watches.has(watch) || events.length === 0 || this.faults.skipWatchEvents) return
+      if (!this._watches.has(watch) || events.length === 0) return
+      hasSkipped ||= this.faults.skipWatchEvents
+      if (this.faults.skipWatchEvents) return
       if (!this.faults.isDown) return listener.onEvents(events)
       watch.close()
       listener.onEnd('the store is down')
@@ -92,7 +98,7 @@
       const key = event.kind === 'put' ? event.value.key : event.key
       if (key.startsWith(prefix)) queueMicrotask(() => send([event]))
     })
-    const watch = { close: () => { stop(); this._watches.delete(watch) } }
+    const watch = { close: () => { stop(); clearInterval(timer); this._watches.delete(watch) } }
     this._watches.set(watch, listener)
     queueMicrotask(() => this.faults.isDown ? listener.onEnd('the store is down') : send(this.engine.readHistory(prefix, fromRevision)))
     return watch
