Place steps by the speed of workers once speeds differ

Cause: workers differ in speed by factors of 0.6 to 1.6. Gangs were placed without regard to it, so one slow member made the whole gang late.

Change: GraphPlanner takes a source of speeds (`speeds`). While it reports differences - only workers that can meet a step's objective count as fit, the slowest fit ones are taken first, and members of a gang are alike (speedFit, speedChoice, placement); rack rules are decided before speed; - a step whose free slots are too slow waits for faster ones that become free in time, or reclaims them if it is urgent (fasterSlots); - urgent work reclaims only slots at which it meets its objective; work that a guarantee covers reclaims slower ones if faster ones cost more than ending in time is worth; - the predicted end of a run without known progress uses its worker's factor. Without differences all decisions are as before; the reference tests of placement and reclaim plans pass unchanged.

--- a/packages/core/src/graphs/capacityForecast.ts
+++ b/packages/core/src/graphs/capacityForecast.ts
@@ -3,7 +3,8 @@
  */
 import type { CapacitySnapshot, ReservedSlots } from './capacitySnapshot.js'
 import type { RunState, StepState } from './jobState.js'
-import type { Placement } from './placement.js'
+import type { PlacedTask, Placement } from './placement.js'
+import type { SpeedFit } from './speedFit.js'
 import type { WaitingStep } from './waitingStep.js'
 import type { WorkerState } from './workerState.js'
 
@@ -12,8 +13,12 @@
   readonly placement: Placement
   /** Predicts when a run ends, on the planner's clock; Infinity when that is unknown. */
   readonly predictEnd: (run: RunState) => number
+  readonly speedFit: SpeedFit
 }
 
+/** Maximum number of ends of runs that are tried in one search for slots; each costs a placement. */
+const MAX_TRIED_ENDS = 12
+
 export class CapacityForecast {
   private readonly _dependencies: CapacityForecastDependencies
   /** Predicted ends of runs, by run, or by step for a gang, whose members end together. */
@@ -30,15 +35,24 @@
 
   /** Returns the slots for all waiting tasks of a step once the runs that end before `until` have ended; undefined when there are too few. */
   findSlots (waiting: WaitingStep, snapshot: CapacitySnapshot, until: number): ReservedSlots | undefined {
-    const future = snapshot.copy()
-    for (const worker of snapshot.workers) {
-      for (const run of worker.runs) if (this._predictEnd(run) < until) future.returnCapacity(worker, run.task.step.spec)
+    const placed = this._placeAt(waiting, snapshot, until)
+    return placed.length < waiting.tasks.length ? undefined : countByWorker(placed)
+  }
+
+  /**
+   * Returns the slots at which all waiting tasks of a step meet their objective and that become free the soonest; undefined when there are none before
+   * `until`. Later slots may be too late at slower workers, so the ends of runs are tried one by one.
+   */
+  findSlotsInTime (waiting: WaitingStep, snapshot: CapacitySnapshot, until: number): ReservedSlots | undefined {
+    const { speedFit } = this._dependencies
+    const ends = this._listEnds(snapshot, until)
+    const stride = Math.max(1, Math.ceil(ends.length / MAX_TRIED_ENDS))
+    for (let index = stride - 1; index < ends.length; index += stride) {
+      const startsAt = (ends[index] ?? until) + 1
+      const placed = this._placeAt(waiting, snapshot, startsAt)
+      if (placed.length === waiting.tasks.length && speedFit.listLate(waiting.step, placed, startsAt).length === 0) return countByWorker(placed)
     }
-    const placed = this._dependencies.placement.place(waiting, future)
-    if (placed.length < waiting.tasks.length) return undefined
-    const slots = new Map<WorkerState, number>()
-    for (const { worker } of placed) slots.set(worker, (slots.get(worker) ?? 0) + 1)
-    return slots
+    return undefined
   }
 
   /** Returns the slots that become free for all waiting tasks of a step the soonest; undefined when there are none before `until`. */
@@ -59,6 +73,14 @@
     return best
   }
 
+  private _placeAt (waiting: WaitingStep, snapshot: CapacitySnapshot, at: number): PlacedTask[] {
+    const future = snapshot.copy()
+    for (const worker of snapshot.workers) {
+      for (const run of worker.runs) if (this._predictEnd(run) < at) future.returnCapacity(worker, run.task.step.spec)
+    }
+    return this._dependencies.placement.place(waiting, future, at)
+  }
+
   private _listEnds (snapshot: CapacitySnapshot, until: number): number[] {
     const ends = new Set<number>()
     for (const worker of snapshot.workers) for (const run of worker.runs) ends.add(this._predictEnd(run))
@@ -75,3 +97,9 @@
     return end
   }
 }
+
+function countByWorker (placed: readonly PlacedTask[]): ReservedSlots {
+  const slots = new Map<WorkerState, number>()
+  for (const { worker } of placed) slots.set(worker, (slots.get(worker) ?? 0) + 1)
+  return slots
+}
--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -2,7 +2,7 @@
  * Reclaims capacity for work of priority 0 (urgent work). Waits for slots that become free in time, or else stops the runs that lose the
  * least work, and reserves their slots until they are free. Work that a guarantee covers gets its slots within the maximum reclaim time
  * (`reclaimMs`) at any cost; urgent work beyond the guarantee stops only work whose loss is worth less than finishing the urgent work in
- * time.
+ * time. Where workers differ in speed, it stops work only at workers that are fast enough for the urgent work to finish in time.
  */
 import type { ClassShares } from './classShares.js'
 import { computeCoreSeconds, computeValueFactor } from './coreSeconds.js'
@@ -16,6 +16,7 @@
 import type { RunTracker } from './runTracker.js'
 import { estimateWorkedMs } from './runProgress.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
+import type { SpeedFit } from './speedFit.js'
 import { VictimCatalogue } from './victimCatalogue.js'
 import type { WaitingStep } from './waitingStep.js'
 import type { WorkerState } from './workerState.js'
@@ -31,6 +32,7 @@
   readonly isEligible: (worker: WorkerState, step: StepState) => boolean
   readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
   readonly getPriority: (job: JobState) => number
+  readonly speedFit: SpeedFit
 }
 
 interface SlotReservation {
@@ -89,12 +91,37 @@
     const { step } = waiting
     const reservation = this._reservations.get(step)
     if (reservation !== undefined) return snapshot.reserve(step, reservation.slots)
-    const maxLoss = this._computeMaxLoss(waiting)
+    const maxLoss = this._computeMaxLoss(waiting, this._guaranteed.has(step.job))
     const urgentValue = this._computeUrgentValue(step.job)
     const plan = this._chooseReclaimPlan(waiting, snapshot, Math.max(maxLoss, urgentValue))
     const expectedSlots = this._findExpectedSlots(waiting, snapshot, plan !== undefined && plan.loss > urgentValue)
     if (expectedSlots !== undefined) return snapshot.reserve(step, expectedSlots)
-    if (plan === undefined || plan.loss > maxLoss) return
+    if (plan !== undefined && plan.loss <= maxLoss) this._applyPlan(plan, waiting, snapshot)
+  }
+
+  /** Reserves the slots again that were reclaimed for a step, if it still meets its objective there. */
+  reserveAgain (step: StepState, snapshot: CapacitySnapshot): boolean {
+    const slots = this._reservations.get(step)?.slots
+    if (slots === undefined || ![...slots.keys()].every(worker => this._dependencies.speedFit.isFit(worker, step))) return false
+    snapshot.reserve(step, slots)
+    return true
+  }
+
+  /**
+   * Reserves slots at faster workers, at which a step then meets its objective, by stopping other work. Returns false when there are none or the loss is too
+   * high. A guarantee promises slots, not fast ones, so it allows no higher loss here.
+   */
+  reclaimFasterFor (waiting: WaitingStep, snapshot: CapacitySnapshot): boolean {
+    if (this._reservations.has(waiting.step)) return false
+    const maxLoss = this._computeMaxLoss(waiting, false)
+    const plan = maxLoss === 0 ? undefined : this._chooseFitPlan(waiting, snapshot, maxLoss)
+    if (plan === undefined || plan.loss > maxLoss) return false
+    this._applyPlan(plan, waiting, snapshot)
+    return true
+  }
+
+  private _applyPlan (plan: ReclaimPlan, waiting: WaitingStep, snapshot: CapacitySnapshot): void {
+    const { step } = waiting
     this._noteReclaim(waiting, plan)
     for (const run of plan.victims) this._dependencies.runTracker.stop(run, `capacity taken back for ${step.name}`, this._now)
     this._forgetRuns()
@@ -116,10 +143,26 @@
     })
   }
 
+  /**
+   * Chooses the runs to stop; where speeds differ, for slots at which the step meets its objective. Work that a guarantee covers takes slower slots if the
+   * faster ones cost more than ending in time is worth.
+   */
   private _chooseReclaimPlan (waiting: WaitingStep, snapshot: CapacitySnapshot, maxLoss: number): ReclaimPlan | undefined {
-    const { isEligible, getTaskLimit } = this._dependencies
-    const victims = this._getVictimCatalogue(waiting.step.job)
-    return chooseReclaimPlan(waiting, snapshot, { isEligible, getTaskLimit, victims }, maxLoss)
+    const { isEligible, getTaskLimit, speedFit } = this._dependencies
+    const { job } = waiting.step
+    const fitPlan = speedFit.isActive ? this._chooseFitPlan(waiting, snapshot, maxLoss) : undefined
+    const inTimeValue = this._computeUrgentValue(job)
+    if (speedFit.isActive && (!this._guaranteed.has(job) || (fitPlan !== undefined && fitPlan.loss <= inTimeValue))) return fitPlan
+    const plan = chooseReclaimPlan(waiting, snapshot, { isEligible, getTaskLimit, victims: this._getVictimCatalogue(job) }, maxLoss)
+    return fitPlan !== undefined && plan !== undefined && fitPlan.loss <= plan.loss + inTimeValue ? fitPlan : plan
+  }
+
+  private _chooseFitPlan (waiting: WaitingStep, snapshot: CapacitySnapshot, maxLoss: number): ReclaimPlan | undefined {
+    const { isEligible, getTaskLimit, speedFit, times } = this._dependencies
+    const startsAt = this._now + times.stopGraceMs + STOP_ORDER_MS
+    if (!speedFit.hasObjectiveInReach(waiting.step, startsAt)) return undefined
+    const isFit = (worker: WorkerState, step: StepState): boolean => isEligible(worker, step) && speedFit.isFit(worker, step, startsAt)
+    return chooseReclaimPlan(waiting, snapshot, { isEligible: isFit, getTaskLimit, victims: this._getVictimCatalogue(waiting.step.job) }, maxLoss)
   }
 
   private _getVictimCatalogue (job: JobState): VictimCatalogue {
@@ -134,7 +177,7 @@
   private _createVictimCatalogue (getStopCost: (run: RunState) => number): VictimCatalogue {
     return new VictimCatalogue({
       getStopCost,
-      estimateWorkedMs: run => estimateWorkedMs(run, this._now, this._estimateRunTime(run.task.step)),
+      estimateWorkedMs: run => estimateWorkedMs(run, this._now, this._estimateRunTime(run.task.step) * this._dependencies.speedFit.getSpeed(run.worker.id).factor),
       checkpointMs: this._dependencies.times.checkpointMs
     })
   }
@@ -171,16 +214,22 @@
   }
 
   /** Returns the maximum loss, in core-seconds, that other work may suffer to make room for a step. */
-  private _computeMaxLoss (waiting: WaitingStep): number {
+  private _computeMaxLoss (waiting: WaitingStep, isGuaranteed: boolean): number {
     const { step } = waiting
-    if (this._guaranteed.has(step.job)) return Infinity
+    if (isGuaranteed) return Infinity
     const coreSeconds = waiting.tasks.length * computeCoreSeconds(step.spec, this._estimateRunTime(step))
-    const minAllowance = coreSeconds * MAX_LATE_LOSS_SHARE
-    const spareMs = this._computeSlack(step) - this._dependencies.times.stopGraceMs - STOP_ORDER_MS - (this._now - waiting.since)
-    if (spareMs < 0) return minAllowance
+    const minAllowance = this._dependencies.speedFit.isActive ? 0 : coreSeconds * MAX_LATE_LOSS_SHARE
+    if (!this._isObjectiveInReach(waiting)) return minAllowance
     return Math.max(minAllowance, this._computeUrgentValue(step.job) * computeValueFactor(coreSeconds, this._dependencies.runTimes.getMeanCoreSeconds(step.job.graph.queue.name)))
   }
 
+  /** True if a step meets its objective in slots that are reclaimed now. */
+  private _isObjectiveInReach ({ step, since }: WaitingStep): boolean {
+    const { speedFit, times } = this._dependencies
+    const reclaimMs = times.stopGraceMs + STOP_ORDER_MS
+    return speedFit.isActive ? speedFit.hasObjectiveInReach(step, this._now + reclaimMs) : this._computeSlack(step) - reclaimMs - (this._now - since) >= 0
+  }
+
   /** Returns how long a step may wait, in milliseconds, and still meet the objective for the duration of its job. */
   private _computeSlack (step: StepState): number {
     const { queue } = step.job.graph
@@ -194,9 +243,11 @@
    */
   private _findExpectedSlots (waiting: WaitingStep, snapshot: CapacitySnapshot, isStopCostly: boolean): ReservedSlots | undefined {
     const { reclaimMs, stopGraceMs } = this._dependencies.times
+    const { speedFit, forecast } = this._dependencies
+    if (speedFit.isActive && !isStopCostly) return forecast.findSlotsInTime(waiting, snapshot, Math.min(waiting.since + reclaimMs - stopGraceMs - STOP_ORDER_MS, speedFit.getLatestStart(waiting.step)))
     const waitMs = (isStopCostly ? reclaimMs : Math.min(reclaimMs, this._computeSlack(waiting.step))) - stopGraceMs - STOP_ORDER_MS
     const until = waiting.since + waitMs
-    return this._now >= until ? undefined : this._dependencies.forecast.findSlots(waiting, snapshot, until)
+    return this._now >= until ? undefined : forecast.findSlots(waiting, snapshot, until)
   }
 
   private _estimateRunTime (step: StepState): number {
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -11,11 +11,13 @@
 import { CapacitySnapshot } from './capacitySnapshot.js'
 import type { EvacuatedDomains } from './evacuatedDomains.js'
 import { GangReservations } from './gangReservations.js'
+import { FasterSlots } from './fasterSlots.js'
 import { findGuaranteedJobs } from './guaranteedJobs.js'
 import { RunPhase, listTasks } from './jobState.js'
 import type { JobState, RunState, StepState } from './jobState.js'
 import { isLastAttempt } from './lastAttempt.js'
 import { RackPlacement } from './placement.js'
+import type { PlacedTask } from './placement.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { PlannerPolicy } from './plannerPolicy.js'
 import type { PlannerTimes } from './plannerTimes.js'
@@ -23,6 +25,8 @@
 import type { RunTracker } from './runTracker.js'
 import { estimateWorkedMs, measureStall, predictEnd } from './runProgress.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
+import { SpeedFit } from './speedFit.js'
+import type { SpeedSource } from './speedSource.js'
 import { isSteadyRun } from './steadyRun.js'
 import { listWaitingSteps } from './waitingStep.js'
 import type { WaitingOrder, WaitingStep } from './waitingStep.js'
@@ -37,6 +41,7 @@
   readonly workerHealth: WorkerHealthTracker
   readonly runTimes: RunTimeEstimator
   readonly evacuations: EvacuatedDomains
+  readonly speeds: SpeedSource
   readonly classShares: ClassShares
   readonly order: WaitingOrder
   readonly times: PlannerTimes
@@ -63,6 +68,8 @@
   private readonly _reclaim: CapacityReclaim
   private readonly _gangReservations: GangReservations
   private readonly _forecast: CapacityForecast
+  private readonly _speedFit: SpeedFit
+  private readonly _fasterSlots: FasterSlots
   private _queues: PlannerPolicy['queues'] = []
   private _priorities: ReadonlyMap<string, number> = new Map()
   private _now = 0
@@ -79,8 +86,11 @@
       isEligible: (worker, step) => this._isEligibleForAll(worker, step),
       predictEnd: run => this._predictEnd(run)
     })
-    this._releaseAvoidance = new ReleaseAvoidance({ runTimes: dependencies.runTimes, getWallTime: dependencies.getWallTime, log: dependencies.log, isStarved: step => this._starvedSteps.has(step) })
+    const { times, runTimes, runTracker, classShares, log, speeds, getWallTime } = dependencies
+    this._speedFit = new SpeedFit({ speeds, runTimes, getWallTime, remoteFactor: times.remoteFactor })
+    this._releaseAvoidance = new ReleaseAvoidance({ runTimes, getWallTime, log, isStarved: step => this._starvedSteps.has(step) })
     this._placement = new RackPlacement({
+      speedFit: this._speedFit,
       isEligible: (worker, step) => this._isEligible(worker, step),
       getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
       isLocalityWaitOver: waiting => this._isLocalityWaitOver(waiting),
@@ -90,8 +100,7 @@
       chooseWorkersForSuspect: (workers, task) => this._crashIsolation.chooseWorkers(workers, task, this._starvedSteps.has(task.step)),
       countFailures: worker => dependencies.workerHealth.countFailures(worker.key.id)
     })
-    const { times, runTimes, runTracker, classShares, log } = dependencies
-    this._forecast = new CapacityForecast({ placement: this._placement, predictEnd: run => this._predictEnd(run) })
+    this._forecast = new CapacityForecast({ placement: this._placement, predictEnd: run => this._predictEnd(run), speedFit: this._speedFit })
     this._gangReservations = new GangReservations({ forecast: this._forecast, isEligible: (worker, step) => this._isEligibleForAll(worker, step) })
     this._reclaim = new CapacityReclaim({
       times,
@@ -102,14 +111,17 @@
       forecast: this._forecast,
       isEligible: (worker, step) => this._isEligibleForAll(worker, step),
       getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
-      getPriority: job => this._getPriority(job)
+      getPriority: job => this._getPriority(job),
+      speedFit: this._speedFit
     })
+    this._fasterSlots = new FasterSlots({ forecast: this._forecast, reclaim: this._reclaim, speedFit: this._speedFit, isEligible: (worker, step) => this._isEligibleForAll(worker, step), getPriority: job => this._getPriority(job) })
   }
 
   /** Runs the pass; `jobs` are the jobs that have not ended. */
   run (jobs: readonly JobState[], policy: PlannerPolicy, now: number): void {
     this._setPriorities(policy.queues)
     this._now = now
+    this._speedFit.beginPass(this._dependencies.registry.listWorkers(), now)
     for (const worker of this._dependencies.registry.listWorkers()) {
       this._stopUnconfirmedRuns(worker)
       this._stopStartsInEvacuatedDomain(worker)
@@ -128,6 +140,7 @@
     this._dependencies.classShares.beginPass()
     this._reclaim.beginPass(snapshot, waiting, guaranteed, now)
     this._gangReservations.beginPass(waiting, now)
+    this._fasterSlots.beginPass(waiting, now)
     const first = waiting.filter(({ step }) => guaranteed.has(step.job))
     const others = waiting.filter(({ step }) => !guaranteed.has(step.job))
     for (const waitingStep of [...first, ...others]) this._placeStep(waitingStep, snapshot)
@@ -190,7 +203,7 @@
       const stalledMs = measureStall(run, Math.min(this._now, worker.listedAt))
       if (stalledMs === undefined) continue
       this._dependencies.workerHealth.recordStall(run, this._now)
-      const workedMs = estimateWorkedMs(run, run.percentChangedAt, this._dependencies.runTimes.estimateRunTime(run.task.step))
+      const workedMs = estimateWorkedMs(run, run.percentChangedAt, this._estimateRunTimeAt(run))
       const lostMs = run.task.step.spec.isCheckpointing ? Math.min(workedMs, this._dependencies.times.checkpointMs) : workedMs
       if (stalledMs < lostMs) continue
       this._dependencies.runTracker.stopWithGang(run, 'it has stalled', 'a member of the gang has stalled', this._now)
@@ -201,11 +214,12 @@
     const { step } = waiting
     snapshot.release(step)
     const placed = this._placement.place(waiting, snapshot)
-    for (const { worker, task } of placed) {
-      snapshot.takeCapacity(worker, step.spec)
-      this._crashIsolation.recordPlaced(worker, task)
+    const late = this._speedFit.listLate(step, placed)
+    this._startPlaced(placed.filter(one => !late.includes(one)), snapshot)
+    if (late.length > 0) {
+      if (this._hasFasterSlots(waiting, snapshot)) return
+      this._startPlaced(late, snapshot)
     }
-    if (placed.length > 0) this._dependencies.runTracker.start(placed.map(one => ({ ...one, ticket: undefined })), this._now)
     if (placed.length === waiting.tasks.length) {
       this._reclaim.dropReservation(step)
       return
@@ -223,8 +237,28 @@
     return this._dependencies.evacuations.selectUsable(this._dependencies.registry.listWorkers())
   }
 
+  private _startPlaced (placed: readonly PlacedTask[], snapshot: CapacitySnapshot): void {
+    if (placed.length === 0) return
+    for (const { worker, task } of placed) {
+      snapshot.takeCapacity(worker, task.step.spec)
+      this._crashIsolation.recordPlaced(worker, task)
+    }
+    this._dependencies.runTracker.start(placed.map(one => ({ ...one, ticket: undefined })), this._now)
+  }
+
+  /** True if the tasks of a step that have not started wait for slots at faster workers. Those that are starved or must run alone start where they can. */
+  private _hasFasterSlots (waiting: WaitingStep, snapshot: CapacitySnapshot): boolean {
+    const tasks = waiting.tasks.filter(task => task.runs.length === 0)
+    return !this._starvedSteps.has(waiting.step) && !tasks.some(isIsolated) && this._fasterSlots.reserveFor({ ...waiting, tasks }, snapshot)
+  }
+
   private _predictEnd (run: RunState): number {
-    return predictEnd(run, this._now, this._dependencies.runTimes.estimateRunTime(run.task.step), this._dependencies.times.stopGraceMs)
+    return predictEnd(run, this._now, member => this._estimateRunTimeAt(member), this._dependencies.times.stopGraceMs)
+  }
+
+  /** Estimates the run time of a run's task at the speed of its worker, in milliseconds. */
+  private _estimateRunTimeAt (run: RunState): number {
+    return this._dependencies.runTimes.estimateRunTime(run.task.step) * this._speedFit.getSpeed(run.worker.id).factor
   }
 
   /**
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -20,6 +20,8 @@
 import type { PlannerTimes } from './plannerTimes.js'
 import { RunTracker } from './runTracker.js'
 import { RunTimeEstimator } from './runTimeEstimator.js'
+import { EqualSpeeds } from './speedSource.js'
+import type { SpeedSource } from './speedSource.js'
 import type { TaskName } from './taskName.js'
 import type { WaitingOrder } from './waitingStep.js'
 import { WorkerRegistry } from './workerRegistry.js'
@@ -35,6 +37,8 @@
   readonly getWallTime: () => number
   /** Creates the order of waiting steps; {@link ObjectiveOrder} when absent. */
   readonly createOrder?: (runTimes: RunTimeEstimator) => WaitingOrder
+  /** How fast workers are relative to each other; {@link EqualSpeeds} when absent. */
+  readonly speeds?: SpeedSource
 }
 
 /** A job whose state has to be stored. */
@@ -68,7 +72,8 @@
     this._registry = new WorkerRegistry({ log, times, runTracker: this._runTracker, workerHealth: this._workerHealth, findTask: name => this._findTask(name) })
     const classShares = new ClassShares({ runTimes: this._runTimes, getWallTime, listJobs: () => this._jobs.values() })
     const order = options.createOrder?.(this._runTimes) ?? new ObjectiveOrder({ runTimes: this._runTimes, getWallTime })
-    this._pass = new GraphPass({ registry: this._registry, runTracker: this._runTracker, workerHealth: this._workerHealth, runTimes: this._runTimes, evacuations: this._evacuations, classShares, order, times, log, getWallTime })
+    const speeds = options.speeds ?? new EqualSpeeds()
+    this._pass = new GraphPass({ registry: this._registry, runTracker: this._runTracker, workerHealth: this._workerHealth, runTimes: this._runTimes, evacuations: this._evacuations, speeds, classShares, order, times, log, getWallTime })
   }
 
   /** Number of jobs that have not ended. */
--- a/packages/core/src/graphs/jobObjective.ts
+++ b/packages/core/src/graphs/jobObjective.ts
@@ -19,6 +19,16 @@
   return Math.max(0, ...ends)
 }
 
+/** Returns the time of the longest chain of steps that start after the step with the given index, without steps that are done, in milliseconds. */
+export function computeTailMs (steps: readonly StepState[], index: number, getStepMs: (step: StepState) => number): number {
+  const tails = new Map<number, number>()
+  for (const step of [...steps].reverse()) {
+    const lengthMs = (step.remaining === 0 ? 0 : getStepMs(step)) + (tails.get(step.index) ?? 0)
+    for (const before of step.spec.after) tails.set(before, Math.max(tails.get(before) ?? 0, lengthMs))
+  }
+  return tails.get(index) ?? 0
+}
+
 /** Returns the time within which a job with the given chain has its full value, in milliseconds. */
 export function computeObjectiveMs (queue: QueuePolicy, chainMs: number): number {
   return queue.stretch * chainMs + queue.targetLatencyMs
--- a/packages/core/src/graphs/placement.ts
+++ b/packages/core/src/graphs/placement.ts
@@ -1,24 +1,27 @@
 /**
- * Finds workers for the tasks of a step: near the data, in one rack where the step requires it, and by best fit, so that whole
- * workers stay free for large tasks.
+ * Finds workers for the tasks of a step: near the data, in one rack where the step requires it, fast enough where workers differ in speed, and by best
+ * fit, so that whole workers stay free for large tasks.
  */
 import { isCrashSuspect, isIsolated } from './crashBlame.js'
 import type { CapacitySnapshot } from './capacitySnapshot.js'
 import type { StepState, TaskState } from './jobState.js'
 import { isLastAttempt } from './lastAttempt.js'
+import { computePrice, listChoices, sortForSingleTasks } from './speedChoice.js'
+import type { SlotsChoice, SpeedSlots } from './speedChoice.js'
+import type { SpeedFit } from './speedFit.js'
 import type { WaitingStep } from './waitingStep.js'
 import { countFits } from './workerState.js'
 import type { WorkerState } from './workerState.js'
 
 /**
  * Weights in the score of a worker, in units of one free processor core; the worker with the lowest score is chosen. A failure outweighs
- * any free capacity, and a failure of the task itself outweighs any number of other failures. A worker that is slow after its start comes after all
- * sound ones, but before those with failures, since a slow run loses less than a failed one.
+ * any free capacity. A worker that is slow after its start comes after all sound ones, but before those with failures, since a slow run loses less than a failed
+ * one.
  */
-const OWN_FAILURE_PENALTY = 10_000_000
 const FAILURE_PENALTY = 100_000
 const COLD_PENALTY = 50_000
 const ACCELERATOR_WEIGHT = 1_000
+const EQUAL_SPEED = { factor: 1, classFactor: 1, price: 1 }
 
 /** A task with the worker on which it is placed. */
 export interface PlacedTask {
@@ -27,12 +30,19 @@
 }
 
 /** A worker with room for `count` tasks of a step; the worker with the lowest score is preferred. */
-interface WorkerSlots {
+interface WorkerSlots extends SpeedSlots {
   readonly worker: WorkerState
   readonly score: number
   count: number
 }
 
+/** Workers among which all tasks of a step are placed. */
+interface WorkerGroup {
+  readonly workers: readonly WorkerState[]
+  /** True if the workers are in several racks. */
+  readonly isSpread: boolean
+}
+
 /** The slots among which the tasks of a step choose. */
 interface SlotChoice {
   /** All slots, the best first. */
@@ -65,12 +75,16 @@
   readonly chooseWorkersForSuspect: (workers: readonly WorkerState[], task: TaskState) => readonly WorkerState[]
   /** True when the step has waited for its rack for so long that a slower run in another rack is better. */
   readonly isLocalityWaitOver: (waiting: WaitingStep) => boolean
+  readonly speedFit: SpeedFit
 }
 
 /** Finds workers with free capacity in a snapshot, without subtracting the capacity. */
 export interface Placement {
-  /** Returns the tasks that can start, each with its worker. For a gang these are all tasks or none. */
-  place (waiting: WaitingStep, snapshot: CapacitySnapshot): PlacedTask[]
+  /**
+   * Returns the tasks that can start, each with its worker. For a gang these are all tasks or none. `startsAt` is when they would start, on the planner's
+   * clock; now when absent.
+   */
+  place (waiting: WaitingStep, snapshot: CapacitySnapshot, startsAt?: number): PlacedTask[]
 }
 
 export class RackPlacement implements Placement {
@@ -80,28 +94,32 @@
     this._dependencies = dependencies
   }
 
-  place (waiting: WaitingStep, snapshot: CapacitySnapshot): PlacedTask[] {
+  place (waiting: WaitingStep, snapshot: CapacitySnapshot, startsAt?: number): PlacedTask[] {
     const { step, tasks } = waiting
     const eligible = snapshot.workers.filter(worker => this._dependencies.isEligible(worker, step))
-    for (const group of this._listGroups(waiting, eligible, snapshot)) {
-      const placed = this._placeTasksInGroup(tasks, group, snapshot, step)
-      if (placed.length === tasks.length) return placed
-      if (!step.spec.isGang && !step.spec.isSameRack && placed.length > 0) return placed
+    for (const tier of this._listTiers(waiting, eligible, snapshot)) {
+      for (const slots of this._listChoices(waiting, tier, snapshot, startsAt)) {
+        const placed = this._placeTasks(tasks, slots, step)
+        if (placed.length === tasks.length) return placed
+        if (!isAllOrNone(step) && placed.length > 0) return placed
+      }
     }
     return []
   }
 
-  /** Returns the groups of workers to try, the best first. */
-  private _listGroups (waiting: WaitingStep, eligible: readonly WorkerState[], snapshot: CapacitySnapshot): WorkerState[][] {
+  /** Returns the groups of workers to try, the best first; groups of the same tier differ only in the room and the speed of their workers. */
+  private _listTiers (waiting: WaitingStep, eligible: readonly WorkerState[], snapshot: CapacitySnapshot): WorkerGroup[][] {
     const { spec } = waiting.step
     const isOver = this._dependencies.isLocalityWaitOver(waiting)
-    if (!spec.isSameRack) return this._listDataGroups(waiting, eligible, isOver)
+    const all = { workers: eligible, isSpread: true }
+    if (!spec.isSameRack) return this._listDataGroups(waiting, eligible, isOver).map(workers => [{ workers, isSpread: true }])
     const racks = groupByRack(eligible)
     const localRack = spec.dataRack === undefined ? undefined : racks.get(spec.dataRack)
+    const local = localRack === undefined ? [] : [[{ workers: localRack, isSpread: false }]]
     const others = this._sortRacks([...racks.values()].filter(group => group !== localRack), waiting, snapshot)
     const isWide = [...racks.values()].every(group => countTasksOfGroupWhenEmpty(group, waiting.step) < waiting.tasks.length)
-    if (localRack !== undefined && !isOver && countTasksOfGroupWhenEmpty(localRack, waiting.step) >= waiting.tasks.length) return [localRack]
-    return [...(localRack === undefined ? [] : [localRack]), ...others, ...(isWide || isOver ? [[...eligible]] : [])]
+    if (localRack !== undefined && !isOver && countTasksOfGroupWhenEmpty(localRack, waiting.step) >= waiting.tasks.length) return local
+    return [...local, others.map(workers => ({ workers, isSpread: false })), ...(isWide || isOver ? [[all]] : [])]
   }
 
   /** Sorts racks by their free slots, the fewest first; those come last that can hold the tasks only with workers that are slow after their start. */
@@ -123,20 +141,48 @@
     return isOver ? [localWorkers, [...eligible]] : [localWorkers]
   }
 
-  /** Places each task by best fit on a worker of the group; returns the tasks that could be placed. */
-  private _placeTasksInGroup (tasks: readonly TaskState[], group: readonly WorkerState[], snapshot: CapacitySnapshot, step: StepState): PlacedTask[] {
+  /** Yields the slots to try for a step in the groups of one tier, the best first. */
+  private * _listChoices (waiting: WaitingStep, tier: readonly WorkerGroup[], snapshot: CapacitySnapshot, startsAt: number | undefined): Generator<readonly WorkerSlots[]> {
+    const { step, tasks } = waiting
+    const { speedFit } = this._dependencies
+    const maxFactor = speedFit.isActive ? speedFit.getMaxFactor(step, startsAt) : Infinity
+    const choices: Array<SlotsChoice<WorkerSlots>> = []
+    for (const group of tier) {
+      const slots = this._listSlots(group, step, snapshot)
+      if (isAllOrNone(step) && countSlots(slots) < tasks.length) continue
+      if (!speedFit.isActive) yield slots
+      else if (isAllOrNone(step)) choices.push(...listChoices(slots, tasks.length, maxFactor))
+      else yield sortForSingleTasks(slots, maxFactor)
+    }
+    choices.sort((a, b) => Number(b.isFit) - Number(a.isFit) || a.cost - b.cost)
+    for (const { slots } of choices) yield slots.map(slot => ({ ...slot }))
+  }
+
+  /** Lists the slots of a group of workers for a step, the tightest fit first. */
+  private _listSlots (group: WorkerGroup, step: StepState, snapshot: CapacitySnapshot): WorkerSlots[] {
     const slots: WorkerSlots[] = []
-    let total = 0
-    for (const worker of group) {
+    for (const worker of group.workers) {
       const fits = snapshot.countFits(worker, step)
       const count = fits < 1 ? 0 : Math.min(fits, this._dependencies.getTaskLimit(worker, step))
       if (count < 1) continue
-      slots.push({ worker, count, score: this._computeScore(worker, snapshot) })
-      total += count
+      const failures = this._dependencies.countFailures(worker)
+      const penalty = failures * FAILURE_PENALTY + (this._dependencies.isCold(worker) ? COLD_PENALTY : 0)
+      slots.push({ worker, count, score: penalty + computeRoom(worker, snapshot), ...this._measureSpeed(worker, step, group, failures) })
     }
-    const isAllOrNone = step.spec.isGang || step.spec.isSameRack
-    if (isAllOrNone && total < tasks.length) return []
-    slots.sort((a, b) => a.score - b.score)
+    return slots.sort((a, b) => a.score - b.score)
+  }
+
+  private _measureSpeed (worker: WorkerState, step: StepState, { isSpread }: WorkerGroup, failures: number): Omit<SpeedSlots, 'count'> {
+    const { speedFit } = this._dependencies
+    if (!speedFit.isActive) return EQUAL_SPEED
+    const { factor, classFactor } = speedFit.getSpeed(worker.key.id)
+    const placeFactor = speedFit.getPlaceFactor(worker, step, isSpread)
+    const ownFailures = step.spec.isGang && step.tasks[0] !== undefined && hasFailedAt(step.tasks[0], worker) ? 1 : 0
+    return { factor: factor * placeFactor, classFactor: classFactor * placeFactor, price: computePrice(classFactor, failures + ownFailures) }
+  }
+
+  /** Places each task on the first usable one of the slots; returns the tasks that could be placed. */
+  private _placeTasks (tasks: readonly TaskState[], slots: readonly WorkerSlots[], step: StepState): PlacedTask[] {
     const choice: SlotChoice = {
       slots,
       forLastAttempts: tasks.some(isLastAttempt) ? slots.filter(({ worker }) => this._dependencies.isUsableForLastAttempt(worker, step)) : slots,
@@ -150,7 +196,7 @@
       if (chosen !== undefined) {
         takeSlot(chosen, task, choice)
         placed.push({ task, worker: chosen.worker })
-      } else if (isAllOrNone || !(isCrashSuspect(task) || isLastAttempt(task))) break
+      } else if (isAllOrNone(step) || !(isCrashSuspect(task) || isLastAttempt(task))) break
     }
     return placed
   }
@@ -168,13 +214,12 @@
     const workers = new Set(this._dependencies.chooseWorkersForSuspect(slots.map(({ worker }) => worker), task))
     return slots.filter(({ worker }) => workers.has(worker))
   }
+}
 
-  /** Prefers workers at which the fewest jobs failed, then those that aren't slow after their start, then the one with the least free capacity. */
-  private _computeScore (worker: WorkerState, snapshot: CapacitySnapshot): number {
-    const free = snapshot.getFree(worker)
-    const coldPenalty = this._dependencies.isCold(worker) ? COLD_PENALTY : 0
-    return this._dependencies.countFailures(worker) * FAILURE_PENALTY + coldPenalty + free.accelerators * ACCELERATOR_WEIGHT + free.cpuMillis / 1_000
-  }
+/** Returns the part of a worker's score for its free capacity, which prefers the tightest fit. */
+function computeRoom (worker: WorkerState, snapshot: CapacitySnapshot): number {
+  const free = snapshot.getFree(worker)
+  return free.accelerators * ACCELERATOR_WEIGHT + free.cpuMillis / 1_000
 }
 
 /** Takes one of a worker's slots for a task, or all of them if the task must run alone. */
@@ -190,18 +235,10 @@
   return tasks.some(isCrashSuspect) ? [...tasks.filter(isCrashSuspect), ...tasks.filter(task => !isCrashSuspect(task))] : tasks
 }
 
-/** Picks the worker with the lowest score among those with room; workers at which the task has failed come last. */
+/** Picks the first slots with room; those at workers at which the task has failed come last. */
 function pickWithFailures (task: TaskState, slots: readonly WorkerSlots[]): WorkerSlots | undefined {
-  let best: WorkerSlots | undefined
-  let bestScore = Infinity
-  for (const slot of slots) {
-    if (slot.count < 1) continue
-    const score = slot.score + (hasFailedAt(task, slot.worker) ? OWN_FAILURE_PENALTY : 0)
-    if (score >= bestScore) continue
-    best = slot
-    bestScore = score
-  }
-  return best
+  const usable = slots.filter(({ count }) => count > 0)
+  return usable.find(({ worker }) => !hasFailedAt(task, worker)) ?? usable[0]
 }
 
 /** True when the task or any member of its gang has failed at a worker: a gang fails again if any of its members runs on a faulty worker. */
@@ -222,6 +259,15 @@
   return racks
 }
 
+/** True for a step whose tasks are placed all together or not at all. */
+function isAllOrNone ({ spec }: StepState): boolean {
+  return spec.isGang || spec.isSameRack
+}
+
+function countSlots (slots: readonly WorkerSlots[]): number {
+  return slots.reduce((sum, { count }) => sum + count, 0)
+}
+
 function countFreeSlots (workers: readonly WorkerState[], step: StepState, snapshot: CapacitySnapshot): number {
   return workers.reduce((sum, worker) => sum + snapshot.countFits(worker, step), 0)
 }
--- a/packages/core/src/graphs/runProgress.ts
+++ b/packages/core/src/graphs/runProgress.ts
@@ -25,13 +25,13 @@
 }
 
 /**
- * Predicts when a run ends, on the planner's clock. `expectedMs` is the expected run time of the task. The members of a gang end
- * together with the last of them.
+ * Predicts when a run ends, on the planner's clock. `estimateRunTime` returns the expected run time of a whole task at the worker of a run. The members of
+ * a gang end together with the last of them.
  */
-export function predictEnd (run: RunState, now: number, expectedMs: number, stopGraceMs: number): number {
+export function predictEnd (run: RunState, now: number, estimateRunTime: (run: RunState) => number, stopGraceMs: number): number {
   const { step } = run.task
   const runs = step.spec.isGang ? step.tasks.flatMap(task => task.runs) : [run]
-  return Math.max(...runs.map(member => predictRunEnd(member, now, expectedMs, stopGraceMs)))
+  return Math.max(...runs.map(member => predictRunEnd(member, now, estimateRunTime(member), stopGraceMs)))
 }
 
 function predictRunEnd (run: RunState, now: number, expectedMs: number, stopGraceMs: number): number {
--- a/packages/core/test/graphs/randomFleet.ts
+++ b/packages/core/test/graphs/randomFleet.ts
@@ -3,10 +3,11 @@
  */
 import { SeededRandom } from '@dragonflylever/core'
 import { CapacitySnapshot } from '@dragonflylever/core/graphs/capacitySnapshot'
-import { RunPhase, WorkerState, addOccurrence, createJobState, createRun } from '@dragonflylever/core/graphs/index'
-import type { JobGraph, RunState, StepSpec, StepState, WaitingStep } from '@dragonflylever/core/graphs/index'
+import { EqualSpeeds, RunPhase, RunTimeEstimator, WorkerState, addOccurrence, createJobState, createRun } from '@dragonflylever/core/graphs/index'
+import type { JobGraph, RunState, StepSpec, SpeedSource, StepState, WaitingStep } from '@dragonflylever/core/graphs/index'
+import { SpeedFit } from '@dragonflylever/core/graphs/speedFit'
 
-import { CAPACITY, makeQueue, makeStep } from './plannerHarness.js'
+import { CAPACITY, TIMES, makeQueue, makeStep } from './plannerHarness.js'
 
 /** A fleet with the random properties that the planner would derive from its state. */
 export interface RandomFleet {
@@ -23,6 +24,7 @@
   readonly isKeptEmpty: () => boolean
   readonly chooseWorkersForSuspect: (workers: readonly WorkerState[]) => readonly WorkerState[]
   readonly isLocalityWaitOver: () => boolean
+  readonly speedFit: SpeedFit
 }
 
 const NOW = 1_000
@@ -38,7 +40,7 @@
     this._workers = Array.from({ length: racks * workersPerRack }, (_, index) => makeWorkerState(`w${index}`, `r${index % racks}`))
   }
 
-  build (jobs: number): RandomFleet {
+  build (jobs: number, speeds: SpeedSource): RandomFleet {
     for (let index = 0; index < jobs; index++) this._addRunningStep()
     const step = this._makeStepState()
     for (const task of step.tasks) if (this._sample(0.2)) task.failedOn.add(this._pick(this._workers).key.id)
@@ -54,6 +56,8 @@
       }
     }
     const isOver = this._sample(0.3)
+    const speedFit = new SpeedFit({ speeds, runTimes: new RunTimeEstimator(), getWallTime: () => 0, remoteFactor: TIMES.remoteFactor })
+    speedFit.beginPass(this._workers, NOW)
     return {
       workers: this._workers,
       snapshot: new CapacitySnapshot(this._workers),
@@ -67,7 +71,8 @@
       isCold: () => false,
       isKeptEmpty: () => false,
       chooseWorkersForSuspect: workers => workers,
-      isLocalityWaitOver: () => isOver
+      isLocalityWaitOver: () => isOver,
+      speedFit
     }
   }
 
@@ -145,7 +150,7 @@
   return worker
 }
 
-/** Builds a random fleet; the same arguments give the same fleet. */
-export function makeRandomFleet (seed: number, racks: number, workersPerRack: number, jobs: number): RandomFleet {
-  return new FleetBuilder(seed, racks, workersPerRack).build(jobs)
+/** Builds a random fleet; the same arguments give the same fleet. All its workers are equally fast unless `speeds` tells otherwise. */
+export function makeRandomFleet (seed: number, racks: number, workersPerRack: number, jobs: number, speeds: SpeedSource = new EqualSpeeds()): RandomFleet {
+  return new FleetBuilder(seed, racks, workersPerRack).build(jobs, speeds)
 }
