Simulated fleet with workers of different speed, and the load of the uneven deployment

Cause: the simulated fleet knew one fixed pattern of speeds, and all members of a gang listed the progress of the slowest.

Change: factors of the workers as an option; members of a gang then list their own progress, wait at 99 percent and carry the measured ms per percent, and a checkpoint saves the same share of a task wherever it is restored. Classes, fleet and swing of the uneven deployment.

--- a/packages/bench/src/graphs/graphWorkload.ts
+++ b/packages/bench/src/graphs/graphWorkload.ts
@@ -1,5 +1,5 @@
 /**
- * Generates seeded loads of job graphs for a fleet from many organisations, with bursts. A load consists of classes of jobs; two sets of classes are
+ * Generates seeded loads of job graphs for a fleet from many organisations, with bursts. A load consists of classes of jobs; the sets of classes are
  * those of the example deployments.
  */
 import { SeededRandom } from '@dragonflylever/core'
@@ -24,6 +24,18 @@
   readonly bursts: readonly Burst[]
   /** Classes of the jobs; {@link CRISP_WORKS_CLASSES} when absent. */
   readonly classes?: readonly JobClass[]
+  /** {@link WORKERS_PER_RACK} when absent. */
+  readonly workersPerRack?: number
+  /** How the arrivals swing; they are steady when absent. */
+  readonly swing?: Swing
+}
+
+/** Arrivals from several failure domains with equal mean rates, each of which swings as a sine with a random phase. Data lies in the domain of its job. */
+export interface Swing {
+  readonly domains: number
+  /** Amplitude as a share of the mean rate. */
+  readonly share: number
+  readonly periodMs: number
 }
 
 export interface Burst {
@@ -65,6 +77,8 @@
   readonly checkpointingShare: number
   /** Standard deviation of the logarithm of the declared run time relative to the actual one. */
   readonly declaredSigma: number
+  /** Share of jobs with a second step like the first, which starts after it; none when absent. */
+  readonly secondStepShare?: number
 }
 
 function makeQueue (name: string, priority: number, stretch: number, targetLatencyMs: number): QueuePolicy {
@@ -86,6 +100,22 @@
   { queue: makeQueue('skill-index', 2, 3, 3_000), perSecond: 0.746, width: { mean: 30, sigma: 0.8, max: 180 }, runMs: { mean: 13_571, sigma: 0.3, max: 15_700 }, needs: { cpuMillis: 2_800, memoryMb: 5_700 }, accelerators: [1], isGang: false, sameRackShare: 0, dataRackShare: 0.12, checkpointingShare: 0.45, declaredSigma: 0.9 }
 ]
 
+/** Workers, capacity, racks and swing of the deployment whose workers differ in speed; see {@link UNEVEN_CLASSES}. */
+export const UNEVEN_FLEET = {
+  workers: 60,
+  workersPerRack: 5,
+  capacity: { cpuMillis: 32_000, memoryMb: 131_072, accelerators: 8 },
+  swing: { domains: 3, share: 0.55, periodMs: 13_000 }
+}
+const POWERS_OF_TWO = [1, 2, 4, 8] as const
+
+/** Short urgent gangs, gangs of few tasks that take much memory, and wide steps of single tasks, for workers of 32 cores and 128 GB. */
+export const UNEVEN_CLASSES: readonly JobClass[] = [
+  { queue: makeQueue('gang', 1, 3, 1_502), perSecond: 0.656, width: { mean: 6, sigma: 0.8, max: 36 }, runMs: { mean: 13_400, sigma: 0.3, max: 40_000 }, needs: { cpuMillis: 13_000, memoryMb: 69_632 }, accelerators: POWERS_OF_TWO, isGang: true, sameRackShare: 0.6, dataRackShare: 0.3, checkpointingShare: 0.45, declaredSigma: 0.2 },
+  { queue: makeQueue('urgent', 0, 1.5, 603), perSecond: 2.08, width: { mean: 5, sigma: 0.8, max: 30 }, runMs: { mean: 3_000, sigma: 0.5, max: 11_400 }, needs: { cpuMillis: 3_700, memoryMb: 20_480 }, accelerators: POWERS_OF_TWO, isGang: true, sameRackShare: 0.8, dataRackShare: 0, checkpointingShare: 0, declaredSigma: 0.2 },
+  { queue: makeQueue('wide', 2, 3, 3_002), perSecond: 0.307, width: { mean: 39, sigma: 0.8, max: 230 }, runMs: { mean: 11_600, sigma: 0.3, max: 35_000 }, needs: { cpuMillis: 2_800, memoryMb: 15_360 }, accelerators: [1], isGang: false, sameRackShare: 0, dataRackShare: 0.12, checkpointingShare: 0.45, declaredSigma: 0.9, secondStepShare: 0.3 }
+]
+
 /** Generates the arrivals of all classes, sorted by time, and the policy with the organisations' guarantees. */
 export function makeGraphLoad (options: GraphLoadOptions): GraphLoad {
   const random = createRandom(options.seed)
@@ -104,23 +134,41 @@
 
 function makeClassArrivals (jobClass: JobClass, options: GraphLoadOptions, random: Random): GraphArrival[] {
   const perMs = jobClass.perSecond * options.load * options.workers / REFERENCE_WORKERS / 1_000
+  const racks = Math.ceil(options.workers / (options.workersPerRack ?? WORKERS_PER_RACK))
+  const { swing } = options
+  const phases = Array.from({ length: swing?.domains ?? 0 }, () => random.sample())
   const arrivals: GraphArrival[] = []
   for (let at = 0; ;) {
     const burst = options.bursts.find(({ queue, fromMs, toMs }) => isBurstOf(jobClass, queue) && at >= fromMs && at < toMs)
-    const factor = burst?.factor ?? 1
+    const factor = (burst?.factor ?? 1) * (1 + (swing?.share ?? 0))
     at += -Math.log(1 - random.sample()) / (perMs * factor)
     if (at >= options.seconds * 1_000) return arrivals
-    arrivals.push(makeArrival(jobClass, `${jobClass.queue.name}-${arrivals.length}`, at, options.workers, random))
+    const domainRacks = swing === undefined ? { first: 0, count: racks } : pickDomainRacks(swing, phases, at, racks, random)
+    if (domainRacks !== undefined) arrivals.push(makeArrival(jobClass, `${jobClass.queue.name}-${arrivals.length}`, at, domainRacks, random))
   }
 }
 
+/** Racks with consecutive numbers. */
+interface RackRange {
+  readonly first: number
+  readonly count: number
+}
+
+/** Picks the failure domain of a possible arrival and returns its racks; undefined if nothing arrives, so that the rate follows the swing of the domain. */
+function pickDomainRacks (swing: Swing, phases: readonly number[], at: number, racks: number, random: Random): RackRange | undefined {
+  const domain = random.pick(swing.domains)
+  const rate = 1 + swing.share * Math.sin(2 * Math.PI * (at / swing.periodMs + (phases[domain] ?? 0)))
+  if (random.sample() * (1 + swing.share) >= rate) return undefined
+  const first = Math.floor(racks * domain / swing.domains)
+  return { first, count: Math.floor(racks * (domain + 1) / swing.domains) - first }
+}
+
 function isBurstOf (jobClass: JobClass, queue: string | undefined): boolean {
   return queue === undefined ? jobClass.queue.priority === 0 : jobClass.queue.name === queue
 }
 
-function makeArrival (jobClass: JobClass, id: string, at: number, workers: number, random: Random): GraphArrival {
+function makeArrival (jobClass: JobClass, id: string, at: number, dataRacks: RackRange, random: Random): GraphArrival {
   const runMs = Math.min(jobClass.runMs.max, sampleLogNormal(random, jobClass.runMs.mean, jobClass.runMs.sigma))
-  const racks = Math.ceil(workers / WORKERS_PER_RACK)
   const step: StepSpec = {
     count: Math.max(1, Math.min(jobClass.width.max, Math.round(sampleLogNormal(random, jobClass.width.mean, jobClass.width.sigma)))),
     ...jobClass.needs,
@@ -130,14 +178,16 @@
     isCheckpointing: random.sample() < jobClass.checkpointingShare,
     isGang: jobClass.isGang,
     isSameRack: random.sample() < jobClass.sameRackShare,
-    ...(random.sample() < jobClass.dataRackShare ? { dataRack: `r${random.pick(racks)}` } : {}),
+    ...(random.sample() < jobClass.dataRackShare ? { dataRack: `r${dataRacks.first + random.pick(dataRacks.count)}` } : {}),
     isSpeculative: false,
     isLongRunning: false,
     isFilling: false,
     mayMiss: 0
   }
-  const graph: JobGraph = { id, organisation: pickOrganisation(random), queue: jobClass.queue, payload: '', steps: [step], acceptedAt: WALL_START + at }
-  return { at, graph, runMs: [runMs] }
+  const organisation = pickOrganisation(random)
+  const hasSecondStep = jobClass.secondStepShare !== undefined && random.sample() < jobClass.secondStepShare
+  const steps = hasSecondStep ? [step, { ...step, after: [0] }] : [step]
+  return { at, graph: { id, organisation, queue: jobClass.queue, payload: '', steps, acceptedAt: WALL_START + at }, runMs: steps.map(() => runMs) }
 }
 
 function makeGuarantees (workers: number): OrganisationGuarantee[] {
--- a/packages/bench/src/graphs/simulatedFleet.ts
+++ b/packages/bench/src/graphs/simulatedFleet.ts
@@ -3,13 +3,13 @@
  * clients get and what each scheduler pass costs.
  */
 import { GraphPlanner, parseTaskName } from '@dragonflylever/core/graphs/index'
-import type { PlannerTimes, RunTimeEstimator, StepSpec, TaskNeeds, WaitingOrder } from '@dragonflylever/core/graphs/index'
+import type { PlannerTimes, RunTimeEstimator, SpeedSource, StepSpec, TaskNeeds, WaitingOrder } from '@dragonflylever/core/graphs/index'
 
 import { WALL_START, WORKERS_PER_RACK } from './graphWorkload.js'
 import type { GraphArrival, GraphLoad } from './graphWorkload.js'
 import { computeWork, scoreJob } from './jobScore.js'
 import type { JobScore } from './jobScore.js'
-import { CAPACITY, SimulatedWorker, computeWorkedMs } from './simulatedWorker.js'
+import { CAPACITY, SimulatedWorker, computeWorkedMs, isRunDone } from './simulatedWorker.js'
 import type { SimulatedRun } from './simulatedWorker.js'
 
 /** Simulated time between two rounds of reports, pass and orders, in milliseconds. */
@@ -22,8 +22,8 @@
 /** Spreads the returns of neighbouring workers over {@link RETURN_SPAN_MS}; coprime to the usual sizes of a fleet. */
 const RETURN_STRIDE = 37
 const CORES_PER_ACCELERATOR = 8
-/** Every third worker is slower by this factor. */
-const SLOW_FACTOR = 1.3
+/** Factors of the workers' speeds when a fleet has none of its own: every third worker is slower. */
+const USUAL_FACTORS = [1, 1, 1.3] as const
 
 const TIMES: PlannerTimes = {
   runLeaseMs: 6_000,
@@ -45,6 +45,16 @@
   readonly load: GraphLoad
   /** Capacity of each worker; {@link CAPACITY} when absent. */
   readonly capacity?: TaskNeeds
+  /** {@link WORKERS_PER_RACK} when absent. */
+  readonly workersPerRack?: number
+  /**
+   * Factor by which tasks take longer at each worker, by its number. The members of a gang then list the progress of their own worker, and a checkpoint
+   * saves the same share of a task wherever it is restored. When absent, the factors are 1, 1 and 1.3 in turn, all members list the progress of the
+   * slowest, and a checkpoint saves run time.
+   */
+  readonly factors?: readonly number[]
+  /** What the planner knows of the workers' speeds; nothing when absent. */
+  readonly speeds?: SpeedSource
   /** Simulated duration in seconds; longer than the arrivals, so that late jobs can end. */
   readonly seconds: number
   /** Time that a run holds its slot after it was told to stop, in milliseconds; runs stop at once when absent. */
@@ -91,11 +101,14 @@
   constructor (options: FleetOptions) {
     this._options = options
     this._capacity = options.capacity ?? CAPACITY
-    this._workers = Array.from({ length: options.workers }, (_, index) => new SimulatedWorker(`w${index}`, `r${Math.floor(index / WORKERS_PER_RACK)}`, this._capacity))
+    const factors = options.factors ?? USUAL_FACTORS
+    const workersPerRack = options.workersPerRack ?? WORKERS_PER_RACK
+    this._workers = Array.from({ length: options.workers }, (_, index) => new SimulatedWorker(`w${index}`, `r${Math.floor(index / workersPerRack)}`, this._capacity, factors[index % factors.length] ?? 1))
     const getWallTime = (): number => WALL_START + this._now
     const { createOrder } = options
     const order = createOrder === undefined ? {} : { createOrder: (runTimes: RunTimeEstimator) => createOrder(runTimes, getWallTime) }
-    this._planner = new GraphPlanner({ times: TIMES, getWallTime, log: { note: (event, fields) => this._onNote(event, fields) }, ...order })
+    const speeds = options.speeds === undefined ? {} : { speeds: options.speeds }
+    this._planner = new GraphPlanner({ times: TIMES, getWallTime, log: { note: (event, fields) => this._onNote(event, fields) }, ...order, ...speeds })
     this._planner.setPolicy(options.load.policy)
   }
 
@@ -154,8 +167,7 @@
         if (this._now - run.stoppingSince >= (this._options.stopMs ?? 0)) this._removeRun(worker, run, 'stopped')
         continue
       }
-      if (run.workingSince === undefined || run.savedMs + computeWorkedMs(run, this._now) < run.workMs) continue
-      this._removeRun(worker, run, 'done')
+      if (isRunDone(run, this._now)) this._removeRun(worker, run, 'done')
     }
   }
 
@@ -208,17 +220,22 @@
 
   private _startRun (worker: SimulatedWorker, task: string, run: number, checkpoint: string): void {
     const step = this._getStep(task)
-    const started: SimulatedRun = { task, run, savedMs: Number(checkpoint), startedAt: this._now, workingSince: step.isGang ? undefined : this._now, workMs: 0, isCheckpointing: step.isCheckpointing }
+    const started: SimulatedRun = { task, run, savedMs: Number(checkpoint), startedAt: this._now, workingSince: undefined, workMs: 0, endMs: 0, slowdown: 1, isCheckpointing: step.isCheckpointing }
     this._byTask.set(task, { worker, run: started })
     worker.start(started)
     const members = step.isGang ? this._listMembers(task, step) : [{ worker, run: started }]
     if (members === undefined) return
     const racks = new Set(members.map(member => member.worker.rack))
+    const slowdowns = members.map(member => this._computeSlowdown(member.run.task, member.worker, racks.size))
+    const usualMs = this._getRunMs(task)
     // The members of a gang end together with the slowest of them.
-    const workMs = Math.max(...members.map(member => this._computeWorkMs(member.run.task, member.worker, racks.size)))
-    for (const member of members) {
-      member.run.workingSince = this._now
-      member.run.workMs = workMs
+    const slowest = Math.max(...slowdowns)
+    const isMeasured = this._options.factors !== undefined
+    for (const [index, { run: member }] of members.entries()) {
+      member.workingSince = this._now
+      member.workMs = usualMs * (isMeasured ? slowdowns[index] ?? slowest : slowest)
+      member.endMs = usualMs * slowest
+      member.slowdown = isMeasured ? slowest : 1
     }
   }
 
@@ -229,13 +246,17 @@
     return members.length === step.count ? members : undefined
   }
 
-  private _computeWorkMs (task: string, worker: SimulatedWorker, racks: number): number {
-    const name = parseTaskName(task)
-    const arrival = this._arrivals.get(name?.jobId ?? '')
+  /** Returns how many times as long a task takes at a worker as at one of middle speed near its data. */
+  private _computeSlowdown (task: string, worker: SimulatedWorker, racks: number): number {
     const step = this._getStep(task)
     const isRemote = (step.isSameRack && racks > 1) || (step.dataRack !== undefined && step.dataRack !== worker.rack)
-    const isSlow = Number(worker.id.slice(1)) % 3 === 2
-    return (arrival?.runMs[name?.step ?? 0] ?? 0) * (isRemote ? TIMES.remoteFactor : 1) * (isSlow ? SLOW_FACTOR : 1)
+    return (isRemote ? TIMES.remoteFactor : 1) * worker.factor
+  }
+
+  /** Returns the run time of a task at a worker of middle speed near its data, in milliseconds. */
+  private _getRunMs (task: string): number {
+    const name = parseTaskName(task)
+    return this._arrivals.get(name?.jobId ?? '')?.runMs[name?.step ?? 0] ?? 0
   }
 
   private _getStep (task: string): StepSpec {
--- a/packages/bench/src/graphs/simulatedWorker.ts
+++ b/packages/bench/src/graphs/simulatedWorker.ts
@@ -7,6 +7,8 @@
 const LIST_INTERVAL_MS = 1_000
 const CHECKPOINT_MS = 2_000
 const RESUME_MS = 250
+/** Highest progress that a worker lists before a run ends. */
+const MAX_LISTED_PERCENT = 99
 /** Capacity of a worker of the crisp works, and of the guild. */
 export const CAPACITY: TaskNeeds = { cpuMillis: 128_000, memoryMb: 524_288, accelerators: 8 }
 export const GUILD_CAPACITY: TaskNeeds = { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 8 }
@@ -15,21 +17,35 @@
 export interface SimulatedRun {
   readonly task: string
   readonly run: number
-  /** Work that was done before, restored from a checkpoint, in milliseconds. */
+  /** Work that was done before, restored from a checkpoint, in milliseconds; here it takes `slowdown` times as long. */
   readonly savedMs: number
   readonly startedAt: number
   /** When the run began to work: for a member of a gang, when all members were present. */
   workingSince: number | undefined
-  /** Total work of the task at this place, in milliseconds. */
+  /** Time that the whole task takes at this worker, in milliseconds. */
   workMs: number
+  /** Time that the whole task takes until it ends, in milliseconds: for a member of a gang, the time of the slowest member. */
+  endMs: number
+  /** Run time until the end per unit of saved work. */
+  slowdown: number
   readonly isCheckpointing: boolean
   /** When the run was told to stop; it holds its slot until it has stopped. */
   stoppingSince?: number
+  /** First list that showed progress; the speed is measured from there. */
+  firstListed?: { readonly percent: number, readonly at: number }
+  msPerPercent?: number
+}
+
+/** A listed run with the time that it takes for one percent of progress, in milliseconds, as its agent measures it; absent until it is known. */
+interface MeasuredRunListing extends RunListing {
+  readonly msPerPercent?: number
 }
 
 export class SimulatedWorker {
   readonly id: string
   readonly rack: string
+  /** Factor by which tasks take longer here than at a worker of middle speed. */
+  readonly factor: number
   /** Number of the worker's incarnation. */
   born = 1
   /** Until when the worker is down, in milliseconds of the simulation. */
@@ -41,12 +57,13 @@
   private _endNumber = 0
   private _listNumber = 0
   private _listedAt = -Infinity
-  private _running: RunListing[] = []
+  private _running: MeasuredRunListing[] = []
   private readonly _capacity: TaskNeeds
 
-  constructor (id: string, rack: string, capacity: TaskNeeds) {
+  constructor (id: string, rack: string, capacity: TaskNeeds, factor: number) {
     this.id = id
     this.rack = rack
+    this.factor = factor
     this._capacity = capacity
   }
 
@@ -83,7 +100,7 @@
     if (this.hasChanged || now - this._listedAt >= LIST_INTERVAL_MS) {
       this._listNumber++
       this._listedAt = now
-      this._running = [...this.runs.values()].map(run => ({ task: run.task, run: run.run, checkpoint: this._makeCheckpoint(run, now, false), percent: computePercent(run, now), usage: 0 }))
+      this._running = [...this.runs.values()].map(run => this._listRun(run, now))
     }
     this.hasChanged = false
     this.lastReportAt = now
@@ -109,11 +126,18 @@
     }
   }
 
-  /** Returns the checkpoint of a run: its saved work in milliseconds as text, empty if there is none. */
+  private _listRun (run: SimulatedRun, now: number): MeasuredRunListing {
+    const percent = computePercent(run, now)
+    updateSpeed(run, percent, now)
+    const speed = run.msPerPercent === undefined ? {} : { msPerPercent: run.msPerPercent }
+    return { task: run.task, run: run.run, checkpoint: this._makeCheckpoint(run, now, false), percent, usage: 0, ...speed }
+  }
+
+  /** Returns the checkpoint of a run: its saved work as text, empty if there is none. A gang saves what its slowest member has done. */
   private _makeCheckpoint (run: SimulatedRun, now: number, isStopped: boolean): string {
     if (!run.isCheckpointing) return ''
-    const worked = computeWorkedMs(run, now)
-    const saved = run.savedMs + (isStopped ? worked : Math.floor(worked / CHECKPOINT_MS) * CHECKPOINT_MS)
+    const workedMs = computeWorkedMs(run, now)
+    const saved = run.savedMs + (isStopped ? workedMs : Math.floor(workedMs / CHECKPOINT_MS) * CHECKPOINT_MS) / run.slowdown
     return saved <= 0 ? '' : String(Math.floor(saved))
   }
 }
@@ -123,6 +147,21 @@
   return run.workingSince === undefined ? 0 : Math.max(0, Math.min(now, run.stoppingSince ?? now) - run.workingSince - (run.savedMs > 0 ? RESUME_MS : 0))
 }
 
+/** True once a run has done its task; the members of a gang are done together. */
+export function isRunDone (run: SimulatedRun, now: number): boolean {
+  return run.workingSince !== undefined && run.savedMs * run.slowdown + computeWorkedMs(run, now) >= run.endMs
+}
+
+/** Returns the progress of a run in percent: what was restored, and what it has done since at the speed of its own worker. */
 function computePercent (run: SimulatedRun, now: number): number {
-  return Math.min(99, Math.floor((run.savedMs + computeWorkedMs(run, now)) / run.workMs * 100))
+  if (run.workingSince === undefined) return 0
+  const restoredShare = run.savedMs * run.slowdown / run.endMs
+  return Math.min(MAX_LISTED_PERCENT, Math.floor((restoredShare + computeWorkedMs(run, now) / run.workMs) * 100))
+}
+
+/** Measures the speed between the first and the latest list with progress. A member of a gang that waits for others at 99% is not measured. */
+function updateSpeed (run: SimulatedRun, percent: number, now: number): void {
+  if (percent >= MAX_LISTED_PERCENT || computeWorkedMs(run, now) === 0) return
+  run.firstListed ??= { percent, at: now }
+  if (percent > run.firstListed.percent) run.msPerPercent = (now - run.firstListed.at) / (percent - run.firstListed.percent)
 }
