Agents measure the speed of runs, and the planner learns from it

The value is the optional field msPerPercent of a run in workerReports: an older planner drops it, an older agent doesn't send it. The registry passes it to WorkerSpeeds.

--- a/packages/bench/src/graphs/simulatedWorker.ts
+++ b/packages/bench/src/graphs/simulatedWorker.ts
@@ -2,6 +2,7 @@
  * A worker with its agent in a simulated fleet: executes the planner's orders, advances its runs and reports them.
  */
 import type { EndListing, RunEnd, RunListing, TaskNeeds, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
+import { RunSpeedMeter } from '@dragonflylever/daemon/jobAgent/runSpeedMeter'
 
 /** Interval at which a worker updates the progress that it lists, in milliseconds. */
 const LIST_INTERVAL_MS = 1_000
@@ -31,14 +32,6 @@
   readonly isCheckpointing: boolean
   /** When the run was told to stop; it holds its slot until it has stopped. */
   stoppingSince?: number
-  /** First list that showed progress; the speed is measured from there. */
-  firstListed?: { readonly percent: number, readonly at: number }
-  msPerPercent?: number
-}
-
-/** A listed run with the time that it takes for one percent of progress, in milliseconds, as its agent measures it; absent until it is known. */
-interface MeasuredRunListing extends RunListing {
-  readonly msPerPercent?: number
 }
 
 export class SimulatedWorker {
@@ -57,7 +50,8 @@
   private _endNumber = 0
   private _listNumber = 0
   private _listedAt = -Infinity
-  private _running: MeasuredRunListing[] = []
+  private _running: readonly RunListing[] = []
+  private readonly _speedMeter = new RunSpeedMeter()
   private readonly _capacity: TaskNeeds
 
   constructor (id: string, rack: string, capacity: TaskNeeds, factor: number) {
@@ -100,7 +94,7 @@
     if (this.hasChanged || now - this._listedAt >= LIST_INTERVAL_MS) {
       this._listNumber++
       this._listedAt = now
-      this._running = [...this.runs.values()].map(run => this._listRun(run, now))
+      this._running = this._speedMeter.measure([...this.runs.values()].map(run => this._listRun(run, now)), now)
     }
     this.hasChanged = false
     this.lastReportAt = now
@@ -126,11 +120,8 @@
     }
   }
 
-  private _listRun (run: SimulatedRun, now: number): MeasuredRunListing {
-    const percent = computePercent(run, now)
-    updateSpeed(run, percent, now)
-    const speed = run.msPerPercent === undefined ? {} : { msPerPercent: run.msPerPercent }
-    return { task: run.task, run: run.run, checkpoint: this._makeCheckpoint(run, now, false), percent, usage: 0, ...speed }
+  private _listRun (run: SimulatedRun, now: number): RunListing {
+    return { task: run.task, run: run.run, checkpoint: this._makeCheckpoint(run, now, false), percent: computePercent(run, now), usage: 0 }
   }
 
   /** Returns the checkpoint of a run: its saved work as text, empty if there is none. A gang saves what its slowest member has done. */
@@ -158,10 +149,3 @@
   const restoredShare = run.savedMs * run.slowdown / run.endMs
   return Math.min(MAX_LISTED_PERCENT, Math.floor((restoredShare + computeWorkedMs(run, now) / run.workMs) * 100))
 }
-
-/** Measures the speed between the first and the latest list with progress. A member of a gang that waits for others at 99% is not measured. */
-function updateSpeed (run: SimulatedRun, percent: number, now: number): void {
-  if (percent >= MAX_LISTED_PERCENT || computeWorkedMs(run, now) === 0) return
-  run.firstListed ??= { percent, at: now }
-  if (percent > run.firstListed.percent) run.msPerPercent = (now - run.firstListed.at) / (percent - run.firstListed.percent)
-}
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -20,7 +20,6 @@
 import type { PlannerTimes } from './plannerTimes.js'
 import { RunTracker } from './runTracker.js'
 import { RunTimeEstimator } from './runTimeEstimator.js'
-import { EqualSpeeds } from './speedSource.js'
 import type { SpeedSource } from './speedSource.js'
 import type { TaskName } from './taskName.js'
 import type { WaitingOrder } from './waitingStep.js'
@@ -28,6 +27,7 @@
 import type { WorkerOrders, WorkerReport } from './workerReport.js'
 import type { WorkerState } from './workerState.js'
 import { WorkerHealthTracker } from './workerHealthTracker.js'
+import { WorkerSpeeds } from './workerSpeeds.js'
 
 /** Settings and dependencies of {@link GraphPlanner}. */
 export interface GraphPlannerOptions {
@@ -37,7 +37,7 @@
   readonly getWallTime: () => number
   /** Creates the order of waiting steps; {@link ObjectiveOrder} when absent. */
   readonly createOrder?: (runTimes: RunTimeEstimator) => WaitingOrder
-  /** How fast workers are relative to each other; {@link EqualSpeeds} when absent. */
+  /** Speeds of the workers, on which decisions rest; those that are learned from progress when absent. */
   readonly speeds?: SpeedSource
 }
 
@@ -57,6 +57,7 @@
   private readonly _jobs = new Map<string, JobState>()
   private readonly _workerHealth = new WorkerHealthTracker()
   private readonly _runTimes = new RunTimeEstimator()
+  private readonly _workerSpeeds: WorkerSpeeds
   private readonly _runTracker: RunTracker
   private readonly _registry: WorkerRegistry
   private readonly _pass: GraphPass
@@ -68,12 +69,12 @@
   constructor (options: GraphPlannerOptions) {
     const { log, times, getWallTime } = options
     this._options = options
+    this._workerSpeeds = new WorkerSpeeds({ log, getWorker: key => this._registry.getWorker(key) })
     this._runTracker = new RunTracker({ log, workerHealth: this._workerHealth, runTimes: this._runTimes, getWallTime, getWorker: run => this._registry.getWorker(run.worker) })
-    this._registry = new WorkerRegistry({ log, times, runTracker: this._runTracker, workerHealth: this._workerHealth, findTask: name => this._findTask(name) })
+    this._registry = new WorkerRegistry({ log, times, runTracker: this._runTracker, workerHealth: this._workerHealth, workerSpeeds: this._workerSpeeds, findTask: name => this._findTask(name) })
     const classShares = new ClassShares({ runTimes: this._runTimes, getWallTime, listJobs: () => this._jobs.values() })
     const order = options.createOrder?.(this._runTimes) ?? new ObjectiveOrder({ runTimes: this._runTimes, getWallTime })
-    const speeds = options.speeds ?? new EqualSpeeds()
-    this._pass = new GraphPass({ registry: this._registry, runTracker: this._runTracker, workerHealth: this._workerHealth, runTimes: this._runTimes, evacuations: this._evacuations, speeds, classShares, order, times, log, getWallTime })
+    this._pass = new GraphPass({ registry: this._registry, runTracker: this._runTracker, workerHealth: this._workerHealth, runTimes: this._runTimes, evacuations: this._evacuations, speeds: this.speeds, classShares, order, times, log, getWallTime })
   }
 
   /** Number of jobs that have not ended. */
@@ -83,6 +84,11 @@
     return count
   }
 
+  /** Speeds of the workers, on which decisions rest. */
+  get speeds (): SpeedSource {
+    return this._options.speeds ?? this._workerSpeeds
+  }
+
   getJob (jobId: string): JobState | undefined {
     return this._jobs.get(jobId)
   }
--- a/packages/core/src/graphs/workerRegistry.ts
+++ b/packages/core/src/graphs/workerRegistry.ts
@@ -19,12 +19,14 @@
 import type { EndListing, OrderListing, RunListing, RunName, WorkerReport } from './workerReport.js'
 import { WorkerState } from './workerState.js'
 import type { WorkerHealthTracker } from './workerHealthTracker.js'
+import type { WorkerSpeeds } from './workerSpeeds.js'
 
 /** Dependencies of {@link WorkerRegistry}. */
 export interface WorkerRegistryDependencies {
   readonly log: PlannerLog
   readonly runTracker: RunTracker
   readonly workerHealth: WorkerHealthTracker
+  readonly workerSpeeds: WorkerSpeeds
   readonly times: PlannerTimes
   /** Finds a task by its name; undefined for an unknown task. */
   readonly findTask: (name: TaskName) => TaskState | undefined
@@ -80,6 +82,7 @@
     const worker = this.getWorker(report.key) ?? new WorkerState({ ...report.key, address: report.address }, now)
     if (!this._workers.has(report.key.id)) this._dependencies.log.note('worker joined', { worker: report.key.id, born: report.key.born, rack: report.rack, failureDomain: report.failureDomain })
     this._workers.set(report.key.id, worker)
+    this._dependencies.workerSpeeds.addWorker(report.key)
     if (worker.report?.isDraining !== true && report.isDraining) this._dependencies.log.note('worker draining', { worker: report.key.id, leftMs: report.drainLeftMs })
     worker.update(report, now)
     if (worker.isCold(now)) for (const run of worker.runs) this._dependencies.runTracker.markCold(run)
@@ -124,7 +127,9 @@
       for (const run of [...worker.runs]) this._dependencies.runTracker.markLost(run, reason, now)
       worker.orphanedRuns.clear()
       if (hadRuns) this._dependencies.log.note('worker silent', { worker: worker.key.id, silentMs: worker.firstReportAt === undefined ? undefined : now - worker.lastReportAt })
-      if (now - worker.lastReportAt > this._dependencies.times.retentionMs) this._workers.delete(worker.key.id)
+      if (now - worker.lastReportAt <= this._dependencies.times.retentionMs) continue
+      this._workers.delete(worker.key.id)
+      this._dependencies.workerSpeeds.removeWorker(worker.key)
     }
   }
 
@@ -159,6 +164,7 @@
 
   private _removeWorker (worker: WorkerState, reason: string, now: number): void {
     this._workers.delete(worker.key.id)
+    this._dependencies.workerSpeeds.removeWorker(worker.key)
     this._dependencies.log.note('worker gone', { worker: worker.key.id, born: worker.key.born, reason })
     for (const run of [...worker.runs]) this._dependencies.runTracker.markLost(run, reason, now)
   }
@@ -204,7 +210,9 @@
       this._dependencies.runTracker.markRunning(run, now)
       this._dependencies.workerHealth.recordRunning(run, now)
       if (hasSurvivedStart(run, worker.listedAt)) this._dependencies.runTracker.clearCrashes(run.task)
-      return updateRun(run, listing, now)
+      updateRun(run, listing, now)
+      if (listing.msPerPercent !== undefined) this._dependencies.workerSpeeds.recordProgress(run, listing.msPerPercent, now)
+      return
     }
     if (!ended.has(makeRunKey(listing))) this._addOrphanedRun(worker, listing, 'it is running')
   }
--- a/packages/core/src/graphs/workerReport.ts
+++ b/packages/core/src/graphs/workerReport.ts
@@ -25,6 +25,8 @@
   readonly percent: number
   /** Tail latency in milliseconds for a serving task, processors in use for any other. */
   readonly usage: number
+  /** Time for one percent of progress, in milliseconds of the worker's clock, as the agent measured it; absent before, and from older agents. */
+  readonly msPerPercent?: number
 }
 
 /** A run that has ended and whose end the worker still remembers. */
--- a/packages/core/src/graphs/workerSpeeds.ts
+++ b/packages/core/src/graphs/workerSpeeds.ts
@@ -151,7 +151,7 @@
   private _describeConditions (run: RunState): string | undefined {
     const { step } = run.task
     const { spec } = step
-    if (spec.count < 2 || spec.isLongRunning || spec.isFilling || run.pace < 100 || run.phase === RunPhase.stopping) return undefined
+    if (spec.count < 2 || spec.isLongRunning || spec.isFilling || run.pace < 100 || run.wasCold || run.phase === RunPhase.stopping) return undefined
     const rack = this._getRack(run)
     if (rack === undefined) return undefined
     const isFar = spec.dataRack !== undefined && spec.dataRack !== rack
--- a/packages/core/test/graphs/plannerHarness.ts
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -145,6 +145,11 @@
     for (const worker of this.workers) worker.running = worker.running.map(run => run.task === task ? { ...run, percent } : run)
   }
 
+  /** Sets the milliseconds per percent that the agents measured for a task. */
+  setSpeed (task: string, msPerPercent: number): void {
+    for (const worker of this.workers) worker.running = worker.running.map(run => run.task === task ? { ...run, msPerPercent } : run)
+  }
+
   /** Restarts a worker under another id at the same address. */
   restartWorker (worker: FakeWorker, id: string): FakeWorker {
     const successor = { ...makeWorker(id, worker.rack), address: worker.address, born: worker.born + 1 }
--- a/packages/core/test/graphs/workerSpeeds.test.ts
+++ b/packages/core/test/graphs/workerSpeeds.test.ts
@@ -144,9 +144,10 @@
   }
 })
 
-test('steps at a single worker, throttled runs and tasks that last or fill say nothing of a worker', t => {
+test('steps at a single worker, throttled or cold runs and tasks that last or fill say nothing of a worker', t => {
   const specs: Array<readonly [Partial<StepSpec>, (run: RunState) => void]> = [
     [{}, run => { run.pace = 50 }],
+    [{}, run => { run.wasCold = true }],
     [{ isLongRunning: true }, () => {}],
     [{ isFilling: true }, () => {}],
     [{}, run => { run.phase = RunPhase.stopping }]
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -10,6 +10,7 @@
 import { OrderTable } from './orderTable.js'
 import type { ReportBase } from './plannerLink.js'
 import { mergeRunEnds } from './runEnds.js'
+import { RunSpeedMeter } from './runSpeedMeter.js'
 import type { StartValidity } from './startValidity.js'
 import { isSameCapacity } from './workerAnnouncement.js'
 import type { WorkerAnnouncement } from './workerAnnouncement.js'
@@ -53,6 +54,7 @@
 export class WorkerController {
   private readonly _dependencies: WorkerControllerDependencies
   private readonly _orders = new OrderTable()
+  private readonly _speedMeter = new RunSpeedMeter()
   private readonly _clock: WorkerClock
   private _announcement: WorkerAnnouncement
   private _epoch: number
@@ -293,12 +295,12 @@
   }
 
   /** Applies the answer to a poll. Returns true if the answer lists a run end that was not known before. */
-  private _applyPollResult (list: HoldResult, pollNumber: number): boolean {
+  private _applyPollResult (list: HoldResult & { readonly clockMs: number }, pollNumber: number): boolean {
     const lastEnd = this._ended.at(-1)?.number ?? 0
     const hasNewEnd = (list.ended.at(-1)?.number ?? 0) > lastEnd
     const hasNewRun = list.running.length !== this._running.length
     const isFirstList = this._listNumber === 0
-    this._running = list.running
+    this._running = this._speedMeter.measure(list.running, list.clockMs)
     this._ended = mergeRunEnds(this._ended, list.ended, this._lastAcknowledgedEnd)
     this._listNumber = pollNumber
     const hasBarred = this._orders.recordConfirmedStops(list.running, pollNumber)
--- a/packages/daemon/test/jobAgent/workerController.test.ts
+++ b/packages/daemon/test/jobAgent/workerController.test.ts
@@ -224,3 +224,16 @@
   t.true(worker.starts.length >= 1 && worker.starts.length <= 2)
   t.is(worker.stops, 1)
 })
+
+test('the report names the speed of a run that was listed with growing progress', async t => {
+  const worker = new ScriptedWorker()
+  let clockMs = 0
+  worker.hold = async () => {
+    await sleep(5)
+    clockMs += 1_000
+    return { kind: 'ok', clockMs, born: 1, running: [{ task: 'j.0.0.0', run: 1, checkpoint: '', percent: Math.min(99, Math.floor(clockMs / 40)), usage: 0 }], ended: [] }
+  }
+  const controller = createController(t, worker)
+  while (controller.makeReport().running[0]?.percent !== 99) await sleep(5)
+  t.is(controller.makeReport().running[0]?.msPerPercent, 40)
+})
