Prefer slots with a margin, but refuse none that meet the objective by the estimate

Cause: the margin of 10% on run times also decided which slots may be reclaimed or waited for. With factors of 0.8, 1 and 1.25 urgent gangs that need most of a rack found none and waited for seconds.

Change: the margin only orders choices; choices whose costs differ little count as equal, so that the tighter fit decides.

--- a/packages/core/src/graphs/placement.ts
+++ b/packages/core/src/graphs/placement.ts
@@ -145,7 +145,7 @@
   private * _listChoices (waiting: WaitingStep, tier: readonly WorkerGroup[], snapshot: CapacitySnapshot, startsAt: number | undefined): Generator<readonly WorkerSlots[]> {
     const { step, tasks } = waiting
     const { speedFit } = this._dependencies
-    const maxFactor = speedFit.isActive ? speedFit.getMaxFactor(step, startsAt) : Infinity
+    const maxFactor = speedFit.isActive ? speedFit.getPreferredFactor(step, startsAt) : Infinity
     const choices: Array<SlotsChoice<WorkerSlots>> = []
     for (const group of tier) {
       const slots = this._listSlots(group, step, snapshot)
--- a/packages/core/src/graphs/speedChoice.ts
+++ b/packages/core/src/graphs/speedChoice.ts
@@ -26,6 +26,8 @@
 
 /** Exponent with which the price of a slot grows with the speed of its worker. With 1, slow and fast workers would cost the same for the same work. */
 const PRICE_EXPONENT = 1.5
+/** Width of a class of costs that count as equal, as a logarithm. Between them the tighter fit decides. */
+const COST_TOLERANCE = 0.3
 
 /** Factor by which each failed job at a worker raises the price of its slots; a failure outweighs any difference of speed. */
 const FAILURE_FACTOR = 100
@@ -39,7 +41,7 @@
 export function sortForSingleTasks<T extends SpeedSlots> (slots: readonly T[], maxFactor: number): T[] {
   const fit = slots.filter(({ factor }) => factor <= maxFactor)
   const others = slots.filter(({ factor }) => factor > maxFactor)
-  return [...fit.sort((a, b) => a.price * a.classFactor - b.price * b.classFactor), ...others.sort((a, b) => a.classFactor - b.classFactor)]
+  return [...fit.sort((a, b) => roundCost(a.price * a.classFactor) - roundCost(b.price * b.classFactor)), ...others.sort((a, b) => a.classFactor - b.classFactor)]
 }
 
 /**
@@ -53,13 +55,13 @@
     const candidates = sorted.filter(({ classFactor }) => classFactor <= slowest)
     const fit = candidates.filter(({ factor }) => factor <= maxFactor)
     if (countSlots(fit) < taskCount) {
-      if (countSlots(candidates) >= taskCount) choices.push({ slots: candidates, isFit: false, cost: slowest })
-    } else if (fit.some(({ classFactor }) => classFactor === slowest)) choices.push({ slots: fit, isFit: true, cost: computeCost(fit, taskCount) })
+      if (countSlots(candidates) >= taskCount) choices.push({ slots: candidates, isFit: false, cost: roundCost(slowest) })
+    } else if (fit.some(({ classFactor }) => classFactor === slowest)) choices.push({ slots: fit, isFit: true, cost: roundCost(computeCost(fit, taskCount)) })
   }
   return choices
 }
 
-/** Returns the price of the first `taskCount` slots for as long as the slowest of them works. */
+/** Returns the mean price of the first `taskCount` slots for as long as the slowest of them works. */
 function computeCost (slots: readonly SpeedSlots[], taskCount: number): number {
   let remaining = taskCount
   let price = 0
@@ -71,7 +73,12 @@
     remaining -= taken
     if (remaining === 0) break
   }
-  return price * slowest
+  return price * slowest / taskCount
+}
+
+/** Returns the same number for costs that count as equal. */
+function roundCost (cost: number): number {
+  return Math.round(Math.log(cost) / COST_TOLERANCE)
 }
 
 function countSlots (slots: readonly SpeedSlots[]): number {
--- a/packages/core/src/graphs/speedFit.ts
+++ b/packages/core/src/graphs/speedFit.ts
@@ -30,7 +30,7 @@
 interface StepLimit {
   /** Time that is left for the step until its objective, or until its job is worth nothing if no worker meets the objective any more, in milliseconds. */
   readonly leftMs: number
-  /** Time that the step takes at a worker of middle speed near its data, in milliseconds, with {@link ESTIMATE_MARGIN}. */
+  /** Time that the step takes at a worker of middle speed near its data, in milliseconds. */
   readonly runMs: number
   /** False when no worker meets the objective any more. */
   readonly isObjective: boolean
@@ -38,7 +38,7 @@
 
 /** Time from the decision to start a run until it begins at its worker, in milliseconds: two reports of agents and a write to the store. */
 const START_MS = 250
-/** Share by which a run is expected to take longer than estimated, since a run that ends just too late loses most of its value. */
+/** Share of its run time by which a run should end before its objective where there is a choice, since run times are estimated. */
 const ESTIMATE_MARGIN = 0.1
 /** Width of a class of speed, as a logarithm. Factors of 0.63, 0.8, 1, 1.25 and 1.6 lie near the middles of different classes. */
 const CLASS_WIDTH = 0.25
@@ -97,6 +97,11 @@
     return leftMs === Infinity ? Infinity : (leftMs - START_MS - (startsAt - this._now)) / runMs
   }
 
+  /** Returns the largest factor at which a step ends so early that a longer run time than estimated does no harm; see {@link getMaxFactor}. */
+  getPreferredFactor (step: StepState, startsAt = this._now): number {
+    return this.getMaxFactor(step, startsAt) / (1 + ESTIMATE_MARGIN)
+  }
+
   /** True if a step meets its objective at the fastest worker when it starts at `startsAt` on the planner's clock. */
   hasObjectiveInReach (step: StepState, startsAt = this._now): boolean {
     return this._getLimit(step).isObjective && this.getMaxFactor(step, startsAt) >= this._fastestFactor
@@ -133,7 +138,7 @@
   private _computeLimit (step: StepState): StepLimit {
     const { runTimes, getWallTime } = this._dependencies
     const { graph, occurrences } = step.job
-    const runMs = Math.max(1, runTimes.estimateRunTime(step) * (1 + ESTIMATE_MARGIN))
+    const runMs = Math.max(1, runTimes.estimateRunTime(step))
     if (step.spec.isLongRunning) return { leftMs: Infinity, runMs, isObjective: true }
     const steps = occurrences.get(step.occurrence) ?? []
     const objectiveMs = computeObjectiveMs(graph.queue, computeChainMs(steps, other => runTimes.estimateRunTime(other)))
