--- a/packages/core/src/graphs/workerSpeeds.ts
+++ b/packages/core/src/graphs/workerSpeeds.ts
@@ -25,6 +25,8 @@
 interface WorkerRecord extends MeasuredWorker {
   /** Value that is expected without any sample. */
   readonly inherited: number
+  /** True if no earlier incarnation of the worker is known. */
+  readonly isFirst: boolean
   /** What was known of the worker before the present samples; undefined for a new worker. */
   prior: WorkerPrior | undefined
   value: number
@@ -55,7 +57,7 @@
 const MEASURED_DEVIATION = 0.12
 const MIN_SLOTS = 2
 /**
- * A value is confirmed by samples from this many slots of which this share fits it; a slowdown for some seconds affects two slots at most. Until then, the value is
+ * A value is confirmed by samples from this many slots of which this share fits it; a slowdown for some seconds affects two or three slots. Until then, the value is
  * taken to differ from the middle by at most {@link MAX_UNCONFIRMED} of the deviations that are expected of a new worker.
  */
 const CONFIRMED_SLOTS = 4
@@ -69,6 +71,11 @@
 const MIN_MEASURED_WORKERS = 6
 const DIFFERENCE_SPREAD = 0.15
 const SAME_SPREAD = 0.12
+/**
+ * Deviations above the middle at which a worker that was never measured is expected while speeds differ. Work with little time then prefers workers that are known to be
+ * fast enough, and work that can wait finds out how fast the others are.
+ */
+const UNKNOWN_DEVIATIONS = 0.5
 /** A worker's factor is logged again when it has changed by more than this factor. */
 const LOGGED_RATIO = 1.25
 /** Minimum time between fits, in milliseconds, for any number of workers and for each worker: a fit takes longer for more workers. */
@@ -115,7 +122,9 @@
   getFactor (workerId: string, now: number): number {
     this._fitIfDue(now)
     const worker = this._workers.get(workerId)
-    return worker === undefined ? 1 : this._computeFactor(worker)
+    const isUnknown = worker === undefined || (worker.isFirst && worker.sampleCount === 0 && worker.prior === undefined)
+    if (isUnknown) return this._hasDifferences ? Math.exp(UNKNOWN_DEVIATIONS * this._spread) : 1
+    return this._computeFactor(worker)
   }
 
   /** Adds an incarnation of a worker that has joined. Little of what was measured of an earlier incarnation is expected of it. */
@@ -173,7 +182,7 @@
     if (known !== undefined && known.born > born) return undefined
     if (known !== undefined) this._samples.removeWorker(known)
     const mean = this._centre + ((known?.value ?? this._centre) - this._centre) * INHERITED_SHARE
-    const worker: WorkerRecord = { id, born, sampleCount: 0, inherited: mean, prior: undefined, value: mean, isMeasured: false, isConfirmed: false, isGone: false, loggedFactor: 1 }
+    const worker: WorkerRecord = { id, born, sampleCount: 0, inherited: mean, isFirst: known === undefined, prior: undefined, value: mean, isMeasured: false, isConfirmed: false, isGone: false, loggedFactor: 1 }
     this._workers.set(id, worker)
     if (this._workers.size > MAX_WORKERS) this._dropWorker()
     return worker
--- a/packages/core/test/graphs/workerSpeeds.test.ts
+++ b/packages/core/test/graphs/workerSpeeds.test.ts
@@ -193,3 +193,12 @@
   for (const value of [0, -1, NaN, Infinity]) fixture.recordOften({ ...MIXED, a3: value })
   t.true(Math.abs(Math.log(fixture.getFactor('a3') / before)) < 0.05)
 })
+
+test('a worker that was never measured is expected to be slower than the middle only while speeds differ, so that urgent work prefers known ones', t => {
+  const fixture = new SpeedFixture()
+  t.is(fixture.getFactor('z1'), 1)
+  fixture.recordOften({ a1: 60, a2: 60, a3: 100, a4: 100, a5: 160, a6: 160 })
+  t.true(fixture.speeds.hasDifferences)
+  t.true(fixture.getFactor('z1') > fixture.getFactor('a3') * 1.1)
+  t.true(fixture.getFactor('z1') < fixture.getFactor('a5'))
+})
