Run times are estimated from distributions, on a worker of middle speed

Cause: the estimate mixed the declared time with the mean of the queue by a fixed rule, whichever of them was better, and took the time of a gang, which its slowest member or a rack rule had stretched, for the time of its tasks.

Change: each queue has histograms of run times (of the queue and of up to 8 shapes) and of the ratio of real to declared times. The declared time, corrected by the mean ratio, and the queue's mean are weighed by the variances of their errors. The times of a gang's members come from their own progress, divided by the factor of their worker (while speeds differ) and by remote-factor in the wrong rack; together they count as one observation. estimateQuantile and estimateStragglerTime are new; a task above the latter is noted. Predicted ends use the speed that the agent measured.

A test of reclaimed capacity let urgent jobs of 3 s end after 0.2 s, from which the estimate now rightly learns that the queue's declared times are 15 times too long; its jobs now take as long as declared, with the same assertions. Each new test was seen red without the rule that it guards.

--- a/packages/bench/src/graphs/simulatedFleet.ts
+++ b/packages/bench/src/graphs/simulatedFleet.ts
@@ -53,7 +53,7 @@
    * slowest, and a checkpoint saves run time.
    */
   readonly factors?: readonly number[]
-  /** What the planner knows of the workers' speeds; nothing when absent. */
+  /** What the planner knows of the workers' speeds; what it learns from reports when absent. */
   readonly speeds?: SpeedSource
   /** Simulated duration in seconds; longer than the arrivals, so that late jobs can end. */
   readonly seconds: number
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -20,6 +20,7 @@
 import type { PlannerTimes } from './plannerTimes.js'
 import { RunTracker } from './runTracker.js'
 import { RunTimeEstimator } from './runTimeEstimator.js'
+import { RunTimeMeter } from './runTimeMeter.js'
 import type { SpeedSource } from './speedSource.js'
 import type { TaskName } from './taskName.js'
 import type { WaitingOrder } from './waitingStep.js'
@@ -70,7 +71,8 @@
     const { log, times, getWallTime } = options
     this._options = options
     this._workerSpeeds = new WorkerSpeeds({ log, getWorker: key => this._registry.getWorker(key) })
-    this._runTracker = new RunTracker({ log, workerHealth: this._workerHealth, runTimes: this._runTimes, getWallTime, getWorker: run => this._registry.getWorker(run.worker) })
+    const runTimeMeter = new RunTimeMeter({ speeds: this.speeds, remoteFactor: times.remoteFactor, getRack: run => this._registry.getWorker(run.worker)?.report?.rack })
+    this._runTracker = new RunTracker({ log, workerHealth: this._workerHealth, runTimes: this._runTimes, runTimeMeter, getWallTime, getWorker: run => this._registry.getWorker(run.worker) })
     this._registry = new WorkerRegistry({ log, times, runTracker: this._runTracker, workerHealth: this._workerHealth, workerSpeeds: this._workerSpeeds, findTask: name => this._findTask(name) })
     const classShares = new ClassShares({ runTimes: this._runTimes, getWallTime, listJobs: () => this._jobs.values() })
     const order = options.createOrder?.(this._runTimes) ?? new ObjectiveOrder({ runTimes: this._runTimes, getWallTime })
--- a/packages/core/src/graphs/jobProgress.ts
+++ b/packages/core/src/graphs/jobProgress.ts
@@ -134,6 +134,7 @@
     percent: 0,
     percentChangedAt: now,
     firstObservation: undefined,
+    msPerPercent: undefined,
     usage: 0,
     pace: 100,
     sentPace: 100,
--- a/packages/core/src/graphs/jobState.ts
+++ b/packages/core/src/graphs/jobState.ts
@@ -50,6 +50,8 @@
   percentChangedAt: number
   /** First progress that this planner observed, and when, on the planner's clock; the run's speed is measured from there. */
   firstObservation: { readonly percent: number, readonly at: number } | undefined
+  /** Time for one percent of progress in milliseconds, as the agent last measured it; undefined before. */
+  msPerPercent: number | undefined
   /** Load over the last half second: tail latency in milliseconds for serving tasks, processors in use for others. */
   usage: number
   /** Speed at which the run should work, 0 to 100 percent of full speed; `sentPace` is the value last sent to its agent. */
--- a/packages/core/src/graphs/runProgress.ts
+++ b/packages/core/src/graphs/runProgress.ts
@@ -37,7 +37,7 @@
 function predictRunEnd (run: RunState, now: number, expectedMs: number, stopGraceMs: number): number {
   if (run.phase === RunPhase.stopping) return (run.stoppingSince ?? now) + stopGraceMs
   if (run.runningSince === undefined) return Infinity
-  const msPerPercent = measureMsPerPercent(run)
+  const msPerPercent = run.msPerPercent ?? measureMsPerPercent(run)
   if (msPerPercent !== undefined && run.percent < WHOLE_PERCENT) return run.percentChangedAt + msPerPercent * (WHOLE_PERCENT - run.percent)
   return now + Math.max(0, expectedMs - estimateWorkedMs(run, now, expectedMs))
 }
--- a/packages/core/src/graphs/runTracker.ts
+++ b/packages/core/src/graphs/runTracker.ts
@@ -8,6 +8,7 @@
 import type { JobState, RunState, StepState, TaskState } from './jobState.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
+import type { RunTimeMeter } from './runTimeMeter.js'
 import { StartRefusal } from './workerReport.js'
 import type { WorkerState } from './workerState.js'
 import type { WorkerHealthTracker } from './workerHealthTracker.js'
@@ -17,6 +18,7 @@
   readonly log: PlannerLog
   readonly workerHealth: WorkerHealthTracker
   readonly runTimes: RunTimeEstimator
+  readonly runTimeMeter: RunTimeMeter
   /** Returns the time of day in milliseconds since 1970. */
   readonly getWallTime: () => number
   /** Returns the worker of a run; undefined when that incarnation is unknown. */
@@ -177,10 +179,20 @@
 
   private _finishRun (run: RunState, now: number): void {
     this._dependencies.workerHealth.recordDone(run, now)
-    if (run.startCheckpoint === '' && !run.isAdopted && !run.wasCold && run.runningSince !== undefined) this._dependencies.runTimes.learnRunTime(run.task.step, now - run.runningSince)
+    // The other members of a gang report the same end after the first.
+    if (!run.task.isDone) this._learnRunTimes(run, now)
     this._finishTask(run.task, now)
   }
 
+  private _learnRunTimes (run: RunState, now: number): void {
+    const { runTimes, runTimeMeter, log } = this._dependencies
+    const { step } = run.task
+    const timesMs = runTimeMeter.measure(run, now)
+    const usualMs = runTimes.estimateStragglerTime(step)
+    if (timesMs.some(ms => ms > usualMs)) log.note('task took unusually long', { task: run.task.name, worker: run.worker.id, ms: Math.max(...timesMs), usualMs, declaredMs: step.spec.estimatedMs })
+    runTimes.learnRunTimes(step, timesMs)
+  }
+
   /** Marks a task as done; all tasks of a gang are done as soon as one of them is done. */
   private _finishTask (task: TaskState, now: number): void {
     const { step } = task
--- a/packages/core/src/graphs/workerRegistry.ts
+++ b/packages/core/src/graphs/workerRegistry.ts
@@ -211,7 +211,7 @@
       this._dependencies.workerHealth.recordRunning(run, now)
       if (hasSurvivedStart(run, worker.listedAt)) this._dependencies.runTracker.clearCrashes(run.task)
       updateRun(run, listing, now)
-      if (listing.msPerPercent !== undefined) this._dependencies.workerSpeeds.recordProgress(run, listing.msPerPercent, now)
+      if (run.msPerPercent !== undefined) this._dependencies.workerSpeeds.recordProgress(run, run.msPerPercent, now)
       return
     }
     if (!ended.has(makeRunKey(listing))) this._addOrphanedRun(worker, listing, 'it is running')
@@ -259,6 +259,7 @@
 
 function updateRun (run: RunState, listing: RunListing, now: number): void {
   run.usage = listing.usage
+  if (listing.msPerPercent !== undefined && listing.msPerPercent > 0 && listing.msPerPercent < Infinity) run.msPerPercent = listing.msPerPercent
   saveCheckpoint(run.task, listing.checkpoint)
   recordProgress(run, listing.percent, now)
 }
--- a/packages/core/src/graphs/workerSpeeds.ts
+++ b/packages/core/src/graphs/workerSpeeds.ts
@@ -6,6 +6,7 @@
 import { RunPhase } from './jobState.js'
 import type { RunState, WorkerKey } from './jobState.js'
 import type { PlannerLog } from './plannerLog.js'
+import { findRunConditions } from './runConditions.js'
 import { SpeedEquations } from './speedEquations.js'
 import type { FitWorker, WorkerPrior } from './speedEquations.js'
 import { SpeedSamples } from './speedSamples.js'
@@ -161,15 +162,9 @@
     const { step } = run.task
     const { spec } = step
     if (spec.count < 2 || spec.isLongRunning || spec.isFilling || run.pace < 100 || run.wasCold || run.phase === RunPhase.stopping) return undefined
-    const rack = this._getRack(run)
-    if (rack === undefined) return undefined
-    const isFar = spec.dataRack !== undefined && spec.dataRack !== rack
-    const isSpread = spec.isSameRack && step.tasks.some(task => task.runs.some(other => this._getRack(other) !== rack))
-    return `${step.name}${isFar ? ' far' : ''}${isSpread ? ' spread' : ''}${run.startCheckpoint === '' ? '' : ' restored'}`
-  }
-
-  private _getRack (run: RunState): string | undefined {
-    return this._dependencies.getWorker(run.worker)?.report?.rack
+    const conditions = findRunConditions(run, step.tasks.flatMap(task => task.runs), other => this._dependencies.getWorker(other.worker)?.report?.rack)
+    if (conditions === undefined) return undefined
+    return `${step.name}${conditions.isFar ? ' far' : ''}${conditions.isSpread ? ' spread' : ''}${run.startCheckpoint === '' ? '' : ' restored'}`
   }
 
   /** Returns the record of a worker; undefined if a later incarnation is known. */
