Entries keep calls for submissions beside many reads, and read the agents' addresses less often on large fleets

Cause: reads that clients ask for and writes shared one rate limit, so a client that asked one entry for many unknown jobs kept others from submitting there. Each process listed all agents' addresses every 10 s; with 630 agents that alone is more than the 4 KB/s that control may cost a host.

Change: reads for clients take at most half of the rate limit. The addresses are read every 0.1 s for each agent, at least every 10 s, so fleets of up to 100 agents are served as before.

--- a/packages/adapters/src/storeClient.ts
+++ b/packages/adapters/src/storeClient.ts
@@ -4,7 +4,8 @@
  * After a call without an answer, and optionally after a time without calls, a write is sent only once the store has answered a read: an
  * unanswered read is harmless, but an unanswered write leaves its caller without an outcome. Callers share this read, and may wait a bounded time for it or
  * for the store's return. A call that was sent before one that was answered says nothing about the store any more when it times out.
- * Calls for leases have a rate limit of their own, so that many other calls cannot make a process lose its leadership.
+ * Calls for leases have a rate limit of their own, so that many other calls cannot make a process lose its leadership. Reads that clients ask for take at most half
+ * of the rate limit, so that a client that asks for many unknown keys does not keep others from writing.
  */
 import type { Random } from '@dragonflylever/core'
 
@@ -17,6 +18,8 @@
 const DEFAULT_TIMEOUT_MS = 1_500
 /** Rate limit of lease calls and of writes of leader keys: enough to renew the leases of two leader roles every 1.5 s and sometimes acquire one again. */
 const LEASE_CALL_RATE = { ratePerS: 4, burst: 12 } as const
+/** Share of the rate limit that reads may take whose callers pass wait options: the reads that clients ask for. */
+const CLIENT_READ_SHARE = 0.5
 /** Key that is read to find out whether the store answers; it is never written. */
 const PROBE_KEY = 'dragonflylever/probe'
 
@@ -59,6 +62,7 @@
   private readonly _store: Store
   private readonly _bucket: TokenBucket
   private readonly _leaseBucket: TokenBucket
+  private readonly _clientReadBucket: TokenBucket
   private readonly _circuitBreaker: CircuitBreaker
   private readonly _timeoutMs: number
   private readonly _maxAnswerAgeMs: number
@@ -80,6 +84,7 @@
     this._store = options.store
     this._bucket = new TokenBucket(rate, performance.now())
     this._leaseBucket = new TokenBucket(LEASE_CALL_RATE, performance.now())
+    this._clientReadBucket = new TokenBucket({ ratePerS: rate.ratePerS * CLIENT_READ_SHARE, burst: rate.burst * CLIENT_READ_SHARE }, performance.now())
     this._circuitBreaker = new CircuitBreaker(options.random, options.maxPauseMs)
     this._timeoutMs = options.callTimeoutMs ?? DEFAULT_TIMEOUT_MS
     this._maxAnswerAgeMs = options.maxAnswerAgeMs ?? Infinity
@@ -103,7 +108,8 @@
     this._recordOutcome(true, performance.now() - elapsedMs)
   }
 
-  get (key: string, wait?: WaitOptions): Promise<GetOutcome> {
+  async get (key: string, wait?: WaitOptions): Promise<GetOutcome> {
+    if (wait !== undefined && !this._clientReadBucket.tryTake(performance.now())) return this._refuseOverBudget()
     return this._read(() => this._store.get(key), wait)
   }
 
@@ -244,7 +250,10 @@
       this._usage.rejectedByCircuit++
       return this._makeUnavailable('the store has not answered lately; not sent')
     }
-    if (bucket.tryTake(performance.now())) return undefined
+    return bucket.tryTake(performance.now()) ? undefined : this._refuseOverBudget()
+  }
+
+  private _refuseOverBudget (): Unavailable {
     this._usage.overBudget++
     return this._makeUnavailable('over the call budget of this process; not sent')
   }
--- a/packages/daemon/src/storeRelay/nodeDirectory.ts
+++ b/packages/daemon/src/storeRelay/nodeDirectory.ts
@@ -12,7 +12,12 @@
 /** Address and region of an agent's process, as stored in its record. */
 export type NodeRecord = z.infer<typeof nodeSchema>
 
-const REFRESH_MS = 10_000
+/**
+ * Time between two reads, in milliseconds: at least the former, and the latter for each agent, since each read lists all of them. With 630 agents a read takes 100 KB; every 10 s that
+ * would be more than the 4 KB/s that control may cost a host.
+ */
+const MIN_REFRESH_MS = 10_000
+const REFRESH_MS_PER_AGENT = 100
 const RETRY_MS = 500
 
 /** Dependencies of {@link NodeDirectory}. */
@@ -53,8 +58,8 @@
       const localNodes = nodes.filter(node => node.region === region)
       this._addresses = [...localNodes, ...nodes.filter(node => node.region !== region)].map(node => node.address)
     }
-    const isEmpty = this._addresses.length === 0
-    this._timer = setTimeout(() => { void this._refresh() }, isEmpty ? RETRY_MS : REFRESH_MS)
+    const count = this._addresses.length
+    this._timer = setTimeout(() => { void this._refresh() }, count === 0 ? RETRY_MS : Math.max(MIN_REFRESH_MS, count * REFRESH_MS_PER_AGENT))
   }
 }
 
