--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -94,7 +94,8 @@
     const maxLoss = this._computeMaxLoss(waiting, this._guaranteed.has(step.job))
     const urgentValue = this._computeUrgentValue(step.job)
     const plan = this._chooseReclaimPlan(waiting, snapshot, Math.max(maxLoss, urgentValue))
-    const expectedSlots = this._findExpectedSlots(waiting, snapshot, plan !== undefined && plan.loss > urgentValue)
+    const isStopCostly = plan !== undefined && plan.loss > urgentValue
+    const expectedSlots = this._dependencies.speedFit.isActive && !isStopCostly ? this._findFastSlots(waiting, snapshot, plan) : this._findExpectedSlots(waiting, snapshot, isStopCostly)
     if (expectedSlots !== undefined) return snapshot.reserve(step, expectedSlots)
     if (plan !== undefined && plan.loss <= maxLoss) this._applyPlan(plan, waiting, snapshot)
   }
@@ -243,11 +244,22 @@
    */
   private _findExpectedSlots (waiting: WaitingStep, snapshot: CapacitySnapshot, isStopCostly: boolean): ReservedSlots | undefined {
     const { reclaimMs, stopGraceMs } = this._dependencies.times
-    const { speedFit, forecast } = this._dependencies
-    if (speedFit.isActive && !isStopCostly) return forecast.findSlotsInTime(waiting, snapshot, Math.min(waiting.since + reclaimMs - stopGraceMs - STOP_ORDER_MS, speedFit.getLatestStart(waiting.step)))
     const waitMs = (isStopCostly ? reclaimMs : Math.min(reclaimMs, this._computeSlack(waiting.step))) - stopGraceMs - STOP_ORDER_MS
     const until = waiting.since + waitMs
-    return this._now >= until ? undefined : forecast.findSlots(waiting, snapshot, until)
+    return this._now >= until ? undefined : this._dependencies.forecast.findSlots(waiting, snapshot, until)
+  }
+
+  /**
+   * Returns slots at fast enough workers that will become free so soon that no run has to be stopped for the step; undefined when there are too few. They
+   * must become free while the slots of `plan` could still be reclaimed in time, since runs may end later than predicted.
+   */
+  private _findFastSlots ({ step, ...waiting }: WaitingStep, snapshot: CapacitySnapshot, plan: ReclaimPlan | undefined): ReservedSlots | undefined {
+    const { speedFit, forecast, times } = this._dependencies
+    const orderMs = times.stopGraceMs + STOP_ORDER_MS
+    const planned = [...plan?.slots.keys() ?? []]
+    const isPlanFit = planned.length > 0 && planned.every(worker => speedFit.isFit(worker, step, this._now + orderMs))
+    const latestStart = isPlanFit ? Math.min(...planned.map(worker => speedFit.getLatestStart(step, worker))) - orderMs : speedFit.getLatestStart(step)
+    return forecast.findSlotsInTime({ step, ...waiting }, snapshot, Math.min(waiting.since + times.reclaimMs - orderMs, latestStart))
   }
 
   private _estimateRunTime (step: StepState): number {
--- a/packages/core/src/graphs/speedFit.ts
+++ b/packages/core/src/graphs/speedFit.ts
@@ -107,10 +107,11 @@
     return this._getLimit(step).isObjective && this.getMaxFactor(step, startsAt) >= this._fastestFactor
   }
 
-  /** Returns the latest start with which a step meets its objective at the fastest worker, on the planner's clock. */
-  getLatestStart (step: StepState): number {
+  /** Returns the latest start with which a step meets its objective at a worker, the fastest one when absent, on the planner's clock. */
+  getLatestStart (step: StepState, worker?: WorkerState): number {
     const { leftMs, runMs } = this._getLimit(step)
-    return this._now + leftMs - START_MS - runMs * this._fastestFactor
+    const factor = worker === undefined ? this._fastestFactor : this.getSpeed(worker.key.id).factor * this.getPlaceFactor(worker, step, false)
+    return this._now + leftMs - START_MS - runMs * factor
   }
 
   /** True when a worker near the data is fast enough for a step that starts at `startsAt` on the planner's clock. */
