What planners learn is stored and taken over by the next one

Cause: a change of planner lost the speeds of workers and the run times of queues; with 60 workers and a gang a second it takes a minute or two to learn them again.

Change: LearnedStore keeps the record PREFIX/graphs/learned. It is read when the session opens, beside the other records; nothing waits for it, and until it was read it is not replaced. It is written at most every 10 s and at most at 1 KB/s on average, only if changed, under the leader's key. Unreadable: defaults, replaced later. Of a later version: defaults, left alone. Workers of the record count as present once they report, and are forgotten after 10 minutes otherwise; the first fit waits for its interval, so that hasDifferences does not flap while agents report one by one.

--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -14,6 +14,7 @@
 import { addOccurrence, isActive, isTimed, listTasks, markChanged } from './jobState.js'
 import type { JobState, TaskState, WorkerKey } from './jobState.js'
 import { EvacuatedDomains } from './evacuatedDomains.js'
+import type { LearnedRecord } from './learnedRecord.js'
 import { listOrders } from './orderList.js'
 import { ObjectiveOrder } from './objectiveOrder.js'
 import { GraphPass } from './graphPass.js'
@@ -97,6 +98,17 @@
     return this._options.speeds ?? this._workerSpeeds
   }
 
+  /** Returns what this planner has learned of workers and queues, as the next planner takes it over. */
+  encodeLearned (now: number): LearnedRecord {
+    return { speeds: this._workerSpeeds.encode(now), queues: this._runTimes.encode() }
+  }
+
+  /** Takes over what an earlier planner has learned, as far as this one has learned nothing itself. */
+  restoreLearned (record: LearnedRecord, now: number): void {
+    this._workerSpeeds.restore(record.speeds, now)
+    this._runTimes.restore(record.queues)
+  }
+
   getJob (jobId: string): JobState | undefined {
     return this._jobs.get(jobId)
   }
--- a/packages/core/src/graphs/logHistogram.ts
+++ b/packages/core/src/graphs/logHistogram.ts
@@ -13,8 +13,16 @@
 /** Share of the largest values that a mean leaves out: some tasks take several times as long as usual. */
 const TRIMMED_SHARE = 0.05
 
-/** The bins of a histogram: number of the first bin, and the weights from there on in tenths. */
-export type HistogramRecord = readonly [first: number, ...weights: number[]]
+/** The bins of a histogram: number of the first bin, and the weights from there on, each as a whole number up to {@link MAX_LEVEL}. */
+export interface HistogramRecord {
+  readonly first: number
+  readonly levels: readonly number[]
+}
+
+/** The weight of a level is the square of the level divided by this, so that small weights are as exact in proportion as they need to be. */
+const LEVEL_SCALE = 6
+/** Highest level; its weight is nearly that of a whole histogram. */
+export const MAX_LEVEL = 61
 
 export class LogHistogram {
   /** Weights by bin, in ascending order of bins. */
@@ -22,9 +30,9 @@
   private _weight = 0
 
   /** Restores a histogram from its record. */
-  static restore ([first, ...weights]: HistogramRecord): LogHistogram {
+  static restore ({ first, levels }: HistogramRecord): LogHistogram {
     const histogram = new LogHistogram()
-    for (const [index, tenths] of weights.entries()) if (tenths > 0) histogram._addToBin(first + index, tenths / 10)
+    for (const [index, level] of levels.entries()) if (level > 0) histogram._addToBin(first + index, (level / LEVEL_SCALE) ** 2)
     return histogram
   }
 
@@ -67,13 +75,11 @@
   }
 
   encode (): HistogramRecord {
-    const first = this._bins[0]?.bin ?? 0
-    const weights: number[] = []
-    for (const { bin, weight } of this._bins) {
-      while (weights.length < bin - first) weights.push(0)
-      weights.push(Math.round(weight * 10))
-    }
-    return [first, ...weights]
+    const found = this._bins.map(({ bin, weight }) => ({ bin, level: Math.min(MAX_LEVEL, Math.round(Math.sqrt(weight) * LEVEL_SCALE)) })).filter(({ level }) => level > 0)
+    const first = found[0]?.bin ?? 0
+    const levels = Array.from({ length: (found.at(-1)?.bin ?? first - 1) - first + 1 }, () => 0)
+    for (const { bin, level } of found) levels[bin - first] = level
+    return { first, levels }
   }
 
   private _addToBin (wanted: number, weight: number): void {
--- a/packages/core/src/graphs/queueRunTimes.ts
+++ b/packages/core/src/graphs/queueRunTimes.ts
@@ -49,7 +49,8 @@
   }
 
   encode (): QueueRunTimesRecord {
-    const shapes = [...this._shapes].filter(([, { weight }]) => weight >= MIN_SHAPE_WEIGHT)
+    // The only shape of a queue has the same distribution as the queue.
+    const shapes = this._shapes.size === 1 ? [] : [...this._shapes].filter(([, { weight }]) => weight >= MIN_SHAPE_WEIGHT)
     return { ratios: this._ratios.encode(), times: this._times.encode(), shapes: shapes.map(([shape, times]) => [shape, times.encode()] as const) }
   }
 
--- a/packages/core/src/graphs/runTimeEstimator.ts
+++ b/packages/core/src/graphs/runTimeEstimator.ts
@@ -73,6 +73,6 @@
 
   /** Takes over what an earlier planner has stored. */
   restore (records: ReadonlyArray<readonly [queue: string, record: QueueRunTimesRecord]>): void {
-    for (const [name, record] of [...records].reverse()) if (!this._queues.has(name)) this._queues.set(name, QueueRunTimes.restore(record))
+    for (const [name, record] of [...records].reverse()) if (!this._queues.has(name) && this._queues.size < MAX_QUEUES) this._queues.set(name, QueueRunTimes.restore(record))
   }
 }
--- a/packages/core/src/graphs/workerSpeeds.ts
+++ b/packages/core/src/graphs/workerSpeeds.ts
@@ -5,6 +5,7 @@
 import { computeMedian } from './median.js'
 import { RunPhase } from './jobState.js'
 import type { RunState, WorkerKey } from './jobState.js'
+import type { WorkerSpeedsRecord } from './learnedRecord.js'
 import type { PlannerLog } from './plannerLog.js'
 import { findRunConditions } from './runConditions.js'
 import { SpeedEquations } from './speedEquations.js'
@@ -35,8 +36,10 @@
   isMeasured: boolean
   /** True once a slowdown for some seconds can't explain the value. */
   isConfirmed: boolean
-  /** True once the incarnation has ended. */
-  isGone: boolean
+  /** True while the incarnation is known to exist. */
+  isPresent: boolean
+  /** Until when a worker that an earlier planner measured is expected to report, on the planner's clock; -Infinity for others and once it has reported. */
+  expectedUntil: number
   /** Factor when it was last logged. */
   loggedFactor: number
 }
@@ -86,6 +89,8 @@
 const MAX_SAMPLES = 4_096
 const MAX_SAMPLES_PER_WORKER = 24
 const MAX_WORKERS = 2_000
+/** Time for which a worker that an earlier planner measured is expected to report to this one, in milliseconds. */
+const EXPECTED_MS = 600_000
 
 export class WorkerSpeeds implements SpeedSource {
   private readonly _dependencies: WorkerSpeedsDependencies
@@ -136,7 +141,9 @@
   /** Records that an incarnation of a worker has ended. */
   removeWorker (key: WorkerKey): void {
     const worker = this._workers.get(key.id)
-    if (worker?.born === key.born) worker.isGone = true
+    if (worker?.born !== key.born) return
+    worker.isPresent = false
+    worker.expectedUntil = -Infinity
   }
 
   /**
@@ -154,6 +161,28 @@
     this._samples.dropOldest(Math.min(MAX_SAMPLES, MAX_SAMPLES_PER_WORKER * this._workers.size))
   }
 
+  /** Returns what is known of the workers that exist, as the next planner takes it over. */
+  encode (now: number): WorkerSpeedsRecord {
+    const known = [...this._workers.values()].filter(({ isMeasured, isPresent, expectedUntil }) => isMeasured && (isPresent || now < expectedUntil))
+    const workers = known.map(worker => ({ id: worker.id, born: worker.born, logFactor: this._computeLogFactor(worker), isConfirmed: worker.isConfirmed }))
+    return { hasDifferences: this._hasDifferences, newDeviation: this._newDeviation, workers }
+  }
+
+  /** Takes over what an earlier planner has learned, of workers that were not measured yet. */
+  restore (record: WorkerSpeedsRecord, now: number): void {
+    this._newDeviation = Math.min(MAX_DEVIATION, Math.max(MIN_DEVIATION, record.newDeviation))
+    this._hasDifferences = record.hasDifferences
+    // The first fit waits until agents have reported, since it counts only workers that exist.
+    this._fittedAt = now
+    for (const { id, born, logFactor, isConfirmed } of record.workers.slice(0, MAX_WORKERS)) {
+      const known = this._workers.get(id)
+      if (known !== undefined && (known.isMeasured || known.born !== born)) continue
+      const value = this._centre + logFactor
+      const worker = known ?? { id, born, sampleCount: 0, inherited: value, isFirst: false, isPresent: false, expectedUntil: now + EXPECTED_MS }
+      this._workers.set(id, Object.assign(worker, { prior: { mean: value, deviation: KNOWN_DEVIATION }, value, isMeasured: true, isConfirmed, loggedFactor: Math.exp(logFactor) }))
+    }
+  }
+
   /**
    * Names the step of a run with the conditions that change its speed: data in another rack, tasks of the step in other racks, and a start from a checkpoint.
    * Undefined if the speed of the run says nothing about its worker.
@@ -171,13 +200,14 @@
   private _takeWorker ({ id, born }: WorkerKey): WorkerRecord | undefined {
     const known = this._workers.get(id)
     if (known?.born === born) {
-      known.isGone = false
+      known.isPresent = true
+      known.expectedUntil = -Infinity
       return known
     }
     if (known !== undefined && known.born > born) return undefined
     if (known !== undefined) this._samples.removeWorker(known)
     const mean = this._centre + ((known?.value ?? this._centre) - this._centre) * INHERITED_SHARE
-    const worker: WorkerRecord = { id, born, sampleCount: 0, inherited: mean, isFirst: known === undefined, prior: undefined, value: mean, isMeasured: false, isConfirmed: false, isGone: false, loggedFactor: 1 }
+    const worker: WorkerRecord = { id, born, sampleCount: 0, inherited: mean, isFirst: known === undefined, prior: undefined, value: mean, isMeasured: false, isConfirmed: false, isPresent: true, expectedUntil: -Infinity, loggedFactor: 1 }
     this._workers.set(id, worker)
     if (this._workers.size > MAX_WORKERS) this._dropWorker()
     return worker
@@ -186,7 +216,7 @@
   /** Drops a worker that is gone, or else the one that was added first. */
   private _dropWorker (): void {
     const workers = [...this._workers.values()]
-    const dropped = workers.find(worker => worker.isGone) ?? workers[0]
+    const dropped = workers.find(worker => !worker.isPresent) ?? workers[0]
     if (dropped === undefined) return
     this._samples.removeWorker(dropped)
     this._workers.delete(dropped.id)
@@ -289,7 +319,7 @@
   }
 
   private _listMeasured (): WorkerRecord[] {
-    return [...this._workers.values()].filter(worker => worker.isMeasured && !worker.isGone)
+    return [...this._workers.values()].filter(worker => worker.isMeasured && worker.isPresent)
   }
 }
 
--- a/packages/core/test/graphs/runTimeEstimator.test.ts
+++ b/packages/core/test/graphs/runTimeEstimator.test.ts
@@ -124,5 +124,5 @@
   }), { seed: 4 })
   const wide = new LogHistogram()
   for (let exponent = 0; exponent < 200; exponent++) wide.add(1.3 ** exponent, 1)
-  t.true(wide.encode().filter(weight => weight > 0).length <= 49)
+  t.true(wide.encode().levels.filter(level => level > 0).length <= 48)
 })
--- a/packages/core/test/graphs/workerSpeeds.test.ts
+++ b/packages/core/test/graphs/workerSpeeds.test.ts
@@ -186,6 +186,31 @@
   t.true(load.notes.includes('worker speed changed'))
 })
 
+test('what an earlier planner learned holds from the start, also while few workers have reported', t => {
+  const [earlier, fixture] = [new SpeedFixture(), new SpeedFixture()]
+  earlier.recordOften(MIXED)
+  earlier.speeds.removeWorker({ id: 'a6', born: 1 })
+  const record = earlier.speeds.encode(earlier.now)
+  t.deepEqual(record.workers.map(({ id }) => id), ['a1', 'a2', 'a3', 'a4', 'a5'])
+  fixture.speeds.restore({ ...record, workers: [...record.workers, { id: 'a6', born: 1, logFactor: Math.log(1.6), isConfirmed: true }] }, fixture.now)
+  t.true(fixture.speeds.hasDifferences)
+  t.true(Math.abs(Math.log(fixture.getFactor('a5')) - (record.workers[4]?.logFactor ?? 0)) < 0.01)
+  fixture.record({ a1: 63, a2: 63 })
+  t.true(fixture.speeds.hasDifferences)
+  t.is(fixture.speeds.encode(fixture.now).workers.length, 6)
+  fixture.recordOften(MIXED)
+  t.true(fixture.speeds.hasDifferences)
+  t.true(Math.abs(Math.log(fixture.getFactor('a5') / fixture.getFactor('a3') / 1.6)) < 0.1)
+})
+
+test('workers that an earlier planner measured and that never report are forgotten after a while', t => {
+  const [earlier, fixture] = [new SpeedFixture(), new SpeedFixture()]
+  earlier.recordOften(MIXED)
+  fixture.speeds.restore(earlier.speeds.encode(earlier.now), fixture.now)
+  t.is(fixture.speeds.encode(fixture.now + 599_000).workers.length, 6)
+  t.is(fixture.speeds.encode(fixture.now + 601_000).workers.length, 0)
+})
+
 test('values that can be no speed are ignored', t => {
   const fixture = new SpeedFixture()
   fixture.recordOften(MIXED)
--- a/packages/daemon/src/jobPlanner/graphKeys.ts
+++ b/packages/daemon/src/jobPlanner/graphKeys.ts
@@ -86,6 +86,11 @@
     return `${this._prefix}/graphs/admission`
   }
 
+  /** Key of the record of what planners have learned of workers and queues. */
+  get learned (): string {
+    return `${this._prefix}/graphs/learned`
+  }
+
   /** Prefix of the keys of the records with the addresses of the agents. */
   get nodes (): string {
     return `${this._prefix}/nodes/`
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -14,6 +14,7 @@
 import { EvacuationWatcher } from './evacuationWatcher.js'
 import type { EvacuationSettings } from './evacuationWatcher.js'
 import { ReportLongPoll } from './reportLongPoll.js'
+import { LearnedStore } from './learnedStore.js'
 import { createQueuedJobState, decodeJobSpec, decodeJobState } from './graphKeys.js'
 import type { GraphKeys, JobStateRecord } from './graphKeys.js'
 import { decodeProgress } from './progressRecord.js'
@@ -72,6 +73,7 @@
   private readonly _reports: ReportLongPoll
   private readonly _writer: ProgressWriter
   private readonly _evacuations: EvacuationWatcher | undefined
+  private readonly _learned: LearnedStore
   private readonly _storedProgress = new Map<string, StoredValue>()
   private readonly _states = new Map<string, JobStateRecord>()
   /** Ended jobs that the planner no longer holds, and whose records the store has not confirmed to be removed. */
@@ -93,6 +95,7 @@
     this._planner = new GraphPlanner({ times: dependencies.times, getWallTime: () => Date.now(), log: { note: (event, fields) => this._recordDecision(event, fields) } })
     this._reports = new ReportLongPoll({ planner: this._planner, epoch, mayGrant: dependencies.mayGrant, mayStart: () => this._evacuations?.isFresh ?? true, onReports: () => this._schedulePass() })
     this._evacuations = dependencies.evacuations === undefined ? undefined : this._createEvacuationWatcher(dependencies.evacuations)
+    this._learned = new LearnedStore({ store, key: keys.learned, leaderKey, epoch, planner: this._planner, logger })
     this._writer = new ProgressWriter({
       store,
       keys,
@@ -113,6 +116,7 @@
 
   /** Loads the jobs and the evacuations of failure domains from the store and starts the scheduler passes. */
   async open (): Promise<void> {
+    void this._learned.load()
     await Promise.all([this._loadRecords(), this._evacuations?.open()])
     if (this._isClosed) return
     const { store, keys } = this._dependencies
@@ -142,6 +146,7 @@
     this._inputWatcher?.close()
     this._evacuations?.close()
     this._admission?.close()
+    this._learned.close()
     this._writer.close()
     this._reports.close()
   }
