Tests of clients outside the limits at each port of the program

Cause: measured for docs/design/hard-load.md, 24 clients with chunks of one byte ended an entry, and 60 clients with requests sent ahead kept it from answering anyone else. No test covered such clients.

The file runs after the others (avaAlone.config.js), so that nothing runs beside it.

--- /dev/null
+++ b/avaAlone.config.js
@@ -0,0 +1,5 @@
+export default {
+  files: ['platform/dist/test/clientsOutsideLimits.test.js'],
+  timeout: '120s',
+  concurrency: 1
+}
--- a/tools/runTests.js
+++ b/tools/runTests.js
@@ -20,19 +20,29 @@
   return { passed: passed.length, failed: failed.map(line => line.replace(/^\s*not ok \d+ - /, '').trim()) }
 }
 
-const child = spawn(process.execPath, [AVA, '--tap', ...process.argv.slice(2)], { stdio: ['ignore', 'pipe', 'inherit'] })
-let tap = ''
-child.stdout.on('data', chunk => {
-  tap += chunk
-  process.stdout.write(chunk)
-})
-child.on('close', code => {
-  const known = readKnownRed()
-  const { passed, failed } = readResults(tap)
-  const unexpected = failed.filter(title => !known.has(title))
-  for (const title of failed.filter(title => known.has(title))) console.log(`known red: ${title}`)
-  for (const title of unexpected) console.log(`failed: ${title}`)
-  console.log(`${passed} passed, ${failed.length} failed`)
-  const isCrash = code !== 0 && failed.length === 0
-  process.exitCode = unexpected.length > 0 || isCrash || passed === 0 ? 1 : 0
-})
+/** Runs ava and returns its exit code and its output in TAP format, which is also printed. */
+async function runAva (args) {
+  const child = spawn(process.execPath, [AVA, '--tap', ...args], { stdio: ['ignore', 'pipe', 'inherit'] })
+  let tap = ''
+  child.stdout.on('data', chunk => {
+    tap += chunk
+    process.stdout.write(chunk)
+  })
+  const code = await new Promise(resolve => child.on('close', resolve))
+  return { code, ...readResults(tap) }
+}
+
+const args = process.argv.slice(2)
+const runs = [await runAva(args)]
+// Tests that measure whole processes run after the others, so that nothing runs beside them.
+if (args.length === 0) runs.push(await runAva(['--config', 'avaAlone.config.js']))
+
+const known = readKnownRed()
+const passed = runs.reduce((sum, run) => sum + run.passed, 0)
+const failed = runs.flatMap(run => run.failed)
+const unexpected = failed.filter(title => !known.has(title))
+for (const title of failed.filter(title => known.has(title))) console.log(`known red: ${title}`)
+for (const title of unexpected) console.log(`failed: ${title}`)
+console.log(`${passed} passed, ${failed.length} failed`)
+const isCrash = runs.some(run => (run.code !== 0 && run.failed.length === 0) || run.passed === 0)
+process.exitCode = unexpected.length > 0 || isCrash ? 1 : 0
