One byte budget a process for clients, and limits on every port

Cause: each part of a body was kept as a Buffer of its own, which takes some hundred times the memory of a one-byte part; bodies, requests sent ahead and unread answers had no bound on the platform's ports; a read of 64 KiB was parsed at once, 2,400 requests of some kilobytes each; Node's server answers requests without a host itself, as many as are sent.

Change: packages/runtime/src/clients. ClientGuard makes the servers of a process. All of them share one byte budget (heads, received and unparsed bytes, bodies, requests, unread answers) and one number of connections. Bytes are reserved before they are kept and released when the answer was sent or the connection closes. Above three quarters of the budget bodies are read more slowly; then the client with the most bytes times the longest time is dropped. Requests in flight, parts of a body, heads, times for heads, requests and idle connections are limited by Node's options where there are some. Received bytes are parsed in slices, in turn for each client. JSON of more than 400,000 values or 64 levels is refused before it is parsed. A body that is announced as too large is refused unread. A job is refused with 503 and Retry-After when there is no room for its body; it was not read, so never stored. Closing a server ends after 3 s, since Node checks no timeouts on a closing server. Servers: clients, readiness, heartbeats, control and relay, metrics, callers, operators. Settings: client-limits, clientLimits.

The entry's body limit follows max-body-bytes of the declarations, at least 262,144 bytes (1 MiB before).

Test changed: "a caller that keeps sending a refused body is disconnected" counted bytes that still waited at the client, 1 MiB a millisecond whether or not they were sent. It now counts the bytes that the server has taken; the bound of 64 MiB stays.

--- a/packages/daemon/src/agent/agentProcess.ts
+++ b/packages/daemon/src/agent/agentProcess.ts
@@ -70,16 +70,17 @@
   }
 
   private async _open (): Promise<void> {
-    const { store, peers, logger, metrics, tracer, endpoint, incarnation } = this._dependencies
+    const { store, peers, logger, metrics, tracer, endpoint, incarnation, guard } = this._dependencies
     const log = createPartLogger(logger, 'agent')
     this._lifecycle.add('tracer', () => tracer.close())
     this._lifecycle.add('metrics', () => metrics.close())
+    this._lifecycle.add('client guard', () => guard.close())
     this._lifecycle.add('store', () => store.close())
     this._lifecycle.add('peers', () => peers.close())
     this._lifecycle.add('endpoint', () => endpoint.close())
     const runner = this._createSlotRunner(endpoint)
     const { clusterKey } = this._settings
-    const control = new ControlServer({ clusterKey, maxConnections: this._settings.endpoint.maxConnections, logger: log })
+    const control = new ControlServer({ clusterKey, guard, maxConnections: this._settings.endpoint.maxConnections, logger: log })
     const handler = new DispatchHandler({ runner, tracer, clusterKey, incarnation, isLeaving: () => this.board.get('isLeaving') })
     const connections = new DispatchConnections({ handler, maxConnections: this._settings.endpoint.maxConnections })
     control.add(DISPATCH_PATH, (request, response) => connections.handle(request, response))
--- a/packages/daemon/src/entry/callerServer.ts
+++ b/packages/daemon/src/entry/callerServer.ts
@@ -1,13 +1,12 @@
 /**
  * HTTP server of an entry for callers. A request is served only when its head is valid and its body is complete.
  */
-import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
 import { NotRunReason } from '@dragonflylever/core'
 import { CallerLimit, JOBS_PATH } from '@dragonflylever/protocol'
-import type { Blackboard, Metrics, Tracer, ReadBodyResult } from '@dragonflylever/runtime'
-import { closeServer, drainBody, openServer, readBody, sendJson } from '@dragonflylever/runtime'
+import type { Blackboard, ClientGuard, Logger, Metrics, Tracer, ReadBodyResult } from '@dragonflylever/runtime'
+import { closeServer, openServer, readBody, sendJson } from '@dragonflylever/runtime'
 
 import type { JobApi } from '../jobs/jobApi.js'
 import type { FleetState } from '../shared/fleetState.js'
@@ -18,9 +17,10 @@
 
 const HEADERS_TIMEOUT_MS = 10_000
 const REQUEST_TIMEOUT_MS = 30_000
-const TIMEOUT_CHECK_MS = 1_000
 const KEEP_ALIVE_MS = 65_000
 const HEALTH_PATH = '/healthz'
+/** How much of a refused body is read and discarded: four times the largest body, within the time for a request. */
+const DISCARD_LIMITS = { maxBytes: 16 * 1024 * 1024, timeoutMs: REQUEST_TIMEOUT_MS }
 
 /** Dependencies of {@link CallerServer}. */
 export interface CallerServerDependencies {
@@ -30,29 +30,26 @@
   readonly metrics: Metrics
   readonly tracer: Tracer
   readonly organisationKeys: Readonly<Record<string, string>> | undefined
-  /** Maximum number of bytes of request bodies that are buffered at a time, over all requests. */
-  readonly maxBufferedBytes: number
+  /** Guards the process's servers against clients outside the limits. */
+  readonly guard: ClientGuard
+  readonly logger: Logger
 }
 
-type BodyResult = Exclude<ReadBodyResult, { kind: 'tooLarge' }> | Refusal
+type BodyResult = Extract<ReadBodyResult, { kind: 'whole' | 'broken' }> | Refusal
 
 export class CallerServer {
   private readonly _dependencies: CallerServerDependencies
   private readonly _server: Server
-  private _bufferedBytes = 0
 
   constructor (dependencies: CallerServerDependencies) {
     this._dependencies = dependencies
-    const options = {
-      maxHeaderSize: CallerLimit.headerBytes,
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      requestTimeout: REQUEST_TIMEOUT_MS,
-      connectionsCheckingInterval: TIMEOUT_CHECK_MS,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      requireHostHeader: true
-    }
-    this._server = createServer(options, (request, response) => { void this._handleRequest(request, response) })
-    this._server.maxHeadersCount = 0
+    this._server = dependencies.guard.createServer({
+      port: 'callers',
+      logger: dependencies.logger,
+      handle: (request, response) => this._handleRequest(request, response),
+      limits: { maxHeaderBytes: CallerLimit.headerBytes, headTimeoutMs: HEADERS_TIMEOUT_MS, requestTimeoutMs: REQUEST_TIMEOUT_MS, idleTimeoutMs: KEEP_ALIVE_MS },
+      discardLimits: DISCARD_LIMITS
+    })
     this._server.on('upgrade', (_request, socket) => socket.destroy())
   }
 
@@ -84,7 +81,7 @@
       now: performance.now()
     })
     if (parsed.kind === 'refused') {
-      this._refuseRequest(message, response, parsed)
+      this._refuseRequest(response, parsed)
       return
     }
     await this._serveCall(message, response, parsed.request)
@@ -96,14 +93,13 @@
     const bodyResult = await this._readBody(message)
     if (bodyResult.kind === 'broken') return
     if (bodyResult.kind === 'refused') {
-      this._refuseRequest(message, response, bodyResult)
+      this._refuseRequest(response, bodyResult)
       return
     }
     const span = this._dependencies.tracer.start('entry.request', head.traceparent)
     span.set('dfl.class', head.className)
     span.set('dfl.organisation', head.organisation)
     const outcome = await this._dependencies.service.serve({ ...head, body: bodyResult.body, traceparent: span.traceparent }, gone.signal)
-    this._bufferedBytes -= bodyResult.body.length
     span.set('dfl.outcome', outcome.kind)
     span.end()
     this._recordMetrics(head, outcome.kind)
@@ -116,10 +112,9 @@
     this._dependencies.metrics.time('request_ms', performance.now() - head.arrivedAt, tags)
   }
 
-  private _refuseRequest (message: IncomingMessage, response: ServerResponse, refusal: Refusal): void {
+  private _refuseRequest (response: ServerResponse, refusal: Refusal): void {
     this._dependencies.metrics.count('requests_refused', 1, { reason: refusal.reason })
     writeRefusal(response, refusal)
-    drainBody(message)
   }
 
   private _sendHealth (response: ServerResponse): void {
@@ -130,20 +125,9 @@
   }
 
   private async _readBody (message: IncomingMessage): Promise<BodyResult> {
-    const declared = Number(message.headers['content-length'] ?? 0)
-    if (declared > CallerLimit.requestBodyBytes) return makeTooLargeRefusal()
-    let requestBytes = 0
-    const onBytes = (bytes: number): boolean => {
-      requestBytes += bytes
-      this._bufferedBytes += bytes
-      return this._bufferedBytes <= this._dependencies.maxBufferedBytes
-    }
-    const result = await readBody(message, { maxBytes: CallerLimit.requestBodyBytes, onBytes })
-    if (result.kind === 'whole') return result
-    const isOverBudget = this._bufferedBytes > this._dependencies.maxBufferedBytes
-    this._bufferedBytes -= requestBytes
-    if (result.kind === 'broken') return result
-    return isOverBudget ? makeOverBudgetRefusal() : makeTooLargeRefusal()
+    const result = await readBody(message, { maxBytes: CallerLimit.requestBodyBytes })
+    if (result.kind === 'tooLarge') return makeTooLargeRefusal()
+    return result.kind === 'overloaded' ? makeOverBudgetRefusal() : result
   }
 }
 
--- a/packages/daemon/src/entry/entryProcess.ts
+++ b/packages/daemon/src/entry/entryProcess.ts
@@ -29,7 +29,6 @@
 const MAX_WAITING = 4_096
 /** Bytes per second that all entries together may send over the link between regions: half of 20 Mbit/s. */
 const LINK_BYTES_PER_SECOND = 1_250_000
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 const DEFAULT_AGENT_CONNECTIONS = 60
 /**
  * How long an entry keeps serving requests after it starts to shut down, in milliseconds, so that the load balancer sees that the entry is
@@ -87,10 +86,11 @@
   }
 
   private async _open (): Promise<void> {
-    const { store, peers, logger, metrics, tracer, random } = this._dependencies
+    const { store, peers, logger, metrics, tracer, random, guard } = this._dependencies
     const log = createPartLogger(logger, 'entry')
     this._lifecycle.add('tracer', () => tracer.close())
     this._lifecycle.add('metrics', () => metrics.close())
+    this._lifecycle.add('client guard', () => guard.close())
     this._lifecycle.add('store', () => store.close())
     this._lifecycle.add('peers', () => peers.close())
     const dispatcher = this._createDispatcher(random)
@@ -102,18 +102,19 @@
       metrics,
       tracer,
       organisationKeys: this._settings.organisationKeys,
-      maxBufferedBytes: MAX_BUFFERED_BYTES
+      guard,
+      logger: log
     })
     const memberLog = new MemberLog(this.board, createPartLogger(logger, 'members'))
     this._lifecycle.add('member log', () => memberLog.close())
-    const control = new ControlServer({ clusterKey: this._settings.clusterKey, logger: createPartLogger(logger, 'control') })
+    const control = new ControlServer({ clusterKey: this._settings.clusterKey, guard, logger: createPartLogger(logger, 'control') })
     const node = this._createNode(control)
     this._controlAddress = await control.open(this._settings.listen.control)
     this._lifecycle.add('control server', () => control.close())
     this._lifecycle.add('membership', () => node.close())
     await node.start()
     planner.start(control.rpc)
-    const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder: node.holder, logger, describeQueue: () => this.describeQueue(), collectRevisions: () => node.collectRevisions() })
+    const operators = createOperatorServer({ settings: this._settings, board: this.board, store, holder: node.holder, logger, guard, describeQueue: () => this.describeQueue(), collectRevisions: () => node.collectRevisions() })
     this._operatorAddress = await operators.open(this._settings.listen.operators)
     this._lifecycle.add('operator server', () => operators.close())
     this._callerAddress = await server.open(this._settings.listen.callers)
--- a/packages/daemon/src/jobAgent/jobAgentProcess.ts
+++ b/packages/daemon/src/jobAgent/jobAgentProcess.ts
@@ -6,7 +6,7 @@
 import type { FleetPolicy, PlannerTimes } from '@dragonflylever/core/graphs/index'
 import type { PeerRpc } from '@dragonflylever/protocol'
 import { Lifecycle, createPartLogger } from '@dragonflylever/runtime'
-import type { Logger, Metrics, RequestHandler } from '@dragonflylever/runtime'
+import type { ClientGuard, Logger, Metrics, RequestHandler } from '@dragonflylever/runtime'
 
 import { PolicyWatcher } from '../jobEntry/policyWatcher.js'
 import { computeEvacuationTimes } from '../jobPlanner/evacuationTimes.js'
@@ -37,6 +37,8 @@
   readonly decodePolicy: (text: string) => FleetPolicy | undefined
   readonly peers: PeerRpc
   readonly clusterKey: string
+  /** Guards the process's servers against clients outside the limits. */
+  readonly guard: ClientGuard
   readonly logger: Logger
   readonly metrics: Metrics
   readonly times: PlannerTimes
@@ -64,7 +66,7 @@
   constructor (dependencies: JobAgentDependencies) {
     this._dependencies = dependencies
     const { store, prefix, keys, name, address, peers, logger, metrics, times, evacuations } = dependencies
-    this._control = new ControlServer({ clusterKey: dependencies.clusterKey, logger: createPartLogger(logger, 'control') })
+    this._control = new ControlServer({ clusterKey: dependencies.clusterKey, guard: dependencies.guard, logger: createPartLogger(logger, 'control') })
     this._control.add(RELAY_PATH, dependencies.relay)
     this._policy = new PolicyWatcher({ store, key: dependencies.policyKey, decode: dependencies.decodePolicy, logger: createPartLogger(logger, 'config') })
     this._candidate = new PlannerCandidate({
--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -39,6 +39,8 @@
   storeAway: 'storeAway',
   /** The job would be worth nothing, since it would start too late. */
   tooLate: 'tooLate',
+  /** This process holds as much for clients as it may; the call was not read as a whole. */
+  overloaded: 'overloaded',
   /** The stored state of the job can't be read, so nothing can be said of the job. */
   unreadable: 'unreadable'
 } as const
--- a/packages/daemon/src/jobEntry/jobEntryProcess.ts
+++ b/packages/daemon/src/jobEntry/jobEntryProcess.ts
@@ -34,6 +34,9 @@
 
 /** Share of the time for a change in which a watch that hears nothing must notice; the rest is for another way to the store. */
 const NOTICE_SHARE = 0.5
+/** Bounds of the largest body, in bytes, that follows from the declarations: what applies without a declaration, and what the decoders of a process have memory for. */
+const MIN_BODY_LIMIT_BYTES = 262_144
+const MAX_BODY_LIMIT_BYTES = 4 * 1024 * 1024
 
 export class JobEntryProcess {
   readonly front: JobEntryHandler
@@ -73,6 +76,12 @@
     return this._policy.index?.policy.version
   }
 
+  /** Largest body that a client may send, in bytes. */
+  get maxBodyBytes (): number {
+    const declared = this._policy.index?.policy.limits.maxBodyBytes ?? 0
+    return Math.min(Math.max(declared, MIN_BODY_LIMIT_BYTES), MAX_BODY_LIMIT_BYTES)
+  }
+
   /** Time since the store last confirmed the declarations in force, in milliseconds; undefined if it never did. */
   get declarationsAgeMs (): number | undefined {
     return this._policy.ageMs
--- a/packages/daemon/src/jobs/jobApi.ts
+++ b/packages/daemon/src/jobs/jobApi.ts
@@ -51,6 +51,7 @@
     const read = await readBody(message, { maxBytes: MAX_JOB_BYTES })
     if (read.kind === 'broken') return
     if (read.kind === 'tooLarge') return sendError(response, 413, 'tooLarge', `a job is at most ${MAX_JOB_BYTES} bytes`)
+    if (read.kind === 'overloaded') return sendError(response, 503, 'overloaded', 'this entry holds as many requests as it may; the job was not accepted')
     const parsed = parseDocument(read.body.toString('utf8'), jobRequestSchema)
     if (parsed.kind === 'invalid') {
       const faults = parsed.faults.map(fault => `${fault.path}: found ${fault.found}, expected ${fault.expected}`)
--- a/packages/daemon/src/operators/createOperatorServer.ts
+++ b/packages/daemon/src/operators/createOperatorServer.ts
@@ -3,7 +3,7 @@
  */
 import type { EntrySettings, QueueReport } from '@dragonflylever/protocol'
 import type { Store } from '@dragonflylever/adapters'
-import type { Blackboard, Logger } from '@dragonflylever/runtime'
+import type { Blackboard, ClientGuard, Logger } from '@dragonflylever/runtime'
 import { createPartLogger } from '@dragonflylever/runtime'
 
 import type { ConfigurationHolder } from '../shared/configurationHolder.js'
@@ -21,6 +21,7 @@
   readonly store: Store
   readonly holder: ConfigurationHolder
   readonly logger: Logger
+  readonly guard: ClientGuard
   readonly describeQueue: () => QueueReport
   readonly collectRevisions: () => Promise<ReadonlyMap<string, number>>
 }
@@ -36,6 +37,8 @@
     history: new HistoryReader(store, prefix),
     status: new FleetStatusSource({ processId: settings.id, board, store, collectRevisions: context.collectRevisions }),
     describeQueue: context.describeQueue,
-    operatorsKey: settings.operatorsKey
+    operatorsKey: settings.operatorsKey,
+    guard: context.guard,
+    logger
   })
 }
--- a/packages/daemon/src/operators/operatorServer.ts
+++ b/packages/daemon/src/operators/operatorServer.ts
@@ -2,12 +2,11 @@
  * The operators' HTTP server of an entry, on a port separate from the callers' port: serves the configuration, its history,
  * the status of the fleet and a report on the request queue.
  */
-import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
-import { MAX_DOCUMENT_BYTES, OperatorPath, applyRequestSchema } from '@dragonflylever/protocol'
+import { MAX_DOCUMENT_BYTES, OperatorPath, applyRequestSchema, isBoundedJson } from '@dragonflylever/protocol'
 import type { ApplyOutcome, QueueReport } from '@dragonflylever/protocol'
-import type { Blackboard } from '@dragonflylever/runtime'
+import type { Blackboard, ClientGuard, Logger } from '@dragonflylever/runtime'
 import { closeServer, isSameKey, openServer, readBody, sendJson } from '@dragonflylever/runtime'
 
 import type { FleetState } from '../shared/fleetState.js'
@@ -33,6 +32,8 @@
   readonly describeQueue: () => QueueReport
   /** Key that operators must present; every request is refused when it is undefined. */
   readonly operatorsKey: string | undefined
+  readonly guard: ClientGuard
+  readonly logger: Logger
 }
 
 export class OperatorServer {
@@ -41,8 +42,12 @@
 
   constructor (dependencies: OperatorServerDependencies) {
     this._dependencies = dependencies
-    const options = { maxHeaderSize: MAX_HEADER_BYTES, headersTimeout: REQUEST_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS, connectionsCheckingInterval: 1_000 }
-    this._server = createServer(options, (request, response) => { void this._handleRequest(request, response) })
+    this._server = dependencies.guard.createServer({
+      port: 'operators',
+      logger: dependencies.logger,
+      handle: (request, response) => this._handleRequest(request, response),
+      limits: { maxHeaderBytes: MAX_HEADER_BYTES, headTimeoutMs: REQUEST_TIMEOUT_MS, requestTimeoutMs: REQUEST_TIMEOUT_MS }
+    })
     this._server.maxConnections = MAX_CONNECTIONS
   }
 
@@ -116,7 +121,8 @@
     const read = await readBody(request, { maxBytes: MAX_BODY_BYTES })
     if (read.kind === 'broken') return
     if (read.kind === 'tooLarge') return sendError(response, 413, `the body is larger than ${MAX_BODY_BYTES} bytes`)
-    const checked = applyRequestSchema.safeParse(parseJson(read.body.toString('utf8')))
+    if (read.kind === 'overloaded') return sendError(response, 503, 'this entry holds as many requests as it may; nothing was applied')
+    const checked = applyRequestSchema.safeParse(isBoundedJson(read.body) ? parseJson(read.body.toString('utf8')) : undefined)
     if (!checked.success) {
       const issue = checked.error.issues[0]
       return sendError(response, 400, `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'bad request'}`)
--- a/packages/daemon/src/shared/controlServer.ts
+++ b/packages/daemon/src/shared/controlServer.ts
@@ -1,19 +1,19 @@
 /**
  * The HTTP server of a process for other processes: serves JSON-RPC calls and, on an agent, dispatches.
  */
-import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 
 import { RPC_PATH } from '@dragonflylever/protocol'
-import { RpcServer, closeServer, createRequestListener, openServer, sendJson } from '@dragonflylever/runtime'
-import type { Logger, RequestHandler } from '@dragonflylever/runtime'
+import { RpcServer, closeServer, openServer, sendJson } from '@dragonflylever/runtime'
+import type { ClientGuard, Logger, RequestHandler } from '@dragonflylever/runtime'
 
 const KEEP_ALIVE_MS = 65_000
 
-/** Options of {@link ControlServer}; the number of connections is unlimited when `maxConnections` is absent. */
+/** Options of {@link ControlServer}; only the guard limits the number of connections when `maxConnections` is absent. */
 export interface ControlServerOptions {
   readonly clusterKey: string
   readonly maxConnections?: number
+  readonly guard: ClientGuard
   readonly logger: Logger
 }
 
@@ -25,7 +25,7 @@
   constructor (options: ControlServerOptions) {
     this.rpc = new RpcServer(options.clusterKey)
     this._handlers.set(RPC_PATH, (request, response) => this.rpc.handle(request, response))
-    this._server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, createRequestListener((request, response) => this._handleRequest(request, response), options.logger))
+    this._server = options.guard.createServer({ port: 'control', logger: options.logger, handle: (request, response) => this._handleRequest(request, response), limits: { idleTimeoutMs: KEEP_ALIVE_MS } })
     if (options.maxConnections !== undefined) this._server.maxConnections = options.maxConnections
   }
 
--- a/packages/daemon/src/storeRelay/relayHandler.ts
+++ b/packages/daemon/src/storeRelay/relayHandler.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 
-import { parseJson } from '@dragonflylever/protocol'
+import { isBoundedJson, parseJson } from '@dragonflylever/protocol'
 import { readBody } from '@dragonflylever/runtime'
 import type { Logger } from '@dragonflylever/runtime'
 import * as z from 'zod'
@@ -32,7 +32,10 @@
 export function createRelayHandler (dependencies: RelayHandlerDependencies): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
   return async (request, response) => {
     const read = await readBody(request, { maxBytes: MAX_BODY_BYTES })
-    sendAnswer(response, await serveRelayCall(dependencies, read.kind === 'whole' ? read.body.toString('utf8') : ''))
+    if (read.kind === 'broken') return
+    // The store was not asked, so that the caller can ask another agent.
+    if (read.kind === 'overloaded') return sendAnswer(response, { status: RELAY_REJECTED, body: 'this process holds as many requests as it may' })
+    sendAnswer(response, await serveRelayCall(dependencies, read.kind === 'whole' && isBoundedJson(read.body) ? read.body.toString('utf8') : ''))
   }
 }
 
--- a/packages/daemon/test/entry/badInput.test.ts
+++ b/packages/daemon/test/entry/badInput.test.ts
@@ -6,7 +6,7 @@
 
 import { makeAnswered } from '@dragonflylever/core'
 import { CallerLimit } from '@dragonflylever/protocol'
-import { Blackboard, NoMetrics, PropagatingTracer } from '@dragonflylever/runtime'
+import { Blackboard, ClientGuard, NoMetrics, PropagatingTracer, createLogger } from '@dragonflylever/runtime'
 import { createSampleDeclarations } from '@dragonflylever/standins'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
@@ -32,6 +32,9 @@
       return makeAnswered({ status: 200, headers: [], body: Buffer.from(request.path) })
     }
   }
+  const logger = createLogger({ level: 'silent', processId: 'test' })
+  const guard = new ClientGuard({ limits: { maxHeldBytes: 8 * 1024 * 1024 }, metrics: new NoMetrics(), logger })
+  t.teardown(() => guard.close())
   const server = new CallerServer({
     board,
     service,
@@ -39,7 +42,8 @@
     metrics: new NoMetrics(),
     tracer: new PropagatingTracer(),
     organisationKeys: undefined,
-    maxBufferedBytes: 8 * 1024 * 1024
+    guard,
+    logger
   })
   const address = await server.open('127.0.0.1:0')
   t.teardown(() => server.close())
@@ -186,7 +190,8 @@
     socket.write(piece)
     socket.write('\r\n')
     sent += piece.length
-    await new Promise(resolve => setTimeout(resolve, 1))
+    // Counts what the server has taken, not what waits to be sent.
+    while (socket.writableNeedDrain && !socket.closed) await new Promise(resolve => setImmediate(resolve))
   }
   t.true(socket.closed)
 })
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,5 @@
 export * from './address.js'
+export * from './boundedJson.js'
 export * from './callerHeaders.js'
 export * from './declarations.js'
 export * from './gangMessages.js'
--- a/packages/protocol/src/settings.ts
+++ b/packages/protocol/src/settings.ts
@@ -28,7 +28,9 @@
   clusterKey: z.string().min(16).max(256),
   logLevel,
   metrics: z.strictObject({ host: z.string(), port: z.number().int().min(1).max(65_535) }).optional(),
-  tracing: z.strictObject({ url }).optional()
+  tracing: z.strictObject({ url }).optional(),
+  /** Limits on what the process holds for the clients of all its ports; the defaults apply to those that are absent. */
+  clientLimits: z.strictObject({ heldBytes: z.number().int().min(16 * 1024 * 1024).optional(), connections: z.number().int().min(16).optional() }).optional()
 }
 
 export const entrySettingsSchema = z.strictObject({
--- /dev/null
+++ b/packages/runtime/src/clients/index.ts
@@ -0,0 +1,7 @@
+export * from './bodyBuffer.js'
+export * from './byteBudget.js'
+export * from './clientConnection.js'
+export * from './clientGuard.js'
+export * from './clientLimits.js'
+export * from './clientMessage.js'
+export * from './requestLease.js'
--- a/packages/runtime/src/logLimiter.ts
+++ b/packages/runtime/src/logLimiter.ts
@@ -2,7 +2,7 @@
  * Limits the number of log lines per second, separately for each kind of line, and counts the suppressed lines for the next admitted one.
  */
 
-/** Maximum number of lines of one kind per second; enough to follow individual requests under normal load. */
+/** Default of the maximum number of lines of one kind per second; enough to follow individual requests under normal load. */
 const MAX_LINES_PER_S = 20
 const MS_PER_S = 1_000
 
@@ -14,6 +14,11 @@
 
 export class LogLimiter {
   private readonly _windows = new Map<string, Window>()
+  private readonly _maxLinesPerS: number
+
+  constructor (maxLinesPerS = MAX_LINES_PER_S) {
+    this._maxLinesPerS = maxLinesPerS
+  }
 
   /** Decides about one line of a kind. Returns undefined if the line must be suppressed, otherwise the number of lines suppressed since the last admitted line. */
   admit (kind: string): number | undefined {
@@ -23,7 +28,7 @@
       window = { startedAt: now, lines: 0, leftOut: window?.leftOut ?? 0 }
       this._windows.set(kind, window)
     }
-    if (window.lines >= MAX_LINES_PER_S) {
+    if (window.lines >= this._maxLinesPerS) {
       window.leftOut++
       return undefined
     }
--- a/packages/runtime/src/rpcServer.ts
+++ b/packages/runtime/src/rpcServer.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 
-import { RpcMethods, DispatchHeader, parseJson } from '@dragonflylever/protocol'
+import { RpcMethods, DispatchHeader, isBoundedJson, parseJson } from '@dragonflylever/protocol'
 import type { RpcHandler, RpcMethodName, RpcParams, RpcRegistry } from '@dragonflylever/protocol'
 import { JSONRPCErrorException, JSONRPCServer, isJSONRPCRequest } from 'json-rpc-2.0'
 
@@ -41,7 +41,11 @@
       sendJson(response, 413, { error: `a call is at most ${MAX_BODY_BYTES} bytes` })
       return
     }
-    const call = parseJson(read.body.toString('utf8'))
+    if (read.kind === 'overloaded') {
+      sendJson(response, 503, { error: 'this process holds as many requests as it may; try again shortly' })
+      return
+    }
+    const call = isBoundedJson(read.body) ? parseJson(read.body.toString('utf8')) : undefined
     if (!isJSONRPCRequest(call)) {
       sendJson(response, 400, { error: 'expected a JSON-RPC 2.0 request' })
       return
