--- a/review/standins-2/http.js
+++ b/review/standins-2/http.js
@@ -2,6 +2,7 @@
  * Helpers of the stand-ins: JSON over HTTP/1.1 with Node's own modules.
  */
 import { createServer, request as openRequest } from 'node:http'
+import { createServer as createTcpServer } from 'node:net'
 
 /** Opens a server that passes each call with its parsed body to `handle`, which returns `{ status, body }`, or undefined to give no answer. */
 export async function openJsonServer (address, handle) {
@@ -63,3 +64,12 @@
     request.end(text)
   })
 }
+
+/** Resolves with true if nothing listens at an address. */
+export function canListen (host, port) {
+  return new Promise(resolve => {
+    const server = createTcpServer()
+    server.once('error', () => resolve(false))
+    server.listen({ host, port }, () => server.close(() => resolve(true)))
+  })
+}
--- a/review/standins-2/worker.js
+++ b/review/standins-2/worker.js
@@ -6,6 +6,13 @@
 
 /** Longest `task-spec` that is recorded as it is, in characters. */
 const MAX_RECORDED = 100
+/** Factor by which subtasks take longer in several racks that are to share one. */
+const REMOTE_FACTOR = 3
+
+/** Name of the step of a task: ID.K.STEP. */
+function getStep (task) {
+  return task.split('.').slice(0, 3).join('.')
+}
 
 /** Advances the work of all workers, so that runs of equal work that begin within one step end together. */
 export class WorkClock {
@@ -29,7 +36,7 @@
 
 export class WorkerStandIn {
   /**
-   * `describeTask` returns `{ workMs, gangSize, needs }` for the name of a task; `record` gets what happens.
+   * `describeTask` returns `{ workMs, gangSize, isSameRack, needs }` for the name of a task; `record` gets what happens.
    */
   constructor (options) {
     this._options = { heartbeatMs: 1_500, holdMaxMs: 6_000, stopGraceMs: 400, gangTimeoutMs: 3_000, ...options }
@@ -98,9 +105,29 @@
     return [...(this._runs ?? new Map()).values()].map(({ task }) => task)
   }
 
+  get rack () {
+    return this._options.labels[1]
+  }
+
+  get capacity () {
+    return this._options.capacity
+  }
+
+  get freeCapacity () {
+    const held = [...(this._runs ?? new Map()).values()].map(({ needs }) => needs)
+    return Object.fromEntries(Object.entries(this.capacity).map(([name, amount]) => [name, held.reduce((free, needs) => free - needs[name], amount)]))
+  }
+
   advance (ms) {
     if (this.clockMs > this._leaseUntil) for (const run of [...this._runs.values()]) this._endRun(run, 'lapsed')
-    for (const run of this._runs.values()) if (run.isAtWork) run.workedMs += ms / this.slowness
+    for (const run of this._runs.values()) if (run.isAtWork) run.workedMs += ms / this.slowness / (this._isSpread(run) ? REMOTE_FACTOR : 1)
+  }
+
+  /** True if a run is to share a rack with the others of its step, and one of them is in another rack. */
+  _isSpread ({ task, isSameRack }) {
+    if (isSameRack !== true) return false
+    const step = getStep(task)
+    return [...this._options.workClock.workers].some(other => other.rack !== this.rack && other.runningTasks.some(name => getStep(name) === step))
   }
 
   /** Ends the runs whose work is complete; the members of a gang end together. */
@@ -155,11 +182,11 @@
       return this._refuse('old')
     }
     if (until <= this.clockMs) return this._refuse('late')
-    const { workMs, gangSize, needs } = this._options.describeTask(task)
+    const { workMs, gangSize, isSameRack, needs } = this._options.describeTask(task)
     this._extendLease(until)
-    const held = [...this._runs.values()].map(run => run.needs)
-    if (['cpu', 'mem-mb', 'gpu'].some(name => held.reduce((sum, one) => sum + one[name], needs[name]) > this._options.capacity[name])) return this._refuse('room')
-    const run = { task, number, workMs, needs, workedMs: 0, isAtWork: false, worker: this }
+    const free = this.freeCapacity
+    if (Object.keys(needs).some(name => needs[name] > free[name])) return this._refuse('room')
+    const run = { task, number, workMs, isSameRack, needs, workedMs: 0, isAtWork: false, worker: this }
     this._runs.set(task, run)
     this._record('run started', { task, run: number, payload: payload.length > MAX_RECORDED ? `${payload.length} characters` : payload, checkpoint })
     if (this.isFailing) run.timer = setTimeout(() => this._endRun(run, 'failed'), 100)
@@ -200,7 +227,7 @@
 
   _joinGang (run, size) {
     const { gangs, gangTimeoutMs } = this._options
-    const key = `${run.task.split('.').slice(0, 3).join('.')}/${run.number}`
+    const key = `${getStep(run.task)}/${run.number}`
     const gang = gangs.get(key) ?? { key, members: new Set(), hasBegun: false }
     gangs.set(key, gang)
     run.gang = gang
