--- a/review/7/case.js
+++ b/review/7/case.js
@@ -2,12 +2,16 @@
  * The store carries out the writes of one submission late and does not answer them. The consumer, who got no acceptance, cancels the job and is told that it doesn't exist. Checks that no
  * subtask of the cancelled job is at work once everything has been calm for long enough.
  */
-import { dirname } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 
 import { runCase } from '../standins-2/fleet.js'
 
+/** False with TROUBLE=0: the case then runs the same without its disruption. */
+const isTroubled = process.env.TROUBLE !== '0'
+/** Where it is written what was sent, answered and run. */
+const recordFile = fileURLToPath(new URL('record.txt', import.meta.url))
+
 const WORKERS = 3
 const LOST_MS = 4_500
 const LATE_MS = 5_500
@@ -51,7 +55,7 @@
   }
 }
 
-await runCase({ folder: dirname(fileURLToPath(import.meta.url)), workers: WORKERS, entries: 2, describeTask }, async (fleet, isTroubled) => {
+await runCase({ isTroubled, recordFile, workers: WORKERS, entries: 2, describeTask }, async fleet => {
   const counts = isTroubled ? loseWrites(fleet) : undefined
   const others = submitOthers(fleet)
   await sleep(1_000)
