--- a/review/9/case.js
+++ b/review/9/case.js
@@ -1,12 +1,16 @@
 /**
  * A worker crashes right after the subtasks of a step have started on it, and comes back. The subtasks are to run in one rack if possible, and are no gang. Checks that they are started again.
  */
-import { dirname } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 
 import { runCase } from '../standins-2/fleet.js'
 
+/** False with TROUBLE=0: the case then runs the same without its disruption. */
+const isTroubled = process.env.TROUBLE !== '0'
+/** Where it is written what was sent, answered and run. */
+const recordFile = fileURLToPath(new URL('record.txt', import.meta.url))
+
 const WORKERS = 7
 const CRASH_AFTER_MS = 500
 const DOWN_MS = 4_500
@@ -15,8 +19,6 @@
 const SUBTASKS = 9
 const ID = '5c0e7a21d94b36fb'
 const JOB = { 'task-spec': 'recon', steps: [{ count: SUBTASKS, ...NEEDS, 'est-duration-ms': WORK_MS, 'same-rack': true }] }
-/** A job may have nothing running for 3 s while there is capacity for it; `finish_s` is 14. */
-const PATIENCE_MS = 45_000
 
 /** Crashes the worker with the most subtasks. */
 async function crashWorker (fleet) {
@@ -28,16 +30,12 @@
   fleet.record('disruption ends')
 }
 
-await runCase({ folder: dirname(fileURLToPath(import.meta.url)), workers: WORKERS, describeTask: () => ({ workMs: WORK_MS, needs: NEEDS }) }, async (fleet, isTroubled) => {
+await runCase({ isTroubled, recordFile, workers: WORKERS, describeTask: () => ({ workMs: WORK_MS, isSameRack: true, needs: NEEDS }) }, async fleet => {
   if (!await fleet.submit(ID, JOB)) throw new Error('the job was not accepted')
   await sleep(CRASH_AFTER_MS)
   if (isTroubled) await crashWorker(fleet)
-  let state
-  for (const until = fleet.now + PATIENCE_MS; fleet.now < until; await sleep(200)) {
-    state = await fleet.readState(ID)
-    if (state === 'completed' || state === 'failed') break
-  }
+  const outcome = await fleet.watchJob(ID, { needs: NEEDS, trafficEndedAt: fleet.now })
   const done = fleet.events.filter(({ what, how }) => what === 'run ended' && how === 'done').length
-  fleet.record('verdict', { state, subtasksDone: done, workersUp: fleet.workers.filter(({ isUp }) => isUp).length })
-  return state === 'completed'
+  fleet.record('verdict', { outcome, subtasksDone: done, workersUp: fleet.workers.filter(({ isUp }) => isUp).length })
+  return outcome.state === 'completed'
 })
