Fix repeated jobs of gangs shown as completed too early

A repeated job whose last step is a gang was shown as completed while occurrences were at work; these were stopped and never run.

Cause: JobState.doneOccurrences was raised at each end of a task whose step had nothing left to do. Each member of a gang reports such an end, and so does the second of two runs of a task, so one occurrence counted several times. A new planner counted the occurrences themselves, so the two counts differed. The same field limits the occurrences at work.

Change: the count is gone. isJobDone and the limit look at the occurrences that are held; dropped ones are done. Nothing is left that a repeated end could raise.

--- a/packages/core/src/graphs/jobProgress.ts
+++ b/packages/core/src/graphs/jobProgress.ts
@@ -6,7 +6,7 @@
 import type { JobGraph } from './graphTypes.js'
 import { RunPhase, addOccurrence, createJobState, markChanged } from './jobState.js'
 import type { JobState, RunState, StepState, TaskState, WorkerLocation } from './jobState.js'
-import { countDroppedOccurrences, isOccurrenceDone } from './occurrences.js'
+import { countDroppedOccurrences } from './occurrences.js'
 
 /** Stored run: run number, id of the worker, start time of the worker's incarnation, address of the worker. */
 type RunRecord = readonly [number, string, number, string]
@@ -65,14 +65,12 @@
   return job
 }
 
-/** Creates the occurrences of which no step has started, which are not among the stored steps, and counts those that are done. */
+/** Creates the occurrences of which no step has started, which are not among the stored steps. */
 function restoreOccurrences (job: JobState, { occurrences }: ProgressRecord): void {
   const next = occurrences?.next ?? job.nextOccurrence
   const held = occurrences?.held ?? Array.from({ length: next }, (_, number) => number)
   for (const number of held) if (!job.occurrences.has(number)) addOccurrence(job, number)
   job.nextOccurrence = next
-  job.doneOccurrences = countDroppedOccurrences(job)
-  for (const steps of job.occurrences.values()) if (isOccurrenceDone(steps)) job.doneOccurrences++
 }
 
 function hasStarted (step: StepState): boolean {
--- a/packages/core/src/graphs/jobState.ts
+++ b/packages/core/src/graphs/jobState.ts
@@ -113,8 +113,6 @@
   readonly occurrences: Map<number, StepState[]>
   /** Number of the next occurrence to be created; those before it were created, in the order of their numbers. */
   nextOccurrence: number
-  /** Number of occurrences that are done, also of those that were dropped. */
-  doneOccurrences: number
   endedAt: number | undefined
   /** When the job was added to this planner, on the planner's clock. */
   readonly addedAt: number
@@ -122,7 +120,7 @@
 
 /** Creates the state of a job without any occurrence. */
 export function createJobState (graph: JobGraph, now: number): JobState {
-  return { graph, phase: JobPhase.queued, version: 0, durableVersion: 0, hasNewCheckpoint: false, occurrences: new Map(), nextOccurrence: 0, doneOccurrences: 0, endedAt: undefined, addedAt: now }
+  return { graph, phase: JobPhase.queued, version: 0, durableVersion: 0, hasNewCheckpoint: false, occurrences: new Map(), nextOccurrence: 0, endedAt: undefined, addedAt: now }
 }
 
 /** Creates the steps of an occurrence and adds them to the job. */
--- a/packages/core/src/graphs/occurrences.ts
+++ b/packages/core/src/graphs/occurrences.ts
@@ -19,15 +19,27 @@
   if (repeat === undefined) return
   dropDoneOccurrences(job)
   const maxOpen = Math.max(MIN_OPEN_OCCURRENCES, Math.floor(MAX_OPEN_TASKS / countTasks(steps)))
-  while (job.nextOccurrence < countOccurrences(job.graph) && job.nextOccurrence - job.doneOccurrences < maxOpen) {
+  for (let open = countOpenOccurrences(job); open < maxOpen && job.nextOccurrence < countOccurrences(job.graph); open++) {
     if (repeat.firstRunAt + job.nextOccurrence * repeat.intervalMs > wallTime) return
     addOccurrence(job, job.nextOccurrence)
     markChanged(job)
   }
 }
 
+/** True once all occurrences of a job are done. Looks at the occurrences themselves: a step can end more than once, for example with each member of a gang. */
+export function isJobDone (job: JobState): boolean {
+  return job.nextOccurrence >= countOccurrences(job.graph) && countOpenOccurrences(job) === 0
+}
+
+/** Counts the occurrences that were created and are not done. */
+function countOpenOccurrences (job: JobState): number {
+  let count = 0
+  for (const steps of job.occurrences.values()) if (!isOccurrenceDone(steps)) count++
+  return count
+}
+
 /** True once all tasks of an occurrence are done. */
-export function isOccurrenceDone (steps: readonly StepState[]): boolean {
+function isOccurrenceDone (steps: readonly StepState[]): boolean {
   return steps.every(step => step.remaining === 0)
 }
 
--- a/packages/core/src/graphs/runTracker.ts
+++ b/packages/core/src/graphs/runTracker.ts
@@ -4,8 +4,9 @@
 import { isGivenUp } from './crashBlame.js'
 import { JobPhase, RunEnd, isFinalPhase } from './graphTypes.js'
 import { createRun } from './jobProgress.js'
-import { RunPhase, countOccurrences, isActive, listTasks, markChanged, saveCheckpoint } from './jobState.js'
+import { RunPhase, isActive, listTasks, markChanged, saveCheckpoint } from './jobState.js'
 import type { JobState, RunState, StepState, TaskState } from './jobState.js'
+import { isJobDone } from './occurrences.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
 import type { RunTimeMeter } from './runTimeMeter.js'
@@ -197,7 +198,7 @@
   private _finishTask (task: TaskState, now: number): void {
     const { step } = task
     for (const member of step.spec.isGang ? step.tasks : [task]) this._markTaskDone(member, now)
-    if (step.remaining === 0) this._finishStep(step, now)
+    if (isJobDone(step.job)) this.endJob(step.job, JobPhase.completed, 'all tasks are done', now)
   }
 
   private _markTaskDone (task: TaskState, now: number): void {
@@ -207,14 +208,6 @@
     for (const run of task.runs) this.stop(run, 'the task is done', now)
   }
 
-  private _finishStep (step: StepState, now: number): void {
-    const { job } = step
-    const steps = job.occurrences.get(step.occurrence) ?? []
-    if (steps.some(other => other.remaining > 0)) return
-    job.doneOccurrences++
-    if (job.doneOccurrences >= countOccurrences(job.graph)) this.endJob(job, JobPhase.completed, 'all tasks are done', now)
-  }
-
   private _failRun (run: RunState, now: number): void {
     const { task } = run
     const { step } = task
--- a/packages/core/test/graphs/occurrences.test.ts
+++ b/packages/core/test/graphs/occurrences.test.ts
@@ -54,3 +54,58 @@
   t.is(ends.size, count)
   t.deepEqual([...ends.values()].filter(number => number !== 1), [])
 })
+
+/** Ends the runs of one occurrence of a job as done, each member of a gang by itself. */
+function endOccurrence (harness: PlannerHarness, occurrence: number): void {
+  const running = harness.workers.flatMap(worker => worker.running.map(({ task }) => task))
+  for (const task of running.filter(name => name.startsWith(`a.${occurrence}.`))) harness.endRun(task, 'done')
+}
+
+// MIXED: a repeated job of gangs was shown as completed after its first occurrence, since each member of the gang counted as one occurrence.
+test('a repeated job of gangs is completed only once all its occurrences are done', t => {
+  const harness = new PlannerHarness([3])
+  harness.addJob('a', [makeStep({ count: 3, isGang: true, accelerators: 2 })], { repeat: { count: 3, intervalMs: 0, firstRunAt: 0 } })
+  harness.run(300)
+  for (const occurrence of [1, 2, 0]) {
+    t.is(harness.planner.getJob('a')?.phase, 'running')
+    endOccurrence(harness, occurrence)
+    harness.run(300)
+  }
+  t.is(harness.planner.getJob('a')?.phase, 'completed')
+})
+
+// MIXED: the end of a task counted as one more occurrence when a run that had been given up ended as done too.
+test('a task whose two runs both end as done counts as one occurrence', t => {
+  const harness = new PlannerHarness([1, 1])
+  harness.addJob('a', [makeStep({ accelerators: 5 })], { repeat: { count: 3, intervalMs: 0, firstRunAt: 0 } })
+  harness.run(300)
+  const silent = harness.findWorker('a.0.0.0')
+  if (silent === undefined) return t.fail('the first occurrence runs')
+  harness.workers.splice(harness.workers.indexOf(silent), 1)
+  harness.run(10_000)
+  endOccurrence(harness, 1)
+  harness.run(500)
+  t.is(harness.findWorker('a.0.0.0'), harness.workers[0], 'the task has been started again')
+  // Both runs end between two reports, and the end of the lost run is heard of first.
+  harness.workers.unshift(silent)
+  harness.endRun('a.0.0.0', 'done')
+  harness.endRun('a.0.0.0', 'done')
+  harness.run(300)
+  t.is(harness.planner.getJob('a')?.phase, 'running', 'the third occurrence is not done')
+  endOccurrence(harness, 2)
+  harness.run(300)
+  t.is(harness.planner.getJob('a')?.phase, 'completed')
+})
+
+// A planner that had counted too many ends held more occurrences open than the limit allows, and a new planner counted anew.
+test('the number of occurrences at work does not depend on how many members of a gang report their end', t => {
+  const harness = new PlannerHarness([1])
+  const size = 250
+  harness.addJob('a', [{ ...SMALL_STEP, accelerators: 0, count: size, isGang: true }], { repeat: { count: 1_000, intervalMs: 0, firstRunAt: 0 } })
+  const countOpen = (): number => [...harness.planner.getJob('a')?.occurrences.values() ?? []].filter(steps => steps.some(step => step.remaining > 0)).length
+  harness.run(300)
+  const before = countOpen()
+  endOccurrence(harness, 0)
+  harness.run(300)
+  t.is(countOpen(), before)
+})
