Fix jobs that run after their cancellation was answered with 410

A submission was answered 504, its cancellation 410, and the job ran seconds later.

Cause: the store may carry out an unanswered write seconds later if its condition still holds. A cancellation of a job without a state only read the store, so the condition of the submission held on.

Change: such a cancellation writes the job's fence, and each submission expects the fence as it last saw it, so whatever was sent before fails. A job submitted after that is stored as cancelled, since its id remains one job. A fence names the organisations that cancelled the job, so that none cancels the job of another. The writes of entries move to JobWriter, the times of calls to callTimes.

--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -2,16 +2,20 @@
  * Handles clients' calls for jobs. A job is accepted once it is stored, and a refused job never runs. If it is not known in
  * time whether the store carried out a write, the answer is `undecided`.
  */
-import type { Store, StoredValue, TransactOutcome, Transaction, Unavailable, WaitOptions } from '@dragonflylever/adapters'
+import { TokenBucket } from '@dragonflylever/adapters'
+import type { Ambiguous, Store, StoredValue, Unavailable } from '@dragonflylever/adapters'
 import type { Random } from '@dragonflylever/core'
 import { computeOutageRetryAfter, countTasks } from '@dragonflylever/core/graphs/index'
 import type { JobGraph, JobPhase, PolicyIndex, RoutedQueue, StepSpec } from '@dragonflylever/core/graphs/index'
 import type { Logger, Metrics } from '@dragonflylever/runtime'
 
-import { createQueuedJobState, decodeJobState } from '../jobPlanner/graphKeys.js'
+import { decodeJobState } from '../jobPlanner/graphKeys.js'
 import type { GraphKeys, JobStateRecord } from '../jobPlanner/graphKeys.js'
+import { computeCallTimes, makeWaitOptions } from './callTimes.js'
+import type { CallTimes } from './callTimes.js'
 import type { JobAdmission } from './jobAdmission.js'
 import type { JobStates } from './jobStates.js'
+import { JobWriter } from './jobWriter.js'
 
 /** A job as submitted by a client. */
 export interface JobDraft {
@@ -72,16 +76,6 @@
 
 const JOB_ID = /^[0-9a-f]{16}$/
 const STORE_RETRY_MS = 50
-/** How long before the client's deadline the retries end, in milliseconds, so that the answer reaches the client in time. */
-const ANSWER_MARGIN_MS = 150
-/** Maximum time for retries of a store call, in milliseconds; after that, a client that retries at another entry succeeds sooner. */
-const STORE_DECISION_MS = 900
-/**
- * Maximum time for which a call waits for a store that is known to be unavailable, in milliseconds: enough for the probe that finds the store back and its answer
- * from another region. It also is at most the share {@link OUTAGE_WAIT_SHARE} of the target latency of the call's queue.
- */
-const OUTAGE_WAIT_MS = 250
-const OUTAGE_WAIT_SHARE = 0.25
 /**
  * How long an unanswered write counts as undecided after its last attempt, in milliseconds: the store may carry it out seconds later. During
  * this time the job is not refused as `storeAway`, which would tell the client that it never runs.
@@ -89,6 +83,9 @@
 const UNDECIDED_RETENTION_MS = 15_000
 /** Delay after which clients should retry if the declarations are not loaded, in milliseconds; loading takes seconds after a start. */
 const NOT_READY_RETRY_AFTER_MS = 1_000
+/** Limits how many fences this process writes: clients may cancel any number of jobs that don't exist, and each fence is a write that submissions lack. */
+const FENCE_RATE = { ratePerS: 2, burst: 20 } as const
+const FENCE_RETRY_AFTER_MS = 2_000
 
 type Admission =
   | { readonly kind: 'admitted', readonly queue: RoutedQueue, readonly organisation: string, readonly rest: string }
@@ -100,9 +97,12 @@
   private readonly _undecidedUntil = new Map<string, number>()
   /** Answers to the submissions that are being stored, by job id. */
   private readonly _pendingSubmissions = new Map<string, Promise<JobEntryAnswer>>()
+  private readonly _writer: JobWriter
+  private readonly _fenceBucket = new TokenBucket(FENCE_RATE, performance.now())
 
   constructor (dependencies: JobEntryHandlerDependencies) {
     this._dependencies = dependencies
+    this._writer = new JobWriter(dependencies)
   }
 
   /** True once the declarations are loaded, so that calls can be answered. */
@@ -129,7 +129,7 @@
     if (!JOB_ID.test(id)) return makeRefusal(Refusal.invalid, 'a job id has 16 hexadecimal digits')
     if (this._dependencies.states.get(id) !== undefined) return { kind: 'accepted' }
     const graph = makeGraph(id, organisation, queue, draft)
-    const answer = await this._submitOnce(computeCallTimes(call, queue), graph)
+    const answer = await this._submitOnce(computeCallTimes(call.deadlineAt, queue), graph)
     this._dependencies.logger.info({ job: id, queue: queue.name, organisation, version: this._dependencies.getPolicy()?.policy.version, tasks: countTasks(draft.steps), answer }, 'submission answered')
     return answer
   }
@@ -139,28 +139,40 @@
     const admission = this.admit(call)
     if (admission.kind !== 'admitted') return admission
     if (admission.rest === '') return { kind: 'waiting', count: this._dependencies.states.countWaiting(admission.queue.name) }
-    const known = this._dependencies.states.get(admission.rest)
-    if (known !== undefined) return makeStateAnswer(known, admission.organisation)
-    // No job has such an id; the store could reject the key, which would look like an outage.
-    if (!JOB_ID.test(admission.rest)) return { kind: 'noSuchJob' }
-    return this._readState(computeCallTimes(call, admission.queue), admission.rest, admission.organisation)
+    const answer = await this._findState(computeCallTimes(call.deadlineAt, admission.queue), admission.rest, admission.organisation)
+    if (answer.kind === 'noSuchJob' && this._isUndecided(admission.rest)) return { kind: 'undecided', message: 'a submission of the job may still take effect' }
+    return answer
   }
 
-  /** Cancels a job; has no effect on a job that has ended. */
+  /**
+   * Cancels a job; has no effect on a job that has ended. The answer `noSuchJob` means that the job does not exist and that no submission of it that was sent before takes effect.
+   */
   async cancel (call: JobEntryCall): Promise<JobEntryAnswer> {
     const admission = this.admit(call)
     if (admission.kind !== 'admitted') return admission
-    const id = admission.rest
-    const state = await this.getState(call)
-    if (state.kind !== 'state') return state
-    const key = this._dependencies.keys.getCancelKey(id)
-    const times = computeCallTimes(call, admission.queue)
-    const outcome = await this._transactUntilDecided(times, { expect: [{ key, modRevision: 0 }], puts: [{ key, value: '1' }], removes: [] })
-    const answer = outcome.kind === 'ok' || outcome.kind === 'conflict' ? { kind: 'accepted' } as const : this._makeUndecidedAnswer(outcome)
-    this._dependencies.logger.info({ job: id, phase: state.phase, answer }, 'cancellation answered')
+    const times = computeCallTimes(call.deadlineAt, admission.queue)
+    const state = await this._findState(times, admission.rest, admission.organisation)
+    const found = state.kind === 'noSuchJob' && JOB_ID.test(admission.rest) ? await this._withdrawJob(times, admission.rest, admission.organisation) : state
+    const answer = found.kind === 'state' ? await this._cancelStoredJob(times, admission.rest) : found
+    this._dependencies.logger.info({ job: admission.rest, organisation: admission.organisation, found, answer }, 'cancellation answered')
     return answer
   }
 
+  /** Returns `noSuchJob` once no earlier submission of a job can be stored any more, or the state of the job if it has been stored meanwhile. */
+  private async _withdrawJob (times: CallTimes, jobId: string, organisation: string): Promise<JobEntryAnswer> {
+    if (!this._fenceBucket.tryTake(performance.now())) return makeRefusal(Refusal.overloaded, 'too many cancellations of unknown jobs; the job was not cancelled', FENCE_RETRY_AFTER_MS)
+    const outcome = await this._writer.withdrawJob(times, jobId, organisation)
+    if (outcome.kind === 'stored') return this._answerStoredState(jobId, organisation, outcome.state)
+    if (outcome.kind !== 'withdrawn') return this._makeUndecidedAnswer(outcome)
+    this._undecidedUntil.delete(jobId)
+    return { kind: 'noSuchJob' }
+  }
+
+  private async _cancelStoredJob (times: CallTimes, jobId: string): Promise<JobEntryAnswer> {
+    const outcome = await this._writer.cancelJob(times, jobId)
+    return outcome.kind === 'ok' || outcome.kind === 'conflict' ? { kind: 'accepted' } : this._makeUndecidedAnswer(outcome)
+  }
+
   /**
    * Refuses a job that would start too late to be worth anything. One that may be stored already is not refused, as that would be untrue: an earlier call here has left its write
    * undecided, or its state is in the store.
@@ -194,19 +206,11 @@
   }
 
   private async _storeJob (times: CallTimes, graph: JobGraph): Promise<JobEntryAnswer> {
-    const { keys, states } = this._dependencies
-    const state = createQueuedJobState(graph)
-    const specKey = keys.getSpecKey(graph.id)
-    const stateKey = keys.getStateKey(graph.id)
-    const outcome = await this._transactUntilDecided(times, {
-      expect: [{ key: specKey, modRevision: 0 }, { key: stateKey, modRevision: 0 }],
-      puts: [{ key: specKey, value: JSON.stringify(graph) }, { key: stateKey, value: JSON.stringify(state) }],
-      removes: []
-    }, this._isUndecided(graph.id))
-    if (outcome.kind === 'ok') states.recordState(graph.id, state)
-    if (outcome.kind === 'conflict') this._recordCurrentState(graph.id, outcome.current.find(value => value.key === stateKey))
-    // After a conflict the job id is already stored, either by an attempt whose answer was lost or by an earlier call. In both cases it is the same job.
-    if (outcome.kind === 'ok' || outcome.kind === 'conflict') {
+    const outcome = await this._writer.storeJob(times, graph, this._isUndecided(graph.id))
+    if (outcome.kind === 'stored') this._dependencies.states.recordState(graph.id, outcome.state)
+    if (outcome.kind === 'known') this._recordCurrentState(graph.id, outcome.state)
+    // A known job was stored either by an attempt whose answer was lost or by an earlier call. In both cases it is the same job.
+    if (outcome.kind === 'stored' || outcome.kind === 'known') {
       this._undecidedUntil.delete(graph.id)
       return { kind: 'accepted' }
     }
@@ -230,42 +234,32 @@
     return (this._undecidedUntil.get(jobId) ?? -Infinity) > performance.now()
   }
 
-  /**
-   * Retries a conditional write until its outcome is known or the time for retries is over. If the store is unavailable, the write is
-   * retried for a short time only, unless an attempt was ambiguous: nothing was stored, and the call can be refused. If an earlier call left
-   * the write undecided (`wasUndecided`), the retries go on until the deadline: a refusal would be untrue, and another undecided answer would
-   * not help the client.
-   */
-  private async _transactUntilDecided (times: CallTimes, transaction: Transaction, wasUndecided = false): Promise<TransactOutcome> {
-    const retryUntil = wasUndecided ? times.answerUntil : times.retryUntil
-    let isAmbiguous = wasUndecided
-    for (;;) {
-      const outcome = await this._dependencies.store.transact(transaction, makeWaitOptions(isAmbiguous ? retryUntil : times.outageUntil, retryUntil))
-      if (outcome.kind === 'ok' || outcome.kind === 'conflict') return outcome
-      if (outcome.kind === 'ambiguous') isAmbiguous = true
-      this._dependencies.metrics.count('store_retries')
-      const isOver = performance.now() + STORE_RETRY_MS > (isAmbiguous ? retryUntil : times.outageUntil)
-      if (isOver) return isAmbiguous ? { kind: 'ambiguous', message: outcome.message } : outcome
-      await new Promise(resolve => setTimeout(resolve, STORE_RETRY_MS))
-    }
+  private async _findState (times: CallTimes, jobId: string, organisation: string): Promise<JobEntryAnswer> {
+    const known = this._dependencies.states.get(jobId)
+    if (known !== undefined) return makeStateAnswer(known, organisation)
+    // No job has such an id; the store could reject the key, which would look like an outage.
+    return JOB_ID.test(jobId) ? this._readState(times, jobId, organisation) : { kind: 'noSuchJob' }
   }
 
   private async _readState (times: CallTimes, jobId: string, organisation: string): Promise<JobEntryAnswer> {
     for (;;) {
       const outcome = await this._dependencies.store.get(this._dependencies.keys.getStateKey(jobId), makeWaitOptions(times.outageUntil, times.retryUntil))
       if (outcome.kind === 'ok') {
-        if (outcome.value === undefined) return { kind: 'noSuchJob' }
-        const state = decodeJobState(outcome.value.value)
-        if (state === undefined) return makeRefusal(Refusal.unreadable, `the stored state of the job can't be read; its revision is ${outcome.value.modRevision}`)
-        this._dependencies.states.recordState(jobId, state)
-        return makeStateAnswer(state, organisation)
+        return outcome.value === undefined ? { kind: 'noSuchJob' } : this._answerStoredState(jobId, organisation, outcome.value)
       }
       if (performance.now() + STORE_RETRY_MS > times.outageUntil) return this._refuseForOutage(outcome, 'the state is not known here and the store does not answer: ')
       await new Promise(resolve => setTimeout(resolve, STORE_RETRY_MS))
     }
   }
 
-  private _makeUndecidedAnswer (outcome: Unavailable | { readonly kind: 'ambiguous', readonly message: string }): JobEntryAnswer {
+  private _answerStoredState (jobId: string, organisation: string, stored: StoredValue): JobEntryAnswer {
+    const state = decodeJobState(stored.value)
+    if (state === undefined) return makeRefusal(Refusal.unreadable, `the stored state of the job can't be read; its revision is ${stored.modRevision}`)
+    this._dependencies.states.recordState(jobId, state)
+    return makeStateAnswer(state, organisation)
+  }
+
+  private _makeUndecidedAnswer (outcome: Unavailable | Ambiguous): JobEntryAnswer {
     return outcome.kind === 'unavailable' ? this._refuseForOutage(outcome) : { kind: 'undecided', message: outcome.message }
   }
 
@@ -274,31 +268,6 @@
   }
 }
 
-/** Times up to which parts of a call may last, in milliseconds of the monotonic clock. */
-interface CallTimes {
-  /** Up to when the call waits for a store that is known to be unavailable. */
-  readonly outageUntil: number
-  /** Up to when the call waits for a read, and retries a write that may have been carried out. */
-  readonly retryUntil: number
-  /** Up to when the call must be answered so that the answer reaches the client in time. */
-  readonly answerUntil: number
-}
-
-function computeCallTimes (call: JobEntryCall, queue: RoutedQueue): CallTimes {
-  const now = performance.now()
-  const answerUntil = call.deadlineAt - ANSWER_MARGIN_MS
-  return {
-    outageUntil: Math.min(answerUntil, now + Math.min(OUTAGE_WAIT_MS, queue.targetLatencyMs * OUTAGE_WAIT_SHARE)),
-    retryUntil: Math.min(answerUntil, now + STORE_DECISION_MS),
-    answerUntil
-  }
-}
-
-function makeWaitOptions (outageUntil: number, readUntil: number): WaitOptions {
-  const now = performance.now()
-  return { maxOutageWaitMs: Math.max(0, outageUntil - now), maxReadWaitMs: Math.max(0, readUntil - now) }
-}
-
 function makeGraph (id: string, organisation: string, queue: RoutedQueue, draft: JobDraft): JobGraph {
   const { name, service, priority, maxAttempts, stretch, targetLatencyMs, advice } = queue
   const policy = { name, service, priority, maxAttempts, stretch, targetLatencyMs, ...(advice === undefined ? {} : { advice }) }
--- a/packages/daemon/src/jobPlanner/graphKeys.ts
+++ b/packages/daemon/src/jobPlanner/graphKeys.ts
@@ -66,7 +66,7 @@
     this._prefix = prefix
   }
 
-  /** Prefix of the keys that entries write: job specs and cancellation requests. */
+  /** Prefix of the keys that entries write: job specs, cancellation requests and submission fences. */
   get inputPrefix (): string {
     return `${this._prefix}/graphs/in/`
   }
@@ -104,6 +104,11 @@
     return `${this.inputPrefix}${jobId}/cancel`
   }
 
+  /** Key of the fence with which late submissions of a job collide; see `submissionFence.ts`. */
+  getFenceKey (jobId: string): string {
+    return `${this.inputPrefix}${jobId}/fence`
+  }
+
   getStateKey (jobId: string): string {
     return `${this.states}${jobId}`
   }
@@ -116,10 +121,10 @@
     return `${this.nodes}${name}`
   }
 
-  /** Parses a key under {@link inputPrefix}; returns undefined if it belongs to neither a job spec nor a cancellation request. */
-  parseInputKey (key: string): { readonly jobId: string, readonly kind: 'spec' | 'cancel' } | undefined {
+  /** Parses a key under {@link inputPrefix}; returns undefined if it belongs to no job spec, cancellation request or submission fence. */
+  parseInputKey (key: string): { readonly jobId: string, readonly kind: 'spec' | 'cancel' | 'fence' } | undefined {
     const [jobId, kind] = key.slice(this.inputPrefix.length).split('/')
-    if (jobId === undefined || (kind !== 'spec' && kind !== 'cancel')) return undefined
+    if (jobId === undefined || (kind !== 'spec' && kind !== 'cancel' && kind !== 'fence')) return undefined
     return { jobId, kind }
   }
 }
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -13,6 +13,7 @@
 import { AdmissionPublisher } from './admissionPublisher.js'
 import { EvacuationWatcher } from './evacuationWatcher.js'
 import type { EvacuationSettings } from './evacuationWatcher.js'
+import { FenceTable } from './fenceTable.js'
 import { ReportLongPoll } from './reportLongPoll.js'
 import { LearnedStore } from './learnedStore.js'
 import { createQueuedJobState, decodeJobSpec, decodeJobState } from './graphKeys.js'
@@ -40,6 +41,8 @@
 const STATE_AFTER_RECORDS_MS = 30_000
 /** Maximum number of job states removed in one transaction; below the store's limit of keys per transaction. */
 const STATES_PER_REMOVAL = 30
+/** Maximum number of submission fences removed at each interval, one transaction each. */
+const FENCES_PER_REMOVAL = 25
 /** Times at which the planner sends its address to agents that have not reported yet, in milliseconds after the start of the session. */
 const ANNOUNCE_DELAYS_MS = [400, 1_200, 3_000, 6_000]
 const ANNOUNCE_TIMEOUT_MS = 1_000
@@ -80,6 +83,7 @@
   private readonly _jobsToRemove = new Set<string>()
   /** When the store confirmed the removal of the records of jobs whose states it still holds, on the monotonic clock, by job id. */
   private readonly _recordsRemovedAt = new Map<string, number>()
+  private readonly _fences = new FenceTable()
   private _isRemoving = false
   private readonly _timers: NodeJS.Timeout[] = []
   private _inputWatcher: PrefixWatcher | undefined
@@ -199,7 +203,8 @@
     for (const value of values) {
       const name = this._dependencies.keys.parseInputKey(value.key)
       if (name === undefined) continue
-      if (name.kind === 'cancel') cancelled.push(name.jobId)
+      if (name.kind === 'fence') this._fences.recordFence({ jobId: name.jobId, modRevision: value.modRevision }, now)
+      else if (name.kind === 'cancel') cancelled.push(name.jobId)
       else this._addJob(name.jobId, value, now)
     }
     for (const jobId of cancelled) this._planner.cancelJob(jobId, now)
@@ -294,6 +299,7 @@
       this._recordsRemovedAt.set(jobId, performance.now())
     }
     await this._removeExpiredStates()
+    for (const fence of this._fences.listExpired(performance.now(), FENCES_PER_REMOVAL)) if (await this._writer.removeFence(fence)) this._fences.forgetFence(fence)
     this._isRemoving = false
   }
 
--- a/packages/daemon/src/jobPlanner/progressWriter.ts
+++ b/packages/daemon/src/jobPlanner/progressWriter.ts
@@ -9,6 +9,7 @@
 import { readClocks } from '@dragonflylever/runtime'
 import type { ClockReading, Logger } from '@dragonflylever/runtime'
 
+import type { KnownFence } from './fenceTable.js'
 import type { GraphKeys, JobStateRecord } from './graphKeys.js'
 
 /** Maximum number of keys that a job adds to a transaction: one precondition and two puts. */
@@ -70,7 +71,7 @@
   }
 
   /**
-   * Removes the specs, progress records and cancellation requests of jobs; their states are kept. Resolves with the ids of the jobs for which the store
+   * Removes the specs, progress records, cancellation requests and fences of jobs; their states are kept. Resolves with the ids of the jobs for which the store
    * confirmed the removal.
    */
   async remove (jobIds: readonly string[]): Promise<string[]> {
@@ -80,7 +81,7 @@
       this._storedRevisions.delete(jobId)
       this._storedPhases.delete(jobId)
       this._undecidedJobs.delete(jobId)
-      const removes = [keys.getSpecKey(jobId), keys.getProgressKey(jobId), keys.getCancelKey(jobId)]
+      const removes = [keys.getSpecKey(jobId), keys.getProgressKey(jobId), keys.getCancelKey(jobId), keys.getFenceKey(jobId)]
       const outcome = await store.transact({ expect: [{ key: leaderKey, modRevision: epoch }], puts: [], removes })
       if (outcome.kind === 'ok') removed.push(jobId)
       else this._dependencies.logger.warn({ job: jobId, outcome: outcome.kind }, 'could not remove the records of an expired job; will retry')
@@ -96,6 +97,23 @@
     return outcome.kind === 'ok'
   }
 
+  /**
+   * Removes the fence of a job without a spec, together with the state of a job that was stored as cancelled. Resolves with true if the store holds that revision of the fence no longer, or
+   * the job has been stored since and keeps its fence until its records are removed.
+   */
+  async removeFence ({ jobId, modRevision }: KnownFence): Promise<boolean> {
+    const { store, keys, leaderKey, epoch, logger } = this._dependencies
+    const [fenceKey, specKey] = [keys.getFenceKey(jobId), keys.getSpecKey(jobId)]
+    const outcome = await store.transact({
+      expect: [{ key: leaderKey, modRevision: epoch }, { key: fenceKey, modRevision }, { key: specKey, modRevision: 0 }],
+      puts: [],
+      removes: [fenceKey, keys.getStateKey(jobId)]
+    })
+    const isDecided = outcome.kind === 'ok' || outcome.kind === 'conflict'
+    logger[isDecided ? 'debug' : 'warn']({ job: jobId, revision: modRevision, outcome: outcome.kind }, isDecided ? 'submission fence expired' : 'could not remove an expired submission fence; will retry')
+    return isDecided
+  }
+
   private async _writeChangedJobs (): Promise<void> {
     // Wait until the current synchronous code has finished, so that all its changes share one transaction.
     await Promise.resolve()
