Fix the measure of starvation, so that waits end without accelerators

The last attempt of a task was never made after its only worker had failed it, although that worker and all others were idle.

Cause: waits for a sound worker end when a step is starved, which needs that under half of the accelerators of the whole fleet are in use. Without accelerators 0 < 0 never holds, and lasting work of another service held the share up for a service that was idle.

Change: ServiceUse forms the share for each service: over accelerators where the service has any, as before, else over processors and memory.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -24,6 +24,7 @@
 import type { RunTracker } from './runTracker.js'
 import { estimateWorkedMs, measureStall, predictEnd } from './runProgress.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
+import { ServiceUse } from './serviceUse.js'
 import { SpeedFit } from './speedFit.js'
 import type { SpeedSource } from './speedSource.js'
 import type { FleetView } from './startForecast.js'
@@ -56,11 +57,10 @@
  */
 const SINGLE_CONFIRM_FACTOR = 2
 /**
- * Wait in milliseconds after which a step counts as starved, if its job has no run and half of the fleet is free. A starved step may use
+ * Wait in milliseconds after which a step counts as starved, if its job has no run and half of its service is free. A starved step may use
  * any eligible slot. The requirements allow a wait of 3 s.
  */
 const STARVATION_MS = 1_500
-const MAX_USED_SHARE = 0.5
 
 export class GraphPass {
   private readonly _dependencies: GraphPassDependencies
@@ -132,7 +132,7 @@
     if (waiting.length === 0) return
     const workers = this._listUsableWorkers()
     const snapshot = new CapacitySnapshot(workers)
-    this._markStarvedSteps(waiting)
+    this._markStarvedSteps(waiting, workers)
     this._markLastAttempts(waiting)
     const guaranteed = findGuaranteedJobs(jobs, policy, job => this._getPriority(job))
     this._releaseAvoidance.beginPass(waiting, workers, now)
@@ -263,19 +263,13 @@
   }
 
   /**
-   * Marks as starved the steps that have waited longer than {@link STARVATION_MS} while their job has no run and more than half of the
-   * fleet is free.
+   * Marks as starved the steps that have waited longer than {@link STARVATION_MS} while their job has no run and more than half of their
+   * service is free.
    */
-  private _markStarvedSteps (waiting: readonly WaitingStep[]): void {
-    let used = 0
-    let total = 0
-    for (const worker of this._listUsableWorkers()) {
-      total += worker.capacity.accelerators
-      for (const run of worker.runs) used += run.task.step.spec.accelerators
-    }
+  private _markStarvedSteps (waiting: readonly WaitingStep[], workers: readonly WorkerState[]): void {
     this._starvedSteps.clear()
-    if (used >= total * MAX_USED_SHARE) return
-    const longWaiting = waiting.filter(({ since }) => this._now - since > STARVATION_MS)
+    const use = new ServiceUse(workers)
+    const longWaiting = waiting.filter(({ step, since }) => this._now - since > STARVATION_MS && use.isMostlyFree(step.job.graph.queue.service))
     const running = new Set([...new Set(longWaiting.map(({ step }) => step.job))].filter(job => listTasks(job).some(task => task.runs.length > 0)))
     for (const { step } of longWaiting) if (!running.has(step.job)) this._starvedSteps.add(step)
   }
--- a/packages/core/test/graphs/plannerHarness.ts
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -44,6 +44,8 @@
   refusesStarts: boolean
   /** Version of the worker's software. */
   version?: string
+  /** Service that the worker belongs to; that of the queues of {@link makeQueue} if absent. */
+  service?: string
 }
 
 /** Makes a queue of priority 1 with defaults for everything that isn't overridden. */
@@ -175,7 +177,7 @@
     return {
       key: { id, born },
       address,
-      service: 's',
+      service: worker.service ?? 's',
       rack,
       labels: ['a', rack],
       ...(version === undefined ? {} : { version }),
