Let the faults of a worker count for a limited time

What callers would see: work that never starts. The last attempt of a task waits for a worker without failures since its last success, and a gang may need several slots at a worker on probation, which takes one run at a time until one succeeds. While tasks that last keep most of the service in use, no step is starved, and where nothing else starts at that worker nothing ever succeeds there.

Change: faults count for 20 s after the last one and the end of the avoidance.

Evidence, before the change: the three new tests failed (nothing started in 38 s and 45 s). After: they pass, 177 tests of core/graphs pass.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -98,7 +98,7 @@
       isCold: worker => worker.isCold(this._now),
       isKeptEmpty: worker => this._crashIsolation.isKeptEmpty(worker),
       chooseWorkersForSuspect: (workers, task) => this._crashIsolation.chooseWorkers(workers, task, this._starvedSteps.has(task.step)),
-      countFailures: worker => dependencies.workerHealth.countFailures(worker.key.id)
+      countFailures: worker => dependencies.workerHealth.countFailures(worker.key.id, this._now)
     })
     this._forecast = new CapacityForecast({ placement: this._placement, predictEnd: run => this._predictEnd(run), speedFit: this._speedFit })
     this._gangReservations = new GangReservations({ forecast: this._forecast, isEligible: (worker, step) => this._isEligibleForAll(worker, step) })
@@ -310,11 +310,11 @@
 
   /** The last attempt of a task waits for a worker without failures since its last success; a starved step takes any worker. */
   private _isUsableForLastAttempt (worker: WorkerState, step: StepState): boolean {
-    return this._starvedSteps.has(step) || this._dependencies.workerHealth.countFailures(worker.key.id) === 0
+    return this._starvedSteps.has(step) || this._dependencies.workerHealth.countFailures(worker.key.id, this._now) === 0
   }
 
   private _getTaskLimit (worker: WorkerState, step: StepState): number {
-    const probationLimit = this._dependencies.workerHealth.isOnProbation(worker.key.id) && !this._starvedSteps.has(step) ? Math.max(0, 1 - this._countUnprovenRuns(worker)) : Infinity
+    const probationLimit = this._dependencies.workerHealth.isOnProbation(worker.key.id, this._now) && !this._starvedSteps.has(step) ? Math.max(0, 1 - this._countUnprovenRuns(worker)) : Infinity
     const { maxPerWorker } = step.spec
     if (maxPerWorker === undefined) return probationLimit
     let runCount = 0
--- a/packages/core/src/graphs/workerHealthTracker.ts
+++ b/packages/core/src/graphs/workerHealthTracker.ts
@@ -1,7 +1,7 @@
 /**
  * Tracks the health of workers by the outcome of their runs, for workers that look healthy but fail or stall every run, or that refuse
  * starts. A worker gets no new runs for a time, longer each time, after failures of two different jobs in a row, a stalled run or a
- * start refused as unhealthy. After that it is on probation with one run at a time until a run succeeds. For tasks that last, a run that has been at work for
+ * start refused as unhealthy. After that it is on probation with one run at a time until a run succeeds or its faults are old. For tasks that last, a run that has been at work for
  * some seconds counts as a success, and its later failure as the task's own.
  */
 import type { RunState } from './jobState.js'
@@ -17,6 +17,12 @@
 /** Longest time for which a worker is avoided at once, in milliseconds. */
 const MAX_AVOID_MS = 20_000
 
+/**
+ * Time after the last fault of a worker, or the end of its avoidance, after which its faults no longer count, in milliseconds. Work that waits for a success at the worker would else wait without
+ * a limit where nothing else starts there. Longer than a faulty worker stays faulty.
+ */
+const FAULT_MEMORY_MS = 20_000
+
 /** Time for which a worker counts as unsteady after a crash, in milliseconds; workers that go down and up do so every few seconds. */
 const UNSTEADY_MS = 10_000
 
@@ -86,13 +92,21 @@
   }
 
   /** True while a worker should get only one run at a time. */
-  isOnProbation (workerId: string): boolean {
-    return this._healthByWorker.get(workerId)?.isOnProbation ?? false
+  isOnProbation (workerId: string, now: number): boolean {
+    return this._findHealth(workerId, now)?.isOnProbation ?? false
+  }
+
+  /** Returns the number of different jobs that failed at a worker since its last success, without faults that are too old to count. */
+  countFailures (workerId: string, now: number): number {
+    return this._findHealth(workerId, now)?.failedJobs.size ?? 0
   }
 
-  /** Returns the number of different jobs that failed at a worker since its last success. */
-  countFailures (workerId: string): number {
-    return this._healthByWorker.get(workerId)?.failedJobs.size ?? 0
+  /** Returns the health of a worker without faults that are too old to count. */
+  private _findHealth (workerId: string, now: number): WorkerHealth | undefined {
+    const health = this._healthByWorker.get(workerId)
+    if (health === undefined || now - Math.max(health.lastFaultAt, health.avoidUntil) <= FAULT_MEMORY_MS) return health
+    this._healthByWorker.delete(workerId)
+    return undefined
   }
 
   private _recordSuccess (health: WorkerHealth, now: number): void {
--- a/packages/core/test/graphs/starvation.test.ts
+++ b/packages/core/test/graphs/starvation.test.ts
@@ -111,3 +111,45 @@
     t.is(harness.findWorker('a.0.0.0'), undefined)
   })
 }
+
+/** Time after which the faults of a worker no longer count, and a worker that was avoided twice is no longer on probation, in milliseconds. */
+const FORGOTTEN_MS = 35_000
+
+// Without an end of their own, these waits lasted as long as other work kept most of the service in use.
+for (const isGang of [false, true]) {
+  const count = isGang ? 2 : 1
+  const step = makeStep({ count, isGang, requiredLabel: 'r0' })
+
+  test(`the last attempt of a ${isGang ? 'gang' : 'task'} is made in the end beside lasting work of its service`, t => {
+    const harness = new PlannerHarness([1, 4])
+    harness.addJob('lasting', [makeStep({ count: 5, accelerators: 6, isLongRunning: true, maxPerWorker: 1 })])
+    harness.run(500)
+    harness.addJob('a', [step])
+    for (let attempt = 1; attempt < 3; attempt++) {
+      harness.run(MAX_WAIT_MS)
+      harness.endRun('a.0.0.0', 'failed')
+    }
+    harness.run(MAX_WAIT_MS)
+    t.is(harness.findWorker('a.0.0.0'), undefined, 'the worker counts as faulty at first')
+    harness.run(FORGOTTEN_MS)
+    t.is(harness.findWorker('a.0.0.0'), harness.workers[0])
+  })
+}
+
+// A worker on probation takes one run at a time until a run succeeds, which a gang that needs two there never does.
+test('a gang that needs a worker on probation starts in the end beside lasting work of its service', t => {
+  const harness = new PlannerHarness([1, 4])
+  harness.addJob('lasting', [makeStep({ count: 5, accelerators: 6, isLongRunning: true, maxPerWorker: 1 })])
+  harness.run(500)
+  for (const id of ['x', 'y']) {
+    harness.addJob(id, [makeStep({ requiredLabel: 'r0' })], { queue: makeQueue({ maxAttempts: 1 }) })
+    harness.run(300)
+    harness.endRun(`${id}.0.0.0`, 'failed')
+    harness.run(300)
+  }
+  harness.addJob('a', [makeStep({ count: 2, isGang: true, requiredLabel: 'r0' })])
+  harness.run(10_000)
+  t.is(harness.findWorker('a.0.0.0'), undefined, 'the worker is on probation after it was avoided')
+  harness.run(FORGOTTEN_MS)
+  t.is(harness.findWorker('a.0.0.0'), harness.workers[0])
+})
