Start waiting tasks that last at avoided workers after 5 s

What callers would see: LOST. The rule for tasks that last holds at any time, however full the service is, and whether other tasks of the job run or not.

Cause: a step counted as starved only if its job had no run and most of the service was free, also where the step lasts.

Change: a step that lasts counts as starved after 5 s in any case; 9 s are allowed after the end of a run.

Evidence, before the change: the new test found the task unstarted after 6 s, at a worker that was avoided for 10 s. After: it passes, 178 tests of core/graphs pass.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -61,6 +61,8 @@
  * any eligible slot. The requirements allow a wait of 3 s.
  */
 const STARVATION_MS = 1_500
+/** The same wait for a step that lasts, whatever else its job and its service run. The requirements allow 9 s after a run has ended. */
+const LASTING_STARVATION_MS = 5_000
 
 export class GraphPass {
   private readonly _dependencies: GraphPassDependencies
@@ -264,7 +266,7 @@
 
   /**
    * Marks as starved the steps that have waited longer than {@link STARVATION_MS} while their job has no run and more than half of their
-   * service is free.
+   * service is free, and the steps that last and have waited longer than {@link LASTING_STARVATION_MS}.
    */
   private _markStarvedSteps (waiting: readonly WaitingStep[], workers: readonly WorkerState[]): void {
     this._starvedSteps.clear()
@@ -272,6 +274,7 @@
     const longWaiting = waiting.filter(({ step, since }) => this._now - since > STARVATION_MS && use.isMostlyFree(step.job.graph.queue.service))
     const running = new Set([...new Set(longWaiting.map(({ step }) => step.job))].filter(job => listTasks(job).some(task => task.runs.length > 0)))
     for (const { step } of longWaiting) if (!running.has(step.job)) this._starvedSteps.add(step)
+    for (const { step, since } of waiting) if (step.spec.isLongRunning && this._now - since > LASTING_STARVATION_MS) this._starvedSteps.add(step)
   }
 
   /** Marks the steps of which a waiting task has one attempt left. */
--- a/packages/core/test/graphs/starvation.test.ts
+++ b/packages/core/test/graphs/starvation.test.ts
@@ -153,3 +153,21 @@
   harness.run(FORGOTTEN_MS)
   t.is(harness.findWorker('a.0.0.0'), harness.workers[0])
 })
+
+// LOST: the rule for tasks that last holds however full the service is, and whether other tasks of the job run or not.
+test('a task that lasts starts at an avoided worker when there is no other, whatever else its job and its service run', t => {
+  const harness = new PlannerHarness([1, 4])
+  harness.addJob('lasting', [makeStep({ count: 4, accelerators: 8, isLongRunning: true, requiredLabel: 'r1' })])
+  harness.run(500)
+  // Each further failure doubles the time for which the worker is avoided, to 10 s here.
+  for (const id of ['x', 'y', 'z']) {
+    harness.addJob(id, [makeStep({ requiredLabel: 'r0' })], { queue: makeQueue({ maxAttempts: 1 }) })
+    for (let waitedMs = 0; waitedMs < 6_000 && harness.findWorker(`${id}.0.0.0`) === undefined; waitedMs += 100) harness.run(100)
+    harness.endRun(`${id}.0.0.0`, 'failed')
+    harness.run(300)
+  }
+  harness.addJob('a', [makeStep({ isLongRunning: true, requiredLabel: 'r1', accelerators: 0 }), makeStep({ isLongRunning: true, requiredLabel: 'r0' })])
+  harness.run(6_000)
+  t.truthy(harness.findWorker('a.0.0.0'))
+  t.is(harness.findWorker('a.0.1.0'), harness.workers[0])
+})
