Start steps of one rack in parts where they don't fit as a whole

After a crash, eight tasks of a same-rack step that is no gang were never started again, with all workers idle. Without a disruption a step wider than the fleet never started.

The tasks that were suspected of the crash, one a worker, never fitted at once. The forecast and its refusals, and the worker that is kept empty, rested on the same assumption, and a task that was started again did not look where the others of its step run.

Change: such a step starts as a whole if it can, else in parts in the rack that takes most, at once if no rack can hold it and after 2 s otherwise. The first part binds it to the rack.

--- a/packages/core/src/graphs/admission.ts
+++ b/packages/core/src/graphs/admission.ts
@@ -9,7 +9,7 @@
 
 /** What the first step of a job takes at the same time, and the work of the whole job. Jobs that take no less, and are no less work, start no earlier. */
 export interface JobShape {
-  /** Number of tasks that start together: all tasks of a gang or of a step that stays in one rack, otherwise one. */
+  /** Number of tasks that have to start together: all tasks of a gang, otherwise one. */
   readonly tasks: number
   readonly cpuMillis: number
   readonly memoryMb: number
@@ -92,7 +92,7 @@
   const ends: number[] = []
   for (const step of steps) ends.push(step.estimatedMs + Math.max(0, ...step.after.map(index => ends[index] ?? 0)))
   return {
-    tasks: first.isGang || first.isSameRack ? first.count : 1,
+    tasks: first.isGang ? first.count : 1,
     cpuMillis: first.isFilling ? 0 : cpuMillis,
     memoryMb,
     accelerators,
--- a/packages/core/src/graphs/emptyWorker.ts
+++ b/packages/core/src/graphs/emptyWorker.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps a worker from getting new runs so that a task that must run alone can start there. On a busy fleet no worker is ever empty, since each slot that
- * becomes free is taken at once. One worker at a time is kept, for the first such task in the order. Tasks that need a rack with others are left out, since
- * one worker does not help them.
+ * becomes free is taken at once. One worker at a time is kept, for the first such task in the order. Gangs are left out, since one worker does not help
+ * them.
  */
 import { isIsolated } from './crashBlame.js'
 import type { RunState, StepState } from './jobState.js'
@@ -26,7 +26,7 @@
 
   /** Begins a scheduler pass: keeps the worker that was chosen before while its step waits, or else chooses the one that will be empty the soonest. */
   beginPass (waiting: readonly WaitingStep[], workers: readonly WorkerState[]): void {
-    const steps = waiting.filter(({ step, tasks }) => !step.spec.isGang && !step.spec.isSameRack && tasks.some(isIsolated)).map(({ step }) => step)
+    const steps = waiting.filter(({ step, tasks }) => !step.spec.isGang && tasks.some(isIsolated)).map(({ step }) => step)
     const kept = this._kept
     this._kept = undefined
     if (kept !== undefined && steps.includes(kept.step) && workers.includes(kept.worker) && this._dependencies.isUsable(kept.worker, kept.step)) this._kept = kept
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -61,6 +61,10 @@
  * any eligible slot. The requirements allow a wait of 3 s.
  */
 const STARVATION_MS = 1_500
+/**
+ * Wait in milliseconds after which a step that should run in one rack starts there in parts. Until then a rack may become free for the whole step, or be reclaimed for it, and the first part binds the step to its rack.
+ */
+const WHOLE_RACK_WAIT_MS = 2_000
 /** The same wait for a step that lasts, whatever else its job and its service run. The requirements allow 9 s after a run has ended. */
 const LASTING_STARVATION_MS = 5_000
 
@@ -96,6 +100,7 @@
       isEligible: (worker, step) => this._isEligible(worker, step),
       getTaskLimit: (worker, step) => this._getTaskLimit(worker, step),
       isLocalityWaitOver: waiting => this._isLocalityWaitOver(waiting),
+      isWholeRackWaitOver: waiting => this._now - waiting.since > WHOLE_RACK_WAIT_MS || this._starvedSteps.has(waiting.step),
       isUsableForLastAttempt: (worker, step) => this._isUsableForLastAttempt(worker, step),
       isCold: worker => worker.isCold(this._now),
       isKeptEmpty: worker => this._crashIsolation.isKeptEmpty(worker),
--- a/packages/core/src/graphs/placement.ts
+++ b/packages/core/src/graphs/placement.ts
@@ -10,6 +10,7 @@
 import type { SlotsChoice, SpeedSlots } from './speedChoice.js'
 import type { SpeedFit } from './speedFit.js'
 import type { WaitingStep } from './waitingStep.js'
+import { groupByRack, listRacksInUse } from './workerRacks.js'
 import { countFits } from './workerState.js'
 import type { WorkerState } from './workerState.js'
 
@@ -75,14 +76,16 @@
   readonly chooseWorkersForSuspect: (workers: readonly WorkerState[], task: TaskState) => readonly WorkerState[]
   /** True when the step has waited for its rack for so long that a slower run in another rack is better. */
   readonly isLocalityWaitOver: (waiting: WaitingStep) => boolean
+  /** True when a step that should run in one rack has waited long enough for room for all its tasks there. */
+  readonly isWholeRackWaitOver: (waiting: WaitingStep) => boolean
   readonly speedFit: SpeedFit
 }
 
 /** Finds workers with free capacity in a snapshot, without subtracting the capacity. */
 export interface Placement {
   /**
-   * Returns the tasks that can start, each with its worker. For a gang these are all tasks or none. `startsAt` is when they would start, on the planner's
-   * clock; now when absent.
+   * Returns the tasks that can start, each with its worker. For a gang these are all tasks or none. The tasks of another step that should run in one rack start together if they
+   * can, and otherwise in turns. `startsAt` is when they would start, on the planner's clock; now when absent.
    */
   place (waiting: WaitingStep, snapshot: CapacitySnapshot, startsAt?: number): PlacedTask[]
 }
@@ -97,29 +100,61 @@
   place (waiting: WaitingStep, snapshot: CapacitySnapshot, startsAt?: number): PlacedTask[] {
     const { step, tasks } = waiting
     const eligible = snapshot.workers.filter(worker => this._dependencies.isEligible(worker, step))
-    for (const tier of this._listTiers(waiting, eligible, snapshot)) {
+    const racksInUse = listRacksInUse(step, snapshot.workers)
+    const tiers = this._listTiers(waiting, eligible, snapshot, racksInUse)
+    for (const tier of tiers) {
       for (const slots of this._listChoices(waiting, tier, snapshot, startsAt)) {
-        const placed = this._placeTasks(tasks, slots, step)
+        const placed = this._placeTasks(tasks, slots, step, isPlacedTogether(step))
         if (placed.length === tasks.length) return placed
-        if (!isAllOrNone(step) && placed.length > 0) return placed
+        if (!isPlacedTogether(step) && placed.length > 0) return placed
       }
     }
-    return []
+    if (step.spec.isGang || !step.spec.isSameRack) return []
+    if (racksInUse.length > 0) return this._placeMost(waiting, tiers.flat(), snapshot, startsAt)
+    const racks = tiers.flat().filter(({ isSpread }) => !isSpread)
+    return this._dependencies.isWholeRackWaitOver(waiting) || isWide(racks.map(({ workers }) => workers), waiting) ? this._placeMost(waiting, racks, snapshot, startsAt) : []
+  }
+
+  /** Places as many tasks of a step as possible within one of the groups of workers. */
+  private _placeMost (waiting: WaitingStep, groups: readonly WorkerGroup[], snapshot: CapacitySnapshot, startsAt: number | undefined): PlacedTask[] {
+    const { step, tasks } = waiting
+    const { speedFit } = this._dependencies
+    let most: PlacedTask[] = []
+    for (const group of groups) {
+      const slots = this._listSlots(group, step, snapshot)
+      const placed = this._placeTasks(tasks, speedFit.isActive ? sortForSingleTasks(slots, speedFit.getPreferredFactor(step, startsAt)) : slots, step, false)
+      if (placed.length > most.length) most = placed
+    }
+    return most
   }
 
   /** Returns the groups of workers to try, the best first; groups of the same tier differ only in the room and the speed of their workers. */
-  private _listTiers (waiting: WaitingStep, eligible: readonly WorkerState[], snapshot: CapacitySnapshot): WorkerGroup[][] {
+  private _listTiers (waiting: WaitingStep, eligible: readonly WorkerState[], snapshot: CapacitySnapshot, racksInUse: readonly string[]): WorkerGroup[][] {
     const { spec } = waiting.step
     const isOver = this._dependencies.isLocalityWaitOver(waiting)
     const all = { workers: eligible, isSpread: true }
     if (!spec.isSameRack) return this._listDataGroups(waiting, eligible, isOver).map(workers => [{ workers, isSpread: true }])
+    if (racksInUse.length > 1) return [[all]]
     const racks = groupByRack(eligible)
+    const [rackInUse] = racksInUse
+    // A task that must run alone takes the worker that is kept empty for it, wherever that is.
+    if (rackInUse !== undefined) return [[{ workers: racks.get(rackInUse) ?? [], isSpread: false }], ...(isOver || waiting.tasks.some(isIsolated) ? [[all]] : [])]
     const localRack = spec.dataRack === undefined ? undefined : racks.get(spec.dataRack)
     const local = localRack === undefined ? [] : [[{ workers: localRack, isSpread: false }]]
     const others = this._sortRacks([...racks.values()].filter(group => group !== localRack), waiting, snapshot)
-    const isWide = [...racks.values()].every(group => countTasksOfGroupWhenEmpty(group, waiting.step) < waiting.tasks.length)
     if (localRack !== undefined && !isOver && countTasksOfGroupWhenEmpty(localRack, waiting.step) >= waiting.tasks.length) return local
-    return [...local, others.map(workers => ({ workers, isSpread: false })), ...(isWide || isOver ? [[all]] : [])]
+    // A step that is no gang starts in parts in one rack, so that it need not give the rack up for want of room.
+    const leavesRack = (isOver && spec.isGang) || this._isFasterInSeveralRacks([...racks.values()], waiting)
+    return [...local, others.map(workers => ({ workers, isSpread: false })), ...(leavesRack ? [[all]] : [])]
+  }
+
+  /** True if the waiting tasks of a step end sooner in several racks than in one, as far as room decides: a gang that is too wide for each rack, or work that takes many turns in one. */
+  private _isFasterInSeveralRacks (racks: readonly WorkerState[][], { step, tasks }: WaitingStep): boolean {
+    const rooms = racks.map(rack => countTasksOfGroupWhenEmpty(rack, step))
+    const largest = Math.max(...rooms)
+    if (step.spec.isGang || largest >= tasks.length) return largest < tasks.length
+    const turnsInAll = Math.ceil(tasks.length / rooms.reduce((sum, room) => sum + room, 0))
+    return turnsInAll * this._dependencies.speedFit.remoteFactor < Math.ceil(tasks.length / largest)
   }
 
   /** Sorts racks by their free slots, the fewest first; those come last that can hold the tasks only with workers that are slow after their start. */
@@ -149,9 +184,9 @@
     const choices: Array<SlotsChoice<WorkerSlots>> = []
     for (const group of tier) {
       const slots = this._listSlots(group, step, snapshot)
-      if (isAllOrNone(step) && countSlots(slots) < tasks.length) continue
+      if (isPlacedTogether(step) && countSlots(slots) < tasks.length) continue
       if (!speedFit.isActive) yield slots
-      else if (isAllOrNone(step)) choices.push(...listChoices(slots, tasks.length, maxFactor))
+      else if (isPlacedTogether(step)) choices.push(...listChoices(slots, tasks.length, maxFactor))
       else yield sortForSingleTasks(slots, maxFactor)
     }
     choices.sort((a, b) => Number(b.isFit) - Number(a.isFit) || a.cost - b.cost)
@@ -181,8 +216,8 @@
     return { factor: factor * placeFactor, classFactor: classFactor * placeFactor, price: computePrice(classFactor, failures + ownFailures) }
   }
 
-  /** Places each task on the first usable one of the slots; returns the tasks that could be placed. */
-  private _placeTasks (tasks: readonly TaskState[], slots: readonly WorkerSlots[], step: StepState): PlacedTask[] {
+  /** Places each task on the first usable one of the slots; returns the tasks that could be placed. With `isAllOrNone`, gives up after the first one that can't. */
+  private _placeTasks (tasks: readonly TaskState[], slots: readonly WorkerSlots[], step: StepState, isAllOrNone: boolean): PlacedTask[] {
     const choice: SlotChoice = {
       slots,
       forLastAttempts: tasks.some(isLastAttempt) ? slots.filter(({ worker }) => this._dependencies.isUsableForLastAttempt(worker, step)) : slots,
@@ -196,7 +231,7 @@
       if (chosen !== undefined) {
         takeSlot(chosen, task, choice)
         placed.push({ task, worker: chosen.worker })
-      } else if (isAllOrNone(step) || !(isCrashSuspect(task) || isLastAttempt(task))) break
+      } else if (isAllOrNone || !(isCrashSuspect(task) || isLastAttempt(task))) break
     }
     return placed
   }
@@ -247,20 +282,8 @@
   return step.spec.isGang ? step.tasks.some(member => member.failedOn.has(worker.key.id)) : task.failedOn.has(worker.key.id)
 }
 
-/** Groups workers by their rack. */
-export function groupByRack (workers: readonly WorkerState[]): Map<string, WorkerState[]> {
-  const racks = new Map<string, WorkerState[]>()
-  for (const worker of workers) {
-    const rack = worker.report?.rack ?? ''
-    const group = racks.get(rack) ?? []
-    group.push(worker)
-    racks.set(rack, group)
-  }
-  return racks
-}
-
-/** True for a step whose tasks are placed all together or not at all. */
-function isAllOrNone ({ spec }: StepState): boolean {
+/** True for a step whose tasks are placed all together, if they can be. */
+function isPlacedTogether ({ spec }: StepState): boolean {
   return spec.isGang || spec.isSameRack
 }
 
@@ -277,6 +300,11 @@
   return workers.reduce((sum, worker) => sum + countTasksWhenEmpty(worker, step), 0)
 }
 
+/** True if a step has more waiting tasks than any of the racks could run if it were empty. */
+function isWide (racks: ReadonlyArray<readonly WorkerState[]>, { step, tasks }: WaitingStep): boolean {
+  return racks.every(rack => countTasksOfGroupWhenEmpty(rack, step) < tasks.length)
+}
+
 function countTasksWhenEmpty (worker: WorkerState, step: StepState): number {
   return Math.min(countFits(worker.capacity, step.spec), step.spec.maxPerWorker ?? Infinity)
 }
--- a/packages/core/src/graphs/reclaimPlan.ts
+++ b/packages/core/src/graphs/reclaimPlan.ts
@@ -6,10 +6,10 @@
 import type { StepSpec } from './graphTypes.js'
 import { RunPhase } from './jobState.js'
 import type { RunState, StepState } from './jobState.js'
-import { groupByRack } from './placement.js'
 import type { WaitingStep } from './waitingStep.js'
 import { countFits, returnNeeds, takeNeeds } from './workerState.js'
 import type { FreeCapacity, WorkerState } from './workerState.js'
+import { groupByRack, listRacksInUse } from './workerRacks.js'
 import type { Victim, VictimCatalogue } from './victimCatalogue.js'
 
 /** The runs to stop, and the slots that the step then gets. */
@@ -57,16 +57,17 @@
   const { step } = waiting
   const eligible = snapshot.workers.filter(worker => dependencies.isEligible(worker, step))
   let best: ReclaimPlan | undefined
-  for (const set of listWorkerSets(eligible, step)) {
+  for (const set of listWorkerSets(eligible, step, listRacksInUse(step, snapshot.workers))) {
     const plan = planReclaim(waiting, set, snapshot, dependencies, Math.min(maxLoss, best?.loss ?? Infinity))
     if (plan !== undefined && (best === undefined || plan.loss < best.loss)) best = plan
   }
   return best
 }
 
-function listWorkerSets (eligible: readonly WorkerState[], step: StepState): WorkerState[][] {
+function listWorkerSets (eligible: readonly WorkerState[], step: StepState, racksInUse: readonly string[]): WorkerState[][] {
   if (!step.spec.isSameRack) return [[...eligible]]
   const racks = groupByRack(eligible)
+  if (racksInUse.length > 0) return racksInUse.map(rack => racks.get(rack) ?? [])
   const localRack = step.spec.dataRack === undefined ? undefined : racks.get(step.spec.dataRack)
   return localRack === undefined ? [...racks.values()] : [localRack, ...[...racks.values()].filter(set => set !== localRack)]
 }
--- a/packages/core/src/graphs/speedFit.ts
+++ b/packages/core/src/graphs/speedFit.ts
@@ -56,6 +56,11 @@
     this._dependencies = dependencies
   }
 
+  /** Factor by which a task takes longer away from its data, or beside tasks of its step in other racks. */
+  get remoteFactor (): number {
+    return this._dependencies.remoteFactor
+  }
+
   /** True while the speeds of workers differ so much that decisions depend on them. */
   get isActive (): boolean {
     return this._isActive
--- a/packages/core/src/graphs/startForecast.ts
+++ b/packages/core/src/graphs/startForecast.ts
@@ -189,7 +189,7 @@
 
   /** Returns after how long the tasks of a step fit, if the step is the next to be placed. `isRackBound`: they have to fit into one rack. */
   private _computeShapeStart ({ step, tasks }: WaitingStep, workers: readonly WorkerState[], view: ForecastView, isRackBound: boolean): number {
-    const wanted = step.spec.isGang || step.spec.isSameRack ? tasks.length : 1
+    const wanted = step.spec.isGang ? tasks.length : 1
     const timesByRack = new Map<string, number[]>()
     for (const worker of workers) {
       const rack = isRackBound ? worker.report?.rack ?? '' : ''
@@ -275,8 +275,8 @@
   return a.accelerators <= b.accelerators && a.cpuMillis <= b.cpuMillis && a.memoryMb <= b.memoryMb
 }
 
-/** Returns what a step needs at the same time: all of its tasks for a gang, else one task. */
+/** Returns what a step needs at the same time: all of its tasks for a gang, else one task, as others can run in turns. */
 function computeDemand ({ step: { spec }, tasks }: WaitingStep): Demand {
-  const count = spec.isGang || spec.isSameRack ? tasks.length : 1
+  const count = spec.isGang ? tasks.length : 1
   return { accelerators: spec.accelerators * count, cpuMillis: spec.cpuMillis * count }
 }
--- a/packages/core/test/graphs/admission.test.ts
+++ b/packages/core/test/graphs/admission.test.ts
@@ -31,6 +31,12 @@
   t.is(decide({}, {}, { shapes: [] }).kind, 'accepted')
 })
 
+// A job was refused for the room of all its tasks in one rack, which it can do without.
+test('a job whose step should run in one rack, but is no gang, is not taken for one whose tasks have to start together', t => {
+  t.is(decide({ isSameRack: true }).kind, 'refused')
+  t.is(decide({ isSameRack: true, isGang: false }).kind, 'accepted')
+})
+
 test('a job with a longer chain has a longer objective, so it may start later; so has one whose run times are declared too short', t => {
   t.is(decide({ estimatedMs: 6_000 }).kind, 'accepted')
   t.is(decide({}, {}, { shapes: [{ ...SHAPE, runTimeScale: 1.5 }] }).kind, 'accepted')
--- a/packages/core/test/graphs/randomFleet.ts
+++ b/packages/core/test/graphs/randomFleet.ts
@@ -24,6 +24,7 @@
   readonly isKeptEmpty: () => boolean
   readonly chooseWorkersForSuspect: (workers: readonly WorkerState[]) => readonly WorkerState[]
   readonly isLocalityWaitOver: () => boolean
+  readonly isWholeRackWaitOver: () => boolean
   readonly speedFit: SpeedFit
 }
 
@@ -72,6 +73,7 @@
       isKeptEmpty: () => false,
       chooseWorkersForSuspect: workers => workers,
       isLocalityWaitOver: () => isOver,
+      isWholeRackWaitOver: () => isOver,
       speedFit
     }
   }
--- a/packages/core/test/graphs/startForecast.test.ts
+++ b/packages/core/test/graphs/startForecast.test.ts
@@ -53,6 +53,15 @@
   t.true(expectedMs > 0)
 })
 
+// A job was refused as one that starts too late although its tasks can run in turns.
+test('a job whose step should run in one rack, but is no gang, is forecast to start as soon as one of its tasks fits', t => {
+  const harness = createBusyFleet([1, 1])
+  harness.addJob('free', [makeStep()])
+  const wide = { accelerators: 4, count: 14, isSameRack: true }
+  const single = predict(harness, { accelerators: 4 })
+  t.deepEqual(predict(harness, wide), single)
+})
+
 test('waiting work that goes before a job delays it; work that goes after it does not', t => {
   const harness = createBusyFleet([1])
   const before = predict(harness, { accelerators: 8 }).expectedMs
