--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -86,6 +86,8 @@
 /** Limits how many fences this process writes: clients may cancel any number of jobs that don't exist, and each fence is a write that submissions lack. */
 const FENCE_RATE = { ratePerS: 2, burst: 20 } as const
 const FENCE_RETRY_AFTER_MS = 2_000
+/** Delay of each attempt to settle a job that was left undecided, in milliseconds. The store carries unanswered writes out a second later at the earliest. */
+const SETTLE_INTERVAL_MS = 300
 
 type Admission =
   | { readonly kind: 'admitted', readonly queue: RoutedQueue, readonly organisation: string, readonly rest: string }
@@ -97,6 +99,8 @@
   private readonly _undecidedUntil = new Map<string, number>()
   /** Answers to the submissions that are being stored, by job id. */
   private readonly _pendingSubmissions = new Map<string, Promise<JobEntryAnswer>>()
+  /** Jobs that {@link _settleJob} tries to settle. */
+  private readonly _settling = new Set<string>()
   private readonly _writer: JobWriter
   private readonly _fenceBucket = new TokenBucket(FENCE_RATE, performance.now())
 
@@ -214,7 +218,10 @@
       this._undecidedUntil.delete(graph.id)
       return { kind: 'accepted' }
     }
-    if (outcome.kind === 'ambiguous') this._recordUndecided(graph.id)
+    if (outcome.kind === 'ambiguous') {
+      this._recordUndecided(graph.id)
+      void this._settleJob(graph.id)
+    }
     return this._makeUndecidedAnswer(outcome)
   }
 
@@ -229,6 +236,27 @@
     this._undecidedUntil.set(jobId, now + UNDECIDED_RETENTION_MS)
   }
 
+  /**
+   * Makes a submission that was left undecided fail in the store unless it has been carried out. Another entry, to which its client turns, knows nothing of it and may refuse the job, which tells the
+   * client that it never runs.
+   */
+  private async _settleJob (jobId: string): Promise<void> {
+    if (this._settling.has(jobId)) return
+    this._settling.add(jobId)
+    while (this._isUndecided(jobId)) {
+      await new Promise(resolve => { setTimeout(resolve, SETTLE_INTERVAL_MS).unref() })
+      const until = this._undecidedUntil.get(jobId)
+      // A submission that is being stored decides the job itself.
+      if (this._pendingSubmissions.has(jobId) || !this._fenceBucket.tryTake(performance.now())) continue
+      const outcome = await this._writer.settleJob(jobId)
+      if (outcome.kind !== 'settled') continue
+      this._recordCurrentState(jobId, outcome.state)
+      this._dependencies.logger.info({ job: jobId, isStored: outcome.state !== undefined }, 'undecided submission settled')
+      if (this._undecidedUntil.get(jobId) === until && !this._pendingSubmissions.has(jobId)) this._undecidedUntil.delete(jobId)
+    }
+    this._settling.delete(jobId)
+  }
+
   /** True if an earlier write of the job was not answered and may still be carried out by the store. */
   private _isUndecided (jobId: string): boolean {
     return (this._undecidedUntil.get(jobId) ?? -Infinity) > performance.now()
--- a/packages/daemon/src/jobEntry/jobWriter.ts
+++ b/packages/daemon/src/jobEntry/jobWriter.ts
@@ -11,7 +11,7 @@
 import type { GraphKeys, JobStateRecord } from '../jobPlanner/graphKeys.js'
 import { makeWaitOptions } from './callTimes.js'
 import type { CallTimes } from './callTimes.js'
-import { encodeCancellingFence, isCancelledBy, listOrganisations } from './submissionFence.js'
+import { encodeFence, isCancelledBy, listOrganisations } from './submissionFence.js'
 
 /** Dependencies of {@link JobWriter}. */
 export interface JobWriterDependencies {
@@ -40,6 +40,12 @@
   readonly wasUndecided?: boolean
 }
 
+/** Outcome of {@link JobWriter.settleJob}: earlier submissions of the job can't take effect any more; `state` is what the store holds if one of them has. */
+export type SettleJobOutcome =
+  | { readonly kind: 'settled', readonly state: StoredValue | undefined }
+  | Unavailable
+  | Ambiguous
+
 const RETRY_MS = 50
 /** Number of times that a write is adapted to a fence that has changed; fences change when clients cancel, so this is never reached by honest ones. */
 const MAX_FENCE_CHANGES = 4
@@ -96,7 +102,7 @@
     for (let changes = 0; changes <= MAX_FENCE_CHANGES; changes++) {
       const outcome = await this._transactUntilDecided(times, {
         expect: [{ key: stateKey, modRevision: 0 }, { key: fenceKey, modRevision: fence?.modRevision ?? 0 }],
-        puts: [{ key: fenceKey, value: encodeCancellingFence(fence, organisation) }],
+        puts: [{ key: fenceKey, value: encodeFence([...listOrganisations(fence), organisation]) }],
         removes: []
       }, { retryUntil: times.answerUntil })
       if (outcome.kind === 'ok') return { kind: 'withdrawn' }
@@ -109,6 +115,26 @@
     return { kind: 'ambiguous', message: 'the job is being cancelled by many clients' }
   }
 
+  /** Makes one attempt to find out whether a job is stored, and writes its fence again if it isn't, so that submissions that are on their way to the store fail there. */
+  async settleJob (jobId: string): Promise<SettleJobOutcome> {
+    const { keys, store } = this._dependencies
+    const [stateKey, fenceKey] = [keys.getStateKey(jobId), keys.getFenceKey(jobId)]
+    let fence: StoredValue | undefined
+    for (let changes = 0; changes <= MAX_FENCE_CHANGES; changes++) {
+      const outcome = await store.transact({
+        expect: [{ key: stateKey, modRevision: 0 }, { key: fenceKey, modRevision: fence?.modRevision ?? 0 }],
+        puts: [{ key: fenceKey, value: encodeFence(listOrganisations(fence)) }],
+        removes: []
+      })
+      if (outcome.kind === 'ok') return { kind: 'settled', state: undefined }
+      if (outcome.kind !== 'conflict') return outcome
+      const state = outcome.current.find(({ key }) => key === stateKey)
+      if (state !== undefined) return { kind: 'settled', state }
+      fence = outcome.current.find(({ key }) => key === fenceKey)
+    }
+    return { kind: 'ambiguous', message: 'the fence of the job is being changed again and again' }
+  }
+
   /**
    * Retries a conditional write until its outcome is known or the time for retries is over. If the store is unavailable, the write is
    * retried for a short time only, unless an attempt was ambiguous: nothing was stored, and the call can be refused. Ambiguous writes are retried until `retryUntil`.
--- a/packages/daemon/src/jobEntry/submissionFence.ts
+++ b/packages/daemon/src/jobEntry/submissionFence.ts
@@ -17,9 +17,9 @@
   return cancelledBy.includes(organisation) || cancelledBy.includes('') || (organisation === '' && cancelledBy.length > 0)
 }
 
-/** Encodes the fence that replaces `fence` once an organisation has cancelled the job. */
-export function encodeCancellingFence (fence: StoredValue | undefined, organisation: string): string {
-  return JSON.stringify({ cancelledBy: [...new Set([...listOrganisations(fence), organisation])] })
+/** Encodes a fence that names the organisations that have cancelled the job; without any, it only makes earlier submissions fail. */
+export function encodeFence (cancelledBy: readonly string[]): string {
+  return JSON.stringify({ cancelledBy: [...new Set(cancelledBy)] })
 }
 
 /** Lists the organisations that a fence names; none if there is no fence or it is unreadable. */
--- a/packages/daemon/test/jobEntry/withdrawnSubmissions.test.ts
+++ b/packages/daemon/test/jobEntry/withdrawnSubmissions.test.ts
@@ -142,6 +142,36 @@
   t.is((await entry.cancel(makeSubmission().call)).kind, 'noSuchJob')
 })
 
+// REFUSED: after a 504 of one entry, another one that could not reach the store refused the job, which promises that it never runs, and the first entry's write was carried out late.
+test.serial('a job whose write is undecided is not stored late after another entry has refused it', async t => {
+  const { clock, store, entries: [first, second], call } = await createFixture(t)
+  store.faults.isDown = true
+  t.like(await call(second, 'submit'), { kind: 'refused', reason: 'storeAway' })
+  store.faults.isDown = false
+  await clock.tickAsync(SETTLED_MS)
+  t.false(isRunnable(store))
+  t.is((await call(first, 'getState')).kind, 'noSuchJob')
+  // The refusal holds for the submissions before it; the client may hand the job in again.
+  t.is((await call(second, 'submit')).kind, 'accepted')
+  t.true(isRunnable(store))
+})
+
+// Settling must not take the place of a submission that was carried out.
+test.serial('a job whose write was carried out and not answered is known to its entry soon after', async t => {
+  const clock = installClock(t)
+  const store = new MemoryStore()
+  const entry = createEntry(store)
+  store.faults.loseAnswers = Infinity
+  const submitted = callEntry(entry, 'submit')
+  await clock.tickAsync(1_000)
+  t.is((await submitted).kind, 'undecided')
+  store.faults.loseAnswers = 0
+  await clock.tickAsync(1_000)
+  store.faults.isDown = true
+  t.deepEqual(await callEntry(entry, 'getState'), { kind: 'state', phase: 'queued' })
+  t.true(isRunnable(store))
+})
+
 const step = fc.record({ kind: fc.constantFrom('submit', 'submit', 'cancel', 'getState'), entry: fc.integer({ min: 0, max: 1 }), pauseMs: fc.integer({ min: 1, max: 2_000 }) })
 
 // The general form: drawn calls at two entries, and drawn fates of their writes.
