Wait for a quick store also where a client's deadline is short

What callers would see: 504 for each submission with a deadline of 150 ms or less, although the store answers in 4 ms.

Found by reading the diff.

Change: an attempt is awaited for 150 ms at least. Evidence: the new test gives the job 100 ms and a store that answers in 5 ms; it passes.

--- a/packages/daemon/src/jobEntry/callTimes.ts
+++ b/packages/daemon/src/jobEntry/callTimes.ts
@@ -5,7 +5,7 @@
 import type { RoutedQueue } from '@dragonflylever/core/graphs/index'
 
 /** How long before the client's deadline the retries end, in milliseconds, so that the answer reaches the client in time. */
-const ANSWER_MARGIN_MS = 150
+export const ANSWER_MARGIN_MS = 150
 /** Maximum time for retries of a store call, in milliseconds; after that, a client that retries at another entry succeeds sooner. */
 const STORE_DECISION_MS = 900
 /**
--- a/packages/daemon/src/jobEntry/jobWriter.ts
+++ b/packages/daemon/src/jobEntry/jobWriter.ts
@@ -9,7 +9,7 @@
 
 import { createQueuedJobState } from '../jobPlanner/graphKeys.js'
 import type { GraphKeys, JobStateRecord } from '../jobPlanner/graphKeys.js'
-import { makeWaitOptions } from './callTimes.js'
+import { ANSWER_MARGIN_MS, makeWaitOptions } from './callTimes.js'
 import type { CallTimes } from './callTimes.js'
 import { encodeFence, isCancelledBy, listOrganisations } from './submissionFence.js'
 
@@ -154,11 +154,14 @@
     }
   }
 
-  /** Waits for an attempt until `until` at the longest, so that the client still gets an answer; its outcome is not known then. */
+  /**
+   * Waits for an attempt until `until` at the longest, so that the client still gets an answer; its outcome is not known then. A client with hardly any time still gets the answer of a store
+   * that is quick.
+   */
   private async _waitForOutcome (attempt: Promise<TransactOutcome>, until: number): Promise<TransactOutcome> {
     let timer: NodeJS.Timeout | undefined
     const timeout = new Promise<TransactOutcome>(resolve => {
-      timer = setTimeout(() => resolve({ kind: 'ambiguous', message: 'the store did not answer before the deadline of the call' }), Math.max(0, until - performance.now()))
+      timer = setTimeout(() => resolve({ kind: 'ambiguous', message: 'the store did not answer before the deadline of the call' }), Math.max(ANSWER_MARGIN_MS, until - performance.now()))
     })
     const outcome = await Promise.race([attempt, timeout])
     clearTimeout(timer)
--- a/packages/daemon/test/jobEntry/withdrawnSubmissions.test.ts
+++ b/packages/daemon/test/jobEntry/withdrawnSubmissions.test.ts
@@ -172,6 +172,16 @@
   t.true(isRunnable(store))
 })
 
+// A client with a short deadline must not be told that its job is undecided while the store answers at once.
+test.serial('a job with hardly any time until its deadline is accepted by a store that answers', async t => {
+  const clock = installClock(t)
+  const entry = createEntry(new FatefulStore([{ kind: 'served', answerMs: 5, lateMs: 0 }]))
+  const { call, draft } = makeSubmission()
+  const submitted = entry.submit({ ...call, deadlineAt: performance.now() + 100 }, draft)
+  await clock.tickAsync(50)
+  t.is((await submitted).kind, 'accepted')
+})
+
 const step = fc.record({ kind: fc.constantFrom('submit', 'submit', 'cancel', 'getState'), entry: fc.integer({ min: 0, max: 1 }), pauseMs: fc.integer({ min: 1, max: 2_000 }) })
 
 // The general form: drawn calls at two entries, and drawn fates of their writes.
