Limit the settling of submissions apart from cancellations

What callers would see: 503 for cancellations of unknown jobs while an entry settles many submissions that an outage has left undecided.

Cause: both used one limit, of 2 fences a second. Found by reading the diff.

Change: settling has a limit of its own, 5 a second and 20 at once. The new test cancels an unknown job beside 60 undecided submissions; it passes.

--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -83,11 +83,13 @@
 const UNDECIDED_RETENTION_MS = 15_000
 /** Delay after which clients should retry if the declarations are not loaded, in milliseconds; loading takes seconds after a start. */
 const NOT_READY_RETRY_AFTER_MS = 1_000
-/** Limits how many fences this process writes: clients may cancel any number of jobs that don't exist, and each fence is a write that submissions lack. */
+/** Limits how many fences this process writes for cancellations: clients may cancel any number of jobs that don't exist, and each fence is a write that submissions lack. */
 const FENCE_RATE = { ratePerS: 2, burst: 20 } as const
 const FENCE_RETRY_AFTER_MS = 2_000
 /** Delay of each attempt to settle a job that was left undecided, in milliseconds. The store carries unanswered writes out a second later at the earliest. */
 const SETTLE_INTERVAL_MS = 300
+/** Limits these attempts, apart from cancellations: after an outage there may be many such jobs, which would use up what cancellations may write. */
+const SETTLE_RATE = { ratePerS: 5, burst: 20 } as const
 
 type Admission =
   | { readonly kind: 'admitted', readonly queue: RoutedQueue, readonly organisation: string, readonly rest: string }
@@ -103,6 +105,7 @@
   private readonly _settling = new Set<string>()
   private readonly _writer: JobWriter
   private readonly _fenceBucket = new TokenBucket(FENCE_RATE, performance.now())
+  private readonly _settleBucket = new TokenBucket(SETTLE_RATE, performance.now())
 
   constructor (dependencies: JobEntryHandlerDependencies) {
     this._dependencies = dependencies
@@ -247,7 +250,7 @@
       await new Promise(resolve => { setTimeout(resolve, SETTLE_INTERVAL_MS).unref() })
       const until = this._undecidedUntil.get(jobId)
       // A submission that is being stored decides the job itself.
-      if (this._pendingSubmissions.has(jobId) || !this._fenceBucket.tryTake(performance.now())) continue
+      if (this._pendingSubmissions.has(jobId) || !this._settleBucket.tryTake(performance.now())) continue
       const outcome = await this._writer.settleJob(jobId)
       if (outcome.kind !== 'settled') continue
       this._recordCurrentState(jobId, outcome.state)
--- a/packages/daemon/test/jobEntry/withdrawnSubmissions.test.ts
+++ b/packages/daemon/test/jobEntry/withdrawnSubmissions.test.ts
@@ -182,6 +182,20 @@
   t.is((await submitted).kind, 'accepted')
 })
 
+// Settling many undecided jobs must leave room for cancellations.
+test.serial('an unknown job can be cancelled while many undecided submissions are being settled', async t => {
+  const clock = installClock(t)
+  const store = new LateStore()
+  const entry = createEntry(store)
+  store.faults.loseAnswers = Infinity
+  for (let number = 0; number < 60; number++) void entry.submit({ ...makeSubmission().call, path: `/q/${number.toString(16).padStart(16, '0')}` }, makeSubmission().draft)
+  await clock.tickAsync(6_000)
+  store.faults.loseAnswers = 0
+  const cancelled = callEntry(entry, 'cancel')
+  await clock.tickAsync(1_000)
+  t.is((await cancelled).kind, 'noSuchJob')
+})
+
 const step = fc.record({ kind: fc.constantFrom('submit', 'submit', 'cancel', 'getState'), entry: fc.integer({ min: 0, max: 1 }), pauseMs: fc.integer({ min: 1, max: 2_000 }) })
 
 // The general form: drawn calls at two entries, and drawn fates of their writes.
