--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -43,7 +43,7 @@
   storeAway: 'storeAway',
   /** The job would be worth nothing, since it would start too late. */
   tooLate: 'tooLate',
-  /** This process holds as much for clients as it may; the call was not read as a whole. */
+  /** This process holds as much for clients as it may, or has written as many fences as it may; the call had no effect. */
   overloaded: 'overloaded',
   /** The stored state of the job can't be read, so nothing can be said of the job. */
   unreadable: 'unreadable'
--- a/packages/daemon/src/jobEntry/jobWriter.ts
+++ b/packages/daemon/src/jobEntry/jobWriter.ts
@@ -47,7 +47,7 @@
   | Ambiguous
 
 const RETRY_MS = 50
-/** Number of times that a write is adapted to a fence that has changed; fences change when clients cancel, so this is never reached by honest ones. */
+/** Number of times that a write is adapted to a fence that has changed. A fence changes once for each organisation that cancels the job, and when a submission is settled. */
 const MAX_FENCE_CHANGES = 4
 
 export class JobWriter {
