--- a/packages/core/test/graphs/occurrences.test.ts
+++ b/packages/core/test/graphs/occurrences.test.ts
@@ -74,6 +74,19 @@
   t.is(harness.planner.getJob('a')?.phase, 'completed')
 })
 
+// MIXED: occurrences that are not due yet are not created either, and none of those that exist is left to be done.
+test('a repeated job with occurrences that are not due yet is not completed', t => {
+  const harness = new PlannerHarness([1])
+  harness.addJob('a', [SMALL_STEP], { repeat: { count: 2, intervalMs: 5_000, firstRunAt: harness.wallTime } })
+  for (const occurrence of [0, 1]) {
+    harness.run(300)
+    endOccurrence(harness, occurrence)
+    harness.run(300)
+    t.is(harness.planner.getJob('a')?.phase, occurrence === 0 ? 'running' : 'completed')
+    harness.run(5_000)
+  }
+})
+
 // MIXED: the end of a task counted as one more occurrence when a run that had been given up ended as done too.
 test('a task whose two runs both end as done counts as one occurrence', t => {
   const harness = new PlannerHarness([1, 1])
