Decide cancellations of unknown jobs by their deadline

An attempt takes 1 s to notice that, so the last one before the deadline could begin while answers were still lost; settling the submission, which tries the same write, took part of the time.

Change: one more attempt is made 0.3 s before the answer is due, beside the one that may be waiting, and a job is not settled while a call withdraws it.

--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -101,6 +101,8 @@
   private readonly _undecidedUntil = new Map<string, number>()
   /** Answers to the submissions that are being stored, by job id. */
   private readonly _pendingSubmissions = new Map<string, Promise<JobEntryAnswer>>()
+  /** Jobs that are being withdrawn, with the number of calls. */
+  private readonly _withdrawing = new Map<string, number>()
   /** Jobs that {@link _settleJob} tries to settle. */
   private readonly _settling = new Set<string>()
   private readonly _writer: JobWriter
@@ -168,7 +170,11 @@
   /** Returns `noSuchJob` once no earlier submission of a job can be stored any more, or the state of the job if it has been stored meanwhile. */
   private async _withdrawJob (times: CallTimes, jobId: string, organisation: string): Promise<JobEntryAnswer> {
     if (!this._fenceBucket.tryTake(performance.now())) return makeRefusal(Refusal.overloaded, 'too many cancellations of unknown jobs; the job was not cancelled', FENCE_RETRY_AFTER_MS)
+    this._withdrawing.set(jobId, (this._withdrawing.get(jobId) ?? 0) + 1)
     const outcome = await this._writer.withdrawJob(times, jobId, organisation)
+    const others = (this._withdrawing.get(jobId) ?? 1) - 1
+    if (others > 0) this._withdrawing.set(jobId, others)
+    else this._withdrawing.delete(jobId)
     if (outcome.kind === 'stored') return this._answerStoredState(jobId, organisation, outcome.state)
     if (outcome.kind !== 'withdrawn') return this._makeUndecidedAnswer(outcome)
     this._undecidedUntil.delete(jobId)
@@ -249,8 +255,8 @@
     while (this._isUndecided(jobId)) {
       await new Promise(resolve => { setTimeout(resolve, SETTLE_INTERVAL_MS).unref() })
       const until = this._undecidedUntil.get(jobId)
-      // A submission that is being stored decides the job itself.
-      if (this._pendingSubmissions.has(jobId) || !this._settleBucket.tryTake(performance.now())) continue
+      // A call that is storing or withdrawing the job decides it itself.
+      if (this._pendingSubmissions.has(jobId) || this._withdrawing.has(jobId) || !this._settleBucket.tryTake(performance.now())) continue
       const outcome = await this._writer.settleJob(jobId)
       if (outcome.kind !== 'settled') continue
       this._recordCurrentState(jobId, outcome.state)
--- a/packages/daemon/src/jobEntry/jobWriter.ts
+++ b/packages/daemon/src/jobEntry/jobWriter.ts
@@ -2,7 +2,7 @@
  * Writes what clients ask for to the store: new jobs, cancellation requests, and the fences that keep late submissions of a cancelled job out. Each write is conditional, and is
  * retried until its outcome is known or the time of the call is over.
  */
-import type { Ambiguous, Store, StoredValue, TransactOutcome, Transaction, Unavailable } from '@dragonflylever/adapters'
+import type { Ambiguous, Store, StoredValue, TransactOutcome, TransactResult, Transaction, Unavailable } from '@dragonflylever/adapters'
 import { JobPhase } from '@dragonflylever/core/graphs/index'
 import type { JobGraph } from '@dragonflylever/core/graphs/index'
 import type { Metrics } from '@dragonflylever/runtime'
@@ -47,6 +47,8 @@
   | Ambiguous
 
 const RETRY_MS = 50
+/** How long before the answer is due the last attempt of a write is made that must be decided, in milliseconds; a slow store answers within 400 ms, most within 10. */
+const LAST_ATTEMPT_MS = 300
 /** Number of times that a write is adapted to a fence that has changed. A fence changes once for each organisation that cancels the job, and when a submission is settled. */
 const MAX_FENCE_CHANGES = 4
 
@@ -100,11 +102,11 @@
     const [stateKey, fenceKey] = [keys.getStateKey(jobId), keys.getFenceKey(jobId)]
     let fence: StoredValue | undefined
     for (let changes = 0; changes <= MAX_FENCE_CHANGES; changes++) {
-      const outcome = await this._transactUntilDecided(times, {
+      const outcome = await this._transactByDeadline(times, {
         expect: [{ key: stateKey, modRevision: 0 }, { key: fenceKey, modRevision: fence?.modRevision ?? 0 }],
         puts: [{ key: fenceKey, value: encodeFence([...listOrganisations(fence), organisation]) }],
         removes: []
-      }, { retryUntil: times.answerUntil })
+      })
       if (outcome.kind === 'ok') return { kind: 'withdrawn' }
       if (outcome.kind !== 'conflict') return outcome
       const state = outcome.current.find(({ key }) => key === stateKey)
@@ -135,6 +137,19 @@
     return { kind: 'ambiguous', message: 'the fence of the job is being changed again and again' }
   }
 
+  /** Retries a conditional write until the deadline. One more attempt is made shortly before it, beside an attempt that may still wait for a lost answer then. */
+  private async _transactByDeadline (times: CallTimes, transaction: Transaction): Promise<TransactOutcome> {
+    let timer: NodeJS.Timeout | undefined
+    const last = new Promise<TransactOutcome>(resolve => {
+      timer = setTimeout(() => {
+        void this._dependencies.store.transact(transaction, makeWaitOptions(times.answerUntil, times.answerUntil)).then(outcome => { if (isDecided(outcome)) resolve(outcome) })
+      }, Math.max(0, times.answerUntil - LAST_ATTEMPT_MS - performance.now()))
+    })
+    const outcome = await Promise.race([this._transactUntilDecided(times, transaction, { retryUntil: times.answerUntil }), last])
+    clearTimeout(timer)
+    return outcome
+  }
+
   /**
    * Retries a conditional write until its outcome is known or the time for retries is over. If the store is unavailable, the write is
    * retried for a short time only, unless an attempt was ambiguous: nothing was stored, and the call can be refused. Ambiguous writes are retried until `retryUntil`.
@@ -145,7 +160,7 @@
     for (;;) {
       const attempt = this._dependencies.store.transact(transaction, makeWaitOptions(isAmbiguous ? retryUntil : times.outageUntil, retryUntil))
       const outcome = await this._waitForOutcome(attempt, times.answerUntil)
-      if (outcome.kind === 'ok' || outcome.kind === 'conflict') return outcome
+      if (isDecided(outcome)) return outcome
       if (outcome.kind === 'ambiguous') isAmbiguous = true
       this._dependencies.metrics.count('store_retries')
       const isOver = performance.now() + RETRY_MS > (isAmbiguous ? retryUntil : times.outageUntil)
@@ -168,3 +183,7 @@
     return outcome
   }
 }
+
+function isDecided (outcome: TransactOutcome): outcome is TransactResult {
+  return outcome.kind === 'ok' || outcome.kind === 'conflict'
+}
--- a/packages/daemon/test/jobEntry/withdrawnSubmissions.test.ts
+++ b/packages/daemon/test/jobEntry/withdrawnSubmissions.test.ts
@@ -46,6 +46,20 @@
   return store.engine.get(KEYS.getSpecKey(JOB_ID)) !== undefined && store.engine.get(KEYS.getCancelKey(JOB_ID)) === undefined
 }
 
+/** A store that carries out the writes of the job late, without an answer, until a time on the monotonic clock; a lost answer is noticed after 1 s. */
+class LossyStore extends MemoryStore {
+  losesUntil = -Infinity
+  lost = 0
+
+  override async transact (transaction: Transaction): Promise<TransactOutcome> {
+    if (performance.now() > this.losesUntil) return super.transact(transaction)
+    this.lost++
+    setTimeout(() => { this.engine.transact(transaction) }, LATE_MS)
+    await new Promise(resolve => setTimeout(resolve, 1_000))
+    return { kind: 'ambiguous', message: 'the answer was lost' }
+  }
+}
+
 /** A store that carries out the submissions of the job late, without an answer, while `isLosing` is true. */
 class LateStore extends MemoryStore {
   isLosing = true
@@ -92,6 +106,27 @@
   })
 }
 
+// Review case 7: the writes of the cancellation are lost too. The attempts before took so long that none was made after the store answered again.
+test.serial('a cancellation is decided by its deadline if the store answers again 0.4 s before it', async t => {
+  const clock = installClock(t)
+  for (let leftMs = 400; leftMs <= 2_800; leftMs += 200) {
+    const store = new LossyStore()
+    const entry = createEntry(store)
+    store.losesUntil = performance.now() + 60_000
+    const submitted = callEntry(entry, 'submit')
+    await clock.tickAsync(2_000)
+    t.is((await submitted).kind, 'undecided')
+    const lost = store.lost
+    store.losesUntil = performance.now() + 2_850 - leftMs
+    const cancelled = callEntry(entry, 'cancel')
+    await clock.tickAsync(3_000)
+    t.is((await cancelled).kind, 'noSuchJob', `${leftMs} ms`)
+    t.true(store.lost - lost <= 4, 'few writes are lost')
+    await clock.tickAsync(SETTLED_MS)
+    t.false(isRunnable(store))
+  }
+})
+
 // UNASKED: a repeated submission of a job that was cancelled before it was stored must not run either, as it remains one job.
 test.serial('a job that is submitted again after it was cancelled unstored is accepted as cancelled', async t => {
   const { clock, store, entries: [first, second], call } = await createFixture(t)
