Write fences, capacity sums and test crashes in one place each

Withdrawing and settling a job ran the same loop over the job's fence; one function serves both. ServiceUse adds capacity with returnNeeds, the choice of several racks asks isWide, and the test harness has the crash of a worker that two test files wrote. Behaviour and assertions are as before.

--- a/packages/core/src/graphs/placement.ts
+++ b/packages/core/src/graphs/placement.ts
@@ -149,12 +149,13 @@
   }
 
   /** True if the waiting tasks of a step end sooner in several racks than in one, as far as room decides: a gang that is too wide for each rack, or work that takes many turns in one. */
-  private _isFasterInSeveralRacks (racks: readonly WorkerState[][], { step, tasks }: WaitingStep): boolean {
+  private _isFasterInSeveralRacks (racks: readonly WorkerState[][], waiting: WaitingStep): boolean {
+    const { step, tasks } = waiting
+    if (!isWide(racks, waiting)) return false
+    if (step.spec.isGang) return true
     const rooms = racks.map(rack => countTasksOfGroupWhenEmpty(rack, step))
-    const largest = Math.max(...rooms)
-    if (step.spec.isGang || largest >= tasks.length) return largest < tasks.length
     const turnsInAll = Math.ceil(tasks.length / rooms.reduce((sum, room) => sum + room, 0))
-    return turnsInAll * this._dependencies.speedFit.remoteFactor < Math.ceil(tasks.length / largest)
+    return turnsInAll * this._dependencies.speedFit.remoteFactor < Math.ceil(tasks.length / Math.max(...rooms))
   }
 
   /** Sorts racks by their free slots, the fewest first; those come last that can hold the tasks only with workers that are slow after their start. */
--- a/packages/core/src/graphs/serviceUse.ts
+++ b/packages/core/src/graphs/serviceUse.ts
@@ -2,7 +2,7 @@
  * How much of each service's capacity is in use. Steps that wait although most of their service is free may use slots that others avoid.
  */
 import type { TaskNeeds } from './graphTypes.js'
-import { takeNeeds } from './workerState.js'
+import { returnNeeds, takeNeeds } from './workerState.js'
 import type { FreeCapacity, WorkerState } from './workerState.js'
 
 /** Share of a service's capacity in use, from which on the service is not mostly free. */
@@ -37,11 +37,7 @@
   private _addWorker (worker: WorkerState, service: string): void {
     const known = this._services.get(service) ?? { total: createEmpty(), free: createEmpty() }
     this._services.set(service, known)
-    for (const capacity of [known.total, known.free]) {
-      capacity.cpuMillis += worker.capacity.cpuMillis
-      capacity.memoryMb += worker.capacity.memoryMb
-      capacity.accelerators += worker.capacity.accelerators
-    }
+    for (const capacity of [known.total, known.free]) returnNeeds(capacity, worker.capacity)
     for (const run of worker.runs) takeNeeds(known.free, run.task.step.spec)
   }
 }
--- a/packages/core/test/graphs/crashBlame.test.ts
+++ b/packages/core/test/graphs/crashBlame.test.ts
@@ -10,8 +10,7 @@
 function crashUnder (harness: PlannerHarness, task: string): FakeWorker | undefined {
   const worker = harness.findWorker(task)
   if (worker === undefined) return undefined
-  const suspects = worker.running.map(({ task, run }) => ({ task, run }))
-  harness.restartWorker(worker, `${worker.id}x`).crashes.push(...worker.crashes, { suspects })
+  harness.crashWorker(worker)
   return worker
 }
 
--- a/packages/core/test/graphs/plannerHarness.ts
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -159,6 +159,12 @@
     return successor
   }
 
+  /** Restarts a worker after a crash; its agent suspects all its runs. */
+  crashWorker (worker: FakeWorker): void {
+    const suspects = worker.running.map(({ task, run }) => ({ task, run }))
+    this.restartWorker(worker, `${worker.id}x`).crashes.push(...worker.crashes, { suspects })
+  }
+
   /** Replaces the planner by a new one that restores the jobs from the stored records. */
   replacePlanner (): void {
     this.planner = this._createPlanner()
--- a/packages/core/test/graphs/sameRack.test.ts
+++ b/packages/core/test/graphs/sameRack.test.ts
@@ -5,7 +5,6 @@
 import fc from 'fast-check'
 
 import { PlannerHarness, makeQueue, makeStep } from './plannerHarness.js'
-import type { FakeWorker } from './plannerHarness.js'
 
 const RUN_MS = 4_000
 /** Time after which a step that doesn't fit as a whole starts in parts; the requirements allow a job to wait 3 s while most of the service is free. */
@@ -36,12 +35,6 @@
   return { wasSpread }
 }
 
-/** Restarts a worker; its agent suspects all its runs of the crash. */
-function crashWorker (harness: PlannerHarness, worker: FakeWorker): void {
-  const suspects = worker.running.map(({ task, run }) => ({ task, run }))
-  harness.restartWorker(worker, `${worker.id}x`).crashes.push(...worker.crashes, { suspects })
-}
-
 // LOST: of the tasks that had begun before a crash, only one may start on each worker, and there were more of them than workers.
 test('the tasks of a same-rack step are started again after a crash of their worker', t => {
   const harness = new PlannerHarness([3, 3, 1])
@@ -50,7 +43,7 @@
   const most = [...harness.workers].sort((a, b) => b.running.length - a.running.length)[0]
   if (most === undefined) return t.fail('the fleet has workers')
   t.is(most.running.length, 8)
-  crashWorker(harness, most)
+  harness.crashWorker(most)
   harness.run(MAX_WAIT_MS)
   t.true(listRunning(harness).length >= 3)
   runToEnd(harness, 40_000)
@@ -149,7 +142,7 @@
   harness.addJob('a', [{ ...STEP, count: 2 }])
   for (let crash = 0; crash < 2; crash++) {
     harness.run(300)
-    for (const worker of harness.workers.filter(({ running }) => running.some(({ task }) => task.startsWith('a.')))) crashWorker(harness, worker)
+    for (const worker of harness.workers.filter(({ running }) => running.some(({ task }) => task.startsWith('a.')))) harness.crashWorker(worker)
   }
   const startedAt = new Map<string, number>()
   harness.addJob('fill', [makeStep({ count: 600, estimatedMs: 3_000 })], { queue: makeQueue({ name: 'fill', priority: 2 }) })
@@ -183,7 +176,7 @@
     for (const { afterMs, index } of crashes) {
       harness.run(afterMs)
       const worker = harness.workers[index % harness.workers.length]
-      if (worker !== undefined) crashWorker(harness, worker)
+      if (worker !== undefined) harness.crashWorker(worker)
     }
     runToEnd(harness, 120_000)
     t.is(harness.planner.getJob('a')?.phase, 'completed')
--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -176,7 +176,7 @@
     if (others > 0) this._withdrawing.set(jobId, others)
     else this._withdrawing.delete(jobId)
     if (outcome.kind === 'stored') return this._answerStoredState(jobId, organisation, outcome.state)
-    if (outcome.kind !== 'withdrawn') return this._makeUndecidedAnswer(outcome)
+    if (outcome.kind !== 'fenced') return this._makeUndecidedAnswer(outcome)
     this._undecidedUntil.delete(jobId)
     return { kind: 'noSuchJob' }
   }
@@ -258,9 +258,9 @@
       // A call that is storing or withdrawing the job decides it itself.
       if (this._pendingSubmissions.has(jobId) || this._withdrawing.has(jobId) || !this._settleBucket.tryTake(performance.now())) continue
       const outcome = await this._writer.settleJob(jobId)
-      if (outcome.kind !== 'settled') continue
-      this._recordCurrentState(jobId, outcome.state)
-      this._dependencies.logger.info({ job: jobId, isStored: outcome.state !== undefined }, 'undecided submission settled')
+      if (outcome.kind !== 'fenced' && outcome.kind !== 'stored') continue
+      if (outcome.kind === 'stored') this._recordCurrentState(jobId, outcome.state)
+      this._dependencies.logger.info({ job: jobId, isStored: outcome.kind === 'stored' }, 'undecided submission settled')
       if (this._undecidedUntil.get(jobId) === until && !this._pendingSubmissions.has(jobId)) this._undecidedUntil.delete(jobId)
     }
     this._settling.delete(jobId)
--- a/packages/daemon/src/jobEntry/jobWriter.ts
+++ b/packages/daemon/src/jobEntry/jobWriter.ts
@@ -27,9 +27,9 @@
   | Unavailable
   | Ambiguous
 
-/** Outcome of the cancellation of a job that is not stored. `withdrawn`: no earlier submission of the job can take effect any more; `stored`: the job has been stored meanwhile. */
-export type WithdrawJobOutcome =
-  | { readonly kind: 'withdrawn' }
+/** Outcome of writing the fence of a job that is not stored. `fenced`: no earlier submission of the job can take effect any more; `stored`: one of them has. */
+export type FenceJobOutcome =
+  | { readonly kind: 'fenced' }
   | { readonly kind: 'stored', readonly state: StoredValue }
   | Unavailable
   | Ambiguous
@@ -40,12 +40,6 @@
   readonly wasUndecided?: boolean
 }
 
-/** Outcome of {@link JobWriter.settleJob}: earlier submissions of the job can't take effect any more; `state` is what the store holds if one of them has. */
-export type SettleJobOutcome =
-  | { readonly kind: 'settled', readonly state: StoredValue | undefined }
-  | Unavailable
-  | Ambiguous
-
 const RETRY_MS = 50
 /** How long before the answer is due the last attempt of a write is made that must be decided, in milliseconds; a slow store answers within 400 ms, most within 10. */
 const LAST_ATTEMPT_MS = 300
@@ -97,42 +91,33 @@
    * Cancels a job of an organisation that is not stored: writes the job's fence, so that submissions that are on their way to the store fail there. Retried until the deadline, since a
    * client that can't tell whether its job was cancelled can't do anything else.
    */
-  async withdrawJob (times: CallTimes, jobId: string, organisation: string): Promise<WithdrawJobOutcome> {
-    const { keys } = this._dependencies
-    const [stateKey, fenceKey] = [keys.getStateKey(jobId), keys.getFenceKey(jobId)]
-    let fence: StoredValue | undefined
-    for (let changes = 0; changes <= MAX_FENCE_CHANGES; changes++) {
-      const outcome = await this._transactByDeadline(times, {
-        expect: [{ key: stateKey, modRevision: 0 }, { key: fenceKey, modRevision: fence?.modRevision ?? 0 }],
-        puts: [{ key: fenceKey, value: encodeFence([...listOrganisations(fence), organisation]) }],
-        removes: []
-      })
-      if (outcome.kind === 'ok') return { kind: 'withdrawn' }
-      if (outcome.kind !== 'conflict') return outcome
-      const state = outcome.current.find(({ key }) => key === stateKey)
-      if (state !== undefined) return { kind: 'stored', state }
-      fence = outcome.current.find(({ key }) => key === fenceKey)
-      if (listOrganisations(fence).includes(organisation)) return { kind: 'withdrawn' }
-    }
-    return { kind: 'ambiguous', message: 'the job is being cancelled by many clients' }
+  withdrawJob (times: CallTimes, jobId: string, organisation: string): Promise<FenceJobOutcome> {
+    return this._writeFence(jobId, organisation, transaction => this._transactByDeadline(times, transaction))
   }
 
   /** Makes one attempt to find out whether a job is stored, and writes its fence again if it isn't, so that submissions that are on their way to the store fail there. */
-  async settleJob (jobId: string): Promise<SettleJobOutcome> {
-    const { keys, store } = this._dependencies
+  settleJob (jobId: string): Promise<FenceJobOutcome> {
+    return this._writeFence(jobId, undefined, transaction => this._dependencies.store.transact(transaction))
+  }
+
+  /** Writes the fence of a job unless the job is stored, or the fence already names the organisation that cancels the job, if there is one. */
+  private async _writeFence (jobId: string, organisation: string | undefined, transact: (transaction: Transaction) => Promise<TransactOutcome>): Promise<FenceJobOutcome> {
+    const { keys } = this._dependencies
     const [stateKey, fenceKey] = [keys.getStateKey(jobId), keys.getFenceKey(jobId)]
     let fence: StoredValue | undefined
     for (let changes = 0; changes <= MAX_FENCE_CHANGES; changes++) {
-      const outcome = await store.transact({
+      const cancelledBy = listOrganisations(fence)
+      const outcome = await transact({
         expect: [{ key: stateKey, modRevision: 0 }, { key: fenceKey, modRevision: fence?.modRevision ?? 0 }],
-        puts: [{ key: fenceKey, value: encodeFence(listOrganisations(fence)) }],
+        puts: [{ key: fenceKey, value: encodeFence(organisation === undefined ? cancelledBy : [...cancelledBy, organisation]) }],
         removes: []
       })
-      if (outcome.kind === 'ok') return { kind: 'settled', state: undefined }
+      if (outcome.kind === 'ok') return { kind: 'fenced' }
       if (outcome.kind !== 'conflict') return outcome
       const state = outcome.current.find(({ key }) => key === stateKey)
-      if (state !== undefined) return { kind: 'settled', state }
+      if (state !== undefined) return { kind: 'stored', state }
       fence = outcome.current.find(({ key }) => key === fenceKey)
+      if (organisation !== undefined && listOrganisations(fence).includes(organisation)) return { kind: 'fenced' }
     }
     return { kind: 'ambiguous', message: 'the fence of the job is being changed again and again' }
   }
