Log what tells a slow answer from silence, and which agents were asked to relay a call

A call that times out names the bytes of the answer that had arrived. Each failed call for changes of the declarations has a line with the version in force, its age and the confirmed revision (at most 4 a second), and each call that no agent could relay names the agents and what each answered (2 a second). The line of a new version has its size and the time for decoding it. Metrics: declarations_version, declarations_gap_ms (between two confirmations).

--- a/packages/adapters/src/prefixWatcher.ts
+++ b/packages/adapters/src/prefixWatcher.ts
@@ -17,6 +17,8 @@
   readonly onEvents: (events: readonly WatchEvent[]) => void
   /** Called when the store has confirmed that all changes up to a revision have been delivered; they are as old as the start of the call. */
   readonly onConfirm?: (storeRevision: number, callStartedAt: CallStart) => void
+  /** Called after each call of the watch that brought no usable answer and is repeated. `elapsedMs` is its duration in milliseconds. */
+  readonly onCallFailure?: (message: string, elapsedMs: number) => void
   /** Called with the error in `message` when listing or watching fails, and with an empty `message` when the prefix is watched (again). */
   readonly onHealthChange?: (isWatching: boolean, message: string) => void
 }
@@ -37,7 +39,7 @@
    * {@link close} is called.
    */
   async open (): Promise<void> {
-    const { store, prefix, maxSilenceMs, onList, onEvents, onConfirm } = this._options
+    const { store, prefix, maxSilenceMs, onList, onEvents, onConfirm, onCallFailure } = this._options
     const callStartedAt = { monotonicMs: performance.now(), wallMs: Date.now() }
     const listed = await store.list(prefix)
     if (this._isClosed) return
@@ -52,6 +54,7 @@
     this._watch = store.watch(prefix, listed.storeRevision + 1, {
       onEvents,
       onConfirm: (storeRevision, startedAt) => onConfirm?.(storeRevision, startedAt),
+      onFailure: (message, elapsedMs) => onCallFailure?.(message, elapsedMs),
       onEnd: message => {
         if (this._isClosed) return
         this._updateHealth(false, message)
--- a/packages/adapters/src/store.ts
+++ b/packages/adapters/src/store.ts
@@ -90,6 +90,8 @@
    * Stores that push changes don't call it. What was delivered is as old as the start of the call: its answer may have been on its way for as long.
    */
   onConfirm? (storeRevision: number, callStartedAt: CallStart): void
+  /** Called after each call of a store that is polled that brought no usable answer; the watch repeats the call. `elapsedMs` is the duration of the call in milliseconds. */
+  onFailure? (message: string, elapsedMs: number): void
   /** Called when the watch has ended; its owner must list again and open a new watch. */
   onEnd (message: string): void
 }
--- a/packages/adapters/src/storeClient.ts
+++ b/packages/adapters/src/storeClient.ts
@@ -160,6 +160,7 @@
     const watch = this._store.watch(prefix, fromRevision, {
       onEvents: events => listener.onEvents(events),
       onConfirm: (storeRevision, callStartedAt) => listener.onConfirm?.(storeRevision, callStartedAt),
+      onFailure: (message, elapsedMs) => listener.onFailure?.(message, elapsedMs),
       onEnd
     }, options)
     return { close: () => { end(); watch.close() } }
--- a/packages/daemon/src/jobAgent/jobAgentProcess.ts
+++ b/packages/daemon/src/jobAgent/jobAgentProcess.ts
@@ -68,7 +68,7 @@
     const { store, prefix, keys, name, address, peers, logger, metrics, times, evacuations } = dependencies
     this._control = new ControlServer({ clusterKey: dependencies.clusterKey, guard: dependencies.guard, logger: createPartLogger(logger, 'control') })
     this._control.add(RELAY_PATH, dependencies.relay)
-    this._policy = new PolicyWatcher({ store, key: dependencies.policyKey, decode: dependencies.decodePolicy, logger: createPartLogger(logger, 'config') })
+    this._policy = new PolicyWatcher({ store, key: dependencies.policyKey, decode: dependencies.decodePolicy, logger: createPartLogger(logger, 'config'), metrics })
     this._candidate = new PlannerCandidate({
       store,
       prefix,
--- a/packages/daemon/src/jobEntry/jobEntryProcess.ts
+++ b/packages/daemon/src/jobEntry/jobEntryProcess.ts
@@ -54,6 +54,7 @@
       key: dependencies.policyKey,
       decode: dependencies.decodePolicy,
       logger: createPartLogger(logger, 'config'),
+      metrics,
       maxSilenceMs: dependencies.applyMs * NOTICE_SHARE
     })
     this._states = new JobStates({ store, keys, logger: createPartLogger(logger, 'states') })
--- a/packages/daemon/src/jobEntry/policyWatcher.ts
+++ b/packages/daemon/src/jobEntry/policyWatcher.ts
@@ -6,7 +6,8 @@
 import type { Store, StoredValue } from '@dragonflylever/adapters'
 import { PolicyIndex } from '@dragonflylever/core/graphs/index'
 import type { FleetPolicy } from '@dragonflylever/core/graphs/index'
-import type { Logger } from '@dragonflylever/runtime'
+import { LogLimiter } from '@dragonflylever/runtime'
+import type { Logger, Metrics } from '@dragonflylever/runtime'
 
 /** Dependencies of {@link PolicyWatcher}. */
 export interface PolicyWatcherDependencies {
@@ -16,15 +17,19 @@
   /** Decodes the declarations; returns undefined if they are invalid. */
   readonly decode: (text: string) => FleetPolicy | undefined
   readonly logger: Logger
+  readonly metrics: Metrics
   /** Time after which a watch that hears nothing must have found out whether its connection is dead, in milliseconds. */
   readonly maxSilenceMs?: number
 }
 
 /** Time without a confirmation by the store after which the next one is logged, in milliseconds. */
 const LOGGED_CONFIRMATION_GAP_MS = 3_000
+/** Maximum number of log lines per second about failed calls of the watch. */
+const MAX_FAILURE_LINES_PER_S = 4
 
 export class PolicyWatcher {
   private readonly _dependencies: PolicyWatcherDependencies
+  private readonly _limiter = new LogLimiter(MAX_FAILURE_LINES_PER_S)
   private _watcher: PrefixWatcher | undefined
   private _index: PolicyIndex | undefined
   /** Revision up to which the store last confirmed the declarations, and when, on the monotonic clock. */
@@ -66,6 +71,7 @@
       onList: values => { for (const value of values) this._applyDeclarations(value) },
       onEvents: events => { for (const event of events) if (event.kind === 'put') this._applyDeclarations(event.value) },
       onConfirm: revision => this._recordConfirmation(revision),
+      onCallFailure: (message, elapsedMs) => this._logCallFailure(message, elapsedMs),
       onHealthChange: (isWatching, message) => {
         if (isWatching) dependencies.logger.info({ key: dependencies.key }, 'watching declarations in the store')
         else dependencies.logger.warn({ key: dependencies.key, message, version: this._index?.policy.version }, 'cannot watch declarations in the store; keeping those in force')
@@ -77,19 +83,29 @@
     const { ageMs } = this
     const version = this._index?.policy.version
     if (ageMs !== undefined && ageMs > LOGGED_CONFIRMATION_GAP_MS) this._dependencies.logger.warn({ version, revision, confirmedRevision: this._confirmed?.revision, ageMs }, 'declarations are confirmed again after a gap')
+    if (ageMs !== undefined) this._dependencies.metrics.time('declarations_gap_ms', ageMs)
     this._confirmed = { revision, at: performance.now() }
   }
 
+  private _logCallFailure (message: string, elapsedMs: number): void {
+    const leftOut = this._limiter.admit('call')
+    if (leftOut === undefined) return
+    this._dependencies.logger.warn({ message, elapsedMs, version: this._index?.policy.version, confirmedRevision: this._confirmed?.revision, ageMs: this.ageMs, leftOut }, 'a call for changes of the declarations failed; repeating it')
+  }
+
   private _applyDeclarations (stored: StoredValue): void {
     if (stored.key !== this._dependencies.key) return
+    const startedAt = performance.now()
     const policy = this._dependencies.decode(stored.value)
-    const { logger } = this._dependencies
+    const { logger, metrics } = this._dependencies
     if (policy === undefined) {
       logger.error({ key: stored.key, revision: stored.modRevision, version: this._index?.policy.version, confirmedRevision: this._confirmed?.revision, ageMs: this.ageMs }, 'stored declarations are unreadable; keeping those in force')
       return
     }
     if (this._index !== undefined && policy.version <= this._index.policy.version) return
     this._index = new PolicyIndex(policy)
-    logger.info({ version: policy.version, revision: stored.modRevision, queues: policy.queues.length, organisations: policy.organisations.length, confirmedRevision: this._confirmed?.revision, ageMs: this.ageMs }, 'declarations in force')
+    const decodeMs = Math.round(performance.now() - startedAt)
+    metrics.gauge('declarations_version', policy.version)
+    logger.info({ version: policy.version, revision: stored.modRevision, chars: stored.value.length, decodeMs, queues: policy.queues.length, organisations: policy.organisations.length, confirmedRevision: this._confirmed?.revision, ageMs: this.ageMs }, 'declarations in force')
   }
 }
--- a/packages/daemon/src/storeRelay/relayedCaller.ts
+++ b/packages/daemon/src/storeRelay/relayedCaller.ts
@@ -4,7 +4,8 @@
  * an agent, which is safe: conditional writes take effect at most once, and repeating the other writes does no harm. A write that no attempt confirmed has the
  * outcome `lost` if any of its attempts may have been carried out.
  */
-import type { HttpCall, HttpCaller, HttpOutcome } from '@dragonflylever/runtime'
+import { LogLimiter } from '@dragonflylever/runtime'
+import type { HttpCall, HttpCaller, HttpOutcome, Logger } from '@dragonflylever/runtime'
 
 import { isServed } from './directPath.js'
 import type { DirectPath } from './directPath.js'
@@ -25,6 +26,8 @@
 export const RELAY_REJECTED = 503
 /** HTTP status by which an agent reports that the store did not answer a call, which it may have carried out. */
 export const RELAY_UNDECIDED = 502
+/** Maximum number of log lines per second about calls that no agent could relay. */
+const MAX_LINES_PER_S = 2
 
 /** Dependencies of {@link RelayedCaller}. */
 export interface RelayedCallerDependencies {
@@ -32,6 +35,7 @@
   readonly peers: HttpCaller
   /** Lists the addresses of the agents that may relay calls, those of the same region first. */
   readonly listRelays: () => readonly string[]
+  readonly logger: Logger
 }
 
 /** Body of a request to relay a call. */
@@ -48,12 +52,19 @@
   | { readonly kind: 'relayed', readonly outcome: HttpOutcome }
   | { readonly kind: 'failed', readonly isUndecided: boolean }
 
+/** An agent that was asked, and its status or the error, for the log. */
+interface AskedRelay {
+  readonly address: string
+  readonly outcome: string
+}
+
 const NOT_RELAYED: RelayResult = { kind: 'failed', isUndecided: false }
 
 export class RelayedCaller implements HttpCaller {
   private readonly _dependencies: RelayedCallerDependencies
   private _relaysPausedUntil = -Infinity
   private _relayIndex = 0
+  private readonly _limiter = new LogLimiter(MAX_LINES_PER_S)
 
   constructor (dependencies: RelayedCallerDependencies) {
     this._dependencies = dependencies
@@ -82,13 +93,18 @@
     const relays = this._dependencies.listRelays()
     if (performance.now() < this._relaysPausedUntil || relays.length === 0) return NOT_RELAYED
     const isRead = call.method === 'GET' && call.isLongPoll !== true
-    const result = await (isRead ? this._readThroughRelays(call, relays) : this._callRelaysInTurn(call, relays))
-    if (result.kind === 'failed') this._relaysPausedUntil = performance.now() + RELAY_PAUSE_MS
+    const startedAt = performance.now()
+    const asked: AskedRelay[] = []
+    const result = await (isRead ? this._readThroughRelays(call, relays, asked) : this._callRelaysInTurn(call, relays, asked))
+    if (result.kind === 'failed') {
+      this._relaysPausedUntil = performance.now() + RELAY_PAUSE_MS
+      this._logFailure(call, startedAt, relays.length, asked)
+    }
     return result
   }
 
   /** Asks one agent after the other. */
-  private async _callRelaysInTurn (call: HttpCall, relays: readonly string[]): Promise<RelayResult> {
+  private async _callRelaysInTurn (call: HttpCall, relays: readonly string[], asked: AskedRelay[]): Promise<RelayResult> {
     const startedAt = performance.now()
     let isUndecided = false
     for (let count = 0; count < Math.min(MAX_RELAYS, relays.length); count++) {
@@ -96,6 +112,7 @@
       if (performance.now() - startedAt > RELAY_TIMEOUT_MARGIN_MS) break
       const index = this._relayIndex % relays.length
       const outcome = await this._callRelay(call, relays[index] ?? '', call.signal)
+      asked.push(describeAskedRelay(relays[index] ?? '', outcome))
       if (isRelayed(outcome) || call.signal?.aborted === true) return { kind: 'relayed', outcome }
       isUndecided ||= outcome.kind === 'lost' || (outcome.kind === 'answered' && outcome.status === RELAY_UNDECIDED)
       this._relayIndex = index + 1
@@ -104,7 +121,7 @@
   }
 
   /** Asks the next agent as soon as one fails, or has not answered for a short time, and returns the first answer. */
-  private async _readThroughRelays (call: HttpCall, relays: readonly string[]): Promise<RelayResult> {
+  private async _readThroughRelays (call: HttpCall, relays: readonly string[], answers: AskedRelay[]): Promise<RelayResult> {
     const abort = new AbortController()
     const firstIndex = this._relayIndex
     const count = Math.min(MAX_READ_RELAYS, relays.length)
@@ -119,6 +136,7 @@
         timer = setTimeout(callNext, READ_RELAY_INTERVAL_MS)
         void this._callRelay(call, relays[index] ?? '', abort.signal).then(outcome => {
           if (abort.signal.aborted) return
+          answers.push(describeAskedRelay(relays[index] ?? '', outcome))
           if (!isRelayed(outcome)) return ++failed === count ? resolve(NOT_RELAYED) : callNext()
           this._relayIndex = index
           resolve({ kind: 'relayed', outcome })
@@ -130,6 +148,12 @@
     return result
   }
 
+  private _logFailure (call: HttpCall, startedAt: number, agents: number, asked: readonly AskedRelay[]): void {
+    const leftOut = this._limiter.admit('relay')
+    if (leftOut === undefined || call.signal?.aborted === true) return
+    this._dependencies.logger.warn({ method: call.method, path: call.path, agents, asked, elapsedMs: Math.round(performance.now() - startedAt), leftOut }, 'no agent could relay a store call')
+  }
+
   private _callRelay (call: HttpCall, address: string, signal: AbortSignal | undefined): Promise<HttpOutcome> {
     const { method, path, body, timeoutMs, isLongPoll } = call
     const request: RelayRequest = { method, path, timeoutMs, ...(body === undefined ? {} : { body }), ...(isLongPoll === undefined ? {} : { isLongPoll }) }
@@ -144,6 +168,10 @@
   }
 }
 
+function describeAskedRelay (address: string, outcome: HttpOutcome): AskedRelay {
+  return { address, outcome: outcome.kind === 'answered' ? String(outcome.status) : outcome.message }
+}
+
 /** True if the answer of an agent is the store's answer to the relayed call. */
 function isRelayed (outcome: HttpOutcome): boolean {
   return isServed(outcome) && !(outcome.kind === 'answered' && outcome.status === RELAY_UNDECIDED)
--- a/packages/daemon/test/storeRelay/refusedWrites.test.ts
+++ b/packages/daemon/test/storeRelay/refusedWrites.test.ts
@@ -74,7 +74,7 @@
     const record: StoreRecord = { isCarriedOut: false }
     const createPath = (drawn: readonly Fate[]): DirectPath => new DirectPath({ caller: new FatefulCaller(drawn, record), probe: { address: 'store', path: '/probe' }, logger: LOGGER })
     const paths = agents.map(createPath)
-    const caller = new RelayedCaller({ direct: createPath(direct), peers: new PeerCaller(peers, paths), listRelays: () => paths.map((_, index) => String(index)) })
+    const caller = new RelayedCaller({ direct: createPath(direct), peers: new PeerCaller(peers, paths), listRelays: () => paths.map((_, index) => String(index)), logger: LOGGER })
     for (let count = 0; count < 3; count++) {
       record.isCarriedOut = false
       const outcome = await caller.call(WRITE)
--- a/packages/daemon/test/storeRelay/relayedCaller.test.ts
+++ b/packages/daemon/test/storeRelay/relayedCaller.test.ts
@@ -54,7 +54,7 @@
 
 function createCaller (t: ExecutionContext, direct: HttpCaller, relays: readonly string[]): RelayedCaller {
   const peers = new HttpClient({ maxConnections: 2, maxAnswerBytes: 10_000 })
-  const caller = new RelayedCaller({ direct: createDirectPath(t, direct), peers, listRelays: () => relays })
+  const caller = new RelayedCaller({ direct: createDirectPath(t, direct), peers, listRelays: () => relays, logger: LOGGER })
   t.teardown(() => caller.close())
   return caller
 }
--- a/packages/runtime/src/httpClient.ts
+++ b/packages/runtime/src/httpClient.ts
@@ -70,9 +70,10 @@
       if (opened instanceof Error) return resolve({ kind: 'notSent', message: `${call.method} ${call.address}${call.path}: ${opened.message}`, isRefused: false })
       const request = opened
       let isConnected = false
+      let receivedBytes = 0
       const onAbort = (): void => { request.destroy(new Error('the call was given up')) }
       const timer = setTimeout(() => {
-        request.destroy(new Error(`no answer within ${call.timeoutMs} ms`))
+        request.destroy(new Error(describeTimeout(call.timeoutMs, receivedBytes)))
         this._closeIdleConnections(host, port)
       }, call.timeoutMs)
       const settle = (outcome: HttpOutcome): void => {
@@ -91,6 +92,7 @@
       })
       request.on('error', (error: NodeJS.ErrnoException) => fail(error.message, error.code === CONNECTION_REFUSED))
       request.on('response', response => {
+        response.on('data', (part: Buffer) => { receivedBytes += part.length })
         void readBody(response, { maxBytes: this._options.maxAnswerBytes }).then(read => {
           if (read.kind === 'whole') return settle({ kind: 'answered', status: response.statusCode ?? 0, headers: response.headers, body: read.body.toString('utf8') })
           request.destroy()
@@ -111,6 +113,11 @@
   }
 }
 
+/** Names the bytes of the answer that had arrived, which tell a slow answer from silence. */
+function describeTimeout (timeoutMs: number, receivedBytes: number): string {
+  return receivedBytes === 0 ? `no answer within ${timeoutMs} ms` : `the answer was not complete within ${timeoutMs} ms; ${receivedBytes} bytes of it had arrived`
+}
+
 /** Opens a request. Returns an error if its address, path or a header has a value that no request can have; such values may come from other processes. */
 function openCheckedRequest (options: RequestOptions & { readonly host: string, readonly port: number }): ClientRequest | Error {
   // Node takes an empty host for the local one and a port that is no number for port 80.
