Bound the silence of a store read rather than its size

Cause: each attempt of a read had 500 ms in all, at the entry, at a relaying agent (status 502) and, for a list of all pages, 1,300 ms, while the answer to a watch grows with the versions that were missed and a list with what is stored. A read that was too large failed, and was repeated from the same place, until the store dropped its history.

A relaying agent passes the answer on as it arrives, so that its caller can tell a large answer from silence. A probe without an answer no longer ends a poll whose answer is arriving.

--- a/packages/adapters/src/storeClient.ts
+++ b/packages/adapters/src/storeClient.ts
@@ -44,6 +44,8 @@
   /** Number of calls that this process may make in a burst. */
   readonly burst?: number
   readonly callTimeoutMs?: number
+  /** Timeout of a list, in milliseconds, for stores that bound the silence within a list themselves; `callTimeoutMs` if absent. */
+  readonly listTimeoutMs?: number
   /** Maximum back-off after which a store that does not answer is probed again, in milliseconds. */
   readonly maxPauseMs?: number
   /** Time since the store's last answer after which a write is preceded by a read, in milliseconds; absent for no limit. */
@@ -56,6 +58,8 @@
 interface AdmissionOptions {
   readonly usesLeaseBudget?: boolean
   readonly wait?: WaitOptions | undefined
+  /** Timeout of the call, in milliseconds; that of the client if absent. */
+  readonly timeoutMs?: number
 }
 
 export class StoreClient implements Store {
@@ -65,6 +69,7 @@
   private readonly _clientReadBucket: TokenBucket
   private readonly _circuitBreaker: CircuitBreaker
   private readonly _timeoutMs: number
+  private readonly _listTimeoutMs: number
   private readonly _maxAnswerAgeMs: number
   private _answeredAt = -Infinity
   /** When the latest call that was answered was sent. */
@@ -87,6 +92,7 @@
     this._clientReadBucket = new TokenBucket({ ratePerS: rate.ratePerS * CLIENT_READ_SHARE, burst: rate.burst * CLIENT_READ_SHARE }, performance.now())
     this._circuitBreaker = new CircuitBreaker(options.random, options.maxPauseMs)
     this._timeoutMs = options.callTimeoutMs ?? DEFAULT_TIMEOUT_MS
+    this._listTimeoutMs = options.listTimeoutMs ?? this._timeoutMs
     this._maxAnswerAgeMs = options.maxAnswerAgeMs ?? Infinity
   }
 
@@ -114,7 +120,7 @@
   }
 
   list (prefix: string): Promise<ListOutcome> {
-    return this._read(() => this._store.list(prefix))
+    return this._read(() => this._store.list(prefix), undefined, this._listTimeoutMs)
   }
 
   put (request: PutRequest): Promise<PutOutcome> {
@@ -172,13 +178,13 @@
     return this._store.close()
   }
 
-  private async _read<T extends { kind: string }> (call: () => Promise<T | Unavailable>, wait?: WaitOptions): Promise<T | Unavailable> {
-    const outcome = await this._waitAtMost<T | Unavailable | Ambiguous>(this._callStore('reads', call, { wait }), wait?.maxReadWaitMs, 'the store does not answer')
+  private async _read<T extends { kind: string }> (call: () => Promise<T | Unavailable>, wait?: WaitOptions, timeoutMs = this._timeoutMs): Promise<T | Unavailable> {
+    const outcome = await this._waitAtMost<T | Unavailable | Ambiguous>(this._callStore('reads', call, { wait, timeoutMs }), wait?.maxReadWaitMs, 'the store does not answer')
     return outcome.kind === 'ambiguous' ? this._makeUnavailable((outcome as Ambiguous).message) : outcome as T | Unavailable
   }
 
   private async _callStore<T extends { kind: string }> (kind: CallKind, call: () => Promise<T>, options: AdmissionOptions = {}): Promise<T | Unavailable | Ambiguous> {
-    const { usesLeaseBudget = false, wait } = options
+    const { usesLeaseBudget = false, wait, timeoutMs } = options
     if (this._circuitBreaker.isOpen && wait !== undefined) await this._waitForReturn(wait.maxOutageWaitMs)
     const refusal = this._checkAdmission(usesLeaseBudget ? this._leaseBucket : this._bucket)
     if (refusal !== undefined) return refusal
@@ -188,7 +194,7 @@
     }
     this._usage[kind]++
     const startedAt = performance.now()
-    const outcome = await this._waitWithTimeout(call())
+    const outcome = await this._waitWithTimeout(call(), timeoutMs)
     this._recordOutcome(outcome.kind !== 'unavailable' && outcome.kind !== 'ambiguous', startedAt)
     return outcome.kind === 'unavailable' ? this._makeUnavailable((outcome as unknown as Unavailable).message) : outcome
   }
@@ -288,10 +294,10 @@
     return { kind: 'unavailable', message, ...(outageMs === undefined ? {} : { outageMs }) }
   }
 
-  private async _waitWithTimeout<T> (call: Promise<T>): Promise<T | Ambiguous> {
+  private async _waitWithTimeout<T> (call: Promise<T>, timeoutMs = this._timeoutMs): Promise<T | Ambiguous> {
     let timer: NodeJS.Timeout | undefined
     const timeout = new Promise<Ambiguous>(resolve => {
-      timer = setTimeout(() => resolve({ kind: 'ambiguous', message: `the store gave no answer within ${this._timeoutMs} ms` }), this._timeoutMs)
+      timer = setTimeout(() => resolve({ kind: 'ambiguous', message: `the store gave no answer within ${timeoutMs} ms` }), timeoutMs)
     })
     const outcome = await Promise.race([call, timeout])
     clearTimeout(timer)
--- a/packages/daemon/src/storeRelay/directPath.ts
+++ b/packages/daemon/src/storeRelay/directPath.ts
@@ -65,7 +65,15 @@
     call.signal?.addEventListener('abort', onAbort, { once: true })
     if (call.signal?.aborted === true) abort.abort()
     this._longPolls.add(abort)
-    const outcome = await this._dependencies.caller.call({ ...call, signal: abort.signal })
+    const outcome = await this._dependencies.caller.call({
+      ...call,
+      signal: abort.signal,
+      // A poll whose answer is arriving is not dead, even if a probe beside it gets no answer.
+      onPart: (part, status) => {
+        this._longPolls.delete(abort)
+        call.onPart?.(part, status)
+      }
+    })
     this._longPolls.delete(abort)
     call.signal?.removeEventListener('abort', onAbort)
     return outcome
--- a/packages/daemon/src/storeRelay/relayedCaller.ts
+++ b/packages/daemon/src/storeRelay/relayedCaller.ts
@@ -5,7 +5,7 @@
  * outcome `lost` if any of its attempts may have been carried out.
  */
 import { LogLimiter } from '@dragonflylever/runtime'
-import type { HttpCall, HttpCaller, HttpOutcome, Logger } from '@dragonflylever/runtime'
+import type { HttpCall, HttpCaller, HttpOutcome, Logger, TransferLimits } from '@dragonflylever/runtime'
 
 import { isServed } from './directPath.js'
 import type { DirectPath } from './directPath.js'
@@ -45,6 +45,7 @@
   readonly body?: string
   readonly timeoutMs: number
   readonly isLongPoll?: boolean
+  readonly transfer?: TransferLimits
 }
 
 /** Result of asking agents to relay a call. `isUndecided` is true if the store may have carried out an attempt. */
@@ -154,15 +155,24 @@
     this._dependencies.logger.warn({ method: call.method, path: call.path, agents, asked, elapsedMs: Math.round(performance.now() - startedAt), leftOut }, 'no agent could relay a store call')
   }
 
-  private _callRelay (call: HttpCall, address: string, signal: AbortSignal | undefined): Promise<HttpOutcome> {
-    const { method, path, body, timeoutMs, isLongPoll } = call
-    const request: RelayRequest = { method, path, timeoutMs, ...(body === undefined ? {} : { body }), ...(isLongPoll === undefined ? {} : { isLongPoll }) }
+  private _callRelay (call: HttpCall, address: string, signal: AbortSignal | undefined, onPart = call.onPart): Promise<HttpOutcome> {
+    const { method, path, body, timeoutMs, isLongPoll, transfer } = call
+    const request: RelayRequest = {
+      method,
+      path,
+      timeoutMs,
+      ...(body === undefined ? {} : { body }),
+      ...(isLongPoll === undefined ? {} : { isLongPoll }),
+      ...(transfer === undefined ? {} : { transfer })
+    }
     return this._dependencies.peers.call({
       address,
       method: 'POST',
       path: RELAY_PATH,
       body: JSON.stringify(request),
       timeoutMs: timeoutMs + RELAY_TIMEOUT_MARGIN_MS,
+      ...(transfer === undefined ? {} : { transfer }),
+      ...(onPart === undefined ? {} : { onPart }),
       ...(signal === undefined ? {} : { signal })
     })
   }
--- a/packages/daemon/test/storeRelay/relayedCaller.test.ts
+++ b/packages/daemon/test/storeRelay/relayedCaller.test.ts
@@ -14,6 +14,8 @@
 
 const LOGGER = createLogger({ level: 'silent', processId: 't' })
 const PROBE_PATH = '/probe'
+const PARTS = Array.from({ length: 10 }, (_, index) => `part ${index};`)
+const PART_INTERVAL_MS = 60
 const CALL: HttpCall = { address: 'store', method: 'POST', path: '/x', body: '{"a":1}', timeoutMs: 500 }
 
 /** HTTP client for the store that counts the calls, apart from probes, and returns the answer set by the test. */
@@ -94,3 +96,32 @@
   const address = await openRelay(t, new ScriptedCaller(makeAnswer(200)))
   t.like(await client.call({ address, method: 'POST', path: RELAY_PATH, body: '{"method":"PUT"}', timeoutMs: 500 }), { status: 400 })
 })
+
+/** HTTP client for the store whose answer comes in parts; the last of them never comes if `isBroken`. */
+class PartwiseCaller implements HttpCaller {
+  private readonly _isBroken: boolean
+
+  constructor (isBroken: boolean) {
+    this._isBroken = isBroken
+  }
+
+  async call (call: HttpCall): Promise<HttpOutcome> {
+    for (const part of PARTS) {
+      call.onPart?.(Buffer.from(part), 200)
+      await new Promise(resolve => setTimeout(resolve, PART_INTERVAL_MS))
+    }
+    return this._isBroken ? { kind: 'lost', message: 'x' } : makeAnswer(200, PARTS.join(''))
+  }
+
+  close (): void {}
+}
+
+for (const isBroken of [false, true]) {
+  test(`an agent passes a large answer on as it arrives${isBroken ? ', and the call is lost if the store stops sending it' : ', for longer than the timeout of the call'}`, async t => {
+    const down: HttpOutcome = { kind: 'notSent', message: 'down', isRefused: true }
+    const caller = createCaller(t, new ScriptedCaller(down), [await openRelay(t, new PartwiseCaller(isBroken))])
+    const outcome = await caller.call({ address: 'store', method: 'GET', path: '/x', timeoutMs: 200, transfer: { maxGapMs: 5_000, maxMs: 10_000 } })
+    if (isBroken) t.deepEqual(outcome, down)
+    else t.like(outcome, { kind: 'answered', status: 200, body: PARTS.join('') })
+  })
+}
--- a/packages/runtime/src/httpClient.ts
+++ b/packages/runtime/src/httpClient.ts
@@ -1,7 +1,7 @@
 /**
  * HTTP client with keep-alive connections. It uses Node's own client, which takes a quarter of undici's memory and less than half
  * of its processor time for the frequent small calls of an agent. Every call has a timeout, after which its connection is
- * destroyed, so that an unresponsive connection is never reused. Idle connections to the same server are destroyed with it: what silenced one, such as a lost
+ * destroyed, so that an unresponsive connection is never reused. An answer of unknown size may be given limits of its own, which bound silence rather than size. Idle connections to the same server are destroyed with it: what silenced one, such as a lost
  * route, may have silenced all of them, and each would cost another call its whole timeout.
  */
 import { Agent, request as openRequest } from 'node:http'
@@ -12,6 +12,12 @@
 import { parseAddress } from './httpServer.js'
 import { readBody } from './readBody.js'
 
+/** Limits of the transfer of an answer, in milliseconds: from its head or a part of its body to the next part, and from its head to its end. */
+export interface TransferLimits {
+  readonly maxGapMs: number
+  readonly maxMs: number
+}
+
 /** One HTTP call. */
 export interface HttpCall {
   /** Address of the server as IP:PORT. */
@@ -21,8 +27,12 @@
   readonly headers?: Readonly<Record<string, string>>
   /** Request body as JSON text; absent for a call without a body. */
   readonly body?: string
-  /** Timeout of the whole call, in milliseconds. */
+  /** Timeout of the whole call, in milliseconds; with `transfer`, of the time until the head of the answer arrives. */
   readonly timeoutMs: number
+  /** Limits of the transfer of an answer that may be too large for a fixed timeout. */
+  readonly transfer?: TransferLimits
+  /** Called with each part of the body of the answer as it arrives, and the status of the answer. */
+  readonly onPart?: (part: Buffer, status: number) => void
   /** True if the server may keep the call waiting for as long as the timeout, so that its silence until then means nothing. */
   readonly isLongPoll?: boolean
   /** Aborts the call. */
@@ -72,10 +82,16 @@
       let isConnected = false
       let receivedBytes = 0
       const onAbort = (): void => { request.destroy(new Error('the call was given up')) }
-      const timer = setTimeout(() => {
-        request.destroy(new Error(describeTimeout(call.timeoutMs, receivedBytes)))
+      const startedAt = performance.now()
+      const giveUp = (): void => {
+        request.destroy(new Error(describeTimeout(performance.now() - startedAt, receivedBytes)))
         this._closeIdleConnections(host, port)
-      }, call.timeoutMs)
+      }
+      let timer = setTimeout(giveUp, call.timeoutMs)
+      const extendTimeout = ({ maxGapMs, maxMs }: TransferLimits, headAt: number): void => {
+        clearTimeout(timer)
+        timer = setTimeout(giveUp, Math.min(maxGapMs, headAt + maxMs - performance.now()))
+      }
       const settle = (outcome: HttpOutcome): void => {
         clearTimeout(timer)
         call.signal?.removeEventListener('abort', onAbort)
@@ -92,7 +108,13 @@
       })
       request.on('error', (error: NodeJS.ErrnoException) => fail(error.message, error.code === CONNECTION_REFUSED))
       request.on('response', response => {
-        response.on('data', (part: Buffer) => { receivedBytes += part.length })
+        const headAt = performance.now()
+        if (call.transfer !== undefined) extendTimeout(call.transfer, headAt)
+        response.on('data', (part: Buffer) => {
+          receivedBytes += part.length
+          if (call.transfer !== undefined) extendTimeout(call.transfer, headAt)
+          call.onPart?.(part, response.statusCode ?? 0)
+        })
         void readBody(response, { maxBytes: this._options.maxAnswerBytes }).then(read => {
           if (read.kind === 'whole') return settle({ kind: 'answered', status: response.statusCode ?? 0, headers: response.headers, body: read.body.toString('utf8') })
           request.destroy()
@@ -114,8 +136,9 @@
 }
 
 /** Names the bytes of the answer that had arrived, which tell a slow answer from silence. */
-function describeTimeout (timeoutMs: number, receivedBytes: number): string {
-  return receivedBytes === 0 ? `no answer within ${timeoutMs} ms` : `the answer was not complete within ${timeoutMs} ms; ${receivedBytes} bytes of it had arrived`
+function describeTimeout (elapsedMs: number, receivedBytes: number): string {
+  const withinText = `within ${Math.round(elapsedMs)} ms`
+  return receivedBytes === 0 ? `no answer ${withinText}` : `the answer was not complete ${withinText}; ${receivedBytes} bytes of it had arrived`
 }
 
 /** Opens a request. Returns an error if its address, path or a header has a value that no request can have; such values may come from other processes. */
--- a/packages/runtime/test/httpClient.test.ts
+++ b/packages/runtime/test/httpClient.test.ts
@@ -7,9 +7,12 @@
 import { HttpClient } from '@dragonflylever/runtime'
 import type { HttpOutcome } from '@dragonflylever/runtime'
 import test from 'ava'
+import type { ExecutionContext } from 'ava'
 import fc from 'fast-check'
 
 const CONNECTIONS = 4
+const PARTS = 12
+const PART_BYTES = 1_000
 
 test('after all open connections have fallen silent, only the first call is lost', async t => {
   const open = new Set<Socket>()
@@ -50,3 +53,42 @@
     t.is(outcome.kind, 'notSent')
   }), { seed: 30, numRuns: 200 })
 })
+
+/** Opens a server that sends the head of an answer and then `parts` parts of it, one every `intervalMs`. */
+async function openSlowServer (t: ExecutionContext, parts: number, intervalMs: number): Promise<string> {
+  const server = createServer((_request, response) => {
+    let sent = 0
+    response.writeHead(200)
+    const timer = setInterval(() => {
+      response.write('x'.repeat(PART_BYTES))
+      if (++sent < parts) return
+      clearInterval(timer)
+      if (parts === PARTS) response.end()
+    }, intervalMs)
+    t.teardown(() => clearInterval(timer))
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => {
+    server.closeAllConnections()
+    server.close()
+  })
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+for (const [title, parts, transfer, kind] of [
+  ['an answer whose parts keep arriving is received, although it takes longer than the timeout of the call', PARTS, { maxGapMs: 5_000, maxMs: 10_000 }, 'answered'],
+  ['a call whose answer stops arriving is lost after the longest gap', 3, { maxGapMs: 300, maxMs: 10_000 }, 'lost'],
+  ['a call whose answer arrives without an end is lost after the longest transfer', PARTS, { maxGapMs: 5_000, maxMs: 150 }, 'lost'],
+  ['without limits of its transfer, an answer has the timeout of the call', PARTS, undefined, 'lost']
+] as const) {
+  test(title, async t => {
+    const address = await openSlowServer(t, parts, 30)
+    const client = new HttpClient({ maxConnections: 1, maxAnswerBytes: 1_000_000 })
+    t.teardown(() => client.close())
+    let received = 0
+    const outcome = await client.call({ address, method: 'GET', path: '/', timeoutMs: 200, ...(transfer === undefined ? {} : { transfer }), onPart: part => { received += part.length } })
+    t.is(outcome.kind, kind)
+    if (outcome.kind === 'answered') t.is(received, PARTS * PART_BYTES)
+    else if (outcome.kind === 'lost') t.regex(outcome.message, /was not complete within \d+ ms; \d+ bytes/)
+  })
+}
