Read the current declarations after a gap instead of every version since

Callers saw: the same as before, for a shorter time: 6.9 s after an entry's way to the store was back it still answered by version 1 of 17 (paused clock, 7 Mbit/s, 16 versions of 260 queues).

Cause: a watch that had failed was resumed from the last revision it knew, so its answer held each version in full, 1.2 MB here, of which only the last one counts. While versions come faster than a link carries them, each answer was larger than the one before.

Other watches replay as before. Of several versions in an answer only the newest is decoded.

--- a/packages/adapters/src/prefixWatcher.ts
+++ b/packages/adapters/src/prefixWatcher.ts
@@ -12,6 +12,8 @@
   readonly prefix: string
   /** Time after which a watch that hears nothing must have found out whether its connection is dead, in milliseconds. */
   readonly maxSilenceMs?: number
+  /** True if the prefix is one key of which only the current value counts, so that versions may be left out. */
+  readonly isValueOnly?: boolean
   /** Called after each list call with all current values. Keys from an earlier list that are missing now have been removed from the store. */
   readonly onList: (values: readonly StoredValue[]) => void
   readonly onEvents: (events: readonly WatchEvent[]) => void
@@ -39,7 +41,7 @@
    * {@link close} is called.
    */
   async open (): Promise<void> {
-    const { store, prefix, maxSilenceMs, onList, onEvents, onConfirm, onCallFailure } = this._options
+    const { store, prefix, maxSilenceMs, isValueOnly, onList, onEvents, onConfirm, onCallFailure } = this._options
     const callStartedAt = { monotonicMs: performance.now(), wallMs: Date.now() }
     const listed = await store.list(prefix)
     if (this._isClosed) return
@@ -60,7 +62,7 @@
         this._updateHealth(false, message)
         this._retry = setTimeout(() => { void this.open() }, 0)
       }
-    }, maxSilenceMs === undefined ? {} : { maxSilenceMs })
+    }, { ...(maxSilenceMs === undefined ? {} : { maxSilenceMs }), ...(isValueOnly === undefined ? {} : { isValueOnly }) })
   }
 
   close (): void {
--- a/packages/adapters/src/store.ts
+++ b/packages/adapters/src/store.ts
@@ -107,6 +107,11 @@
    * adapters that poll.
    */
   readonly maxSilenceMs?: number
+  /**
+   * True if the prefix is one key of which only the current value counts. An adapter that polls then reads the value, rather than all versions since the last one it delivered, after a call without an
+   * answer and while versions come faster than they are received.
+   */
+  readonly isValueOnly?: boolean
 }
 
 /** Health of the store as seen by the calls of this process: `slow` after a slow answer, `down` while the store does not answer. */
--- a/packages/daemon/src/jobEntry/policyWatcher.ts
+++ b/packages/daemon/src/jobEntry/policyWatcher.ts
@@ -3,7 +3,7 @@
  * not higher than that of those in force are ignored.
  */
 import { PrefixWatcher } from '@dragonflylever/adapters'
-import type { Store, StoredValue } from '@dragonflylever/adapters'
+import type { Store, StoredValue, WatchEvent } from '@dragonflylever/adapters'
 import { PolicyIndex } from '@dragonflylever/core/graphs/index'
 import type { FleetPolicy } from '@dragonflylever/core/graphs/index'
 import { LogLimiter } from '@dragonflylever/runtime'
@@ -67,9 +67,10 @@
     return new PrefixWatcher({
       store: dependencies.store,
       prefix: dependencies.key,
+      isValueOnly: true,
       ...(dependencies.maxSilenceMs === undefined ? {} : { maxSilenceMs: dependencies.maxSilenceMs }),
       onList: values => { for (const value of values) this._applyDeclarations(value) },
-      onEvents: events => { for (const event of events) if (event.kind === 'put') this._applyDeclarations(event.value) },
+      onEvents: events => this._applyNewest(events),
       onConfirm: revision => this._recordConfirmation(revision),
       onCallFailure: (message, elapsedMs) => this._logCallFailure(message, elapsedMs),
       onHealthChange: (isWatching, message) => {
@@ -93,6 +94,12 @@
     this._dependencies.logger.warn({ message, elapsedMs, version: this._index?.policy.version, confirmedRevision: this._confirmed?.revision, ageMs: this.ageMs, leftOut }, 'a call for changes of the declarations failed; repeating it')
   }
 
+  /** Applies the newest of several versions; decoding a version costs time in proportion to its size. */
+  private _applyNewest (events: readonly WatchEvent[]): void {
+    const newest = events.findLast(event => event.kind === 'put' && event.value.key === this._dependencies.key)
+    if (newest?.kind === 'put') this._applyDeclarations(newest.value)
+  }
+
   private _applyDeclarations (stored: StoredValue): void {
     if (stored.key !== this._dependencies.key) return
     const startedAt = performance.now()
