Ask every agent in turn to relay store calls instead of the same six

Callers saw: an entry that the store turned away answered 404 and 401 by old declarations for as long as the outage lasted, and refused jobs, although more than 50 agents could have relayed its calls.

Cause: reads went to the first six agents of the directory at most, in the order of their names, so that all six stand in one failure domain, and after a failure to the same six again.

A table remembers which agents failed lately; they are asked after all others. A read asks one agent, and while no answer has begun further ones each 150 ms, up to 8 at once, for 1.5 s; one that has begun is waited for and the other calls end, so that copies don't share the link. Agents come in random order, one of another region after each three. Calls are paused only after every agent has failed lately. A write goes to an agent that has relayed a call in the last 2 s, or else a read finds one first; an agent that rejects it is followed by up to seven more within 300 ms. One test (half of the agents turned away) had passed because the first two agents in the directory were served; it failed with the random order until writes looked for an agent by a read.

--- a/packages/daemon/src/storeRelay/directPath.ts
+++ b/packages/daemon/src/storeRelay/directPath.ts
@@ -40,6 +40,11 @@
     this._dependencies = dependencies
   }
 
+  /** A read without effect that the store answers at once. */
+  get probe (): DirectPathDependencies['probe'] {
+    return this._dependencies.probe
+  }
+
   /** True from the first call that the store did not serve until a call or probe is served again. */
   get isFailing (): boolean {
     return this._isFailing
--- a/packages/daemon/src/storeRelay/relayedCaller.ts
+++ b/packages/daemon/src/storeRelay/relayedCaller.ts
@@ -9,17 +9,23 @@
 
 import { isServed } from './directPath.js'
 import type { DirectPath } from './directPath.js'
+import { RelayTable } from './relayTable.js'
+import { RelayedRead } from './relayedRead.js'
 
 /** Path at which agents accept calls to relay. */
 export const RELAY_PATH = '/store-relay'
-/** After no agent could reach the store, agents are not asked to relay calls for this time, in milliseconds. */
+/** After all agents have failed to reach the store lately, they are not asked to relay calls for this time, in milliseconds. */
 const RELAY_PAUSE_MS = 400
-/** Maximum number of agents that are asked to relay one write or long poll. */
-const MAX_RELAYS = 2
-/** Maximum number of agents that are asked to relay one read, which is harmless to repeat. */
-const MAX_READ_RELAYS = 6
-/** Time without an answer after which the next agent is asked to relay a read as well, in milliseconds; an answer takes up to 130 ms between regions. */
-const READ_RELAY_INTERVAL_MS = 150
+/** Maximum number of agents that are asked, one after the other, to relay one write or long poll. */
+const MAX_RELAYS = 8
+/** Time after which no further agent is asked to relay it, in milliseconds: agents that the store turns away say so at once, and one that took longer may have sent the write. */
+const MAX_RELAY_SEARCH_MS = 300
+/** Maximum number of agents without a recent failure, and of others, that are asked to relay one read. */
+const MAX_READ_RELAYS = { fresh: 64, failed: 4 } as const
+/** Time without the beginning of an answer after which no agent is taken to be able to relay a read, in milliseconds. */
+const MAX_READ_SEARCH_MS = 1_500
+/** Timeout of the read that finds an agent for a write, in milliseconds. */
+const PROBE_TIMEOUT_MS = 500
 /** Added to a call's timeout when an agent relays it, in milliseconds. */
 const RELAY_TIMEOUT_MARGIN_MS = 100
 /** HTTP status by which an agent reports that the store has not carried out a call, nor will. */
@@ -28,12 +34,14 @@
 export const RELAY_UNDECIDED = 502
 /** Maximum number of log lines per second about calls that no agent could relay. */
 const MAX_LINES_PER_S = 2
+/** Maximum number of agents that such a line names. */
+const MAX_LOGGED_RELAYS = 8
 
 /** Dependencies of {@link RelayedCaller}. */
 export interface RelayedCallerDependencies {
   readonly direct: DirectPath
   readonly peers: HttpCaller
-  /** Lists the addresses of the agents that may relay calls, those of the same region first. */
+  /** Lists the addresses of the agents that may relay calls, in the order in which to ask them. */
   readonly listRelays: () => readonly string[]
   readonly logger: Logger
 }
@@ -64,7 +72,7 @@
 export class RelayedCaller implements HttpCaller {
   private readonly _dependencies: RelayedCallerDependencies
   private _relaysPausedUntil = -Infinity
-  private _relayIndex = 0
+  private readonly _table = new RelayTable()
   private readonly _limiter = new LogLimiter(MAX_LINES_PER_S)
 
   constructor (dependencies: RelayedCallerDependencies) {
@@ -93,66 +101,63 @@
   private async _callRelays (call: HttpCall): Promise<RelayResult> {
     const relays = this._dependencies.listRelays()
     if (performance.now() < this._relaysPausedUntil || relays.length === 0) return NOT_RELAYED
-    const isRead = call.method === 'GET' && call.isLongPoll !== true
     const startedAt = performance.now()
     const asked: AskedRelay[] = []
-    const result = await (isRead ? this._readThroughRelays(call, relays, asked) : this._callRelaysInTurn(call, relays, asked))
+    const isRead = call.method === 'GET' && call.isLongPoll !== true
+    const result = await (isRead ? this._readThroughRelays(call, relays, asked, MAX_READ_SEARCH_MS) : this._callRelaysInTurn(call, relays, asked))
     if (result.kind === 'failed') {
-      this._relaysPausedUntil = performance.now() + RELAY_PAUSE_MS
+      if (this._table.rank(relays).fresh === 0) this._relaysPausedUntil = performance.now() + RELAY_PAUSE_MS
       this._logFailure(call, startedAt, relays.length, asked)
     }
     return result
   }
 
-  /** Asks one agent after the other. */
+  /** Asks one agent after the other. A write that an agent leaves unanswered stays undecided, so a read finds an agent that can reach the store first. */
   private async _callRelaysInTurn (call: HttpCall, relays: readonly string[], asked: AskedRelay[]): Promise<RelayResult> {
-    const startedAt = performance.now()
     let isUndecided = false
-    for (let count = 0; count < Math.min(MAX_RELAYS, relays.length); count++) {
-      // A second agent is asked only if the first one failed quickly.
-      if (performance.now() - startedAt > RELAY_TIMEOUT_MARGIN_MS) break
-      const index = this._relayIndex % relays.length
-      const outcome = await this._callRelay(call, relays[index] ?? '', call.signal)
-      asked.push(describeAskedRelay(relays[index] ?? '', outcome))
-      if (isRelayed(outcome) || call.signal?.aborted === true) return { kind: 'relayed', outcome }
+    if (call.method !== 'GET' && relays.length > 1 && !this._table.isRelayKnown) await this._findRelay(call.signal, relays, asked)
+    const searchedAt = performance.now()
+    for (const address of this._table.rank(relays).ranked.slice(0, MAX_RELAYS)) {
+      if (performance.now() - searchedAt > MAX_RELAY_SEARCH_MS) break
+      const outcome = await this._callRelay(call, address, call.signal)
+      if (call.signal?.aborted === true) return { kind: 'relayed', outcome }
+      this._recordOutcome(address, outcome, asked)
+      if (isRelayed(outcome)) return { kind: 'relayed', outcome }
       isUndecided ||= outcome.kind === 'lost' || (outcome.kind === 'answered' && outcome.status === RELAY_UNDECIDED)
-      this._relayIndex = index + 1
     }
     return { kind: 'failed', isUndecided }
   }
 
-  /** Asks the next agent as soon as one fails, or has not answered for a short time, and returns the first answer. */
-  private async _readThroughRelays (call: HttpCall, relays: readonly string[], answers: AskedRelay[]): Promise<RelayResult> {
-    const abort = new AbortController()
-    const firstIndex = this._relayIndex
-    const count = Math.min(MAX_READ_RELAYS, relays.length)
-    const result = await new Promise<RelayResult>(resolve => {
-      let asked = 0
-      let failed = 0
-      let timer: NodeJS.Timeout | undefined
-      const callNext = (): void => {
-        clearTimeout(timer)
-        if (abort.signal.aborted || asked >= count) return
-        const index = (firstIndex + asked++) % relays.length
-        timer = setTimeout(callNext, READ_RELAY_INTERVAL_MS)
-        void this._callRelay(call, relays[index] ?? '', abort.signal).then(outcome => {
-          if (abort.signal.aborted) return
-          answers.push(describeAskedRelay(relays[index] ?? '', outcome))
-          if (!isRelayed(outcome)) return ++failed === count ? resolve(NOT_RELAYED) : callNext()
-          this._relayIndex = index
-          resolve({ kind: 'relayed', outcome })
-        })
-      }
-      callNext()
+  private async _findRelay (signal: AbortSignal | undefined, relays: readonly string[], asked: AskedRelay[]): Promise<void> {
+    const probe: HttpCall = { ...this._dependencies.direct.probe, method: 'GET', timeoutMs: PROBE_TIMEOUT_MS, ...(signal === undefined ? {} : { signal }) }
+    await this._readThroughRelays(probe, relays, asked, MAX_RELAY_SEARCH_MS)
+  }
+
+  private async _readThroughRelays (call: HttpCall, relays: readonly string[], asked: AskedRelay[], maxSearchMs: number): Promise<RelayResult> {
+    const { ranked, fresh } = this._table.rank(relays)
+    const freshCount = Math.min(fresh, MAX_READ_RELAYS.fresh)
+    const read = new RelayedRead({
+      maxSearchMs,
+      addresses: [...ranked.slice(0, freshCount), ...ranked.slice(fresh, fresh + MAX_READ_RELAYS.failed)],
+      callAgent: (address, signal, onPart) => this._callRelay(call, address, signal, onPart),
+      isRelayed,
+      onOutcome: (address, outcome) => this._recordOutcome(address, outcome, asked),
+      signal: call.signal
     })
-    abort.abort()
-    return result
+    const outcome = await read.run()
+    return outcome === undefined ? NOT_RELAYED : { kind: 'relayed', outcome }
+  }
+
+  private _recordOutcome (address: string, outcome: HttpOutcome, asked: AskedRelay[]): void {
+    if (isRelayed(outcome)) this._table.recordAnswer(address)
+    else this._table.recordFailure(address)
+    asked.push({ address, outcome: outcome.kind === 'answered' ? String(outcome.status) : outcome.message })
   }
 
   private _logFailure (call: HttpCall, startedAt: number, agents: number, asked: readonly AskedRelay[]): void {
     const leftOut = this._limiter.admit('relay')
     if (leftOut === undefined || call.signal?.aborted === true) return
-    this._dependencies.logger.warn({ method: call.method, path: call.path, agents, asked, elapsedMs: Math.round(performance.now() - startedAt), leftOut }, 'no agent could relay a store call')
+    this._dependencies.logger.warn({ method: call.method, path: call.path, agents, askedCount: asked.length, asked: asked.slice(0, MAX_LOGGED_RELAYS), elapsedMs: Math.round(performance.now() - startedAt), leftOut }, 'no agent could relay a store call')
   }
 
   private _callRelay (call: HttpCall, address: string, signal: AbortSignal | undefined, onPart = call.onPart): Promise<HttpOutcome> {
@@ -178,10 +183,6 @@
   }
 }
 
-function describeAskedRelay (address: string, outcome: HttpOutcome): AskedRelay {
-  return { address, outcome: outcome.kind === 'answered' ? String(outcome.status) : outcome.message }
-}
-
 /** True if the answer of an agent is the store's answer to the relayed call. */
 function isRelayed (outcome: HttpOutcome): boolean {
   return isServed(outcome) && !(outcome.kind === 'answered' && outcome.status === RELAY_UNDECIDED)
