Answer 503 instead of 404 or 401 while the declarations may be older than the bound

Callers saw: 404 for a route and 401 for a key that had been confirmed more than config-apply-ms before; both make a client give up.

Cause: an entry knew how old its declarations might be (declarationsAgeMs in its own log, up to 20 s) and answered as if it knew.

Once the start of the last call that confirmed the declarations lies further back than the bound, an unknown queue or key is refused as outdated, with status 503 and Retry-After 1 s: the job was not accepted, and another entry may know the queue. The age is counted from the start of the confirming call, on the clock that shows more, so that a suspended host doesn't take its declarations for fresh. Calls that the declarations known here allow are served as before; refusing those too would refuse everything in an outage of the store.

--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -39,6 +39,8 @@
   notReady: 'notReady',
   unknownKey: 'unknownKey',
   unknownQueue: 'unknownQueue',
+  /** The declarations known here have no such queue or key, and may be older than the bound, so that it may be there by now. */
+  outdated: 'outdated',
   invalid: 'invalid',
   storeAway: 'storeAway',
   /** The job would be worth nothing, since it would start too late. */
@@ -72,6 +74,8 @@
   /** Decides which jobs are refused because they would start too late; absent to accept all. */
   readonly admission?: JobAdmission
   readonly getPolicy: () => PolicyIndex | undefined
+  /** True while the declarations may be older than the time within which a change must be in force; never when absent. */
+  readonly isOutdated?: () => boolean
 }
 
 const JOB_ID = /^[0-9a-f]{16}$/
@@ -83,6 +87,8 @@
 const UNDECIDED_RETENTION_MS = 15_000
 /** Delay after which clients should retry if the declarations are not loaded, in milliseconds; loading takes seconds after a start. */
 const NOT_READY_RETRY_AFTER_MS = 1_000
+/** Delay after which clients should retry if the declarations may be outdated, in milliseconds; another entry may know the current ones at once. */
+const OUTDATED_RETRY_AFTER_MS = 1_000
 /** Limits how many fences this process writes for cancellations: clients may cancel any number of jobs that don't exist, and each fence is a write that submissions lack. */
 const FENCE_RATE = { ratePerS: 2, burst: 20 } as const
 const FENCE_RETRY_AFTER_MS = 2_000
@@ -124,12 +130,17 @@
     const index = this._dependencies.getPolicy()
     if (index === undefined) return makeRefusal(Refusal.notReady, 'no declarations are known here yet', NOT_READY_RETRY_AFTER_MS)
     const queue = index.findQueue(call.host, call.path)
-    if (queue === undefined) return makeRefusal(Refusal.unknownQueue, `no queue takes ${call.host}${call.path}`)
+    if (queue === undefined) return this._refuseUnknown(Refusal.unknownQueue, `no queue takes ${call.host}${call.path}`)
     const checked = index.checkKey(queue, call.key)
-    if (checked.kind === 'unknown') return makeRefusal(Refusal.unknownKey, 'the key belongs to no organisation')
+    if (checked.kind === 'unknown') return this._refuseUnknown(Refusal.unknownKey, 'the key belongs to no organisation')
     return { kind: 'admitted', queue, organisation: checked.kind === 'organisation' ? checked.name : '', rest: call.path.slice(queue.prefix.length) }
   }
 
+  /** Refuses a call for a queue or key that the declarations don't have. Clients take that for final, so it isn't said by declarations that may be outdated. */
+  private _refuseUnknown (reason: Refusal, message: string): Extract<JobEntryAnswer, { kind: 'refused' }> {
+    return this._dependencies.isOutdated?.() === true ? makeRefusal(Refusal.outdated, `${message}, by declarations that may be outdated`, OUTDATED_RETRY_AFTER_MS) : makeRefusal(reason, message)
+  }
+
   /** Stores a new job. Idempotent by job id: a second submission with the same id is accepted without effect, whatever its content. */
   async submit (call: JobEntryCall, draft: JobDraft): Promise<JobEntryAnswer> {
     const admission = this.admit(call)
--- a/packages/daemon/src/jobEntry/jobEntryProcess.ts
+++ b/packages/daemon/src/jobEntry/jobEntryProcess.ts
@@ -61,7 +61,7 @@
     const admissionWatcher = dependencies.isAdmissionOn === true ? new AdmissionWatcher({ store, keys, logger: createPartLogger(logger, 'admission') }) : undefined
     this._admission = admissionWatcher
     const admission = admissionWatcher === undefined ? {} : { admission: new JobAdmission({ getForecast: () => admissionWatcher.forecast, random }) }
-    this.front = new JobEntryHandler({ ...admission, store, keys, states: this._states, logger: createPartLogger(logger, 'front'), metrics, random, getPolicy: () => this._policy.index })
+    this.front = new JobEntryHandler({ ...admission, store, keys, states: this._states, logger: createPartLogger(logger, 'front'), metrics, random, getPolicy: () => this._policy.index, isOutdated: () => (this._policy.ageMs ?? Infinity) > dependencies.applyMs })
     this._lifecycle.add('declarations', () => this._policy.close())
     this._lifecycle.add('states', () => this._states.close())
     this._lifecycle.add('admission', () => this._admission?.close())
--- a/packages/daemon/src/jobEntry/policyWatcher.ts
+++ b/packages/daemon/src/jobEntry/policyWatcher.ts
@@ -3,10 +3,10 @@
  * not higher than that of those in force are ignored.
  */
 import { PrefixWatcher } from '@dragonflylever/adapters'
-import type { Store, StoredValue, WatchEvent } from '@dragonflylever/adapters'
+import type { CallStart, Store, StoredValue, WatchEvent } from '@dragonflylever/adapters'
 import { PolicyIndex } from '@dragonflylever/core/graphs/index'
 import type { FleetPolicy } from '@dragonflylever/core/graphs/index'
-import { LogLimiter } from '@dragonflylever/runtime'
+import { LogLimiter, measureAge, readClocks } from '@dragonflylever/runtime'
 import type { Logger, Metrics } from '@dragonflylever/runtime'
 
 /** Dependencies of {@link PolicyWatcher}. */
@@ -32,8 +32,8 @@
   private readonly _limiter = new LogLimiter(MAX_FAILURE_LINES_PER_S)
   private _watcher: PrefixWatcher | undefined
   private _index: PolicyIndex | undefined
-  /** Revision up to which the store last confirmed the declarations, and when, on the monotonic clock. */
-  private _confirmed: { readonly revision: number, readonly at: number } | undefined
+  /** Revision up to which the store last confirmed the declarations, and the start of the call that did; they are as old as that. */
+  private _confirmed: { readonly revision: number, readonly since: CallStart } | undefined
 
   constructor (dependencies: PolicyWatcherDependencies) {
     this._dependencies = dependencies
@@ -44,9 +44,9 @@
     return this._index
   }
 
-  /** Time since the store last confirmed the declarations, in milliseconds; undefined before the first time and while they are not watched. */
+  /** Time since the start of the last call that confirmed the declarations, in milliseconds; undefined before the first time and while they are not watched. */
   get ageMs (): number | undefined {
-    return this._confirmed === undefined ? undefined : Math.round(performance.now() - this._confirmed.at)
+    return this._confirmed === undefined ? undefined : Math.round(measureAge(this._confirmed.since, readClocks()))
   }
 
   /** Starts to watch the declarations; may be called again after `close`. */
@@ -71,7 +71,7 @@
       ...(dependencies.maxSilenceMs === undefined ? {} : { maxSilenceMs: dependencies.maxSilenceMs }),
       onList: values => { for (const value of values) this._applyDeclarations(value) },
       onEvents: events => this._applyNewest(events),
-      onConfirm: revision => this._recordConfirmation(revision),
+      onConfirm: (revision, since) => this._recordConfirmation(revision, since),
       onCallFailure: (message, elapsedMs) => this._logCallFailure(message, elapsedMs),
       onHealthChange: (isWatching, message) => {
         if (isWatching) dependencies.logger.info({ key: dependencies.key }, 'watching declarations in the store')
@@ -80,12 +80,12 @@
     })
   }
 
-  private _recordConfirmation (revision: number): void {
+  private _recordConfirmation (revision: number, since: CallStart): void {
     const { ageMs } = this
     const version = this._index?.policy.version
     if (ageMs !== undefined && ageMs > LOGGED_CONFIRMATION_GAP_MS) this._dependencies.logger.warn({ version, revision, confirmedRevision: this._confirmed?.revision, ageMs }, 'declarations are confirmed again after a gap')
     if (ageMs !== undefined) this._dependencies.metrics.time('declarations_gap_ms', ageMs)
-    this._confirmed = { revision, at: performance.now() }
+    this._confirmed = { revision, since }
   }
 
   private _logCallFailure (message: string, elapsedMs: number): void {
