Give the planner's declarations the bound that entries have

Callers would see: a change of an organisation's guarantee in force at the planner later than config-apply-ms; not seen on a deployment.

The watcher of the declarations takes the bound itself, at entries and at agents.

--- a/packages/daemon/src/jobAgent/jobAgentProcess.ts
+++ b/packages/daemon/src/jobAgent/jobAgentProcess.ts
@@ -35,6 +35,8 @@
   readonly keys: GraphKeys
   readonly policyKey: string
   readonly decodePolicy: (text: string) => FleetPolicy | undefined
+  /** Time within which a change of the declarations must be in force, in milliseconds. */
+  readonly applyMs: number
   readonly peers: PeerRpc
   readonly clusterKey: string
   /** Guards the process's servers against clients outside the limits. */
@@ -68,7 +70,7 @@
     const { store, prefix, keys, name, address, peers, logger, metrics, times, evacuations } = dependencies
     this._control = new ControlServer({ clusterKey: dependencies.clusterKey, guard: dependencies.guard, logger: createPartLogger(logger, 'control') })
     this._control.add(RELAY_PATH, dependencies.relay)
-    this._policy = new PolicyWatcher({ store, key: dependencies.policyKey, decode: dependencies.decodePolicy, logger: createPartLogger(logger, 'config'), metrics })
+    this._policy = new PolicyWatcher({ store, key: dependencies.policyKey, decode: dependencies.decodePolicy, logger: createPartLogger(logger, 'config'), metrics, applyMs: dependencies.applyMs })
     this._candidate = new PlannerCandidate({
       store,
       prefix,
--- a/packages/daemon/src/jobEntry/jobEntryProcess.ts
+++ b/packages/daemon/src/jobEntry/jobEntryProcess.ts
@@ -32,8 +32,6 @@
   readonly isAdmissionOn?: boolean
 }
 
-/** Share of the time for a change in which a watch that hears nothing must notice; the rest is for another way to the store. */
-const NOTICE_SHARE = 0.5
 /** Bounds of the largest body, in bytes, that follows from the declarations: what applies without a declaration, and what the decoders of a process have memory for. */
 const MIN_BODY_LIMIT_BYTES = 262_144
 const MAX_BODY_LIMIT_BYTES = 4 * 1024 * 1024
@@ -55,13 +53,13 @@
       decode: dependencies.decodePolicy,
       logger: createPartLogger(logger, 'config'),
       metrics,
-      maxSilenceMs: dependencies.applyMs * NOTICE_SHARE
+      applyMs: dependencies.applyMs
     })
     this._states = new JobStates({ store, keys, logger: createPartLogger(logger, 'states') })
     const admissionWatcher = dependencies.isAdmissionOn === true ? new AdmissionWatcher({ store, keys, logger: createPartLogger(logger, 'admission') }) : undefined
     this._admission = admissionWatcher
     const admission = admissionWatcher === undefined ? {} : { admission: new JobAdmission({ getForecast: () => admissionWatcher.forecast, random }) }
-    this.front = new JobEntryHandler({ ...admission, store, keys, states: this._states, logger: createPartLogger(logger, 'front'), metrics, random, getPolicy: () => this._policy.index, isOutdated: () => (this._policy.ageMs ?? Infinity) > dependencies.applyMs })
+    this.front = new JobEntryHandler({ ...admission, store, keys, states: this._states, logger: createPartLogger(logger, 'front'), metrics, random, getPolicy: () => this._policy.index, isOutdated: () => this._policy.isOutdated })
     this._lifecycle.add('declarations', () => this._policy.close())
     this._lifecycle.add('states', () => this._states.close())
     this._lifecycle.add('admission', () => this._admission?.close())
--- a/packages/daemon/src/jobEntry/policyWatcher.ts
+++ b/packages/daemon/src/jobEntry/policyWatcher.ts
@@ -18,10 +18,12 @@
   readonly decode: (text: string) => FleetPolicy | undefined
   readonly logger: Logger
   readonly metrics: Metrics
-  /** Time after which a watch that hears nothing must have found out whether its connection is dead, in milliseconds. */
-  readonly maxSilenceMs?: number
+  /** Time within which a change of the declarations must be in force, in milliseconds. */
+  readonly applyMs: number
 }
 
+/** Share of the time for a change in which a watch that hears nothing must notice; the rest is for another way to the store. */
+const NOTICE_SHARE = 0.5
 /** Time without a confirmation by the store after which the next one is logged, in milliseconds. */
 const LOGGED_CONFIRMATION_GAP_MS = 3_000
 /** Maximum number of log lines per second about failed calls of the watch. */
@@ -49,6 +51,11 @@
     return this._confirmed === undefined ? undefined : Math.round(measureAge(this._confirmed.since, readClocks()))
   }
 
+  /** True while the declarations may be older than the time within which a change must be in force. */
+  get isOutdated (): boolean {
+    return (this.ageMs ?? Infinity) > this._dependencies.applyMs
+  }
+
   /** Starts to watch the declarations; may be called again after `close`. */
   open (): Promise<void> {
     this.close()
@@ -68,7 +75,7 @@
       store: dependencies.store,
       prefix: dependencies.key,
       isValueOnly: true,
-      ...(dependencies.maxSilenceMs === undefined ? {} : { maxSilenceMs: dependencies.maxSilenceMs }),
+      maxSilenceMs: dependencies.applyMs * NOTICE_SHARE,
       onList: values => { for (const value of values) this._applyDeclarations(value) },
       onEvents: events => this._applyNewest(events),
       onConfirm: (revision, since) => this._recordConfirmation(revision, since),
--- a/packages/daemon/test/jobEntry/policyWatcher.test.ts
+++ b/packages/daemon/test/jobEntry/policyWatcher.test.ts
@@ -16,7 +16,7 @@
 }
 
 function createWatcher (store: MemoryStore): PolicyWatcher {
-  return new PolicyWatcher({ store, key: 'c', decode, logger: createLogger({ level: 'silent', processId: 't' }), metrics: new NoMetrics() })
+  return new PolicyWatcher({ store, key: 'c', decode, logger: createLogger({ level: 'silent', processId: 't' }), metrics: new NoMetrics(), applyMs: 3_000 })
 }
 
 test('the version in force never decreases, and unreadable declarations are ignored', async t => {
@@ -50,7 +50,7 @@
     const { version, keys } = JSON.parse(text) as { version: number, keys: string[] }
     return { version, queues: [QUEUE], organisations: [{ name: 'o', keys, guaranteedAccelerators: 0 }], limits: LIMITS }
   }
-  const createProcess = (): PolicyWatcher => new PolicyWatcher({ store, key: 'c', decode: decodeKeys, logger: createLogger({ level: 'silent', processId: 't' }), metrics: new NoMetrics() })
+  const createProcess = (): PolicyWatcher => new PolicyWatcher({ store, key: 'c', decode: decodeKeys, logger: createLogger({ level: 'silent', processId: 't' }), metrics: new NoMetrics(), applyMs: 3_000 })
   await store.put({ key: 'c', value: JSON.stringify({ version: 1, keys: ['old', 'new'] }), expect: { kind: 'any' } })
   const first = createProcess()
   await first.open()
