Count the transfer of an answer from the first part of its body

Cause: the transfer counted from the head of an answer, so a server that sends the head of a long poll's answer at once would have lost the poll after 1 s. Read, not seen: no store that the project has met does so. Until the first part arrives the timeout of the call holds.

--- a/packages/runtime/src/httpClient.ts
+++ b/packages/runtime/src/httpClient.ts
@@ -12,7 +12,7 @@
 import { parseAddress } from './httpServer.js'
 import { readBody } from './readBody.js'
 
-/** Limits of the transfer of an answer, in milliseconds: from its head or a part of its body to the next part, and from its head to its end. */
+/** Limits of the transfer of an answer, in milliseconds: from one part of its body to the next, and from the first part to the end. */
 export interface TransferLimits {
   readonly maxGapMs: number
   readonly maxMs: number
@@ -27,7 +27,7 @@
   readonly headers?: Readonly<Record<string, string>>
   /** Request body as JSON text; absent for a call without a body. */
   readonly body?: string
-  /** Timeout of the whole call, in milliseconds; with `transfer`, of the time until the head of the answer arrives. */
+  /** Timeout of the whole call, in milliseconds; with `transfer`, of the time until the first part of the answer's body arrives. */
   readonly timeoutMs: number
   /** Limits of the transfer of an answer that may be too large for a fixed timeout. */
   readonly transfer?: TransferLimits
@@ -88,9 +88,11 @@
         this._closeIdleConnections(host, port)
       }
       let timer = setTimeout(giveUp, call.timeoutMs)
-      const extendTimeout = ({ maxGapMs, maxMs }: TransferLimits, headAt: number): void => {
+      let firstPartAt: number | undefined
+      const extendTimeout = ({ maxGapMs, maxMs }: TransferLimits): void => {
+        firstPartAt ??= performance.now()
         clearTimeout(timer)
-        timer = setTimeout(giveUp, Math.min(maxGapMs, headAt + maxMs - performance.now()))
+        timer = setTimeout(giveUp, Math.min(maxGapMs, firstPartAt + maxMs - performance.now()))
       }
       const settle = (outcome: HttpOutcome): void => {
         clearTimeout(timer)
@@ -108,11 +110,9 @@
       })
       request.on('error', (error: NodeJS.ErrnoException) => fail(error.message, error.code === CONNECTION_REFUSED))
       request.on('response', response => {
-        const headAt = performance.now()
-        if (call.transfer !== undefined) extendTimeout(call.transfer, headAt)
         response.on('data', (part: Buffer) => {
           receivedBytes += part.length
-          if (call.transfer !== undefined) extendTimeout(call.transfer, headAt)
+          if (call.transfer !== undefined) extendTimeout(call.transfer)
           call.onPart?.(part, response.statusCode ?? 0)
         })
         void readBody(response, { maxBytes: this._options.maxAnswerBytes }).then(read => {
