Ask agents in turn also when a search ends before they have failed

Callers would see: an entry that is turned away refuses jobs although agents could relay them.

Cause: a search that ends in vain recorded only the agents whose calls had failed by then. The search that precedes a write lasts 300 ms and a silent agent fails after 600 ms, so each write asked the same two agents. And a failure was forgotten after 5 s, so a long search began anew with the first agents before it had asked the last.

A search in vain records each agent that it asked. The order is by the time of the last failure, without an end; only the count of agents that may be able to relay forgets failures. The number of agents asked at once doubles one step later.

--- a/packages/daemon/src/storeRelay/relayTable.ts
+++ b/packages/daemon/src/storeRelay/relayTable.ts
@@ -2,7 +2,7 @@
  * Remembers which agents could relay store calls lately, and in which order to ask them next. So a search goes on where the last one ended, and each agent of a large fleet is asked in its turn.
  */
 
-/** Time for which an agent that could not relay a call is asked after all others, in milliseconds. */
+/** Time after which an agent that could not relay a call may be able to, in milliseconds. */
 const FAILURE_MEMORY_MS = 5_000
 /** Time for which an agent that relayed a call counts as one that can, in milliseconds; an agent notices within 3.2 s that the store turns it away. */
 const ANSWER_MEMORY_MS = 2_000
@@ -13,16 +13,15 @@
   private _lastAt = -Infinity
 
   /**
-   * Orders agents: the one that relayed the last call, then the others as given, then those that failed lately, the earliest failure first. `fresh` is the number of those without a recent failure.
+   * Orders agents: the one that relayed the last call, then those that have not failed since, as given, then the others, the earliest failure first. `fresh` is the number of those that have not failed
+   * lately, which come first.
    */
   rank (addresses: readonly string[]): { readonly ranked: readonly string[], readonly fresh: number } {
-    const forgottenBefore = performance.now() - FAILURE_MEMORY_MS
-    for (const [address, failedAt] of this._failedAt) if (failedAt < forgottenBefore) this._failedAt.delete(address)
-    const last = this._last
-    const sound = addresses.filter(address => address !== last && !this._failedAt.has(address))
-    if (last !== undefined && addresses.includes(last)) sound.unshift(last)
-    const failed = addresses.filter(address => this._failedAt.has(address)).sort((a, b) => (this._failedAt.get(a) ?? 0) - (this._failedAt.get(b) ?? 0))
-    return { ranked: [...sound, ...failed], fresh: sound.length }
+    const recentSince = performance.now() - FAILURE_MEMORY_MS
+    const getRank = (address: string): number => address === this._last ? -Infinity : this._failedAt.get(address) ?? Number.MIN_SAFE_INTEGER
+    const ranked = [...addresses].sort((a, b) => compareRanks(getRank(a), getRank(b)))
+    const firstRecent = ranked.findIndex(address => getRank(address) >= recentSince)
+    return { ranked, fresh: firstRecent < 0 ? ranked.length : firstRecent }
   }
 
   /** True if an agent has relayed a call lately. */
@@ -41,3 +40,8 @@
     if (this._last === address) this._last = undefined
   }
 }
+
+/** Compares ranks, of which several may be infinite; agents of equal rank keep their order. */
+function compareRanks (a: number, b: number): number {
+  return a === b ? 0 : a < b ? -1 : 1
+}
--- a/packages/daemon/src/storeRelay/relayedRead.ts
+++ b/packages/daemon/src/storeRelay/relayedRead.ts
@@ -19,7 +19,7 @@
   readonly callAgent: (address: string, signal: AbortSignal, onPart: (part: Buffer, status: number) => void) => Promise<HttpOutcome>
   /** True if an agent's answer is the store's. */
   readonly isRelayed: (outcome: HttpOutcome) => boolean
-  /** Called with the outcome of each agent that was not told to stop. */
+  /** Called with the outcome of each agent that was not told to stop, also of those that had not answered when the search ended in vain. */
   readonly onOutcome: (address: string, outcome: HttpOutcome) => void
   /** Aborts the read. */
   readonly signal?: AbortSignal | undefined
@@ -31,6 +31,7 @@
   /** The agent whose answer has begun. */
   private _answering: string | undefined
   private _asked = 0
+  /** Number of agents that are asked next time. */
   private _width = 1
   private _searchTimer: NodeJS.Timeout | undefined
   private _intervalTimer: NodeJS.Timeout | undefined
@@ -52,7 +53,11 @@
     })
     signal?.removeEventListener('abort', onAbort)
     this._stopSearch()
-    for (const attempt of this._attempts.values()) attempt.abort()
+    const isInVain = outcome === undefined && signal?.aborted !== true
+    for (const [address, attempt] of this._attempts) {
+      attempt.abort()
+      if (isInVain) this._dependencies.onOutcome(address, { kind: 'lost', message: 'no answer before the search ended' })
+    }
     return outcome
   }
 
@@ -69,8 +74,8 @@
 
   private _scheduleFurther (): void {
     this._intervalTimer = setTimeout(() => {
-      this._width = Math.min(MAX_WIDTH, this._width * 2)
       for (let count = 0; count < this._width; count++) this._callNext()
+      this._width = Math.min(MAX_WIDTH, this._width * 2)
       this._scheduleFurther()
     }, INTERVAL_MS)
   }
--- a/packages/daemon/test/storeRelay/relayedCaller.test.ts
+++ b/packages/daemon/test/storeRelay/relayedCaller.test.ts
@@ -9,6 +9,7 @@
 import { createRelayHandler } from '@dragonflylever/daemon/storeRelay/relayHandler'
 import { HttpClient, createLogger } from '@dragonflylever/runtime'
 import type { HttpCall, HttpCaller, HttpOutcome } from '@dragonflylever/runtime'
+import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 
@@ -16,6 +17,7 @@
 const PROBE_PATH = '/probe'
 const PARTS = Array.from({ length: 10 }, (_, index) => `part ${index};`)
 const PART_INTERVAL_MS = 60
+const SILENT_AGENTS = Array.from({ length: 20 }, (_, index) => `agent-${index}`)
 const CALL: HttpCall = { address: 'store', method: 'POST', path: '/x', body: '{"a":1}', timeoutMs: 500 }
 
 /** HTTP client for the store that counts the calls, apart from probes, and returns the answer set by the test. */
@@ -125,3 +127,35 @@
     else t.like(outcome, { kind: 'answered', status: 200, body: PARTS.join('') })
   })
 }
+
+/** Sends calls to agents of which only the last one answers. */
+class SilentPeers implements HttpCaller {
+  readonly asked = new Set<string>()
+
+  async call (call: HttpCall): Promise<HttpOutcome> {
+    this.asked.add(call.address)
+    if (call.address === SILENT_AGENTS.at(-1)) return makeAnswer(200, '{}')
+    await new Promise(resolve => { setTimeout(resolve, call.timeoutMs).unref() })
+    return { kind: 'lost', message: 'no answer' }
+  }
+
+  close (): void {}
+}
+
+test.serial('a process that the store turns away finds the only agent of a large fleet that answers, by writes alone', async t => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
+  t.teardown(() => clock.uninstall())
+  const peers = new SilentPeers()
+  const direct = createDirectPath(t, new ScriptedCaller({ kind: 'notSent', message: 'down', isRefused: true }))
+  const caller = new RelayedCaller({ direct, peers, listRelays: () => SILENT_AGENTS, logger: LOGGER })
+  const startedAt = clock.now
+  while (clock.now - startedAt < 30_000) {
+    const outcomes: HttpOutcome[] = []
+    void caller.call(CALL).then(outcome => outcomes.push(outcome))
+    while (outcomes.length === 0) await clock.tickAsync(50)
+    if (outcomes[0]?.kind === 'answered') break
+  }
+  t.true(peers.asked.has(SILENT_AGENTS.at(-1) ?? ''), `${peers.asked.size} of ${SILENT_AGENTS.length} agents were asked`)
+  t.true(clock.now - startedAt < 15_000, `found after ${clock.now - startedAt} ms`)
+  caller.close()
+})
