Repeat a read directly as soon as the store serves the process again

Callers saw: nothing yet; the test of outdated declarations took more than 1 s to read the declarations after the way to the store was back.

Cause: a read whose agents are all silent searches for 1.5 s, also when the probe of the direct way is answered meanwhile; and a read that failed directly was relayed although a later call had been served.

A search ends at the next interval once the direct way works, unless an answer has begun, and a read that failed while a later call was served is repeated by its caller.

Tests: the last step of the test of outdated declarations failed each time with the slower search and passes with the second part; a read among silent agents while the store returns fails without the first.

--- a/packages/daemon/src/storeRelay/relayedCaller.ts
+++ b/packages/daemon/src/storeRelay/relayedCaller.ts
@@ -87,6 +87,8 @@
     if (isServed(outcome) || call.signal?.aborted === true) return outcome
     // The answer to a long poll is awaited for long, and through an agent that may not reach the store either; its caller finds a working path first.
     if (call.isLongPoll === true) return outcome
+    // The store has served a later call, so a read is repeated directly.
+    if (call.method === 'GET' && !direct.isFailing) return outcome
     const second = await this._callRelays(call)
     if (second.kind === 'relayed') return second.outcome
     if (first.isUndecided || second.isUndecided) return { kind: 'lost', message: `${call.method} ${call.path}: no answer to the call that an agent relayed` }
@@ -134,6 +136,8 @@
   }
 
   private async _readThroughRelays (call: HttpCall, relays: readonly string[], asked: AskedRelay[], maxSearchMs: number): Promise<RelayResult> {
+    const { direct } = this._dependencies
+    const wasFailing = direct.isFailing
     const { ranked, fresh } = this._table.rank(relays)
     const freshCount = Math.min(fresh, MAX_READ_RELAYS.fresh)
     const read = new RelayedRead({
@@ -142,6 +146,7 @@
       callAgent: (address, signal, onPart) => this._callRelay(call, address, signal, onPart),
       isRelayed,
       onOutcome: (address, outcome) => this._recordOutcome(address, outcome, asked),
+      isNeedless: () => wasFailing && !direct.isFailing,
       signal: call.signal
     })
     const outcome = await read.run()
--- a/packages/daemon/src/storeRelay/relayedRead.ts
+++ b/packages/daemon/src/storeRelay/relayedRead.ts
@@ -21,6 +21,8 @@
   readonly isRelayed: (outcome: HttpOutcome) => boolean
   /** Called with the outcome of each agent that was not told to stop, also of those that had not answered when the search ended in vain. */
   readonly onOutcome: (address: string, outcome: HttpOutcome) => void
+  /** True once the read need not be relayed any more; it then ends at the next interval unless an answer has begun. */
+  readonly isNeedless: () => boolean
   /** Aborts the read. */
   readonly signal?: AbortSignal | undefined
 }
@@ -53,7 +55,7 @@
     })
     signal?.removeEventListener('abort', onAbort)
     this._stopSearch()
-    const isInVain = outcome === undefined && signal?.aborted !== true
+    const isInVain = outcome === undefined && signal?.aborted !== true && !this._dependencies.isNeedless()
     for (const [address, attempt] of this._attempts) {
       attempt.abort()
       if (isInVain) this._dependencies.onOutcome(address, { kind: 'lost', message: 'no answer before the search ended' })
@@ -74,6 +76,7 @@
 
   private _scheduleFurther (): void {
     this._intervalTimer = setTimeout(() => {
+      if (this._dependencies.isNeedless()) return this._settle(undefined)
       for (let count = 0; count < this._width; count++) this._callNext()
       this._width = Math.min(MAX_WIDTH, this._width * 2)
       this._scheduleFurther()
--- a/packages/daemon/test/storeRelay/relayedCaller.test.ts
+++ b/packages/daemon/test/storeRelay/relayedCaller.test.ts
@@ -159,3 +159,20 @@
   t.true(clock.now - startedAt < 15_000, `found after ${clock.now - startedAt} ms`)
   caller.close()
 })
+
+test.serial('a read whose agents are silent is answered directly soon after the store serves the process again', async t => {
+  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
+  t.teardown(() => clock.uninstall())
+  const directCaller = new ScriptedCaller({ kind: 'lost', message: 'x' })
+  const caller = new RelayedCaller({ direct: createDirectPath(t, directCaller), peers: new SilentPeers(), listRelays: () => SILENT_AGENTS.slice(0, -1), logger: LOGGER })
+  t.teardown(() => caller.close())
+  const read: HttpCall = { address: 'store', method: 'GET', path: '/x', timeoutMs: 500 }
+  void caller.call(read)
+  await clock.tickAsync(10_000)
+  const outcomes: HttpOutcome[] = []
+  void caller.call(read).then(outcome => outcomes.push(outcome))
+  directCaller.answer = makeAnswer(200)
+  // One interval of the probe and one of the search.
+  await clock.tickAsync(700)
+  t.like(outcomes[0], { kind: 'answered', status: 200 })
+})
