--- a/packages/daemon/test/storeRelay/relayedCaller.test.ts
+++ b/packages/daemon/test/storeRelay/relayedCaller.test.ts
@@ -176,3 +176,15 @@
   await clock.tickAsync(700)
   t.like(outcomes[0], { kind: 'answered', status: 200 })
 })
+
+test.serial('the log names the agents that were asked in vain, and what each answered', async t => {
+  const lines: string[] = []
+  const logger = createLogger({ level: 'info', processId: 't', destination: { write: line => { lines.push(line) } } })
+  const peers: HttpCaller = { call: async ({ address }) => address === 'a' ? makeAnswer(503) : { kind: 'lost', message: 'no answer within 600 ms' }, close: () => {} }
+  const caller = new RelayedCaller({ direct: createDirectPath(t, new ScriptedCaller({ kind: 'lost', message: 'x' })), peers, listRelays: () => ['a', 'b'], logger })
+  t.teardown(() => caller.close())
+  t.is((await caller.call({ address: 'store', method: 'GET', path: '/x', timeoutMs: 100 })).kind, 'lost')
+  const line = lines.map(text => JSON.parse(text) as Record<string, unknown>).find(({ msg }) => msg === 'no agent could relay a store call')
+  t.like(line, { path: '/x', agents: 2, askedCount: 2 })
+  t.deepEqual(line?.['asked'], [{ address: 'a', outcome: '503' }, { address: 'b', outcome: 'no answer within 600 ms' }])
+})
