End the cases of the review cleanly when they are ended from outside

Cause: a case that was ended by a signal, or by its time limit, left its processes running. Change: the cases give up after 110 s or on SIGTERM with exit code 2, and end what they started; the scripts name their record.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,2 +1,3 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && exec timeout -k 5 115 node case.js
+# Runs the case; what was sent, answered and run is written to record.txt beside this script.
+cd "$(dirname "$0")" && exec timeout -k 4 115 node case.js
--- a/review/standins-3/fleet.js
+++ b/review/standins-3/fleet.js
@@ -18,6 +18,8 @@
 const Port = { front: 21_521, ready: 21_523, control: 21_526, peer: 21_700, store: 21_524, worker: 21_080 }
 const RESTART_MS = 500
 const READY_TIMEOUT_MS = 20_000
+/** Time after which a case is given up, in milliseconds. */
+const MAX_CASE_MS = 110_000
 const API_KEY = 'review-key'
 export const HOST = 'review.example'
 /** As in the settings of the guild's deployment. */
@@ -265,19 +267,32 @@
   const isTroubled = process.env.TROUBLE !== '0'
   recorder.add('case', { isTroubled })
   const fleet = new Fleet({ recorder, ...makeOptions(recorder) })
+  let isEnding = false
+  const end = async code => {
+    if (isEnding) return
+    isEnding = true
+    await fleet.close()
+    recorder.add('exit', { code })
+    process.exit(code)
+  }
+  const giveUp = reason => {
+    recorder.add('the case could not run', { reason })
+    return end(2)
+  }
+  process.on('SIGTERM', () => giveUp('it was ended from outside'))
+  setTimeout(() => giveUp('it took too long'), MAX_CASE_MS).unref()
   let code = 2
   try {
     await fleet.open()
     const violations = await play({ fleet, recorder, isTroubled })
+    if (isEnding) return
     for (const violation of violations) recorder.add('RULE BROKEN', violation)
     if (violations.length === 0) recorder.add('the rule held')
     code = violations.length === 0 ? 0 : 1
   } catch (error) {
     recorder.add('the case could not run', { message: error instanceof NotRun ? error.message : error.stack })
   }
-  await fleet.close()
-  recorder.add('exit', { code })
-  process.exit(code)
+  await end(code)
 }
 
 function describeJob ({ 'task-spec': text, ...rest }) {
