Keep heartbeats of another writer from silencing an agent

Cause: names in heartbeats had no limit, the agent kept the announced worker and put it into each report before it had ever answered. The call exceeded the 2 MiB that the planner reads and was refused with 413, which the agent took for a missing answer: it sent the same report again each 150 ms, and the sound worker got neither orders nor leases.

Evidence: the agent's log said "planner does not answer reports" with "the answer is not JSON-RPC 2.0", the body of the 413. The client names the status now, and tells a refusal from silence.

After a refusal the next calls carry fewer workers, down to one. Changes no longer postpone a report that is due, and large reports come more slowly.

--- a/packages/core/src/graphs/workerRegistry.ts
+++ b/packages/core/src/graphs/workerRegistry.ts
@@ -200,6 +200,7 @@
     const ended = new Set(report.ended.map(makeRunKey))
     const pending = new Set(report.orders.filter(({ status }) => status === OrderStatus.sending).map(makeRunKey))
     for (const listing of report.running) this._acceptRunListing(worker, listing, ended, now)
+    if (report.isPartial === true) return
     for (const key of [...worker.orphanedRuns.keys()]) if (!listed.has(key) && !pending.has(key)) worker.orphanedRuns.delete(key)
     for (const run of worker.runs) this._stopUnlistedRun(run, report, listed, now)
   }
--- a/packages/core/src/graphs/workerReport.ts
+++ b/packages/core/src/graphs/workerReport.ts
@@ -110,6 +110,8 @@
   readonly running: readonly RunListing[]
   readonly ended: readonly EndListing[]
   readonly orders: readonly OrderListing[]
+  /** True if the lists may lack runs, ends or orders, so that the absence of one proves nothing. */
+  readonly isPartial?: boolean
   /** Recent crashes of earlier incarnations at this address right after runs had started. */
   readonly crashes: readonly CrashListing[]
 }
--- a/packages/daemon/src/jobAgent/plannerLink.ts
+++ b/packages/daemon/src/jobAgent/plannerLink.ts
@@ -8,6 +8,8 @@
 import type { ClockReading, Logger, Metrics } from '@dragonflylever/runtime'
 
 import type { LeaderView } from '../duties/leaderElector.js'
+import { ReportBatch } from './reportBatch.js'
+import type { ReportSelection } from './reportBatch.js'
 
 /**
  * How long the planner may delay its answer to a report (long poll), in milliseconds. An answer permits the agent to extend
@@ -18,7 +20,14 @@
 const CALL_TIMEOUT_MARGIN_MS = 900
 /** Delay before a change is reported, in milliseconds, so that changes in quick succession share one report. */
 const CHANGE_REPORT_DELAY_MS = 10
+/** Size of the reports of an agent's calls to which changes are limited, in bytes per millisecond, so that large reports don't occupy the planner. */
+const CHANGE_REPORT_BYTES_PER_MS = 2_000
 const RETRY_DELAY_MS = 150
+/** Delay before the workers that a report has left out are reported, in milliseconds. */
+const REMAINDER_DELAY_MS = 20
+
+/** Maximum number of workers that a line about a refused report names. */
+const MAX_LOGGED_WORKERS = 8
 
 /** Dependencies of {@link PlannerLink}. */
 export interface PlannerLinkDependencies {
@@ -51,9 +60,13 @@
 
 export class PlannerLink {
   private readonly _dependencies: PlannerLinkDependencies
+  private readonly _batch = new ReportBatch()
   private _reportNumber = 0
+  private _lastReportBytes = 0
   private _epoch = 0
   private _timer: NodeJS.Timeout | undefined
+  /** When the next report is due, on the monotonic clock; infinite if none is scheduled. */
+  private _dueAt = Infinity
   private _isClosed = false
   private _isUnavailable = false
 
@@ -64,11 +77,12 @@
 
   /** Sends a report because of a change, without waiting for the planner's answer to an earlier report. */
   reportChange (): void {
-    this._scheduleReport(CHANGE_REPORT_DELAY_MS)
+    this._scheduleReport(Math.max(CHANGE_REPORT_DELAY_MS, this._lastReportBytes / CHANGE_REPORT_BYTES_PER_MS))
   }
 
   /** Sends a report to the new planner immediately. */
   onPlannerChange (): void {
+    this._batch.clearRefusals()
     this._scheduleReport(0)
   }
 
@@ -77,10 +91,16 @@
     clearTimeout(this._timer)
   }
 
+  /** Sends a report after a delay, or when an earlier one is due: changes in quick succession don't postpone it. */
   private _scheduleReport (delayMs: number): void {
-    if (this._isClosed) return
+    const dueAt = performance.now() + delayMs
+    if (this._isClosed || dueAt >= this._dueAt) return
     clearTimeout(this._timer)
-    this._timer = setTimeout(() => { void this._sendReport() }, delayMs)
+    this._dueAt = dueAt
+    this._timer = setTimeout(() => {
+      this._dueAt = Infinity
+      void this._sendReport()
+    }, delayMs)
   }
 
   private async _sendReport (): Promise<void> {
@@ -89,8 +109,10 @@
     const number = ++this._reportNumber
     const reportedAt = readClocks()
     const collected = this._dependencies.collectReports()
+    const selection = this._batch.select(collected.reports)
+    this._recordSelection(selection)
     const { agent, address, start, peers } = this._dependencies
-    const params = { agent, address, start, number, waitMs: REPORT_WAIT_MS, reports: collected.reports as never }
+    const params = { agent, address, start, number, waitMs: selection.leftOut === 0 ? REPORT_WAIT_MS : 0, reports: selection.reports as never }
     const outcome = await peers.call(planner.address, 'workerReports', params, REPORT_WAIT_MS + CALL_TIMEOUT_MARGIN_MS)
     this._dependencies.metrics.time('report_ms', performance.now() - reportedAt.monotonicMs, { outcome: outcome.kind })
     if (this._isClosed) return
@@ -102,7 +124,25 @@
       this._dependencies.applyOrders(outcome.value.orders, outcome.value.epoch, collected, answeredSince)
     }
     this._recordAvailability(isAnswered, planner, outcome.kind === 'failed' ? outcome.message : 'the process is not the planner')
-    if (number === this._reportNumber) this._scheduleReport(isAnswered ? 0 : RETRY_DELAY_MS)
+    if (outcome.kind === 'failed' && outcome.isRefused === true) this._recordRefusal(selection, outcome.message)
+    if (number === this._reportNumber) this._scheduleReport(chooseDelay(isAnswered, selection))
+  }
+
+  private _recordSelection ({ reports, bytes, leftOut, shortened }: ReportSelection): void {
+    const { metrics, logger } = this._dependencies
+    this._lastReportBytes = bytes
+    metrics.gauge('report_bytes', bytes)
+    metrics.gauge('report_workers_left_out', leftOut)
+    if (shortened > 0) metrics.count('reports_shortened', shortened)
+    if (shortened > 0) logger.warn({ workers: reports.length, bytes, shortened }, 'the lists of a worker exceed a report; reporting a part of them')
+  }
+
+  /** Sends less in the next calls, as the planner would refuse the same call again. */
+  private _recordRefusal ({ reports, bytes, leftOut }: ReportSelection, message: string): void {
+    const { metrics, logger } = this._dependencies
+    metrics.count('reports_refused')
+    const maxBytes = this._batch.recordRefusal()
+    logger.error({ workers: reports.map(({ key }) => key.id).slice(0, MAX_LOGGED_WORKERS), bytes, leftOut, maxBytes, message }, 'planner refused a report; reporting fewer workers in a call')
   }
 
   private _recordAvailability (isAnswered: boolean, planner: LeaderView, message: string): void {
@@ -112,3 +152,9 @@
     else this._dependencies.logger.warn({ planner: planner.address, epoch: planner.epoch, message }, 'planner does not answer reports; will retry')
   }
 }
+
+/** Returns the delay of the report after one that was or wasn't answered, in milliseconds. */
+function chooseDelay (isAnswered: boolean, { leftOut }: ReportSelection): number {
+  if (!isAnswered) return RETRY_DELAY_MS
+  return leftOut === 0 ? 0 : REMAINDER_DELAY_MS
+}
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -41,6 +41,9 @@
 const UNACKNOWLEDGED_POLL_DELAY_MS = 200
 /** Delay after a poll that failed, in milliseconds. */
 const POLL_RETRY_MS = 250
+/** Delay after a poll that failed, in milliseconds, once {@link QUICK_POLLS} calls to a worker that has never answered have failed; there may be many such workers. */
+const UNKNOWN_POLL_RETRY_MS = 1_000
+const QUICK_POLLS = 8
 /** Number of consecutive calls without an answer after which the worker counts as unreachable. */
 const UNREACHABLE_AFTER_CALLS = 2
 /**
@@ -75,6 +78,7 @@
   private _isLeaving = false
   private _isOver = false
   private _isClosed = false
+  private _hasAnswered = false
   private _endPause: (() => void) | undefined
 
   constructor (announcement: WorkerAnnouncement, dependencies: WorkerControllerDependencies) {
@@ -109,6 +113,11 @@
     return this._failedCalls < UNREACHABLE_AFTER_CALLS
   }
 
+  /** True once the worker has answered a call, by whatever answer. Whoever can send heartbeats can announce workers that never do. */
+  get hasAnswered (): boolean {
+    return this._hasAnswered
+  }
+
   /** True if the worker answered the last poll as this incarnation. */
   get isAnswering (): boolean {
     return !this._isOver && this._listNumber > 0 && this._unconfirmedSince === undefined
@@ -289,7 +298,7 @@
       }
       this._unconfirmedSince = outcome.kind === 'ok' ? undefined : this._unconfirmedSince ?? performance.now()
       const hasChanged = outcome.kind === 'ok' && this._applyPollResult(outcome, pollNumber)
-      if (outcome.kind !== 'ok') await this._waitBeforePoll(POLL_RETRY_MS)
+      if (outcome.kind !== 'ok') await this._waitBeforePoll(this._hasAnswered || this._failedCalls < QUICK_POLLS ? POLL_RETRY_MS : UNKNOWN_POLL_RETRY_MS)
       else if (!hasChanged && waitMs === 0) await this._waitBeforePoll(UNACKNOWLEDGED_POLL_DELAY_MS)
     }
   }
@@ -312,6 +321,7 @@
   private _recordReachability (outcome: RunOutcome): void {
     const isAnswered = outcome.kind === 'ok' || outcome.kind === 'refused' || outcome.kind === 'otherIncarnation'
     const wasReachable = this.isReachable
+    this._hasAnswered ||= isAnswered
     this._failedCalls = isAnswered ? 0 : this._failedCalls + 1
     if (outcome.kind === 'notSent') this._unconfirmedSince ??= performance.now()
     const { isReachable } = this
--- a/packages/daemon/src/jobAgent/workerTable.ts
+++ b/packages/daemon/src/jobAgent/workerTable.ts
@@ -22,6 +22,15 @@
 /** Time after which an announced worker that was ignored is forgotten unless it is announced again, in milliseconds; about three heartbeat intervals. */
 const PENDING_MS = 5_000
 
+/**
+ * Maximum number of workers that are tracked, and of announced ones that wait to be. Beyond it, the worker that was added first among those that have
+ * never answered makes room. A host has few workers, but other processes may announce any number.
+ */
+const MAX_WORKERS = 64
+
+/** Maximum number of workers in a report that have never answered. */
+const MAX_UNANSWERED_REPORTED = 4
+
 /** Dependencies of {@link WorkerTable}. */
 export interface WorkerTableDependencies {
   readonly region: string
@@ -73,6 +82,7 @@
     }
     const rival = this._findAnsweringRival(announcement)
     if (rival !== undefined) {
+      if (this._pending.size >= MAX_WORKERS && !this._pending.has(announcement.id)) return this._logFull(announcement)
       this._pending.set(announcement.id, { announcement, announcedAt: now })
       const { id, born } = rival.announcement
       this._dependencies.logger.warn({ worker: announcement.id, born: announcement.born, address: announcement.address, service: announcement.service, answering: id, answeringBorn: born }, 'ignoring an announced worker for now: an earlier one answers at its address')
@@ -85,18 +95,37 @@
     this._pending.delete(announcement.id)
     this._removeCrashedWorker(announcement.id, 'it restarted')
     this._removeWorkersAtAddress(announcement)
+    if (!this._makeRoom()) return this._logFull(announcement)
     this._workers.set(announcement.id, { controller: this._createController(announcement), lastHeartbeatAt: now })
     this._dependencies.logger.info({ worker: announcement.id, born: announcement.born, address: announcement.address, service: announcement.service, labels: announcement.labels }, 'worker added after its first heartbeat')
     this._dependencies.onChange()
   }
 
+  /** Makes room for one more worker. Returns false if all tracked workers have answered. */
+  private _makeRoom (): boolean {
+    if (this._workers.size < MAX_WORKERS) return true
+    for (const [id, { controller }] of this._workers) {
+      if (controller.hasAnswered) continue
+      this._removeWorker(id, `it has never answered, and more than ${MAX_WORKERS} workers were announced`)
+      return true
+    }
+    return false
+  }
+
+  private _logFull ({ id, address }: WorkerAnnouncement): void {
+    this._dependencies.logger.warn({ worker: id, address, maximum: MAX_WORKERS }, 'ignoring a heartbeat: as many workers were announced as an agent keeps')
+  }
+
   /** Records that a worker announced its shutdown. The worker is still reported to the planner until its heartbeats time out. */
   markLeaving (id: string): void {
     this._dependencies.logger.info({ worker: id }, 'worker announced its shutdown')
     this._workers.get(id)?.controller.markLeaving()
   }
 
-  /** Collects the reports of all workers for the planner, after removing the workers whose heartbeats have timed out. */
+  /**
+   * Collects the reports of the workers for the planner, after removing the workers whose heartbeats have timed out. Of the workers that have never
+   * answered only a few are reported: they may not exist, and the planner has use only for one that it knows from before this agent started.
+   */
   collectReports (): CollectedReports {
     const now = performance.now()
     this._addPendingWorkers()
@@ -104,7 +133,9 @@
       // A worker whose heartbeats are lost or late still works as long as it answers; removing it would end its runs.
       if (now - lastHeartbeatAt > HEARTBEAT_TIMEOUT_MS && !controller.isReachable) this._removeWorker(id, 'its heartbeats stopped and it does not answer')
     }
-    const controllers = [...this._workers.values()].map(worker => worker.controller)
+    const all = [...this._workers.values()].map(worker => worker.controller)
+    const unanswered = new Set(all.filter(controller => !controller.hasAnswered).slice(MAX_UNANSWERED_REPORTED))
+    const controllers = all.filter(controller => !unanswered.has(controller))
     const clocks = controllers.map(controller => controller.readClock())
     const reports = controllers.map(controller => controller.makeReport())
     const bases = new Map(controllers.map((controller, index) => [controller.announcement.id, { clockMs: clocks[index] ?? 0, number: controller.reportNumber }]))
--- a/packages/protocol/src/rpcMessages.ts
+++ b/packages/protocol/src/rpcMessages.ts
@@ -8,6 +8,9 @@
 import { memberSchema } from './members.js'
 import { RunMethods } from './runMessages.js'
 
+/** Maximum size of a call, in bytes. Larger calls are refused. */
+export const MAX_CALL_BYTES = 2 * 1024 * 1024
+
 /** Schemas of the parameters and results of all RPC methods, by method name. */
 export const RpcMethods = {
   ...GangMethods,
@@ -80,4 +83,5 @@
 /** Outcome of a call to another process. */
 export type RpcOutcome<T> =
   | { readonly kind: 'ok', readonly value: T }
-  | { readonly kind: 'failed', readonly message: string }
+  /** `isRefused` is true if the receiver has refused the call for what it contains, so that it would refuse the same call again. */
+  | { readonly kind: 'failed', readonly message: string, readonly isRefused?: boolean }
--- a/packages/runtime/src/rpcServer.ts
+++ b/packages/runtime/src/rpcServer.ts
@@ -3,15 +3,15 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 
-import { RpcMethods, DispatchHeader, isBoundedJson, parseJson } from '@dragonflylever/protocol'
+import { MAX_CALL_BYTES, RpcMethods, DispatchHeader, isBoundedJson, parseJson } from '@dragonflylever/protocol'
 import type { RpcHandler, RpcMethodName, RpcParams, RpcRegistry } from '@dragonflylever/protocol'
 import { JSONRPCErrorException, JSONRPCServer, isJSONRPCRequest } from 'json-rpc-2.0'
 
 import { isSameKey } from './compareKeys.js'
 import { readBody } from './readBody.js'
 
-const MAX_BODY_BYTES = 2 * 1024 * 1024
-const INVALID_PARAMS = -32602
+/** Error code of JSON-RPC for parameters that are not as the method declares them. */
+export const INVALID_PARAMS = -32602
 
 export class RpcServer implements RpcRegistry {
   private readonly _server = new JSONRPCServer({ errorListener: () => {} })
@@ -35,10 +35,10 @@
       sendJson(response, 401, { error: 'the cluster key is missing or wrong' })
       return
     }
-    const read = await readBody(request, { maxBytes: MAX_BODY_BYTES })
+    const read = await readBody(request, { maxBytes: MAX_CALL_BYTES })
     if (read.kind === 'broken') return
     if (read.kind === 'tooLarge') {
-      sendJson(response, 413, { error: `a call is at most ${MAX_BODY_BYTES} bytes` })
+      sendJson(response, 413, { error: `a call is at most ${MAX_CALL_BYTES} bytes` })
       return
     }
     if (read.kind === 'overloaded') {
