Bound the work of a scheduler pass, whatever waits

Planners were elected and lost their leadership in turn.

Cause: each waiting step was ranked by the longest chain and the work of its whole job, and each pass looked for room for each step again. The pass runs on the thread that renews the leadership, and its time grew with the square of the steps.

Evidence: a new bench, pass-slopes, varies one dimension at a time.

Why the fix works: the rank is computed once for an occurrence, and kept for a while if it is large; waiting steps are listed anew only after a change of their job; a pass looks at a limited part of a job, skips steps that need as much as one that found no room, and ends after a limited number of checks. What it leaves out comes first in the next pass, which follows soon, so no job starves behind another. Related: runs of a report are found by their key, whether a gang works is asked once a pass, stored input is applied in slices of time, and the log line on a new job is short.

--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -14,6 +14,7 @@
   flood: async () => (await import('./floods/floodBench.js')).floodBench,
   fragmentation: async () => (await import('./gangs/fragmentationBench.js')).fragmentationBench,
   path: async () => (await import('./path/pathBench.js')).pathBench,
+  'pass-slopes': async () => (await import('./graphs/passSlopesBench.js')).passSlopesBench,
   'plan-pass': async () => (await import('./graphs/planPassBench.js')).planPassBench,
   'store-calls': async () => (await import('./fleet/storeCallsBench.js')).storeCallsBench
 }
--- a/packages/bench/test/graphs/urgentBurst.test.ts
+++ b/packages/bench/test/graphs/urgentBurst.test.ts
@@ -23,10 +23,10 @@
     this._others = new ObjectiveOrder({ runTimes, getWallTime })
   }
 
-  sort (steps: readonly WaitingStep[]): WaitingStep[] {
+  sort (steps: readonly WaitingStep[], now: number): WaitingStep[] {
     const urgent = steps.filter(({ step }) => step.job.graph.queue.priority === 0)
     const others = steps.filter(({ step }) => step.job.graph.queue.priority > 0)
-    return [...urgent.sort((a, b) => this._getLatestStart(a) - this._getLatestStart(b)), ...this._others.sort(others)]
+    return [...urgent.sort((a, b) => this._getLatestStart(a) - this._getLatestStart(b)), ...this._others.sort(others, now)]
   }
 
   private _getLatestStart ({ step }: WaitingStep): number {
--- a/packages/core/src/graphs/capacitySnapshot.ts
+++ b/packages/core/src/graphs/capacitySnapshot.ts
@@ -11,6 +11,8 @@
 
 export class CapacitySnapshot {
   readonly workers: readonly WorkerState[]
+  private _returns = 0
+  private _changes = 0
   private readonly _free = new Map<WorkerState, FreeCapacity>()
   private readonly _reserved = new Map<StepState, ReservedSlots>()
 
@@ -19,6 +21,16 @@
     for (const worker of workers) this._free.set(worker, getFree(worker))
   }
 
+  /** Number of times that capacity was given back. In between, a step that finds no room keeps finding none. */
+  get returns (): number {
+    return this._returns
+  }
+
+  /** Number of times that capacity was taken or given back. */
+  get changes (): number {
+    return this._changes
+  }
+
   /** Returns an independent copy with the same free capacity, without the reservations by step. */
   copy (): CapacitySnapshot {
     return new CapacitySnapshot(this.workers, worker => ({ ...this.getFree(worker) }))
@@ -36,12 +48,15 @@
   /** Subtracts the needs of `count` tasks from the free capacity of a worker. */
   takeCapacity (worker: WorkerState, needs: TaskNeeds & { readonly isFilling?: boolean }, count = 1): void {
     const free = this._free.get(worker)
+    this._changes++
     if (free !== undefined) for (let index = 0; index < count; index++) takeNeeds(free, needs)
   }
 
   /** Adds the needs of `count` tasks back to the free capacity of a worker. */
   returnCapacity (worker: WorkerState, needs: TaskNeeds & { readonly isFilling?: boolean }, count = 1): void {
     const free = this._free.get(worker)
+    this._changes++
+    this._returns++
     if (free !== undefined) for (let index = 0; index < count; index++) returnNeeds(free, needs)
   }
 
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -1,5 +1,5 @@
 /**
- * One scheduler pass over all jobs: stops runs whose start was not confirmed, places waiting steps in order, reclaims capacity for work of
+ * One scheduler pass over all jobs: stops runs that should not go on, places waiting steps in order, reclaims capacity for work of
  * priority 0, and reserves slots for other gangs.
  */
 import { CapacityForecast } from './capacityForecast.js'
@@ -12,9 +12,9 @@
 import { GangReservations } from './gangReservations.js'
 import { FasterSlots } from './fasterSlots.js'
 import { findGuaranteedJobs } from './guaranteedJobs.js'
-import { RunPhase, listTasks } from './jobState.js'
 import type { JobState, RunState, StepState } from './jobState.js'
 import { isLastAttempt } from './lastAttempt.js'
+import { PassBudget } from './passBudget.js'
 import { RackPlacement } from './placement.js'
 import type { PlacedTask } from './placement.js'
 import type { PlannerLog } from './plannerLog.js'
@@ -22,15 +22,16 @@
 import type { PlannerTimes } from './plannerTimes.js'
 import { ReleaseAvoidance } from './releaseAvoidance.js'
 import type { RunTracker } from './runTracker.js'
-import { estimateWorkedMs, measureStall, predictEnd } from './runProgress.js'
+import { predictEnd } from './runProgress.js'
+import { RunStops } from './runStops.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
 import { ServiceUse } from './serviceUse.js'
 import { SpeedFit } from './speedFit.js'
 import type { SpeedSource } from './speedSource.js'
 import type { FleetView } from './startForecast.js'
 import { isSteadyRun } from './steadyRun.js'
-import { listWaitingSteps } from './waitingStep.js'
 import type { WaitingOrder, WaitingStep } from './waitingStep.js'
+import { WaitingSteps } from './waitingSteps.js'
 import type { WorkerRegistry } from './workerRegistry.js'
 import type { WorkerState } from './workerState.js'
 import type { WorkerHealthTracker } from './workerHealthTracker.js'
@@ -51,11 +52,6 @@
   readonly getWallTime: () => number
 }
 
-/**
- * Factor by which the time limit for confirming a start is extended for a task outside a gang, as no other task waits for it. Agents that just
- * started need seconds of processor time before they answer.
- */
-const SINGLE_CONFIRM_FACTOR = 2
 /**
  * Wait in milliseconds after which a step counts as starved, if its job has no run and half of its service is free. A starved step may use
  * any eligible slot. The requirements allow a wait of 3 s.
@@ -65,6 +61,8 @@
  * Wait in milliseconds after which a step that should run in one rack starts there in parts. Until then a rack may become free for the whole step, or be reclaimed for it, and the first part binds the step to its rack.
  */
 const WHOLE_RACK_WAIT_MS = 2_000
+/** Work of making room for a step, in checks for each worker and each run. */
+const FORECAST_CHECKS = 2
 /** Wait in milliseconds after which a step that lasts counts as starved, whatever else its job and its service run. The requirements allow 9 s after a run has ended. */
 const LASTING_STARVATION_MS = 5_000
 
@@ -76,6 +74,9 @@
   private readonly _forecast: CapacityForecast
   private readonly _speedFit: SpeedFit
   private readonly _fasterSlots: FasterSlots
+  private readonly _runStops: RunStops
+  private readonly _waitingSteps = new WaitingSteps()
+  private readonly _budget = new PassBudget()
   private _queues: PlannerPolicy['queues'] = []
   private _priorities: ReadonlyMap<string, number> = new Map()
   private _now = 0
@@ -95,6 +96,7 @@
     const { times, runTimes, runTracker, classShares, log, speeds, getWallTime } = dependencies
     this._speedFit = new SpeedFit({ speeds, runTimes, getWallTime, remoteFactor: times.remoteFactor })
     this._releaseAvoidance = new ReleaseAvoidance({ runTimes, getWallTime, log, isStarved: step => this._starvedSteps.has(step) })
+    this._runStops = new RunStops({ ...dependencies, predictEnd: run => this._predictEnd(run), estimateRunTimeAt: run => this._estimateRunTimeAt(run) })
     this._placement = new RackPlacement({
       speedFit: this._speedFit,
       isEligible: (worker, step) => this._isEligible(worker, step),
@@ -129,14 +131,9 @@
     this._setPriorities(policy.queues)
     this._now = now
     this._speedFit.beginPass(this._dependencies.registry.listWorkers(), now)
-    for (const worker of this._dependencies.registry.listWorkers()) {
-      this._stopUnconfirmedRuns(worker)
-      this._stopStartsInEvacuatedDomain(worker)
-      this._stopRunsOfDrainingWorker(worker)
-      this._stopStalledRuns(worker)
-    }
-    const waiting = this._dependencies.order.sort(jobs.flatMap(job => listWaitingSteps(job, now)), now)
-    if (waiting.length === 0) return
+    this._runStops.run(this._dependencies.registry.listWorkers(), now)
+    const waiting = this._dependencies.order.sort(this._waitingSteps.select(jobs, now), now)
+    if (waiting.length === 0) return this._budget.endPass()
     const workers = this._listUsableWorkers()
     const snapshot = new CapacitySnapshot(workers)
     this._markStarvedSteps(waiting, workers)
@@ -150,94 +147,60 @@
     this._fasterSlots.beginPass(waiting, now)
     const first = waiting.filter(({ step }) => guaranteed.has(step.job))
     const others = waiting.filter(({ step }) => !guaranteed.has(step.job))
-    for (const waitingStep of [...first, ...others]) this._placeStep(waitingStep, snapshot)
-  }
-
-  /** Describes the fleet at `now` as scheduler passes see it, for forecasts. */
-  describeFleet (now: number): FleetView {
-    this._now = now
-    return { workers: this._listUsableWorkers(), predictEnd: run => this._predictEnd(run), isEligible: (worker, step) => this._isEligible(worker, step), getPriority: job => this._getPriority(job) }
-  }
-
-  /**
-   * Stops runs whose start was not confirmed in time. While a worker is silent, its agent may have started the run without being able to say
-   * so, and the task can't start elsewhere before the worker's lease ends. So the run of a silent worker is kept, unless it belongs to a gang
-   * whose other members wait for it.
-   */
-  private _stopUnconfirmedRuns (worker: WorkerState): void {
-    // A worker that has not reported to this planner yet may still be executing the recorded runs.
-    if (worker.firstReportAt === undefined) return
-    for (const run of worker.runs) {
-      if (run.phase !== RunPhase.assigned) continue
-      const { isGang } = run.task.step.spec
-      if (isGang && isGangWorking(run)) continue
-      const limitMs = this._dependencies.times.startConfirmMs * (isGang ? 1 : SINGLE_CONFIRM_FACTOR)
-      const heardUntil = isGang ? this._now : Math.min(this._now, worker.lastReportAt)
-      if (heardUntil - Math.max(run.assignedAt, worker.firstReportAt) < limitMs) continue
-      this._dependencies.runTracker.stopWithGang(run, 'the start was not confirmed in time', 'a member of the gang was not started in time', this._now)
-    }
+    this._placeSteps(this._budget.beginPass([...first, ...others]), snapshot)
   }
 
-  /**
-   * Stops the runs that a worker of an evacuated failure domain has not confirmed as started, as no start may be sent there. The members of a gang that
-   * makes progress have all started, so it goes on. A worker that has not listed its runs yet may still be executing the recorded ones.
-   */
-  private _stopStartsInEvacuatedDomain (worker: WorkerState): void {
-    if (!this._dependencies.evacuations.hasWorker(worker) || worker.report?.listNumber === 0) return
-    for (const run of worker.runs) {
-      if (run.phase !== RunPhase.assigned || (run.task.step.spec.isGang && isGangWorking(run))) continue
-      this._dependencies.runTracker.stopWithGang(run, 'its failure domain is evacuated', 'the failure domain of a member of the gang is evacuated', this._now)
+  private _placeSteps (waiting: readonly WaitingStep[], snapshot: CapacitySnapshot): void {
+    const runCount = snapshot.workers.reduce((sum, { runs }) => sum + runs.size, 0)
+    for (const [index, waitingStep] of waiting.entries()) {
+      if (this._budget.isOver(waiting, index)) {
+        this._dependencies.log.note('pass ended early', { steps: waiting.length, placed: index, nextJob: waitingStep.step.job.graph.id })
+        return
+      }
+      if (this._budget.isHopeless(waitingStep, snapshot.returns)) continue
+      const { changes } = snapshot
+      const isForecast = this._placeStep(waitingStep, snapshot)
+      this._budget.recordChecks(snapshot.workers.length + waitingStep.tasks.length + (isForecast ? FORECAST_CHECKS * (snapshot.workers.length + runCount) : 0))
+      if (snapshot.changes === changes) this._budget.recordFailure(waitingStep, snapshot.returns)
     }
+    this._budget.endPass()
+    for (const [job, step] of this._budget.skipped) this._waitingSteps.resumeAt(job, step)
   }
 
-  /** Stops the runs that can't end before their draining worker leaves. Tasks that write checkpoints save their work when they are stopped. */
-  private _stopRunsOfDrainingWorker (worker: WorkerState): void {
-    const { drainsUntil } = worker
-    if (drainsUntil === undefined) return
-    for (const run of worker.runs) {
-      if (run.phase === RunPhase.stopping || this._predictEnd(run) <= drainsUntil) continue
-      this._dependencies.runTracker.stopWithGang(run, 'its worker is draining', 'a worker of the gang is draining', this._now)
-    }
+  /** True if the last pass has left steps or tasks out that might have room, so that the next one should come soon. */
+  get isIncomplete (): boolean {
+    return this._waitingSteps.isIncomplete || this._budget.isIncomplete
   }
 
-  /**
-   * Stops stalled runs, so that they restart elsewhere. Waiting may be cheaper than a restart, so a run is stopped only once it has
-   * stalled for at least the time that the lost work would take to repeat. Meanwhile the worker gets no new runs. A worker that is slow after its start is
-   * not taken for a stalled one.
-   */
-  private _stopStalledRuns (worker: WorkerState): void {
-    if (worker.isCold(this._now)) return
-    for (const run of worker.runs) {
-      const stalledMs = measureStall(run, Math.min(this._now, worker.listedAt))
-      if (stalledMs === undefined) continue
-      this._dependencies.workerHealth.recordStall(run, this._now)
-      const workedMs = estimateWorkedMs(run, run.percentChangedAt, this._estimateRunTimeAt(run))
-      const lostMs = run.task.step.spec.isCheckpointing ? Math.min(workedMs, this._dependencies.times.checkpointMs) : workedMs
-      if (stalledMs < lostMs) continue
-      this._dependencies.runTracker.stopWithGang(run, 'it has stalled', 'a member of the gang has stalled', this._now)
-    }
+  /** Describes the fleet at `now` as scheduler passes see it, for forecasts. */
+  describeFleet (now: number): FleetView {
+    this._now = now
+    return { workers: this._listUsableWorkers(), predictEnd: run => this._predictEnd(run), isEligible: (worker, step) => this._isEligible(worker, step), getPriority: job => this._getPriority(job) }
   }
 
-  private _placeStep (waiting: WaitingStep, snapshot: CapacitySnapshot): void {
+  /** Places the tasks of a step for which there is room, and makes room for the others. Returns true if the ends of the workers' runs had to be looked at. */
+  private _placeStep (waiting: WaitingStep, snapshot: CapacitySnapshot): boolean {
     const { step } = waiting
     snapshot.release(step)
     const placed = this._placement.place(waiting, snapshot)
     const late = this._speedFit.listLate(step, placed)
     this._startPlaced(placed.filter(one => !late.includes(one)), snapshot)
     if (late.length > 0) {
-      if (this._hasFasterSlots(waiting, snapshot)) return
+      if (this._hasFasterSlots(waiting, snapshot)) return true
       this._startPlaced(late, snapshot)
     }
     if (placed.length === waiting.tasks.length) {
       this._reclaim.dropReservation(step)
-      return
+      return false
     }
     const unplaced = waiting.tasks.filter(task => task.runs.length === 0)
     // A task that has to run alone waits for a worker without runs; stopping a few runs would help neither it nor its gang.
     const helped = step.spec.isGang && unplaced.some(isIsolated) ? [] : unplaced.filter(task => !isIsolated(task))
-    if (helped.length === 0) return
-    if (this._getPriority(step.job) === 0) this._reclaim.reclaimFor({ ...waiting, tasks: helped }, snapshot)
+    if (helped.length === 0) return false
+    const isUrgent = this._getPriority(step.job) === 0
+    if (isUrgent) this._reclaim.reclaimFor({ ...waiting, tasks: helped }, snapshot)
     else if (step.spec.isGang) this._gangReservations.reserveFor(waiting, snapshot)
+    return isUrgent || step.spec.isGang
   }
 
   /** Lists the workers outside evacuated failure domains; the others count neither as capacity nor as part of the fleet. */
@@ -277,7 +240,7 @@
     this._starvedSteps.clear()
     const use = new ServiceUse(workers)
     const longWaiting = waiting.filter(({ step, since }) => this._now - since > STARVATION_MS && use.isMostlyFree(step.job.graph.queue.service))
-    const running = new Set([...new Set(longWaiting.map(({ step }) => step.job))].filter(job => listTasks(job).some(task => task.runs.length > 0)))
+    const running = new Set([...new Set(longWaiting.map(({ step }) => step.job))].filter(job => job.runCount > 0))
     for (const { step } of longWaiting) if (!running.has(step.job)) this._starvedSteps.add(step)
     for (const { step, since } of waiting) if (step.spec.isLongRunning && this._now - since > LASTING_STARVATION_MS) this._starvedSteps.add(step)
   }
@@ -342,8 +305,3 @@
     return this._now - waiting.since > extraRunMs || this._starvedSteps.has(waiting.step)
   }
 }
-
-/** True if a member of the run's gang makes progress, which shows that all members are present, also those not confirmed yet. */
-function isGangWorking (run: RunState): boolean {
-  return run.task.step.tasks.some(task => task.runs.some(member => member.percent > 0))
-}
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -59,6 +59,9 @@
   readonly record: string
 }
 
+/** Maximum number of steps that the log line on a new job describes. */
+const MAX_LOGGED_STEPS = 16
+
 export class GraphPlanner {
   private readonly _options: GraphPlannerOptions
   private readonly _jobs = new Map<string, JobState>()
@@ -132,7 +135,7 @@
     if (this._jobs.has(graph.id)) return
     const job = restoreJob(graph, progress, now)
     this._jobs.set(graph.id, job)
-    this._options.log.note('job taken up', { job: graph.id, queue: graph.queue.name, organisation: graph.organisation, phase: job.phase, priority: graph.queue.priority, steps: graph.steps.map(describeStep), ageMs: this._options.getWallTime() - graph.acceptedAt })
+    this._options.log.note('job taken up', { job: graph.id, queue: graph.queue.name, organisation: graph.organisation, phase: job.phase, priority: graph.queue.priority, steps: graph.steps.slice(0, MAX_LOGGED_STEPS).map(describeStep), stepCount: graph.steps.length, ageMs: this._options.getWallTime() - graph.acceptedAt })
     if (!isTimed(graph) && !job.occurrences.has(0)) addOccurrence(job, 0)
     for (const task of listTasks(job)) for (const run of [...task.runs]) this._registry.adoptRun(run, now)
     if (isFinalPhase(job.phase)) for (const task of listTasks(job)) for (const run of task.runs) this._runTracker.stop(run, `job ${job.phase}`, now)
@@ -152,13 +155,14 @@
 
   /**
    * Creates the occurrences of timed jobs that are due, declares runs at silent workers lost, marks new checkpoints for storing, and then
-   * runs a scheduler pass.
+   * runs a scheduler pass. Returns false if the pass has left work to the next one, which should come soon.
    */
-  plan (now: number): void {
+  plan (now: number): boolean {
     this._addDueOccurrences()
     this._registry.expireSilentWorkers(now)
     this._markNewCheckpoints(now)
     this._pass.run([...this._jobs.values()].filter(isActive), this._policy, now)
+    return !this._pass.isIncomplete
   }
 
   /** Creates a forecast of the starts of jobs that arrive now. */
@@ -220,7 +224,7 @@
     const removed: string[] = []
     for (const [jobId, job] of this._jobs) {
       const isOld = job.endedAt !== undefined && this._options.getWallTime() - job.endedAt > this._options.times.retentionMs && now - job.addedAt > this._options.times.retentionMs
-      if (!isOld || job.version > job.durableVersion || listTasks(job).some(task => task.runs.length > 0)) continue
+      if (!isOld || job.version > job.durableVersion || job.runCount > 0) continue
       this._jobs.delete(jobId)
       removed.push(jobId)
     }
--- a/packages/core/src/graphs/jobObjective.ts
+++ b/packages/core/src/graphs/jobObjective.ts
@@ -15,18 +15,25 @@
 /** Returns the time of the longest chain of steps of an occurrence; `getStepMs` returns the time of one step, in milliseconds. */
 export function computeChainMs (steps: readonly StepState[], getStepMs: (step: StepState) => number): number {
   const ends: number[] = []
-  for (const step of steps) ends.push(getStepMs(step) + Math.max(0, ...step.spec.after.map(index => ends[index] ?? 0)))
-  return Math.max(0, ...ends)
+  let longestMs = 0
+  for (const step of steps) {
+    let startMs = 0
+    for (const index of step.spec.after) startMs = Math.max(startMs, ends[index] ?? 0)
+    const endMs = startMs + getStepMs(step)
+    ends.push(endMs)
+    longestMs = Math.max(longestMs, endMs)
+  }
+  return longestMs
 }
 
-/** Returns the time of the longest chain of steps that start after the step with the given index, without steps that are done, in milliseconds. */
-export function computeTailMs (steps: readonly StepState[], index: number, getStepMs: (step: StepState) => number): number {
-  const tails = new Map<number, number>()
+/** Returns, by the index of each step, the time of the longest chain of steps that start after it, without steps that are done, in milliseconds. */
+export function computeTailsMs (steps: readonly StepState[], getStepMs: (step: StepState) => number): number[] {
+  const tails = steps.map(() => 0)
   for (const step of [...steps].reverse()) {
-    const lengthMs = (step.remaining === 0 ? 0 : getStepMs(step)) + (tails.get(step.index) ?? 0)
-    for (const before of step.spec.after) tails.set(before, Math.max(tails.get(before) ?? 0, lengthMs))
+    const lengthMs = (step.remaining === 0 ? 0 : getStepMs(step)) + (tails[step.index] ?? 0)
+    for (const before of step.spec.after) tails[before] = Math.max(tails[before] ?? 0, lengthMs)
   }
-  return tails.get(index) ?? 0
+  return tails
 }
 
 /** Returns the time within which a job with the given chain has its full value, in milliseconds. */
--- a/packages/core/src/graphs/jobProgress.ts
+++ b/packages/core/src/graphs/jobProgress.ts
@@ -112,6 +112,7 @@
   task.soleCrashes = crashes?.[1] ?? 0
   task.lastCrashedRun = crashes?.[2] ?? 0
   for (const workerId of failedOn) task.failedOn.add(workerId)
+  task.step.job.runCount += runs.length
   for (const [number, id, born, address] of runs) task.runs.push({ ...createRun(task, number, { id, born, address }, 0, now, undefined), isAdopted: true })
 }
 
--- a/packages/core/src/graphs/jobState.ts
+++ b/packages/core/src/graphs/jobState.ts
@@ -114,13 +114,15 @@
   /** Number of the next occurrence to be created; those before it were created, in the order of their numbers. */
   nextOccurrence: number
   endedAt: number | undefined
+  /** Number of runs of all tasks. */
+  runCount: number
   /** When the job was added to this planner, on the planner's clock. */
   readonly addedAt: number
 }
 
 /** Creates the state of a job without any occurrence. */
 export function createJobState (graph: JobGraph, now: number): JobState {
-  return { graph, phase: JobPhase.queued, version: 0, durableVersion: 0, hasNewCheckpoint: false, occurrences: new Map(), nextOccurrence: 0, endedAt: undefined, addedAt: now }
+  return { graph, phase: JobPhase.queued, version: 0, durableVersion: 0, hasNewCheckpoint: false, occurrences: new Map(), nextOccurrence: 0, endedAt: undefined, runCount: 0, addedAt: now }
 }
 
 /** Creates the steps of an occurrence and adds them to the job. */
--- a/packages/core/src/graphs/objectiveOrder.ts
+++ b/packages/core/src/graphs/objectiveOrder.ts
@@ -4,9 +4,11 @@
  * the capacity of the fleet, serving the latest first would make every job late. All other steps are ordered by value per core-second. Work
  * that is too late to have any value comes last.
  */
-import { computeCoreSeconds, computeValueFactor } from './coreSeconds.js'
+import { computeValueFactor } from './coreSeconds.js'
 import type { QueuePolicy } from './graphTypes.js'
-import { MAX_LATE_FACTOR, computeObjectiveMs, computeRemainingChainMs, computeSlackMs, getDueTime } from './jobObjective.js'
+import { MAX_LATE_FACTOR, computeObjectiveMs, computeSlackMs, getDueTime } from './jobObjective.js'
+import type { StepState } from './jobState.js'
+import { OccurrenceTimes } from './occurrenceTimes.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
 import type { WaitingOrder, WaitingStep } from './waitingStep.js'
 
@@ -20,6 +22,12 @@
 const Tier = { urgent: 0, urgentLate: 1, other: 2, worthless: 3 } as const
 type Tier = typeof Tier[keyof typeof Tier]
 
+/** Place in the order: the tier, and within it the key, the lowest first. */
+interface Rank {
+  readonly tier: Tier
+  readonly key: number
+}
+
 /** Dependencies of {@link ObjectiveOrder}. */
 export interface ObjectiveOrderDependencies {
   readonly runTimes: RunTimeEstimator
@@ -29,45 +37,42 @@
 
 export class ObjectiveOrder implements WaitingOrder {
   private readonly _dependencies: ObjectiveOrderDependencies
+  private readonly _occurrenceTimes: OccurrenceTimes
 
   constructor (dependencies: ObjectiveOrderDependencies) {
     this._dependencies = dependencies
+    this._occurrenceTimes = new OccurrenceTimes(dependencies.runTimes)
   }
 
-  sort (steps: readonly WaitingStep[]): WaitingStep[] {
-    const ranked = steps.map(step => ({ step, rank: this._rankStep(step) }))
+  sort (steps: readonly WaitingStep[], now: number): WaitingStep[] {
+    const ranks = new Map<readonly StepState[] | undefined, Rank>()
+    const ranked = steps.map(step => {
+      const { job, occurrence } = step.step
+      const members = job.occurrences.get(occurrence)
+      const rank = ranks.get(members) ?? this._rankOccurrence(step, now)
+      ranks.set(members, rank)
+      return { step, rank }
+    })
     ranked.sort((a, b) => a.rank.tier - b.rank.tier || a.rank.key - b.rank.key)
     return ranked.map(({ step }) => step)
   }
 
-  private _rankStep (waiting: WaitingStep): { tier: Tier, key: number } {
+  /** Returns the rank of a waiting step, which all steps of its occurrence share. */
+  private _rankOccurrence (waiting: WaitingStep, now: number): Rank {
     const { job } = waiting.step
     const { queue } = job.graph
-    const chainMs = this._computeChainMs(waiting)
+    const { remainingChainMs: chainMs, remainingCoreSeconds } = this._occurrenceTimes.get(waiting.step, now)
     const wallTime = this._dependencies.getWallTime()
     const slackMs = computeSlackMs(job.graph, waiting.step.occurrence, chainMs, wallTime)
     if (queue.priority === 0 && slackMs >= 0) return { tier: Tier.urgent, key: slackMs }
     const ageMs = wallTime - getDueTime(job.graph, waiting.step.occurrence)
     const isWorthless = MAX_LATE_FACTOR * computeObjectiveMs(queue, chainMs) < ageMs + chainMs
     const tier = isWorthless ? Tier.worthless : queue.priority === 0 ? Tier.urgentLate : Tier.other
-    return { tier, key: -this._computeValueDensity(waiting, queue) }
-  }
-
-  /** Returns the remaining run time of the longest chain of steps of the occurrence, in milliseconds. */
-  private _computeChainMs (waiting: WaitingStep): number {
-    const steps = waiting.step.job.occurrences.get(waiting.step.occurrence) ?? []
-    return computeRemainingChainMs(steps, step => this._dependencies.runTimes.estimateRunTime(step))
+    return { tier, key: -this._computeValueDensity(remainingCoreSeconds, queue) }
   }
 
-  private _computeValueDensity (waiting: WaitingStep, queue: QueuePolicy): number {
-    const coreSeconds = this._computeCoreSeconds(waiting)
+  private _computeValueDensity (coreSeconds: number, queue: QueuePolicy): number {
     const queueValue = VALUE_BY_PRIORITY[Math.min(queue.priority, VALUE_BY_PRIORITY.length - 1)] ?? 1
     return queueValue * computeValueFactor(coreSeconds, this._dependencies.runTimes.getMeanCoreSeconds(queue.name)) / Math.max(coreSeconds, 0.001)
   }
-
-  /** Returns the remaining core-seconds of the occurrence. */
-  private _computeCoreSeconds (waiting: WaitingStep): number {
-    const steps = waiting.step.job.occurrences.get(waiting.step.occurrence) ?? []
-    return steps.reduce((sum, step) => sum + step.remaining * computeCoreSeconds(step.spec, this._dependencies.runTimes.estimateRunTime(step)), 0)
-  }
 }
--- a/packages/core/src/graphs/orderList.ts
+++ b/packages/core/src/graphs/orderList.ts
@@ -3,7 +3,7 @@
  */
 import { RunPhase, isActive } from './jobState.js'
 import type { RunState } from './jobState.js'
-import { makeRunKey } from './workerRegistry.js'
+import { makeRunKey } from './runSet.js'
 import { OrderStatus } from './workerReport.js'
 import type { OrderListing, StartOrder, WorkerOrders } from './workerReport.js'
 import type { WorkerState } from './workerState.js'
--- a/packages/core/src/graphs/releaseAvoidance.ts
+++ b/packages/core/src/graphs/releaseAvoidance.ts
@@ -2,8 +2,9 @@
  * Keeps long work that writes no checkpoints away from the workers that a rolling release is about to replace, for as long as its job can wait and still end within its
  * objective. Answers releases during which a wide gang was stopped by one draining worker after the other.
  */
-import { computeRemainingChainMs, computeSlackMs } from './jobObjective.js'
+import { computeSlackMs } from './jobObjective.js'
 import type { StepState } from './jobState.js'
+import { OccurrenceTimes } from './occurrenceTimes.js'
 import type { PlannerLog } from './plannerLog.js'
 import { ReleaseTracker } from './releaseTracker.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
@@ -27,6 +28,7 @@
 
 export class ReleaseAvoidance {
   private readonly _dependencies: ReleaseAvoidanceDependencies
+  private readonly _occurrenceTimes: OccurrenceTimes
   private readonly _tracker = new ReleaseTracker()
   /** Steps that keep away from workers which a release may replace, with the expected run time of a task in milliseconds. */
   private readonly _steps = new Map<StepState, number>()
@@ -35,6 +37,7 @@
 
   constructor (dependencies: ReleaseAvoidanceDependencies) {
     this._dependencies = dependencies
+    this._occurrenceTimes = new OccurrenceTimes(dependencies.runTimes)
   }
 
   beginPass (waiting: readonly WaitingStep[], workers: readonly WorkerState[], now: number): void {
@@ -45,7 +48,7 @@
     for (const { step, since } of waiting) {
       if (step.spec.isCheckpointing || step.spec.isLongRunning) continue
       if (this._dependencies.isStarved(step) && now - since > MAX_STARVED_WAIT_MS) continue
-      const chainMs = computeRemainingChainMs(step.job.occurrences.get(step.occurrence) ?? [], other => this._dependencies.runTimes.estimateRunTime(other))
+      const { remainingChainMs: chainMs } = this._occurrenceTimes.get(step, now)
       const slackMs = computeSlackMs(step.job.graph, step.occurrence, chainMs, wallTime)
       if (slackMs > chainMs * MIN_SLACK_SHARE) this._steps.set(step, this._dependencies.runTimes.estimateRunTime(step))
     }
--- a/packages/core/src/graphs/runTracker.ts
+++ b/packages/core/src/graphs/runTracker.ts
@@ -57,6 +57,7 @@
       const run = createRun(task, task.lastRun, worker.key, job.version, now, ticket)
       run.wasCold = step.spec.isGang ? hasColdWorker : worker.isCold(now)
       task.runs.push(run)
+      job.runCount++
       worker.runs.add(run)
       this._dependencies.log.note('run assigned', { task: task.name, run: run.number, worker: worker.key.id, checkpoint: task.checkpoint })
       return run
@@ -173,7 +174,10 @@
   private _removeRun (run: RunState): void {
     const { runs } = run.task
     const index = runs.indexOf(run)
-    if (index >= 0) runs.splice(index, 1)
+    if (index >= 0) {
+      runs.splice(index, 1)
+      run.task.step.job.runCount--
+    }
     this._dependencies.getWorker(run)?.runs.delete(run)
     markChanged(run.task.step.job)
   }
--- a/packages/core/src/graphs/speedFit.ts
+++ b/packages/core/src/graphs/speedFit.ts
@@ -2,8 +2,9 @@
  * Judges by the speed of workers whether a step meets the objective of its job there. All workers count as equally fast, and each as fast enough, until
  * the source of speeds reports differences.
  */
-import { MAX_LATE_FACTOR, computeChainMs, computeObjectiveMs, computeTailMs, getDueTime } from './jobObjective.js'
+import { MAX_LATE_FACTOR, computeObjectiveMs, getDueTime } from './jobObjective.js'
 import type { StepState } from './jobState.js'
+import { OccurrenceTimes } from './occurrenceTimes.js'
 import type { PlacedTask } from './placement.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
 import type { SpeedSource } from './speedSource.js'
@@ -46,6 +47,7 @@
 
 export class SpeedFit {
   private readonly _dependencies: SpeedFitDependencies
+  private readonly _occurrenceTimes: OccurrenceTimes
   private readonly _speeds = new Map<string, WorkerSpeed>()
   private readonly _limits = new Map<StepState, StepLimit>()
   private _isActive = false
@@ -54,6 +56,7 @@
 
   constructor (dependencies: SpeedFitDependencies) {
     this._dependencies = dependencies
+    this._occurrenceTimes = new OccurrenceTimes(dependencies.runTimes)
   }
 
   /** Factor by which a task takes longer away from its data, or beside tasks of its step in other racks. */
@@ -143,12 +146,12 @@
 
   private _computeLimit (step: StepState): StepLimit {
     const { runTimes, getWallTime } = this._dependencies
-    const { graph, occurrences } = step.job
+    const { graph } = step.job
     const runMs = Math.max(1, runTimes.estimateRunTime(step))
     if (step.spec.isLongRunning) return { leftMs: Infinity, runMs, isObjective: true }
-    const steps = occurrences.get(step.occurrence) ?? []
-    const objectiveMs = computeObjectiveMs(graph.queue, computeChainMs(steps, other => runTimes.estimateRunTime(other)))
-    const usedMs = getWallTime() - getDueTime(graph, step.occurrence) + computeTailMs(steps, step.index, other => runTimes.estimateRunTime(other))
+    const { chainMs, tailsMs } = this._occurrenceTimes.get(step, this._now)
+    const objectiveMs = computeObjectiveMs(graph.queue, chainMs)
+    const usedMs = getWallTime() - getDueTime(graph, step.occurrence) + (tailsMs[step.index] ?? 0)
     const isEnough = (leftMs: number): boolean => leftMs - START_MS >= runMs * this._fastestFactor
     if (isEnough(objectiveMs - usedMs)) return { leftMs: objectiveMs - usedMs, runMs, isObjective: true }
     const worthMs = objectiveMs * MAX_LATE_FACTOR - usedMs
--- a/packages/core/src/graphs/workerRegistry.ts
+++ b/packages/core/src/graphs/workerRegistry.ts
@@ -13,6 +13,7 @@
 import type { PlannerTimes } from './plannerTimes.js'
 import type { RunTracker } from './runTracker.js'
 import { recordProgress } from './runProgress.js'
+import { makeRunKey } from './runSet.js'
 import { parseTaskName } from './taskName.js'
 import type { TaskName } from './taskName.js'
 import { OrderStatus } from './workerReport.js'
@@ -174,7 +175,7 @@
       if (end.number <= worker.lastEndNumber) continue
       worker.lastEndNumber = end.number
       worker.orphanedRuns.delete(makeRunKey(end))
-      const run = findRun(worker, end)
+      const run = worker.runs.find(makeRunKey(end))
       if (run !== undefined) this._dependencies.runTracker.recordEnd(run, end.how, end.checkpoint, now)
       const job = run?.task.step.job ?? this._acceptLateEnd(worker, end, now)
       worker.recordedEnds.push({ number: end.number, job, version: job?.version ?? 0, recordedAt: now })
@@ -204,11 +205,12 @@
     if (report.isPartial === true) return
     for (const key of [...worker.orphanedRuns.keys()]) if (!listed.has(key) && !pending.has(key)) worker.orphanedRuns.delete(key)
     if (report.hasMoreEnds === true) return
-    for (const run of worker.runs) this._stopUnlistedRun(run, report, listed, now)
+    const accepted = new Set(report.orders.filter(({ status }) => status === OrderStatus.accepted).map(makeRunKey))
+    for (const run of [...worker.runs]) if (!accepted.has(makeRunKey({ task: run.task.name, run: run.number }))) this._stopUnlistedRun(run, listed, now)
   }
 
   private _acceptRunListing (worker: WorkerState, listing: RunListing, ended: ReadonlySet<string>, now: number): void {
-    const run = findRun(worker, listing)
+    const run = worker.runs.find(makeRunKey(listing))
     if (run !== undefined) {
       this._dependencies.runTracker.markRunning(run, now)
       this._dependencies.workerHealth.recordRunning(run, now)
@@ -229,16 +231,14 @@
   }
 
   /** Stops a run that the worker lists neither as running nor as ended; the answer to the stop confirms that the run is gone. */
-  private _stopUnlistedRun (run: RunState, report: WorkerReport, listed: ReadonlySet<string>, now: number): void {
+  private _stopUnlistedRun (run: RunState, listed: ReadonlySet<string>, now: number): void {
     if (run.phase !== RunPhase.running || listed.has(makeRunKey({ task: run.task.name, run: run.number }))) return
-    const order = report.orders.find(listing => listing.task === run.task.name && listing.run === run.number)
-    if (order?.status === OrderStatus.accepted) return
     this._dependencies.runTracker.stop(run, 'its worker no longer lists it', now)
   }
 
   private _acceptOrderListings (worker: WorkerState, orders: readonly OrderListing[], now: number): void {
     for (const order of orders) {
-      const run = findRun(worker, order)
+      const run = worker.runs.find(makeRunKey(order))
       // The agent would start a run that was given up as soon as the worker answers again and its lease may be extended.
       if (run === undefined && order.status === OrderStatus.sending) this._addOrphanedRun(worker, order, 'its start is pending')
       if (run === undefined) continue
@@ -250,16 +250,6 @@
   }
 }
 
-/** Returns a key that identifies a run among the runs of one worker. */
-export function makeRunKey (run: { readonly task: string, readonly run: number }): string {
-  return `${run.task}/${run.run}`
-}
-
-function findRun (worker: WorkerState, listing: { readonly task: string, readonly run: number }): RunState | undefined {
-  for (const run of worker.runs) if (run.number === listing.run && run.task.name === listing.task) return run
-  return undefined
-}
-
 function updateRun (run: RunState, listing: RunListing, now: number): void {
   run.usage = listing.usage
   if (listing.msPerPercent !== undefined && listing.msPerPercent > 0 && listing.msPerPercent < Infinity) run.msPerPercent = listing.msPerPercent
--- a/packages/core/src/graphs/workerState.ts
+++ b/packages/core/src/graphs/workerState.ts
@@ -3,7 +3,8 @@
  * extension of its lease.
  */
 import type { TaskNeeds } from './graphTypes.js'
-import type { JobState, RunState, WorkerLocation } from './jobState.js'
+import type { JobState, WorkerLocation } from './jobState.js'
+import { RunSet } from './runSet.js'
 import type { WorkerReport } from './workerReport.js'
 
 /** A run that the worker lists although the planner has no such run there. It is stopped, and counts against the capacity until it has ended. */
@@ -24,7 +25,7 @@
 
 export class WorkerState {
   readonly key: WorkerLocation
-  readonly runs = new Set<RunState>()
+  readonly runs = new RunSet()
   readonly orphanedRuns = new Map<string, OrphanedRun>()
   /** Last report; undefined for a worker known only from records. */
   report: WorkerReport | undefined
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -7,6 +7,7 @@
 import { GraphPlanner, isFinalPhase } from '@dragonflylever/core/graphs/index'
 import type { ChangedJob, JobGraph, PlannerTimes, PolicyIndex } from '@dragonflylever/core/graphs/index'
 import type { PeerRpc, RpcParams, RpcResultValue } from '@dragonflylever/protocol'
+import { SlicedTasks } from '@dragonflylever/runtime'
 import type { ClockReading, Logger, Metrics } from '@dragonflylever/runtime'
 
 import { decodeNodeRecord } from '../storeRelay/nodeDirectory.js'
@@ -25,6 +26,8 @@
 const PASS_INTERVAL_MS = 200
 /** Delay of a scheduler pass after a report or a new job, in milliseconds, so that others that arrive meanwhile share the pass. */
 const PASS_DELAY_MS = 4
+/** Delay of the next scheduler pass after one that has left work out, in milliseconds. */
+const INCOMPLETE_PASS_DELAY_MS = 50
 /** A scheduler pass is delayed by at least this multiple of the duration of the last pass, so that there is time to accept reports under load. */
 const PASS_PAUSE_FACTOR = 2
 const LOAD_RETRY_MS = 150
@@ -87,6 +90,7 @@
   private _isRemoving = false
   private readonly _timers: NodeJS.Timeout[] = []
   private _inputWatcher: PrefixWatcher | undefined
+  private readonly _inputTasks = new SlicedTasks()
   private _admission: AdmissionPublisher | undefined
   private _passTimer: NodeJS.Timeout | undefined
   private _lastPassMs = 0
@@ -148,6 +152,7 @@
     for (const timer of this._timers) clearInterval(timer)
     clearTimeout(this._passTimer)
     this._inputWatcher?.close()
+    this._inputTasks.close()
     this._evacuations?.close()
     this._admission?.close()
     this._learned.close()
@@ -197,19 +202,23 @@
     this._writer.recordStoredProgress(jobId, this._storedProgress.get(jobId)?.modRevision ?? 0, state.phase)
   }
 
+  /** Applies records that entries have written. There may be any number of them, so they are applied in slices of time. */
   private _applyInputRecords (values: readonly StoredValue[]): void {
-    const now = performance.now()
     const cancelled: string[] = []
-    for (const value of values) {
-      const name = this._dependencies.keys.parseInputKey(value.key)
-      if (name === undefined) continue
-      if (name.kind === 'fence') this._fences.recordFence({ jobId: name.jobId, modRevision: value.modRevision }, now)
-      else if (name.kind === 'cancel') cancelled.push(name.jobId)
-      else this._addJob(name.jobId, value, now)
-    }
-    for (const jobId of cancelled) this._planner.cancelJob(jobId, now)
-    this._isLoaded = true
-    this._schedulePass()
+    this._inputTasks.add(values.map(value => () => this._applyInputRecord(value, cancelled)))
+    this._inputTasks.add([() => {
+      for (const jobId of cancelled) this._planner.cancelJob(jobId, performance.now())
+      this._isLoaded = true
+      this._schedulePass()
+    }])
+  }
+
+  private _applyInputRecord (value: StoredValue, cancelled: string[]): void {
+    const now = performance.now()
+    const name = this._dependencies.keys.parseInputKey(value.key)
+    if (name?.kind === 'fence') this._fences.recordFence({ jobId: name.jobId, modRevision: value.modRevision }, now)
+    else if (name?.kind === 'cancel') cancelled.push(name.jobId)
+    else if (name?.kind === 'spec') this._addJob(name.jobId, value, now)
   }
 
   private _addJob (jobId: string, value: StoredValue, now: number): void {
@@ -254,12 +263,12 @@
     this._storedProgress.delete(graph.id)
   }
 
-  private _schedulePass (): void {
+  private _schedulePass (delayMs = PASS_DELAY_MS): void {
     if (this._isClosed || !this._isLoaded) return
     this._passTimer ??= setTimeout(() => {
       this._passTimer = undefined
       this._runPass()
-    }, Math.max(PASS_DELAY_MS, this._lastPassMs * PASS_PAUSE_FACTOR))
+    }, Math.max(delayMs, this._lastPassMs * PASS_PAUSE_FACTOR))
   }
 
   private _runPass (): void {
@@ -269,12 +278,13 @@
       const guarantees = policy.organisations.map(organisation => ({ organisation: organisation.name, accelerators: organisation.guaranteedAccelerators }))
       this._planner.setPolicy({ queues: policy.queues, guarantees })
     }
-    this._planner.plan(startedAt)
+    const isComplete = this._planner.plan(startedAt)
     this._writer.flush()
     this._reports.answerRequestsWithOrders()
     this._lastPassMs = performance.now() - startedAt
     this._dependencies.metrics.time('plan_ms', this._lastPassMs)
     this._dependencies.metrics.gauge('jobs_active', this._planner.activeCount)
+    if (!isComplete) this._schedulePass(INCOMPLETE_PASS_DELAY_MS)
   }
 
   private _updateJobState (job: ChangedJob): JobStateRecord | undefined {
--- /dev/null
+++ b/packages/runtime/src/slicedTasks.ts
@@ -0,0 +1,48 @@
+/**
+ * Runs tasks in their order, a limited time at a stretch, so that the thread stays free for timers and calls whatever the number of tasks.
+ */
+
+/** Time after which the thread is released, in milliseconds. */
+const SLICE_MS = 20
+
+export class SlicedTasks {
+  private _tasks: Array<() => void> = []
+  private _next = 0
+  private _timer: NodeJS.Timeout | undefined
+  private _isClosed = false
+
+  /** Number of tasks that have not run yet. */
+  get size (): number {
+    return this._tasks.length - this._next
+  }
+
+  /** Adds tasks. They run at once, as far as no earlier ones wait and time allows. */
+  add (tasks: ReadonlyArray<() => void>): void {
+    for (const task of tasks) this._tasks.push(task)
+    if (this._timer === undefined) this._runSlice()
+  }
+
+  /** Drops the tasks that have not run yet. */
+  close (): void {
+    this._isClosed = true
+    clearTimeout(this._timer)
+    this._tasks = []
+    this._next = 0
+  }
+
+  private _runSlice (): void {
+    const startedAt = performance.now()
+    while (!this._isClosed && this._next < this._tasks.length) {
+      if (performance.now() - startedAt > SLICE_MS) {
+        this._timer = setTimeout(() => {
+          this._timer = undefined
+          this._runSlice()
+        }, 0)
+        return
+      }
+      this._tasks[this._next++]?.()
+    }
+    this._tasks = []
+    this._next = 0
+  }
+}
