Bound the calls to a worker and the orders in one answer

Cause: an agent called its worker for each start at once. Each held a request, a timer and a suspended function, about 7 KB, while it waited for one of 16 connections, and was given up after 400 ms that it had spent waiting.

Why the fix works: orders wait in a queue and a worker gets at most 8 starts and 6 stops or throttles at a time; unanswered ones go to its end, with growing delays. An answer carries a limited size of starts and number of stops for a worker, and a worker has at most 256 runs whose start is not confirmed, so that what is assigned can be sent and confirmed in time. Reports leave out orders of runs that they list.

Tests: manyOrders.test.ts and answerLimits.test.ts; one of them fails with the limit of starts, of stops, the separate queue of stops, the limit of an answer or of unconfirmed runs taken out.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -12,6 +12,7 @@
 import { GangReservations } from './gangReservations.js'
 import { FasterSlots } from './fasterSlots.js'
 import { findGuaranteedJobs } from './guaranteedJobs.js'
+import { RunPhase } from './jobState.js'
 import type { JobState, RunState, StepState } from './jobState.js'
 import { isLastAttempt } from './lastAttempt.js'
 import { PassBudget } from './passBudget.js'
@@ -61,6 +62,11 @@
  * Wait in milliseconds after which a step that should run in one rack starts there in parts. Until then a rack may become free for the whole step, or be reclaimed for it, and the first part binds the step to its rack.
  */
 const WHOLE_RACK_WAIT_MS = 2_000
+/**
+ * Maximum number of runs of a worker whose start is not confirmed, members of gangs aside. Answers to agents and the calls of an agent to its worker are
+ * limited, so that more would not be confirmed in time.
+ */
+const MAX_UNCONFIRMED_RUNS = 256
 /** Work of making room for a step, in checks for each worker and each run. */
 const FORECAST_CHECKS = 2
 /** Wait in milliseconds after which a step that lasts counts as starved, whatever else its job and its service run. The requirements allow 9 s after a run has ended. */
@@ -81,6 +87,8 @@
   private _priorities: ReadonlyMap<string, number> = new Map()
   private _now = 0
   private readonly _starvedSteps = new Set<StepState>()
+  /** Number of runs whose start is not confirmed, by worker, as far as the pass has asked. */
+  private readonly _unconfirmedRuns = new Map<WorkerState, number>()
   /** Steps with a waiting task that has one attempt left. */
   private readonly _lastAttemptSteps = new Set<StepState>()
   private readonly _crashIsolation: CrashIsolation
@@ -130,6 +138,7 @@
   run (jobs: readonly JobState[], policy: PlannerPolicy, now: number): void {
     this._setPriorities(policy.queues)
     this._now = now
+    this._unconfirmedRuns.clear()
     this._speedFit.beginPass(this._dependencies.registry.listWorkers(), now)
     this._runStops.run(this._dependencies.registry.listWorkers(), now)
     const waiting = this._dependencies.order.sort(this._waitingSteps.select(jobs, now), now)
@@ -212,6 +221,7 @@
     if (placed.length === 0) return
     for (const { worker, task } of placed) {
       snapshot.takeCapacity(worker, task.step.spec)
+      this._unconfirmedRuns.set(worker, this._countUnconfirmedRuns(worker) + 1)
       this._crashIsolation.recordPlaced(worker, task)
     }
     this._dependencies.runTracker.start(placed.map(one => ({ ...one, ticket: undefined })), this._now)
@@ -285,6 +295,20 @@
   }
 
   private _getTaskLimit (worker: WorkerState, step: StepState): number {
+    return Math.min(this._getHealthLimit(worker, step), step.spec.isGang ? Infinity : MAX_UNCONFIRMED_RUNS - this._countUnconfirmedRuns(worker))
+  }
+
+  /** Counts the runs of a worker whose start is not confirmed. */
+  private _countUnconfirmedRuns (worker: WorkerState): number {
+    const known = this._unconfirmedRuns.get(worker)
+    if (known !== undefined) return known
+    let count = 0
+    for (const run of worker.runs) if (run.phase === RunPhase.assigned) count++
+    this._unconfirmedRuns.set(worker, count)
+    return count
+  }
+
+  private _getHealthLimit (worker: WorkerState, step: StepState): number {
     const probationLimit = this._dependencies.workerHealth.isOnProbation(worker.key.id, this._now) && !this._starvedSteps.has(step) ? Math.max(0, 1 - this._countUnprovenRuns(worker)) : Infinity
     const { maxPerWorker } = step.spec
     if (maxPerWorker === undefined) return probationLimit
--- /dev/null
+++ b/packages/daemon/src/jobAgent/callQueue.ts
@@ -0,0 +1,68 @@
+/**
+ * Queue of an agent's calls to one worker. A limited number of calls is made at a time, so that thousands of orders neither hold a request and a timer
+ * each, nor use up their timeouts while they wait for a connection.
+ */
+
+/** A call that is due; resolves with the delay in milliseconds after which it is due again, or with undefined once it is settled. */
+export type QueuedCall = () => Promise<number | undefined>
+
+export class CallQueue {
+  private readonly _maxCalls: number
+  private _waiting: QueuedCall[] = []
+  private _next = 0
+  private _active = 0
+  private readonly _timers = new Set<NodeJS.Timeout>()
+  private _isClosed = false
+
+  /** `maxCalls` is the number of calls that are made at the same time. */
+  constructor (maxCalls: number) {
+    this._maxCalls = maxCalls
+  }
+
+  /** Number of calls that wait, also for their repetition. */
+  get size (): number {
+    return this._waiting.length - this._next + this._timers.size
+  }
+
+  add (call: QueuedCall): void {
+    if (this._isClosed) return
+    this._waiting.push(call)
+    this._makeCalls()
+  }
+
+  /** Drops the calls that wait. */
+  close (): void {
+    this._isClosed = true
+    for (const timer of this._timers) clearTimeout(timer)
+    this._timers.clear()
+    this._waiting = []
+    this._next = 0
+  }
+
+  private _makeCalls (): void {
+    while (this._active < this._maxCalls && this._next < this._waiting.length) {
+      const call = this._waiting[this._next++] as QueuedCall
+      if (this._next === this._waiting.length) {
+        this._waiting = []
+        this._next = 0
+      }
+      void this._makeCall(call)
+    }
+  }
+
+  private async _makeCall (call: QueuedCall): Promise<void> {
+    this._active++
+    const delayMs = await call()
+    this._active--
+    if (delayMs !== undefined && !this._isClosed) this._addLater(call, delayMs)
+    this._makeCalls()
+  }
+
+  private _addLater (call: QueuedCall, delayMs: number): void {
+    const timer = setTimeout(() => {
+      this._timers.delete(timer)
+      this.add(call)
+    }, delayMs)
+    this._timers.add(timer)
+  }
+}
--- a/packages/daemon/src/jobAgent/orderTable.ts
+++ b/packages/daemon/src/jobAgent/orderTable.ts
@@ -118,12 +118,14 @@
   }
 
   /**
-   * Lists the orders, after removing those that were refused or barred more than {@link SETTLED_RETENTION_MS} ago. `now` is monotonic,
-   * in milliseconds.
+   * Lists the orders, after removing those that were refused or barred more than {@link SETTLED_RETENTION_MS} ago. An accepted start whose run is among
+   * `running` is left out, since that says it all. `now` is monotonic, in milliseconds.
    */
-  list (now: number): OrderListing[] {
+  list (now: number, running: readonly RunListing[] = []): OrderListing[] {
     for (const [key, order] of this._orders) if (order.settledAt !== undefined && now - order.settledAt > SETTLED_RETENTION_MS) this._orders.delete(key)
-    return [...this._orders.values()].map(({ task, run, status, reason }) => ({ task, run, status, reason }))
+    const listed = new Set(running.map(makeRunKey))
+    const orders = [...this._orders].filter(([key, { status }]) => status !== OrderStatus.accepted || !listed.has(key)).map(([, order]) => order)
+    return orders.map(({ task, run, status, reason }) => ({ task, run, status, reason }))
   }
 
   private _getOrder (task: string, run: number): Order | undefined {
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -3,10 +3,10 @@
  * answers permit, and tracks running and ended runs. It makes no scheduling decisions.
  */
 import type { HoldResult, RunOutcome, RunWorker } from '@dragonflylever/adapters'
-import { OrderStatus, StartRefusal } from '@dragonflylever/core/graphs/index'
-import type { CrashListing, EndListing, RunListing, RunName, StartOrder, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
+import type { CrashListing, EndListing, RunListing, RunName, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
 import type { Logger } from '@dragonflylever/runtime'
 
+import { OrderCalls } from './orderCalls.js'
 import { OrderTable } from './orderTable.js'
 import type { ReportBase } from './plannerLink.js'
 import { mergeRunEnds } from './runEnds.js'
@@ -51,12 +51,10 @@
  * the connection of its poll breaks, or at its next call.
  */
 const CRASH_SUSPECT_MS = 1_000
-/** Delay before an unanswered start or stop is retried, in milliseconds. */
-const ORDER_RETRY_MS = 100
-
 export class WorkerController {
   private readonly _dependencies: WorkerControllerDependencies
   private readonly _orders = new OrderTable()
+  private readonly _calls: OrderCalls
   private readonly _speedMeter = new RunSpeedMeter()
   private readonly _clock: WorkerClock
   private _announcement: WorkerAnnouncement
@@ -87,6 +85,24 @@
     this._dependencies = dependencies
     this._epoch = dependencies.epoch
     this._clock = new WorkerClock(announcement.clockMs, dependencies.runLeaseMs, performance.now())
+    this._calls = new OrderCalls({
+      worker: dependencies.worker,
+      workerId: announcement.id,
+      orders: this._orders,
+      clock: this._clock,
+      logger: dependencies.logger,
+      getEpoch: () => this._epoch,
+      getPollCount: () => this._pollCount,
+      isUnconfirmed: () => this._unconfirmedSince !== undefined,
+      onOutcome: outcome => this._recordReachability(outcome),
+      onStartEnded: () => {
+        this._endPause?.()
+        dependencies.onChange()
+        return undefined
+      },
+      onStopped: () => this._endPause?.(),
+      onOtherIncarnation: dependencies.onOtherIncarnation
+    })
     void this._pollWorker()
   }
 
@@ -133,6 +149,7 @@
   markEnded (): void {
     this._isOver = true
     this._isClosed = true
+    this._calls.close()
   }
 
   /**
@@ -182,7 +199,7 @@
       running: this._running,
       ended: this._ended.filter(end => end.number > this._lastAcknowledgedEnd),
       hasMoreEnds: this._hasMoreEnds,
-      orders: this._orders.list(performance.now()),
+      orders: this._orders.list(performance.now(), this._running),
       crashes: this._dependencies.listRecentCrashes()
     }
   }
@@ -202,83 +219,21 @@
     this._lastAcknowledgedEnd = Math.max(this._lastAcknowledgedEnd, orders.seen)
     const isOutdated = base.number < this._unreachableReportNumber
     if (orders.mayExtend && !isOutdated) this._clock.permitLease(base.clockMs + this._dependencies.runLeaseMs)
-    for (const stop of orders.stops) if (this._orders.beginStop(stop.task, stop.run)) void this._stopRun(stop.task, stop.run)
-    if (!isOutdated) for (const start of orders.starts) if (this._orders.beginStart(start.task, start.run)) void this._startRun(start, epoch, validity)
+    for (const stop of orders.stops) if (this._orders.beginStop(stop.task, stop.run)) this._calls.stop(stop.task, stop.run)
+    if (!isOutdated) for (const start of orders.starts) if (this._orders.beginStart(start.task, start.run)) this._calls.start(start, epoch, validity)
     if (isOutdated && orders.starts.length > 0) {
       this._dependencies.logger.info({ worker: this._announcement.id, starts: orders.starts.length, report: base.number, unreachableReport: this._unreachableReportNumber }, 'ignored starts for a report that was made before the worker was reported as not answering')
     }
-    for (const pace of orders.paces) void this._dependencies.worker.pace(pace.task, pace.run, pace.percent, epoch)
+    for (const { task, run, percent } of orders.paces) this._calls.pace(task, run, percent, epoch)
   }
 
   close (): void {
     this._isClosed = true
+    this._calls.close()
     this._endPause?.()
     this._dependencies.worker.close()
   }
 
-  private async _startRun (start: StartOrder, epoch: number, validity: StartValidity | undefined): Promise<void> {
-    const { task, run } = start
-    let wasUnanswered = false
-    while (!this._isClosed && this._orders.isStarting(task, run)) {
-      if (validity?.isOver === true) {
-        this._dependencies.logger.warn({ task, run, worker: this._announcement.id, ageMs: Math.round(validity.ageMs), wasUnanswered }, 'start of a run is too old to be sent')
-        this._settleRefusedStart(task, run, StartRefusal.expired, wasUnanswered)
-        break
-      }
-      // A worker accepts a start that was meant for an earlier incarnation with its id; only the answer to a poll names the incarnation.
-      if (this._unconfirmedSince !== undefined) {
-        await new Promise(resolve => setTimeout(resolve, ORDER_RETRY_MS))
-        continue
-      }
-      const leaseUntil = this._clock.permittedUntil
-      const sentAt = performance.now()
-      const outcome = await this._dependencies.worker.start({ ...start, epoch, leaseUntil })
-      if (outcome.kind === 'ok' || outcome.kind === 'lost') this._orders.recordStartSent(task, run, sentAt, outcome.kind === 'ok')
-      this._recordReachability(outcome)
-      if (outcome.kind === 'ok') {
-        this._clock.recordLeaseExpiry(leaseUntil)
-        this._orders.recordStartResult(task, run, OrderStatus.accepted)
-        break
-      }
-      if (outcome.kind === 'refused') {
-        this._dependencies.logger.warn({ task, run, worker: this._announcement.id, reason: outcome.reason, wasUnanswered }, 'worker refused to start a run')
-        this._settleRefusedStart(task, run, outcome.reason, wasUnanswered)
-        break
-      }
-      if (outcome.kind === 'otherIncarnation') return this._dependencies.onOtherIncarnation()
-      if (outcome.kind === 'lost') {
-        wasUnanswered = true
-        this._clock.recordLeaseExpiry(leaseUntil)
-      }
-      this._dependencies.logger.warn({ task, run, worker: this._announcement.id, message: outcome.message }, 'worker did not answer the start of a run; will retry')
-      await new Promise(resolve => setTimeout(resolve, ORDER_RETRY_MS))
-    }
-    this._endPause?.()
-    this._dependencies.onChange()
-  }
-
-  /**
-   * Settles a start that was refused. After an unanswered attempt, the worker may still carry that attempt out. If it refuses a run as `old`, it knew the
-   * run before and will still report its end. In both cases, only a stop followed by a poll shows that the run has ended.
-   */
-  private _settleRefusedStart (task: string, run: number, reason: StartRefusal, wasUnanswered: boolean): void {
-    if (!wasUnanswered && reason !== StartRefusal.old) this._orders.recordStartResult(task, run, OrderStatus.refused, reason)
-    else if (this._orders.beginStop(task, run, reason)) void this._stopRun(task, run)
-  }
-
-  private async _stopRun (task: string, run: number): Promise<void> {
-    while (!this._isClosed) {
-      const outcome = await this._dependencies.worker.stop(task, run, this._epoch)
-      this._recordReachability(outcome)
-      if (outcome.kind === 'otherIncarnation') return this._dependencies.onOtherIncarnation()
-      if (outcome.kind === 'ok') break
-      this._dependencies.logger.warn({ task, run, worker: this._announcement.id, outcome }, 'worker did not confirm the stop of a run; will retry')
-      await new Promise(resolve => setTimeout(resolve, ORDER_RETRY_MS))
-    }
-    this._orders.recordStopAnswer(task, run, this._pollCount)
-    this._endPause?.()
-  }
-
   /**
    * Polls the worker until this controller is closed. While runs are in progress or orders are pending, each poll extends the worker's lease
    * as far as the planner permits.
