--- a/packages/adapters/src/store.ts
+++ b/packages/adapters/src/store.ts
@@ -46,6 +46,8 @@
 /** The call had no effect. `outageMs` is the time since the first call that the store left unanswered, in milliseconds, while no later call has been answered. */
 export type Unavailable = { readonly kind: 'unavailable', readonly message: string, readonly outageMs?: number }
 export type Ambiguous = { readonly kind: 'ambiguous', readonly message: string }
+/** The store has refused a write for what it contains, such as a value that is too large, and would refuse it again. The write had no effect. */
+export type Rejected = { readonly kind: 'rejected', readonly message: string }
 
 export type GetOutcome = { readonly kind: 'ok', readonly value: StoredValue | undefined, readonly storeRevision: number } | Unavailable
 export type ListOutcome = { readonly kind: 'ok', readonly values: readonly StoredValue[], readonly storeRevision: number } | Unavailable
@@ -55,10 +57,10 @@
   | { readonly kind: 'ok', readonly modRevision: number }
   | { readonly kind: 'conflict', readonly current: StoredValue | undefined }
 
-export type PutOutcome = PutResult | Unavailable | Ambiguous
+export type PutOutcome = PutResult | Rejected | Unavailable | Ambiguous
 export type PutManyOutcome = { readonly kind: 'ok', readonly results: readonly PutResult[] } | Unavailable | Ambiguous
-export type TransactOutcome = TransactResult | Unavailable | Ambiguous
-export type RemoveOutcome = { readonly kind: 'ok' } | { readonly kind: 'conflict', readonly current: StoredValue | undefined } | Unavailable | Ambiguous
+export type TransactOutcome = TransactResult | Rejected | Unavailable | Ambiguous
+export type RemoveOutcome = { readonly kind: 'ok' } | { readonly kind: 'conflict', readonly current: StoredValue | undefined } | Rejected | Unavailable | Ambiguous
 
 /** Outcome of a lease call. `expired`: the lease no longer exists and cannot be renewed. */
 export type LeaseOutcome = { readonly kind: 'ok', readonly leaseId: string, readonly ttlMs: number } | { readonly kind: 'expired' } | Unavailable | Ambiguous
--- a/packages/bench/src/claims/claimsBench.ts
+++ b/packages/bench/src/claims/claimsBench.ts
@@ -39,7 +39,7 @@
     if (leaseId === undefined) return { kind: 'unavailable', isAmbiguous: false }
     const outcome = await this._store.put({ key: write.key, value: write.value, expect: write.expect, leaseId })
     if (outcome.kind === 'ambiguous') return { kind: 'unavailable', isAmbiguous: true }
-    return outcome.kind === 'unavailable' ? { kind: 'unavailable', isAmbiguous: false } : outcome
+    return outcome.kind === 'rejected' || outcome.kind === 'unavailable' ? { kind: 'unavailable', isAmbiguous: false } : outcome
   }
 }
 
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -67,6 +67,8 @@
  * limited, so that more would not be confirmed in time.
  */
 const MAX_UNCONFIRMED_RUNS = 256
+/** Number of members up to which the end of a gang is predicted anew for each of its runs. */
+const MAX_SMALL_GANG = 64
 /** Work of making room for a step, in checks for each worker and each run. */
 const FORECAST_CHECKS = 2
 /** Wait in milliseconds after which a step that lasts counts as starved, whatever else its job and its service run. The requirements allow 9 s after a run has ended. */
@@ -87,6 +89,8 @@
   private _priorities: ReadonlyMap<string, number> = new Map()
   private _now = 0
   private readonly _starvedSteps = new Set<StepState>()
+  /** When wide gangs end, and for which time of the planner's clock that was predicted: each of their runs asks. */
+  private readonly _gangEnds = new WeakMap<StepState, { readonly at: number, readonly end: number }>()
   /** Number of runs whose start is not confirmed, by worker, as far as the pass has asked. */
   private readonly _unconfirmedRuns = new Map<WorkerState, number>()
   /** Steps with a waiting task that has one attempt left. */
@@ -234,6 +238,16 @@
   }
 
   private _predictEnd (run: RunState): number {
+    const { step } = run.task
+    if (!step.spec.isGang || step.tasks.length <= MAX_SMALL_GANG) return this._computeEnd(run)
+    const known = this._gangEnds.get(step)
+    if (known?.at === this._now) return known.end
+    const end = this._computeEnd(run)
+    this._gangEnds.set(step, { at: this._now, end })
+    return end
+  }
+
+  private _computeEnd (run: RunState): number {
     return predictEnd(run, this._now, member => this._estimateRunTimeAt(member), this._dependencies.times.stopGraceMs)
   }
 
--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -9,16 +9,16 @@
 import { computeDeclaredCoreSeconds } from './coreSeconds.js'
 import { JobPhase, isFinalPhase } from './graphTypes.js'
 import type { JobGraph, StepSpec } from './graphTypes.js'
-import { encodeProgress, restoreJob } from './jobProgress.js'
+import { encodePart, restoreJob } from './jobProgress.js'
 import type { ProgressRecord } from './jobProgress.js'
-import { addOccurrence, isActive, isTimed, listTasks, markChanged } from './jobState.js'
+import { isActive, listTasks, markPartChanged, updateDurableVersion } from './jobState.js'
 import type { JobState, TaskState, WorkerKey } from './jobState.js'
+import { HeldJobs } from './heldJobs.js'
 import { EvacuatedDomains } from './evacuatedDomains.js'
 import type { LearnedRecord } from './learnedRecord.js'
 import { listOrders } from './orderList.js'
 import { ObjectiveOrder } from './objectiveOrder.js'
 import { GraphPass } from './graphPass.js'
-import { updateOccurrences } from './occurrences.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { PlannerPolicy } from './plannerPolicy.js'
 import type { PlannerTimes } from './plannerTimes.js'
@@ -26,6 +26,7 @@
 import { RunTimeEstimator } from './runTimeEstimator.js'
 import { RunTimeMeter } from './runTimeMeter.js'
 import type { SpeedSource } from './speedSource.js'
+import { HEAD_PART } from './recordPart.js'
 import { StartForecast } from './startForecast.js'
 import type { TaskName } from './taskName.js'
 import { listWaitingSteps } from './waitingStep.js'
@@ -55,8 +56,10 @@
   readonly phase: JobPhase
   readonly queue: string
   readonly organisation: string
-  /** Progress of the job, encoded as its stored record. */
-  readonly record: string
+  /** Names of the parts of its progress that have changed: the head first, then the one with the oldest change. */
+  readonly parts: readonly string[]
+  /** Names of parts that the job does not have any more. */
+  readonly droppedParts: readonly string[]
 }
 
 /** Maximum number of steps that the log line on a new job describes. */
@@ -73,6 +76,7 @@
   private readonly _pass: GraphPass
   private readonly _order: WaitingOrder
   private readonly _evacuations = new EvacuatedDomains()
+  private readonly _heldJobs: HeldJobs
   private _policy: PlannerPolicy = { queues: [], guarantees: [] }
   private _leadershipConfirmedAt = -Infinity
   private _checkpointsMarkedAt = -Infinity
@@ -80,6 +84,7 @@
   constructor (options: GraphPlannerOptions) {
     const { log, times, getWallTime } = options
     this._options = options
+    this._heldJobs = new HeldJobs(log)
     this._workerSpeeds = new WorkerSpeeds({ log, getWorker: key => this._registry.getWorker(key) })
     const runTimeMeter = new RunTimeMeter({ speeds: this.speeds, remoteFactor: times.remoteFactor, getRack: run => this._registry.getWorker(run.worker)?.report?.rack })
     this._runTracker = new RunTracker({ log, workerHealth: this._workerHealth, runTimes: this._runTimes, runTimeMeter, getWallTime, getWorker: run => this._registry.getWorker(run.worker) })
@@ -136,7 +141,7 @@
     const job = restoreJob(graph, progress, now)
     this._jobs.set(graph.id, job)
     this._options.log.note('job taken up', { job: graph.id, queue: graph.queue.name, organisation: graph.organisation, phase: job.phase, priority: graph.queue.priority, steps: graph.steps.slice(0, MAX_LOGGED_STEPS).map(describeStep), stepCount: graph.steps.length, ageMs: this._options.getWallTime() - graph.acceptedAt })
-    if (!isTimed(graph) && !job.occurrences.has(0)) addOccurrence(job, 0)
+    this._heldJobs.add(job)
     for (const task of listTasks(job)) for (const run of [...task.runs]) this._registry.adoptRun(run, now)
     if (isFinalPhase(job.phase)) for (const task of listTasks(job)) for (const run of task.runs) this._runTracker.stop(run, `job ${job.phase}`, now)
     else this._runTimes.learnCoreSeconds(graph.queue.name, computeDeclaredCoreSeconds(job.graph.steps))
@@ -158,7 +163,7 @@
    * runs a scheduler pass. Returns false if the pass has left work to the next one, which should come soon.
    */
   plan (now: number): boolean {
-    this._addDueOccurrences()
+    this._heldJobs.update(this._jobs.values(), this._options.getWallTime())
     this._registry.expireSilentWorkers(now)
     this._markNewCheckpoints(now)
     this._pass.run([...this._jobs.values()].filter(isActive), this._policy, now)
@@ -177,21 +182,30 @@
     return createAdmissionForecast({ forecast: this.createStartForecast(now), jobs: [...this._jobs.values()].filter(isActive), runTimes: this._runTimes })
   }
 
+  /** Encodes a part of a job's progress as its stored record; undefined if the job or the part is not known any more. */
+  encodePart (jobId: string, part: string): string | undefined {
+    const job = this._jobs.get(jobId)
+    return job?.parts.has(part) === true ? encodePart(job, part) : undefined
+  }
+
   /** Lists the jobs whose state has changed since it was last stored. */
   listChangedJobs (): ChangedJob[] {
     const dirty: ChangedJob[] = []
     for (const job of this._jobs.values()) {
       if (job.version <= job.durableVersion) continue
       const { id, queue, organisation } = job.graph
-      dirty.push({ jobId: id, version: job.version, phase: job.phase, queue: queue.name, organisation, record: encodeProgress(job) })
+      dirty.push({ jobId: id, version: job.version, phase: job.phase, queue: queue.name, organisation, parts: listChangedParts(job), droppedParts: [...job.droppedParts] })
     }
     return dirty
   }
 
-  /** Records that a version of a job's state is stored. */
-  recordJobStored (jobId: string, version: number): void {
+  /** Records that parts of a job's progress, all if absent, are stored as they were in a version of it, and that dropped parts are removed. */
+  recordJobStored (jobId: string, version: number, parts?: readonly string[], removedParts: readonly string[] = []): void {
     const job = this._jobs.get(jobId)
-    if (job !== undefined) job.durableVersion = Math.max(job.durableVersion, version)
+    if (job === undefined) return
+    for (const name of parts ?? job.parts.keys()) job.parts.get(name)?.recordStored(version)
+    for (const name of removedParts) job.droppedParts.delete(name)
+    updateDurableVersion(job)
   }
 
   /**
@@ -239,12 +253,7 @@
   private _markNewCheckpoints (now: number): void {
     if (now - this._checkpointsMarkedAt < this._options.times.checkpointMs) return
     this._checkpointsMarkedAt = now
-    for (const job of this._jobs.values()) if (job.hasNewCheckpoint && isActive(job)) markChanged(job)
-  }
-
-  private _addDueOccurrences (): void {
-    const wallTime = this._options.getWallTime()
-    for (const job of this._jobs.values()) if (isActive(job)) updateOccurrences(job, wallTime)
+    for (const job of this._jobs.values()) if (job.hasNewCheckpoint && isActive(job)) markCheckpoints(job)
   }
 
   private _findTask (name: TaskName): TaskState | undefined {
@@ -252,6 +261,19 @@
   }
 }
 
+/** Lists the changed parts of a job's progress: the head first, which tells the others' occurrences, then by their first change that is not stored. */
+function listChangedParts (job: JobState): string[] {
+  const changed = [...job.parts.values()].filter(({ changedSince }) => changedSince !== undefined)
+  const getOrder = ({ name, changedSince = 0 }: (typeof changed)[number]): number => name === HEAD_PART ? -1 : changedSince
+  return changed.sort((a, b) => getOrder(a) - getOrder(b)).map(({ name }) => name)
+}
+
+/** Marks the parts of a job with new checkpoints as changed. */
+function markCheckpoints (job: JobState): void {
+  job.hasNewCheckpoint = false
+  for (const part of job.parts.values()) if (part.hasNewCheckpoint) markPartChanged(job, part)
+}
+
 /** Describes a step for the log: number of tasks, needs of one task, declared run time and placement constraints. */
 function describeStep (step: StepSpec): string {
   const marks = [
--- a/packages/core/src/graphs/jobState.ts
+++ b/packages/core/src/graphs/jobState.ts
@@ -3,6 +3,8 @@
  */
 import { JobPhase, isFinalPhase } from './graphTypes.js'
 import type { JobGraph, StepSpec } from './graphTypes.js'
+import { PartAllocator } from './partAllocator.js'
+import { HEAD_PART, RecordPart, isPartitioned } from './recordPart.js'
 import { formatStepName, formatTaskName } from './taskName.js'
 
 /** Identifies one incarnation of a worker. */
@@ -17,6 +19,9 @@
   readonly address: string
 }
 
+/** Maximum number of workers that are remembered of a task's failed runs; a task that lasts may fail any number of times. */
+const MAX_FAILED_ON = 8
+
 /** Phase of a run. A run counts against its worker's capacity in every phase. */
 export const RunPhase = {
   /** The planner has assigned the run; the start order is sent once the assignment is stored. */
@@ -73,9 +78,11 @@
   lastRun: number
   /** Last checkpoint; empty when there is none. */
   checkpoint: string
-  /** Workers on which a run of the task failed. */
-  readonly failedOn: Set<string>
+  /** Workers on which a run of the task failed, the last {@link MAX_FAILED_ON} of them. */
+  failedOn: ReadonlySet<string>
   readonly runs: RunState[]
+  /** Part of the job's stored progress that holds the task. */
+  readonly part: RecordPart<TaskState>
   /** Number of workers in a row that crashed right after a run of the task had started there. */
   crashes: number
   /** Number of these crashes for which no run of another step could be the cause. */
@@ -116,39 +123,77 @@
   endedAt: number | undefined
   /** Number of runs of all tasks. */
   runCount: number
+  /** Parts of the stored progress, by name; see `recordPart.ts`. */
+  readonly parts: Map<string, RecordPart<TaskState>>
+  /** Names of parts that were dropped with their occurrences, and that the store may hold. */
+  readonly droppedParts: Set<string>
   /** When the job was added to this planner, on the planner's clock. */
   readonly addedAt: number
 }
 
 /** Creates the state of a job without any occurrence. */
 export function createJobState (graph: JobGraph, now: number): JobState {
-  return { graph, phase: JobPhase.queued, version: 0, durableVersion: 0, hasNewCheckpoint: false, occurrences: new Map(), nextOccurrence: 0, endedAt: undefined, runCount: 0, addedAt: now }
+  const parts = new Map([[HEAD_PART, new RecordPart<TaskState>(HEAD_PART)]])
+  return { graph, phase: JobPhase.queued, version: 0, durableVersion: 0, hasNewCheckpoint: false, occurrences: new Map(), nextOccurrence: 0, endedAt: undefined, runCount: 0, parts, droppedParts: new Set(), addedAt: now }
 }
 
 /** Creates the steps of an occurrence and adds them to the job. */
 export function addOccurrence (job: JobState, occurrence: number): StepState[] {
-  const steps = job.graph.steps.map((spec, index) => createStep(job, occurrence, index, spec))
+  const allocator = new PartAllocator({ parts: job.parts, occurrence, isPartitioned: isPartitioned(job.graph) })
+  const steps = job.graph.steps.map((spec, index) => createStep(job, occurrence, index, spec, allocator))
   job.occurrences.set(occurrence, steps)
   job.nextOccurrence = Math.max(job.nextOccurrence, occurrence + 1)
   return steps
 }
 
-function createStep (job: JobState, occurrence: number, index: number, spec: StepSpec): StepState {
+/** Returns the part of a job's stored progress that holds its phase. */
+export function getHeadPart (job: JobState): RecordPart<TaskState> {
+  return job.parts.get(HEAD_PART) as RecordPart<TaskState>
+}
+
+function createStep (job: JobState, occurrence: number, index: number, spec: StepSpec, allocator: PartAllocator<TaskState>): StepState {
   const name = formatStepName(job.graph.id, occurrence, index)
   const step: StepState = { job, occurrence, index, spec, name, tasks: [], remaining: spec.count, gangFailures: 0, failedRun: 0, readySince: undefined }
-  for (let number = 0; number < spec.count; number++) step.tasks.push(createTask(step, number))
+  for (let number = 0; number < spec.count; number++) step.tasks.push(createTask(step, number, allocator.take()))
   return step
 }
 
-function createTask (step: StepState, index: number): TaskState {
+/** Shared by all tasks that have not failed, which are nearly all. */
+const NOT_FAILED: ReadonlySet<string> = new Set()
+
+function createTask (step: StepState, index: number, part: RecordPart<TaskState>): TaskState {
   const name = formatTaskName({ jobId: step.job.graph.id, occurrence: step.occurrence, step: step.index, index })
-  return { name, step, index, isDone: false, failures: 0, lastRun: 0, checkpoint: '', failedOn: new Set(), runs: [], crashes: 0, soleCrashes: 0, lastCrashedRun: 0 }
+  const task: TaskState = { name, step, index, isDone: false, failures: 0, lastRun: 0, checkpoint: '', failedOn: NOT_FAILED, runs: [], part, crashes: 0, soleCrashes: 0, lastCrashedRun: 0 }
+  if (part.name !== HEAD_PART) part.tasks.push(task)
+  return task
+}
+
+/** Records that a run of a task has failed on a worker. */
+export function addFailedWorker (task: TaskState, workerId: string): void {
+  const others = [...task.failedOn].filter(id => id !== workerId)
+  task.failedOn = new Set([...others.slice(-(MAX_FAILED_ON - 1)), workerId])
 }
 
-/** Marks a job as changed, so that its state is stored. */
+/** Marks what a job's head holds as changed, so that it is stored: the phase of the job, and which occurrences there are. */
 export function markChanged (job: JobState): void {
-  job.version++
-  job.hasNewCheckpoint = false
+  markPartChanged(job, getHeadPart(job))
+}
+
+/** Marks a task as changed, so that it is stored. */
+export function markTaskChanged (task: TaskState): void {
+  markPartChanged(task.step.job, task.part)
+}
+
+/** Marks a part of a job's stored progress as changed. */
+export function markPartChanged (job: JobState, part: RecordPart<TaskState>): void {
+  part.markChanged(++job.version)
+}
+
+/** Computes the last version of which all changes are stored, after a part was stored. */
+export function updateDurableVersion (job: JobState): void {
+  let durable = job.version
+  for (const { changedSince } of job.parts.values()) if (changedSince !== undefined) durable = Math.min(durable, changedSince - 1)
+  job.durableVersion = Math.max(job.durableVersion, durable)
 }
 
 /** True while a job has not ended and may start tasks. */
@@ -175,5 +220,8 @@
 export function saveCheckpoint (task: TaskState, checkpoint: string): void {
   if (checkpoint === '' || checkpoint === task.checkpoint) return
   task.step.job.hasNewCheckpoint = true
-  for (const member of task.step.spec.isGang ? task.step.tasks : [task]) member.checkpoint = checkpoint
+  for (const member of task.step.spec.isGang ? task.step.tasks : [task]) {
+    member.checkpoint = checkpoint
+    member.part.hasNewCheckpoint = true
+  }
 }
--- a/packages/core/src/graphs/runConditions.ts
+++ b/packages/core/src/graphs/runConditions.ts
@@ -11,10 +11,23 @@
   readonly isSpread: boolean
 }
 
-/** Returns the conditions of a run among all runs of its step; undefined if its rack is unknown. `getRack` returns the rack of a run's worker. */
-export function findRunConditions (run: RunState, runs: Iterable<RunState>, getRack: (run: RunState) => string | undefined): RunConditions | undefined {
+/** Maximum number of runs of a step with which a run is compared; each report lists each run of the step. */
+const MAX_COMPARED_RUNS = 256
+
+/** Returns the conditions of a run; undefined if its rack is unknown. `getRack` returns the rack of a run's worker. */
+export function findRunConditions (run: RunState, getRack: (run: RunState) => string | undefined): RunConditions | undefined {
   const { dataRack, isSameRack } = run.task.step.spec
   const rack = getRack(run)
   if (rack === undefined) return undefined
-  return { isFar: dataRack !== undefined && dataRack !== rack, isSpread: isSameRack && [...runs].some(other => getRack(other) !== rack) }
+  return { isFar: dataRack !== undefined && dataRack !== rack, isSpread: isSameRack && hasRunElsewhere(run, rack, getRack) }
+}
+
+function hasRunElsewhere (run: RunState, rack: string, getRack: (run: RunState) => string | undefined): boolean {
+  let compared = 0
+  for (const { runs } of run.task.step.tasks) {
+    for (const other of runs) if (getRack(other) !== rack) return true
+    compared += runs.length
+    if (compared >= MAX_COMPARED_RUNS) break
+  }
+  return false
 }
--- a/packages/core/src/graphs/runTimeMeter.ts
+++ b/packages/core/src/graphs/runTimeMeter.ts
@@ -30,9 +30,8 @@
   measure (run: RunState, now: number): number[] {
     if (run.wasCold) return []
     const { step } = run.task
-    const others = step.tasks.flatMap(task => task.runs).filter(other => other !== run)
-    const runs = step.spec.isGang ? [run, ...others.filter(other => other.number === run.number)] : [run]
-    const slowness = runs.map(member => this._computeSlowness(member, [run, ...others], now))
+    const runs = step.spec.isGang ? [run, ...step.tasks.flatMap(task => task.runs).filter(other => other !== run && other.number === run.number)] : [run]
+    const slowness = runs.map(member => this._computeSlowness(member, now))
     const byProgress = runs.flatMap((member, index) => member.msPerPercent === undefined ? [] : member.msPerPercent * WHOLE_PERCENT / (slowness[index] ?? 1))
     if (step.spec.isGang && byProgress.length * 2 >= runs.length) return byProgress
     const isWhole = run.startCheckpoint === '' && !run.isAdopted && run.runningSince !== undefined
@@ -41,9 +40,9 @@
   }
 
   /** Returns how many times as long a run takes as on a worker of middle speed near its data. */
-  private _computeSlowness (run: RunState, runs: readonly RunState[], now: number): number {
+  private _computeSlowness (run: RunState, now: number): number {
     const { speeds, remoteFactor, getRack } = this._dependencies
-    const conditions = findRunConditions(run, runs, getRack)
+    const conditions = findRunConditions(run, getRack)
     return (speeds.hasDifferences ? speeds.getFactor(run.worker.id, now) : 1) * (conditions?.isFar === true || conditions?.isSpread === true ? remoteFactor : 1)
   }
 }
--- a/packages/core/src/graphs/runTracker.ts
+++ b/packages/core/src/graphs/runTracker.ts
@@ -4,7 +4,7 @@
 import { isGivenUp } from './crashBlame.js'
 import { JobPhase, RunEnd, isFinalPhase } from './graphTypes.js'
 import { createRun } from './jobProgress.js'
-import { RunPhase, isActive, listTasks, markChanged, saveCheckpoint } from './jobState.js'
+import { RunPhase, addFailedWorker, isActive, listTasks, markChanged, markPartChanged, markTaskChanged, saveCheckpoint } from './jobState.js'
 import type { JobState, RunState, StepState, TaskState } from './jobState.js'
 import { isJobDone } from './occurrences.js'
 import type { PlannerLog } from './plannerLog.js'
@@ -48,7 +48,9 @@
     if (first === undefined) return []
     const { step } = first.task
     const { job } = step
-    markChanged(job)
+    if (job.phase === JobPhase.queued) markChanged(job)
+    // All runs get the last of these versions, so that the members of a gang are started once all of them are stored.
+    for (const part of new Set(placed.map(({ task }) => task.part))) markPartChanged(job, part)
     step.readySince = undefined
     const gangRun = Math.max(...step.tasks.map(task => task.lastRun)) + 1
     const hasColdWorker = placed.some(({ worker }) => worker.isCold(now))
@@ -140,7 +142,7 @@
     task.crashes++
     if (isSole) task.soleCrashes++
     const { job } = task.step
-    markChanged(job)
+    markTaskChanged(task)
     this._dependencies.log.note('worker crashed under a task', { task: task.name, run, address, isSole, crashes: task.crashes })
     if (isActive(job) && isGivenUp(task)) this.endJob(job, JobPhase.failed, `${task.name} crashed ${task.crashes} workers`, now)
   }
@@ -150,14 +152,13 @@
     if (task.crashes === 0) return
     task.crashes = 0
     task.soleCrashes = 0
-    markChanged(task.step.job)
+    markTaskChanged(task)
     this._dependencies.log.note('task cleared of worker crashes', { task: task.name })
   }
 
   /** Marks a task as done after a run of the task that had been declared lost has reported success. Newer runs of the task are stopped. */
   finishTaskOfLostRun (task: TaskState, now: number): void {
     if (task.isDone) return
-    markChanged(task.step.job)
     this._finishTask(task, now)
   }
 
@@ -179,7 +180,7 @@
       run.task.step.job.runCount--
     }
     this._dependencies.getWorker(run)?.runs.delete(run)
-    markChanged(run.task.step.job)
+    markTaskChanged(run.task)
   }
 
   private _finishRun (run: RunState, now: number): void {
@@ -209,13 +210,14 @@
     if (task.isDone) return
     task.isDone = true
     task.step.remaining--
+    markTaskChanged(task)
     for (const run of task.runs) this.stop(run, 'the task is done', now)
   }
 
   private _failRun (run: RunState, now: number): void {
     const { task } = run
     const { step } = task
-    task.failedOn.add(run.worker.id)
+    addFailedWorker(task, run.worker.id)
     this._dependencies.workerHealth.recordFailure(run, now)
     if (step.spec.isGang) this._failGang(run, now)
     else if (!step.spec.isLongRunning) task.failures++
@@ -227,6 +229,8 @@
   /** Counts the failure of a gang and stops its other members. Failures of several members with the same run number count once. */
   private _failGang (run: RunState, now: number): void {
     const { step } = run.task
+    // The first task's part holds the failures of a gang.
+    if (step.tasks[0] !== undefined) markTaskChanged(step.tasks[0])
     if (!step.spec.isLongRunning && step.failedRun < run.number) step.gangFailures++
     step.failedRun = Math.max(step.failedRun, run.number)
     this.stopStep(step, 'a member of the gang failed', now)
--- a/packages/core/src/graphs/waitingSteps.ts
+++ b/packages/core/src/graphs/waitingSteps.ts
@@ -12,8 +12,10 @@
 const MAX_TASKS_PER_STEP = 512
 
 interface JobEntry {
-  version: number
-  steps: readonly WaitingStep[]
+  readonly version: number
+  /** Number of the job's next occurrence when the steps were listed. */
+  readonly nextOccurrence: number
+  readonly steps: readonly WaitingStep[]
   /** Index of the first step of the next pass. */
   next: number
 }
@@ -54,8 +56,8 @@
 
   private _getEntry (job: JobState, now: number): JobEntry {
     const known = this._jobs.get(job)
-    if (known !== undefined && known.version === job.version) return known
-    const entry: JobEntry = { version: job.version, steps: listWaitingSteps(job, now), next: known?.next ?? 0 }
+    if (known !== undefined && known.version === job.version && known.nextOccurrence === job.nextOccurrence) return known
+    const entry: JobEntry = { version: job.version, nextOccurrence: job.nextOccurrence, steps: listWaitingSteps(job, now), next: known?.next ?? 0 }
     this._jobs.set(job, entry)
     return entry
   }
--- a/packages/core/src/graphs/workerSpeeds.ts
+++ b/packages/core/src/graphs/workerSpeeds.ts
@@ -191,7 +191,7 @@
     const { step } = run.task
     const { spec } = step
     if (spec.count < 2 || spec.isLongRunning || spec.isFilling || run.pace < 100 || run.wasCold || run.phase === RunPhase.stopping) return undefined
-    const conditions = findRunConditions(run, step.tasks.flatMap(task => task.runs), other => this._dependencies.getWorker(other.worker)?.report?.rack)
+    const conditions = findRunConditions(run, other => this._dependencies.getWorker(other.worker)?.report?.rack)
     if (conditions === undefined) return undefined
     return `${step.name}${conditions.isFar ? ' far' : ''}${conditions.isSpread ? ' spread' : ''}${run.startCheckpoint === '' ? '' : ' restored'}`
   }
--- a/packages/core/test/graphs/plannerHarness.ts
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -1,8 +1,8 @@
 /**
  * A planner with fake workers that execute its orders at once, for tests of single decisions.
  */
-import { GraphPlanner, StartRefusal } from '@dragonflylever/core/graphs/index'
-import type { CrashListing, EndListing, GraphPlannerOptions, JobGraph, OrderListing, PlannerTimes, ProgressRecord, QueuePolicy, RunEnd, RunListing, StepSpec, TaskNeeds, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
+import { GraphPlanner, StartRefusal, joinRecords } from '@dragonflylever/core/graphs/index'
+import type { CrashListing, EndListing, GraphPlannerOptions, HeadRecord, JobGraph, OrderListing, PartRecord, PlannerTimes, ProgressRecord, QueuePolicy, RunEnd, RunListing, StepSpec, TaskNeeds, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
 
 export const TIMES: PlannerTimes = {
   runLeaseMs: 6_000,
@@ -120,8 +120,9 @@
   store (): void {
     this.planner.recordLeadershipConfirmed(this.now)
     for (const job of this.planner.listChangedJobs()) {
-      this.records.set(job.jobId, job.record)
-      this.planner.recordJobStored(job.jobId, job.version)
+      for (const part of job.parts) this.records.set(getRecordName(job.jobId, part), this.planner.encodePart(job.jobId, part) ?? '')
+      for (const part of job.droppedParts) this.records.delete(getRecordName(job.jobId, part))
+      this.planner.recordJobStored(job.jobId, job.version, job.parts, job.droppedParts)
     }
   }
 
@@ -168,9 +169,8 @@
   /** Replaces the planner by a new one that restores the jobs from the stored records. */
   replacePlanner (): void {
     this.planner = this._createPlanner()
-    for (const [id, graph] of this._graphs) {
-      const stored = this.records.get(id)
-      this.planner.addJob(graph, stored === undefined ? undefined : JSON.parse(stored) as ProgressRecord, this.now)
+    for (const graph of this._graphs.values()) {
+      this.planner.addJob(graph, this._readProgress(graph), this.now)
     }
   }
 
@@ -204,6 +204,15 @@
     }
   }
 
+  private _readProgress (graph: JobGraph): ProgressRecord | undefined {
+    const head = this.records.get(graph.id)
+    if (head === undefined) return undefined
+    const record = JSON.parse(head) as ProgressRecord | HeadRecord
+    if (!('partTasks' in record)) return record
+    const parts = [...this.records].filter(([name]) => name.startsWith(`${graph.id}/`)).map(([, text]) => JSON.parse(text) as PartRecord)
+    return joinRecords(graph, record, parts)
+  }
+
   private _createPlanner (): GraphPlanner {
     return new GraphPlanner({ times: TIMES, log: { note: (event, fields) => { this.notes.push({ event, fields }) } }, getWallTime: () => this.wallTime, ...this._overrides })
   }
@@ -221,6 +230,11 @@
   }
 }
 
+/** Returns the name of the record of a part of a job's progress. */
+function getRecordName (jobId: string, part: string): string {
+  return part === '' ? jobId : `${jobId}/${part}`
+}
+
 function makeWorker (id: string, rack: string): FakeWorker {
   return { id, rack, failureDomain: 'd', coldLeftMs: undefined, born: 1, address: `${id}:1`, running: [], ended: [], orders: [], lastEndNumber: 0, isDraining: false, drainLeftMs: undefined, capacity: CAPACITY, listNumber: 0, refusesStarts: false, crashes: [] }
 }
--- a/packages/core/test/graphs/randomFleet.ts
+++ b/packages/core/test/graphs/randomFleet.ts
@@ -3,7 +3,7 @@
  */
 import { SeededRandom } from '@dragonflylever/core'
 import { CapacitySnapshot } from '@dragonflylever/core/graphs/capacitySnapshot'
-import { EqualSpeeds, RunPhase, RunTimeEstimator, WorkerState, addOccurrence, createJobState, createRun } from '@dragonflylever/core/graphs/index'
+import { addFailedWorker, EqualSpeeds, RunPhase, RunTimeEstimator, WorkerState, addOccurrence, createJobState, createRun } from '@dragonflylever/core/graphs/index'
 import type { JobGraph, RunState, StepSpec, SpeedSource, StepState, WaitingStep } from '@dragonflylever/core/graphs/index'
 import { SpeedFit } from '@dragonflylever/core/graphs/speedFit'
 
@@ -44,7 +44,7 @@
   build (jobs: number, speeds: SpeedSource): RandomFleet {
     for (let index = 0; index < jobs; index++) this._addRunningStep()
     const step = this._makeStepState()
-    for (const task of step.tasks) if (this._sample(0.2)) task.failedOn.add(this._pick(this._workers).key.id)
+    for (const task of step.tasks) if (this._sample(0.2)) addFailedWorker(task, this._pick(this._workers).key.id)
     const eligible = new Set(this._workers.filter(() => this._sample(0.9)))
     const limits = new Map(this._workers.map(worker => [worker, this._sample(0.8) ? Infinity : this._random.pick(3)]))
     const failures = new Map(this._workers.map(worker => [worker, this._sample(0.8) ? 0 : this._random.pick(3)]))
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -51,6 +51,11 @@
  * the connection of its poll breaks, or at its next call.
  */
 const CRASH_SUSPECT_MS = 1_000
+/** Maximum size of a checkpoint in JSON, in bytes; those of real workers have some dozen. */
+const MAX_CHECKPOINT_BYTES = 1_024
+/** Maximum size of a character in JSON, in bytes. */
+const MAX_CHARACTER_BYTES = 6
+
 export class WorkerController {
   private readonly _dependencies: WorkerControllerDependencies
   private readonly _orders = new OrderTable()
@@ -63,6 +68,7 @@
   private _running: readonly RunListing[] = []
   private _ended: readonly EndListing[] = []
   private _hasMoreEnds = false
+  private _hasLongCheckpoints = false
   private _listNumber = 0
   private _pollCount = 0
   private _reportNumber = 0
@@ -266,8 +272,8 @@
     const hasNewEnd = (list.ended.at(-1)?.number ?? 0) > lastEnd
     const hasNewRun = list.running.length !== this._running.length
     const isFirstList = this._listNumber === 0
-    this._running = this._speedMeter.measure(list.running, list.clockMs)
-    this._ended = mergeRunEnds(this._ended, list.ended, this._lastAcknowledgedEnd)
+    this._running = this._speedMeter.measure(this._cutCheckpoints(list.running), list.clockMs)
+    this._ended = mergeRunEnds(this._ended, this._cutCheckpoints(list.ended), this._lastAcknowledgedEnd)
     this._listNumber = pollNumber
     this._recordMoreEnds(list.hasMoreEnds === true)
     // A run whose end is not listed yet is not listed as running either.
@@ -277,6 +283,15 @@
     return hasNewEnd
   }
 
+  /** Leaves out checkpoints that are too long to be stored for each task; a run that has none starts from the beginning. */
+  private _cutCheckpoints<T extends { readonly task: string, readonly checkpoint: string }> (listings: readonly T[]): readonly T[] {
+    const tooLong = listings.find(({ checkpoint }) => isTooLong(checkpoint))
+    if (tooLong === undefined) return listings
+    if (!this._hasLongCheckpoints) this._dependencies.logger.warn({ worker: this._announcement.id, task: tooLong.task, length: tooLong.checkpoint.length, maxBytes: MAX_CHECKPOINT_BYTES }, 'worker lists a checkpoint that is too long to be stored; going on without it')
+    this._hasLongCheckpoints = true
+    return listings.map(listing => isTooLong(listing.checkpoint) ? { ...listing, checkpoint: '' } : listing)
+  }
+
   private _recordMoreEnds (hasMoreEnds: boolean): void {
     if (hasMoreEnds !== this._hasMoreEnds) this._dependencies.logger.info({ worker: this._announcement.id, ended: this._ended.length, acknowledged: this._lastAcknowledgedEnd }, hasMoreEnds ? 'worker lists a part of its ends; unlisted runs may have ended' : 'worker lists all its ends again')
     this._hasMoreEnds = hasMoreEnds
@@ -307,3 +322,7 @@
     this._endPause = undefined
   }
 }
+
+function isTooLong (checkpoint: string): boolean {
+  return checkpoint.length * MAX_CHARACTER_BYTES > MAX_CHECKPOINT_BYTES && Buffer.byteLength(JSON.stringify(checkpoint)) > MAX_CHECKPOINT_BYTES
+}
--- a/packages/daemon/src/jobEntry/jobEntryHandler.ts
+++ b/packages/daemon/src/jobEntry/jobEntryHandler.ts
@@ -3,7 +3,7 @@
  * time whether the store carried out a write, the answer is `undecided`.
  */
 import { TokenBucket } from '@dragonflylever/adapters'
-import type { Ambiguous, Store, StoredValue, Unavailable } from '@dragonflylever/adapters'
+import type { Ambiguous, Store, StoredValue, Rejected, Unavailable } from '@dragonflylever/adapters'
 import type { Random } from '@dragonflylever/core'
 import { computeOutageRetryAfter, countTasks } from '@dragonflylever/core/graphs/index'
 import type { JobGraph, JobPhase, PolicyIndex, RoutedQueue, StepSpec } from '@dragonflylever/core/graphs/index'
@@ -307,7 +307,8 @@
     return makeStateAnswer(state, organisation)
   }
 
-  private _makeUndecidedAnswer (outcome: Unavailable | Ambiguous): JobEntryAnswer {
+  private _makeUndecidedAnswer (outcome: Rejected | Unavailable | Ambiguous): JobEntryAnswer {
+    if (outcome.kind === 'rejected') return makeRefusal(Refusal.invalid, `the store refuses what would be stored: ${outcome.message}`)
     return outcome.kind === 'unavailable' ? this._refuseForOutage(outcome) : { kind: 'undecided', message: outcome.message }
   }
 
--- a/packages/daemon/src/jobEntry/jobWriter.ts
+++ b/packages/daemon/src/jobEntry/jobWriter.ts
@@ -2,13 +2,14 @@
  * Writes what clients ask for to the store: new jobs, cancellation requests, and the fences that keep late submissions of a cancelled job out. Each write is conditional, and is
  * retried until its outcome is known or the time of the call is over.
  */
-import type { Ambiguous, Store, StoredValue, TransactOutcome, TransactResult, Transaction, Unavailable } from '@dragonflylever/adapters'
+import type { Ambiguous, Rejected, Store, StoredValue, TransactOutcome, TransactResult, Transaction, Unavailable } from '@dragonflylever/adapters'
 import { JobPhase } from '@dragonflylever/core/graphs/index'
 import type { JobGraph } from '@dragonflylever/core/graphs/index'
 import type { Metrics } from '@dragonflylever/runtime'
 
 import { createQueuedJobState } from '../jobPlanner/graphKeys.js'
 import type { GraphKeys, JobStateRecord } from '../jobPlanner/graphKeys.js'
+import { encodeJobSpec } from '../jobPlanner/jobSpecRecord.js'
 import { ANSWER_MARGIN_MS, makeWaitOptions } from './callTimes.js'
 import type { CallTimes } from './callTimes.js'
 import { encodeFence, isCancelledBy, listOrganisations } from './submissionFence.js'
@@ -24,6 +25,7 @@
 export type StoreJobOutcome =
   | { readonly kind: 'stored', readonly state: JobStateRecord }
   | { readonly kind: 'known', readonly state: StoredValue | undefined }
+  | Rejected
   | Unavailable
   | Ambiguous
 
@@ -31,6 +33,7 @@
 export type FenceJobOutcome =
   | { readonly kind: 'fenced' }
   | { readonly kind: 'stored', readonly state: StoredValue }
+  | Rejected
   | Unavailable
   | Ambiguous
 
@@ -67,7 +70,7 @@
       const outcome = await this._transactUntilDecided(times, {
         expect: [{ key: specKey, modRevision: 0 }, { key: stateKey, modRevision: 0 }, { key: fenceKey, modRevision: fence?.modRevision ?? 0 }],
         // The fence is written again beside a state, as both are removed a time after its last change.
-        puts: [{ key: stateKey, value: JSON.stringify(state) }, isCancelled ? { key: fenceKey, value: fence?.value ?? '' } : { key: specKey, value: JSON.stringify(graph) }],
+        puts: [{ key: stateKey, value: JSON.stringify(state) }, isCancelled ? { key: fenceKey, value: fence?.value ?? '' } : { key: specKey, value: encodeJobSpec(graph) }],
         removes: []
       }, wasUndecided ? { wasUndecided, retryUntil: times.answerUntil } : {})
       if (outcome.kind === 'ok') return { kind: 'stored', state }
@@ -169,6 +172,6 @@
   }
 }
 
-function isDecided (outcome: TransactOutcome): outcome is TransactResult {
-  return outcome.kind === 'ok' || outcome.kind === 'conflict'
+function isDecided (outcome: TransactOutcome): outcome is TransactResult | Rejected {
+  return outcome.kind === 'ok' || outcome.kind === 'conflict' || outcome.kind === 'rejected'
 }
--- a/packages/daemon/src/jobPlanner/graphKeys.ts
+++ b/packages/daemon/src/jobPlanner/graphKeys.ts
@@ -1,7 +1,7 @@
 /**
- * Store keys of job graphs, and the formats of the records stored at them.
+ * Store keys of job graphs, and the format of the states shown to clients.
  */
-import { JobPhase, MAX_TASKS_PER_JOB, countTasks, hasOrderedSteps, isTimed } from '@dragonflylever/core/graphs/index'
+import { HEAD_PART, JobPhase, isTimed } from '@dragonflylever/core/graphs/index'
 import type { JobGraph } from '@dragonflylever/core/graphs/index'
 import { parseJson } from '@dragonflylever/protocol'
 import * as z from 'zod'
@@ -17,47 +17,6 @@
 })
 export type JobStateRecord = z.infer<typeof stateSchema>
 
-const nonNegativeInteger = z.number().int().min(0)
-const queueSchema = z.object({
-  name: z.string(),
-  service: z.string(),
-  priority: z.number(),
-  maxAttempts: z.number(),
-  stretch: z.number(),
-  targetLatencyMs: z.number(),
-  advice: z.object({ decisionMs: z.number(), perWorkerMs: z.number(), validityMs: z.number() }).optional()
-})
-const stepSchema = z.object({
-  count: nonNegativeInteger,
-  cpuMillis: z.number(),
-  memoryMb: z.number(),
-  accelerators: z.number(),
-  estimatedMs: z.number(),
-  after: z.array(nonNegativeInteger),
-  isCheckpointing: z.boolean(),
-  isGang: z.boolean(),
-  isSameRack: z.boolean(),
-  requiredLabel: z.string().optional(),
-  dataRack: z.string().optional(),
-  maxPerWorker: z.number().optional(),
-  isSpeculative: z.boolean(),
-  isLongRunning: z.boolean(),
-  image: z.string().optional(),
-  latencyTargetMs: z.number().optional(),
-  isFilling: z.boolean(),
-  mayMiss: z.number()
-})
-const graphSchema = z.object({
-  id: z.string(),
-  organisation: z.string(),
-  queue: queueSchema,
-  payload: z.string(),
-  steps: z.array(stepSchema),
-  repeat: z.object({ count: nonNegativeInteger, intervalMs: z.number(), firstRunAt: z.number() }).optional(),
-  acceptedAt: z.number()
-}).refine(graph => hasOrderedSteps(graph.steps), 'a step may only come after earlier ones')
-  .refine(graph => countTasks(graph.steps) <= MAX_TASKS_PER_JOB, `expected at most ${MAX_TASKS_PER_JOB} tasks`)
-
 /** Builds the store keys of one deployment, which share a prefix. */
 export class GraphKeys {
   private readonly _prefix: string
@@ -76,7 +35,7 @@
     return `${this._prefix}/graphs/state/`
   }
 
-  /** Prefix of the keys of the planner's progress records, one for each job. */
+  /** Prefix of the keys of the planner's progress records: one for each job, and one for each part of a large job. */
   get progress (): string {
     return `${this._prefix}/graphs/progress/`
   }
@@ -113,8 +72,15 @@
     return `${this.states}${jobId}`
   }
 
-  getProgressKey (jobId: string): string {
-    return `${this.progress}${jobId}`
+  /** Key of a part of a job's progress; the head has an empty name. */
+  getProgressKey (jobId: string, part = HEAD_PART): string {
+    return part === HEAD_PART ? `${this.progress}${jobId}` : `${this.progress}${jobId}/${part}`
+  }
+
+  /** Parses a key under {@link progress}. */
+  parseProgressKey (key: string): { readonly jobId: string, readonly part: string } {
+    const [jobId = '', part = HEAD_PART] = key.slice(this.progress.length).split('/')
+    return { jobId, part }
   }
 
   getNodeKey (name: string): string {
@@ -134,12 +100,6 @@
   return { phase: JobPhase.queued, queue: graph.queue.name, organisation: graph.organisation, isTimed: isTimed(graph), acceptedAt: graph.acceptedAt }
 }
 
-/** Decodes a job spec; returns undefined if the text is not a valid job spec. */
-export function decodeJobSpec (text: string): JobGraph | undefined {
-  const checked = graphSchema.safeParse(parseJson(text))
-  return checked.success ? checked.data as JobGraph : undefined
-}
-
 /** Decodes a job state; returns undefined if the text is not a valid job state. */
 export function decodeJobState (text: string): JobStateRecord | undefined {
   const checked = stateSchema.safeParse(parseJson(text))
--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -17,10 +17,12 @@
 import { FenceTable } from './fenceTable.js'
 import { ReportLongPoll } from './reportLongPoll.js'
 import { LearnedStore } from './learnedStore.js'
-import { createQueuedJobState, decodeJobSpec, decodeJobState } from './graphKeys.js'
+import { createQueuedJobState, decodeJobState } from './graphKeys.js'
 import type { GraphKeys, JobStateRecord } from './graphKeys.js'
-import { decodeProgress } from './progressRecord.js'
+import { decodeJobSpec } from './jobSpecRecord.js'
+import type { BatchEntry } from './progressBatches.js'
 import { ProgressWriter } from './progressWriter.js'
+import { StoredProgress } from './storedProgress.js'
 
 /** Maximum time between scheduler passes, in milliseconds, for timeouts and other changes that no report triggers. */
 const PASS_INTERVAL_MS = 200
@@ -80,7 +82,7 @@
   private readonly _writer: ProgressWriter
   private readonly _evacuations: EvacuationWatcher | undefined
   private readonly _learned: LearnedStore
-  private readonly _storedProgress = new Map<string, StoredValue>()
+  private readonly _storedProgress: StoredProgress
   private readonly _states = new Map<string, JobStateRecord>()
   /** Ended jobs that the planner no longer holds, and whose records the store has not confirmed to be removed. */
   private readonly _jobsToRemove = new Set<string>()
@@ -104,15 +106,18 @@
     this._reports = new ReportLongPoll({ planner: this._planner, epoch, mayGrant: dependencies.mayGrant, mayStart: () => this._evacuations?.isFresh ?? true, onReports: () => this._schedulePass() })
     this._evacuations = dependencies.evacuations === undefined ? undefined : this._createEvacuationWatcher(dependencies.evacuations)
     this._learned = new LearnedStore({ store, key: keys.learned, leaderKey, epoch, planner: this._planner, logger })
+    this._storedProgress = new StoredProgress(keys)
     this._writer = new ProgressWriter({
       store,
       keys,
       leaderKey,
       epoch,
       logger,
+      metrics: dependencies.metrics,
       listChangedJobs: () => this._planner.listChangedJobs(),
+      encodePart: (jobId, part) => this._planner.encodePart(jobId, part),
       makeState: job => this._updateJobState(job),
-      onDurable: jobs => this._recordDurableJobs(jobs),
+      onDurable: entries => this._recordStored(entries),
       onLeadershipConfirmed,
       onFenced
     })
@@ -186,7 +191,7 @@
       const records = await store.list(keys.progress)
       const states = await store.list(keys.states)
       if (records.kind === 'ok' && states.kind === 'ok') {
-        for (const value of records.values) this._storedProgress.set(value.key.slice(keys.progress.length), value)
+        for (const value of records.values) this._storedProgress.add(value)
         for (const value of states.values) this._recordStoredState(value.key.slice(keys.states.length), value)
         logger.info({ epoch: this._dependencies.epoch, records: records.values.length, states: states.values.length }, 'loaded progress records and job states')
         return
@@ -198,8 +203,12 @@
   private _recordStoredState (jobId: string, value: StoredValue): void {
     const state = decodeJobState(value.value)
     if (state === undefined) return
+    this._recordState(jobId, state)
+  }
+
+  private _recordState (jobId: string, state: JobStateRecord): void {
     this._states.set(jobId, state)
-    this._writer.recordStoredProgress(jobId, this._storedProgress.get(jobId)?.modRevision ?? 0, state.phase)
+    for (const [part, revision] of this._storedProgress.listRevisions(jobId)) this._writer.recordStoredProgress(jobId, revision, state.phase, part)
   }
 
   /** Applies records that entries have written. There may be any number of them, so they are applied in slices of time. */
@@ -231,11 +240,7 @@
       this._jobsToRemove.add(jobId)
       return
     }
-    if (!this._states.has(jobId)) {
-      const state = createQueuedJobState(graph)
-      this._states.set(jobId, state)
-      this._writer.recordStoredProgress(jobId, this._storedProgress.get(jobId)?.modRevision ?? 0, state.phase)
-    }
+    if (!this._states.has(jobId)) this._recordState(jobId, createQueuedJobState(graph))
     this._addJobWithProgress(graph, now)
   }
 
@@ -253,13 +258,12 @@
    * mind, since the job is listed again whenever the watch ends.
    */
   private _addJobWithProgress (graph: JobGraph, now: number): void {
-    const stored = this._storedProgress.get(graph.id)
-    const progress = stored === undefined ? undefined : decodeProgress(graph, stored.value)
-    if (stored !== undefined && progress === undefined) {
-      this._dependencies.logger.error({ job: graph.id, revision: stored.modRevision }, 'progress record of a job is unreadable; leaving the job alone')
+    const stored = this._storedProgress.read(graph)
+    if (stored.kind === 'unreadable') {
+      this._dependencies.logger.error({ job: graph.id, revision: stored.revision }, 'progress record of a job is unreadable; leaving the job alone')
       return
     }
-    this._planner.addJob(graph, progress, now)
+    this._planner.addJob(graph, stored.kind === 'read' ? stored.progress : undefined, now)
     this._storedProgress.delete(graph.id)
   }
 
@@ -295,8 +299,8 @@
     return state
   }
 
-  private _recordDurableJobs (jobs: readonly ChangedJob[]): void {
-    for (const job of jobs) this._planner.recordJobStored(job.jobId, job.version)
+  private _recordStored (entries: readonly BatchEntry[]): void {
+    for (const { job, records, removedParts } of entries) this._planner.recordJobStored(job.jobId, job.version, [...records.keys()], removedParts)
     this._reports.answerRequestsWithOrders()
   }
 
--- a/packages/daemon/src/jobPlanner/progressRecord.ts
+++ b/packages/daemon/src/jobPlanner/progressRecord.ts
@@ -1,8 +1,8 @@
 /**
  * Decodes the stored progress records of jobs. A record is taken whole or not at all: a run that is left out would be started a second time.
  */
-import { JobPhase, countOccurrences, isFinalPhase } from '@dragonflylever/core/graphs/index'
-import type { JobGraph, ProgressRecord, StepRecord } from '@dragonflylever/core/graphs/index'
+import { JobPhase, countOccurrences, isFinalPhase, joinRecords } from '@dragonflylever/core/graphs/index'
+import type { HeadRecord, JobGraph, PartRecord, ProgressRecord, StepRecord, StepSlice } from '@dragonflylever/core/graphs/index'
 import { parseJson } from '@dragonflylever/protocol'
 import * as z from 'zod'
 
@@ -14,15 +14,40 @@
 const progressSchema = z.object({ phase: z.enum(JobPhase), endedAt: z.number().optional(), occurrences: occurrencesSchema.optional(), steps: z.record(z.string().regex(/^\d{1,9}\.\d{1,9}$/), stepSchema) })
   .refine(({ phase, endedAt }) => endedAt === undefined || isFinalPhase(phase), 'only a job that has ended has an end')
 
-/** Decodes the progress record of a job; returns undefined if the text is not a valid record of this job. */
-export function decodeProgress (graph: JobGraph, text: string): ProgressRecord | undefined {
-  const checked = progressSchema.safeParse(parseJson(text))
-  if (!checked.success) return undefined
+const stepKey = z.string().regex(/^\d{1,9}\.\d{1,9}$/)
+const headSchema = z.object({ phase: z.enum(JobPhase), endedAt: z.number().optional(), occurrences: occurrencesSchema, partTasks: count })
+  .refine(({ phase, endedAt }) => endedAt === undefined || isFinalPhase(phase), 'only a job that has ended has an end')
+const partSchema = z.object({ steps: z.record(stepKey, stepSchema.extend({ from: count })) })
+
+/**
+ * Decodes the progress of a job from the record of its head and those of its other parts; returns undefined if one of them is not a valid record of this job. Parts of occurrences that the job
+ * does not hold any more are left out.
+ */
+export function decodeProgress (graph: JobGraph, text: string, partTexts: readonly string[] = []): ProgressRecord | undefined {
+  const json = parseJson(text)
+  const head = headSchema.safeParse(json)
+  if (head.success) return decodeParts(graph, head.data as HeadRecord, partTexts)
+  const checked = progressSchema.safeParse(json)
+  if (!checked.success || partTexts.length > 0) return undefined
   const record = checked.data as ProgressRecord
   const isWhole = hasPossibleOccurrences(graph, record) && Object.entries(record.steps).every(([key, step]) => isStepOf(graph, key, step))
   return isWhole ? record : undefined
 }
 
+function decodeParts (graph: JobGraph, head: HeadRecord, partTexts: readonly string[]): ProgressRecord | undefined {
+  if (!hasPossibleOccurrences(graph, { ...head, steps: {} })) return undefined
+  const held = new Set(head.occurrences.held)
+  const parts: PartRecord[] = []
+  for (const text of partTexts) {
+    const checked = partSchema.safeParse(parseJson(text))
+    if (!checked.success) return undefined
+    const steps = Object.entries((checked.data as PartRecord).steps).filter(([key]) => held.has(Number(key.split('.')[0])))
+    if (!steps.every(([key, slice]) => isSliceOf(graph, key, slice))) return undefined
+    parts.push({ steps: Object.fromEntries(steps) })
+  }
+  return joinRecords(graph, head, parts)
+}
+
 /** True for a stored task: done (0 or 1), failed runs, number of the last run, checkpoint, runs, ids of the workers on which it failed and, if there were any, crashes. */
 function isTaskRecord (value: unknown): boolean {
   if (!Array.isArray(value) || value.length < 6 || value.length > 7) return false
@@ -56,3 +81,9 @@
   const [occurrence = NaN, index = NaN] = key.split('.').map(Number)
   return occurrence < countOccurrences(graph) && graph.steps[index]?.count === step.tasks.length
 }
+
+/** True if a stored slice of a step lies within the tasks that the job's spec says. */
+function isSliceOf (graph: JobGraph, key: string, { from, tasks }: StepSlice): boolean {
+  const [occurrence = NaN, index = NaN] = key.split('.').map(Number)
+  return occurrence < countOccurrences(graph) && from + tasks.length <= (graph.steps[index]?.count ?? 0)
+}
--- a/packages/daemon/src/planner/plannerSession.ts
+++ b/packages/daemon/src/planner/plannerSession.ts
@@ -280,7 +280,7 @@
     const key = getJobRecordKey(this._dependencies.prefix, job.jobId)
     const outcome = await this._dependencies.store.put({ key, value: JSON.stringify(record), expect: { kind: 'revision', modRevision: expectedRevision }, ...lease })
     if (outcome.kind === 'ok') job.record = record
-    const result = outcome.kind === 'ok' ? { kind: 'ok' as const, revision: outcome.modRevision } : { kind: outcome.kind }
+    const result = outcome.kind === 'ok' ? { kind: 'ok' as const, revision: outcome.modRevision } : { kind: outcome.kind === 'rejected' ? 'unavailable' as const : outcome.kind }
     this._applyEvent(job, { kind: 'written', nonce: gang.nonce, result })
   }
 
--- a/packages/daemon/test/jobAgent/workerController.test.ts
+++ b/packages/daemon/test/jobAgent/workerController.test.ts
@@ -237,3 +237,14 @@
   while (controller.makeReport().running[0]?.percent !== 99) await sleep(5)
   t.is(controller.makeReport().running[0]?.msPerPercent, 40)
 })
+
+// Guards against the cause of review case 14: the record of a part of a job holds the checkpoints of its tasks, and the store refuses one that is too large.
+test('a checkpoint that is too long to be stored is left out, and others are reported as they are', async t => {
+  const worker = new ScriptedWorker()
+  const long = '\u0001'.repeat(171)
+  worker.lists = { born: 1, running: [{ task: 'j.0.0.0', run: 1, checkpoint: long, percent: 1, usage: 0 }, { task: 'j.0.0.1', run: 1, checkpoint: 'c'.repeat(1_000), percent: 1, usage: 0 }], ended: [{ number: 1, task: 'j.0.0.2', run: 1, how: 'stopped', checkpoint: long }] }
+  const controller = createController(t, worker)
+  while (controller.makeReport().running.length === 0) await sleep(5)
+  const { running, ended } = controller.makeReport()
+  t.deepEqual([...running, ...ended].map(({ checkpoint }) => checkpoint), ['', 'c'.repeat(1_000), ''])
+})
--- a/packages/daemon/test/jobPlanner/progressWriter.test.ts
+++ b/packages/daemon/test/jobPlanner/progressWriter.test.ts
@@ -3,7 +3,7 @@
  */
 import type { TransactOutcome, Transaction } from '@dragonflylever/adapters'
 import { ProgressWriter } from '@dragonflylever/daemon/jobPlanner/progressWriter'
-import { createLogger } from '@dragonflylever/runtime'
+import { NoMetrics, createLogger } from '@dragonflylever/runtime'
 import { MemoryStore } from '@dragonflylever/standins'
 import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
@@ -50,10 +50,12 @@
     leaderKey: LEADER_KEY,
     epoch: put.kind === 'ok' ? put.modRevision : 0,
     logger: createLogger({ level: 'silent', processId: 't' }),
-    listChangedJobs: () => changed.map((record, version) => ({ jobId: JOB, version, phase: 'running' as const, queue: 'q', organisation: 'o', record })),
+    listChangedJobs: () => changed.map((_, version) => ({ jobId: JOB, version, phase: 'running' as const, queue: 'q', organisation: 'o', parts: [''], droppedParts: [] })),
+    encodePart: () => changed[0],
+    metrics: new NoMetrics(),
     makeState: () => undefined,
-    onDurable: jobs => {
-      durable.push(...jobs.map(({ record }) => record))
+    onDurable: entries => {
+      durable.push(...entries.map(({ records }) => records.get('') ?? ''))
       changed.length = 0
     },
     onLeadershipConfirmed: () => {},
