Test that a refused record is found among the jobs of its transaction

The store of the test refuses smaller values, so that several jobs share a transaction with the refused one.

--- a/packages/daemon/test/jobPlanner/refusedRecords.test.ts
+++ b/packages/daemon/test/jobPlanner/refusedRecords.test.ts
@@ -18,6 +18,8 @@
 import { makeQueue, makeStep } from '../graphs/graphSimulation.js'
 
 const MAX_VALUE_BYTES = 1_048_576
+/** Size above which the store of these tests refuses a value, in bytes; so small that several jobs share a transaction with one that it refuses. */
+const MAX_STORED_BYTES = 64 * 1024
 const LEADER_KEY = 'leader'
 
 /** A store that refuses transactions with a value that is too large, and counts them. */
@@ -25,7 +27,7 @@
   refusals = 0
 
   override async transact (transaction: Transaction): Promise<TransactOutcome> {
-    if (!transaction.puts.some(({ value }) => value.length > MAX_VALUE_BYTES)) return super.transact(transaction)
+    if (!transaction.puts.some(({ value }) => value.length > MAX_STORED_BYTES)) return super.transact(transaction)
     this.refusals++
     return { kind: 'rejected', message: 'the store answered 400: too large' }
   }
@@ -71,7 +73,7 @@
 
 test.serial('a record that the store refuses holds up no other job, is tried again ever more rarely, and is stored once it is smaller', async t => {
   const { clock, store, changed, writer } = createFixture(t)
-  changed.set('large', 'x'.repeat(MAX_VALUE_BYTES + 1))
+  changed.set('large', 'x'.repeat(MAX_STORED_BYTES + 1))
   for (let job = 0; job < 5; job++) changed.set(`job-${job}`, 'progress')
   writer.flush()
   await clock.tickAsync(500)
