--- a/packages/daemon/src/jobPlanner/graphSession.ts
+++ b/packages/daemon/src/jobPlanner/graphSession.ts
@@ -10,7 +10,6 @@
 import { SlicedTasks } from '@dragonflylever/runtime'
 import type { ClockReading, Logger, Metrics } from '@dragonflylever/runtime'
 
-import { decodeNodeRecord } from '../storeRelay/nodeDirectory.js'
 import { AdmissionPublisher } from './admissionPublisher.js'
 import { EvacuationWatcher } from './evacuationWatcher.js'
 import type { EvacuationSettings } from './evacuationWatcher.js'
@@ -21,6 +20,7 @@
 import type { GraphKeys, JobStateRecord } from './graphKeys.js'
 import { decodeJobSpec } from './jobSpecRecord.js'
 import type { BatchEntry } from './progressBatches.js'
+import { announcePlanner } from './plannerAnnouncement.js'
 import { ProgressWriter } from './progressWriter.js'
 import { StoredProgress } from './storedProgress.js'
 
@@ -50,7 +50,6 @@
 const FENCES_PER_REMOVAL = 25
 /** Times at which the planner sends its address to agents that have not reported yet, in milliseconds after the start of the session. */
 const ANNOUNCE_DELAYS_MS = [400, 1_200, 3_000, 6_000]
-const ANNOUNCE_TIMEOUT_MS = 1_000
 
 /** Dependencies of {@link GraphSession}. */
 export interface GraphSessionDependencies {
@@ -143,7 +142,7 @@
     if (this._dependencies.isAdmissionOn === true) this._admission = new AdmissionPublisher({ ...this._dependencies, createForecast: () => this._planner.createAdmissionForecast(performance.now()) })
     this._timers.push(setInterval(() => this._schedulePass(), PASS_INTERVAL_MS))
     this._timers.push(setInterval(() => { void this._removeExpiredJobs() }, REMOVE_INTERVAL_MS))
-    for (const delayMs of ANNOUNCE_DELAYS_MS) this._timers.push(setTimeout(() => { void this._announcePlanner() }, delayMs))
+    for (const delayMs of ANNOUNCE_DELAYS_MS) this._timers.push(setTimeout(() => { void announcePlanner(this._dependencies, agent => this._reports.hasAgent(agent)) }, delayMs))
   }
 
   /** Accepts an agent's reports on its workers. Resolves with the orders for the workers as soon as there are any, or after `waitMs`. */
@@ -337,20 +336,6 @@
     }
     return expired
   }
-
-  /**
-   * Sends the planner's address to agents that have not reported yet: an agent without a connection to the store can't look up
-   * the leader itself.
-   */
-  private async _announcePlanner (): Promise<void> {
-    const { store, keys, peers, epoch, address, logger } = this._dependencies
-    const listed = await store.list(keys.nodes)
-    if (listed.kind !== 'ok' || this._isClosed) return
-    const missing = listed.values.filter(value => !this._reports.hasAgent(value.key.slice(keys.nodes.length)))
-    if (missing.length > 0) logger.info({ epoch, agents: missing.length }, 'announcing the planner to agents that have not reported')
-    const addresses = missing.flatMap(value => decodeNodeRecord(value.value)?.address ?? [])
-    await Promise.all(addresses.map(agent => peers.call(agent, 'plannerChanged', { epoch, address }, ANNOUNCE_TIMEOUT_MS)))
-  }
 }
 
 function listPuts (events: readonly WatchEvent[]): StoredValue[] {
