Let large jobs that can't start give their memory to others

Cause: with the limit of memory for large jobs, a few that no worker can run would have kept all further large jobs from starting.

Result: six jobs of 9,000 steps that can never start beside one of 2,000 tasks: all 2,000 run, and each of the six gave its memory up (largeJobs.test.ts).

--- a/packages/core/src/graphs/graphPlanner.ts
+++ b/packages/core/src/graphs/graphPlanner.ts
@@ -141,7 +141,7 @@
     const job = restoreJob(graph, progress, now)
     this._jobs.set(graph.id, job)
     this._options.log.note('job taken up', { job: graph.id, queue: graph.queue.name, organisation: graph.organisation, phase: job.phase, priority: graph.queue.priority, steps: graph.steps.slice(0, MAX_LOGGED_STEPS).map(describeStep), stepCount: graph.steps.length, ageMs: this._options.getWallTime() - graph.acceptedAt })
-    this._heldJobs.add(job)
+    this._heldJobs.add(job, now)
     for (const task of listTasks(job)) for (const run of [...task.runs]) this._registry.adoptRun(run, now)
     if (isFinalPhase(job.phase)) for (const task of listTasks(job)) for (const run of task.runs) this._runTracker.stop(run, `job ${job.phase}`, now)
     else this._runTimes.learnCoreSeconds(graph.queue.name, computeDeclaredCoreSeconds(job.graph.steps))
@@ -163,7 +163,7 @@
    * runs a scheduler pass. Returns false if the pass has left work to the next one, which should come soon.
    */
   plan (now: number): boolean {
-    this._heldJobs.update(this._jobs.values(), this._options.getWallTime())
+    this._heldJobs.update(this._jobs.values(), this._options.getWallTime(), now)
     this._registry.expireSilentWorkers(now)
     this._markNewCheckpoints(now)
     this._pass.run([...this._jobs.values()].filter(isActive), this._policy, now)
--- a/packages/core/src/graphs/waitingSteps.ts
+++ b/packages/core/src/graphs/waitingSteps.ts
@@ -13,8 +13,8 @@
 
 interface JobEntry {
   readonly version: number
-  /** Number of the job's next occurrence when the steps were listed. */
-  readonly nextOccurrence: number
+  /** The job's last occurrence when the steps were listed; its tasks may be created anew without a change that is stored. */
+  readonly lastOccurrence: readonly StepState[] | undefined
   readonly steps: readonly WaitingStep[]
   /** Index of the first step of the next pass. */
   next: number
@@ -56,8 +56,8 @@
 
   private _getEntry (job: JobState, now: number): JobEntry {
     const known = this._jobs.get(job)
-    if (known !== undefined && known.version === job.version && known.nextOccurrence === job.nextOccurrence) return known
-    const entry: JobEntry = { version: job.version, nextOccurrence: job.nextOccurrence, steps: listWaitingSteps(job, now), next: known?.next ?? 0 }
+    if (known !== undefined && known.version === job.version && known.lastOccurrence === job.occurrences.get(job.nextOccurrence - 1)) return known
+    const entry: JobEntry = { version: job.version, lastOccurrence: job.occurrences.get(job.nextOccurrence - 1), steps: listWaitingSteps(job, now), next: known?.next ?? 0 }
     this._jobs.set(job, entry)
     return entry
   }
--- a/packages/core/test/graphs/largeJobs.test.ts
+++ b/packages/core/test/graphs/largeJobs.test.ts
@@ -123,3 +123,13 @@
   for (let index = 0; index < 1_000; index++) addFailedWorker(task, `w${index}`)
   t.true(task.failedOn.size <= 16 && task.failedOn.has('w999'))
 })
+
+test('large jobs that can never start don\'t keep the memory from one that can, and all of them are tried in turn', t => {
+  const harness = new PlannerHarness([2])
+  const hopeless = Array.from({ length: 6 }, (_, index) => `hopeless-${index}`)
+  for (const id of hopeless) harness.addJob(id, Array.from({ length: 9_000 }, () => makeStep({ ...TINY, requiredLabel: 'none' })))
+  harness.addJob('large', [makeStep({ ...TINY, count: 2_000 })])
+  harness.run(20_000)
+  t.is(harness.workers.reduce((sum, { running }) => sum + running.length, 0), 2_000)
+  t.deepEqual(new Set(harness.listNotes('job gives memory up').map(({ job }) => job)), new Set(hopeless))
+})
