Remove the spec of an ended job last

Cause: the records of a job of many parts are removed in several transactions, and the spec stood in front of the head, the cancellation and the fence, so that it could go before them. If the planner changed in between, nobody found these records any more.

Change: the spec stands last. The new test in progressWriter.test.ts interrupts the second transaction; it fails with the old order and passes with the new one.

--- a/packages/daemon/src/jobPlanner/progressWriter.ts
+++ b/packages/daemon/src/jobPlanner/progressWriter.ts
@@ -95,9 +95,9 @@
     const removed: string[] = []
     for (const jobId of jobIds) {
       const parts = [...this._storedRevisions.get(jobId)?.keys() ?? []].filter(part => part !== HEAD_PART)
-      const removes = [...parts.map(part => keys.getProgressKey(jobId, part)), keys.getSpecKey(jobId), keys.getProgressKey(jobId), keys.getCancelKey(jobId), keys.getFenceKey(jobId)]
+      const removes = [...parts.map(part => keys.getProgressKey(jobId, part)), keys.getProgressKey(jobId), keys.getCancelKey(jobId), keys.getFenceKey(jobId), keys.getSpecKey(jobId)]
       let isRemoved = true
-      // The spec goes last: without it nobody would look for the other records.
+      // The spec goes last: without it no later planner would look for the other records.
       for (let start = 0; start < removes.length && isRemoved; start += KEYS_PER_REMOVAL) {
         const outcome = await store.transact({ expect: [{ key: leaderKey, modRevision: epoch }], puts: [], removes: removes.slice(start, start + KEYS_PER_REMOVAL) })
         isRemoved = outcome.kind === 'ok'
--- a/packages/daemon/test/jobPlanner/progressWriter.test.ts
+++ b/packages/daemon/test/jobPlanner/progressWriter.test.ts
@@ -117,3 +117,18 @@
   t.is(readProgress(store), 'third')
   t.is(durable.at(-1), 'third')
 })
+
+test.serial('a large job whose removal is interrupted keeps its spec, by which a later planner finds the records that are left', async t => {
+  const { store, writer } = createFixture(t)
+  const parts = Array.from({ length: 29 }, (_, index) => `0.${index}`)
+  for (const key of [KEYS.getSpecKey(JOB), KEYS.getProgressKey(JOB), ...parts.map(part => KEYS.getProgressKey(JOB, part))]) store.engine.put({ key, value: 'x', expect: { kind: 'absent' } })
+  for (const part of ['', ...parts]) writer.recordStoredProgress(JOB, 1, 'completed', part)
+  const { transact } = store
+  let calls = 0
+  store.transact = transaction => ++calls === 2 ? Promise.resolve({ kind: 'unavailable', message: 'interrupted' }) : transact.call(store, transaction)
+  t.deepEqual(await writer.remove([JOB]), [])
+  t.not(store.engine.get(KEYS.getSpecKey(JOB)), undefined)
+  t.deepEqual(await writer.remove([JOB]), [JOB])
+  t.deepEqual(store.engine.list(KEYS.progress), [])
+  t.is(store.engine.get(KEYS.getSpecKey(JOB)), undefined)
+})
