--- a/packages/bench/src/capacity/fitLine.ts
+++ b/packages/bench/src/capacity/fitLine.ts
@@ -7,6 +7,9 @@
   readonly y: number
 }
 
+/** Lower bound of the values of a fit over logarithms, since zero has none. */
+const MIN_VALUE = 1e-6
+
 /** Returns the slope and intercept of the line; the slope is 0 when all `x` are equal. */
 export function fitLine (points: readonly Point[]): { slope: number, intercept: number } {
   const meanX = computeMean(points.map(point => point.x))
@@ -16,6 +19,11 @@
   return { slope, intercept: meanY - slope * meanX }
 }
 
+/** Returns the exponent with which `y` grows with `x`: the slope over the logarithms. */
+export function fitExponent (points: readonly Point[]): number {
+  return fitLine(points.map(({ x, y }) => ({ x: Math.log(x), y: Math.log(Math.max(y, MIN_VALUE)) }))).slope
+}
+
 function computeMean (values: readonly number[]): number {
   return values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length
 }
--- a/packages/bench/src/graphs/passSlopesBench.ts
+++ b/packages/bench/src/graphs/passSlopesBench.ts
@@ -2,11 +2,12 @@
  * What a scheduler pass and a report cost as one dimension of the load grows: the steps or tasks of a job, the jobs, or the runs of a worker.
  */
 import { GraphPlanner } from '@dragonflylever/core/graphs/index'
-import type { JobGraph, PlannerTimes, RunListing, StepSpec, WorkerReport } from '@dragonflylever/core/graphs/index'
+import type { JobGraph, RunListing, StepSpec, WorkerReport } from '@dragonflylever/core/graphs/index'
 
 import type { Bench, BenchOptions } from '../bench.js'
-import { fitLine } from '../capacity/fitLine.js'
+import { fitExponent } from '../capacity/fitLine.js'
 import { computeQuantile, roundDigits } from '../gangs/completionBench.js'
+import { TIMES } from './simulatedFleet.js'
 
 const SIZES = [500, 1_000, 2_000, 4_000, 8_000]
 const QUICK_SIZES = [500, 1_000, 2_000]
@@ -14,7 +15,6 @@
 const PASSES = 12
 const PASS_MS = 100
 const WALL_START_MS = 1_700_000_000_000
-const TIMES: PlannerTimes = { runLeaseMs: 6_000, minClockRate: 0.98, runLeaseMarginMs: 500, formerLeaderMs: 2_000, reportTimeoutMs: 2_500, startConfirmMs: 1_800, stopGraceMs: 400, reclaimMs: 2_900, remoteFactor: 3, checkpointMs: 2_000, retentionMs: 240_000 }
 const STEP: StepSpec = { count: 1, cpuMillis: 1, memoryMb: 0, accelerators: 0, estimatedMs: 60_000, after: [], isCheckpointing: false, isGang: false, isSameRack: false, isSpeculative: false, isLongRunning: false, isFilling: false, mayMiss: 0 }
 
 /** A shape of load; `size` is its one dimension that grows. */
@@ -80,7 +80,7 @@
     const reports = turns.map(({ reportMs }) => reportMs)
     return { size, passMsMedian: roundDigits(computeQuantile(passes, 0.5)), passMsMax: roundDigits(Math.max(...passes)), reportsMsMax: roundDigits(Math.max(...reports)) }
   })
-  const exponent = fitLine(rows.map(({ size, passMsMedian }) => ({ x: Math.log(size), y: Math.log(Math.max(passMsMedian, 0.001)) }))).slope
+  const exponent = fitExponent(rows.map(({ size, passMsMedian }) => ({ x: size, y: passMsMedian })))
   return { name, rows, medianGrowthExponent: roundDigits(exponent) }
 }
 
--- a/packages/bench/src/graphs/planPassBench.ts
+++ b/packages/bench/src/graphs/planPassBench.ts
@@ -2,7 +2,7 @@
  * Scheduler pass experiment: what a pass of the planner of job graphs costs as the fleet and its load grow, and what clients get.
  */
 import type { Bench, BenchOptions } from '../bench.js'
-import { fitLine } from '../capacity/fitLine.js'
+import { fitExponent } from '../capacity/fitLine.js'
 import { computeQuantile, roundDigits } from '../gangs/completionBench.js'
 import { makeGraphLoad } from './graphWorkload.js'
 import { JobResult } from './jobScore.js'
@@ -14,8 +14,6 @@
 const SECONDS = 45
 /** Load relative to that for which the fleet is built; with the burst, more than the fleet can serve. */
 const LOAD = 1.3
-/** Lower bound of the values of a fit, since zero has no logarithm. */
-const MIN_VALUE = 1e-6
 const BURST = { fromMs: 2_000, toMs: 8_000, factor: 2.2 }
 
 function measureSize (workers: number, seed: number): { readonly workers: number, readonly passMsMedian: number, readonly [name: string]: number } {
@@ -38,18 +36,13 @@
   }
 }
 
-/** Fits the exponent with which a value grows with the number of workers: the slope over the logarithms. */
-function fitExponent (points: ReadonlyArray<{ readonly workers: number, readonly value: number }>): number {
-  return fitLine(points.map(({ workers, value }) => ({ x: Math.log(workers), y: Math.log(Math.max(value, MIN_VALUE)) }))).slope
-}
-
 async function runBench (options: BenchOptions): Promise<object> {
   const sizes = []
   for (const workers of options.isQuick ? QUICK_SIZES : SIZES) {
     options.printProgress(`${workers} workers`)
     sizes.push(measureSize(workers, options.seed))
   }
-  return { load: LOAD, sizes, medianGrowthExponent: roundDigits(fitExponent(sizes.map(size => ({ workers: size.workers, value: size.passMsMedian })))) }
+  return { load: LOAD, sizes, medianGrowthExponent: roundDigits(fitExponent(sizes.map(size => ({ x: size.workers, y: size.passMsMedian })))) }
 }
 
 export const planPassBench: Bench = {
--- a/packages/bench/src/graphs/simulatedFleet.ts
+++ b/packages/bench/src/graphs/simulatedFleet.ts
@@ -27,7 +27,8 @@
 /** Number of times that a client tries to submit a job. */
 const MAX_ATTEMPTS = 5
 
-const TIMES: PlannerTimes = {
+/** Times of the planner in these experiments. */
+export const TIMES: PlannerTimes = {
   runLeaseMs: 6_000,
   minClockRate: 0.98,
   runLeaseMarginMs: 500,
--- a/packages/core/src/graphs/objectiveOrder.ts
+++ b/packages/core/src/graphs/objectiveOrder.ts
@@ -61,14 +61,14 @@
   private _rankOccurrence (waiting: WaitingStep, now: number): Rank {
     const { job } = waiting.step
     const { queue } = job.graph
-    const { remainingChainMs: chainMs, remainingCoreSeconds } = this._occurrenceTimes.get(waiting.step, now)
+    const { chainMs, coreSeconds } = this._occurrenceTimes.getRemaining(waiting.step, now)
     const wallTime = this._dependencies.getWallTime()
     const slackMs = computeSlackMs(job.graph, waiting.step.occurrence, chainMs, wallTime)
     if (queue.priority === 0 && slackMs >= 0) return { tier: Tier.urgent, key: slackMs }
     const ageMs = wallTime - getDueTime(job.graph, waiting.step.occurrence)
     const isWorthless = MAX_LATE_FACTOR * computeObjectiveMs(queue, chainMs) < ageMs + chainMs
     const tier = isWorthless ? Tier.worthless : queue.priority === 0 ? Tier.urgentLate : Tier.other
-    return { tier, key: -this._computeValueDensity(remainingCoreSeconds, queue) }
+    return { tier, key: -this._computeValueDensity(coreSeconds, queue) }
   }
 
   private _computeValueDensity (coreSeconds: number, queue: QueuePolicy): number {
--- a/packages/core/src/graphs/recordPart.ts
+++ b/packages/core/src/graphs/recordPart.ts
@@ -21,7 +21,7 @@
 }
 
 /** `T` is the type of the tasks. */
-export class RecordPart<T = unknown> {
+export class RecordPart<T> {
   readonly name: string
   /** Tasks of the part, in the order of the steps; empty for the head. */
   readonly tasks: T[] = []
--- a/packages/core/src/graphs/releaseAvoidance.ts
+++ b/packages/core/src/graphs/releaseAvoidance.ts
@@ -48,7 +48,7 @@
     for (const { step, since } of waiting) {
       if (step.spec.isCheckpointing || step.spec.isLongRunning) continue
       if (this._dependencies.isStarved(step) && now - since > MAX_STARVED_WAIT_MS) continue
-      const { remainingChainMs: chainMs } = this._occurrenceTimes.get(step, now)
+      const { chainMs } = this._occurrenceTimes.getRemaining(step, now)
       const slackMs = computeSlackMs(step.job.graph, step.occurrence, chainMs, wallTime)
       if (slackMs > chainMs * MIN_SLACK_SHARE) this._steps.set(step, this._dependencies.runTimes.estimateRunTime(step))
     }
--- a/packages/core/src/graphs/runSet.ts
+++ b/packages/core/src/graphs/runSet.ts
@@ -11,11 +11,11 @@
   }
 
   add (run: RunState): void {
-    this._runs.set(makeRunKey({ task: run.task.name, run: run.number }), run)
+    this._runs.set(getRunKey(run), run)
   }
 
   delete (run: RunState): void {
-    const key = makeRunKey({ task: run.task.name, run: run.number })
+    const key = getRunKey(run)
     if (this._runs.get(key) === run) this._runs.delete(key)
   }
 
@@ -29,6 +29,11 @@
   }
 }
 
+/** Returns the key of a run, see {@link makeRunKey}. */
+export function getRunKey (run: RunState): string {
+  return makeRunKey({ task: run.task.name, run: run.number })
+}
+
 /** Returns a key that identifies a run among the runs of one worker. */
 export function makeRunKey (run: { readonly task: string, readonly run: number }): string {
   return `${run.task}/${run.run}`
--- a/packages/core/src/graphs/runStops.ts
+++ b/packages/core/src/graphs/runStops.ts
@@ -28,6 +28,7 @@
  * started need seconds of processor time before they answer.
  */
 const SINGLE_CONFIRM_FACTOR = 2
+
 export class RunStops {
   private readonly _dependencies: RunStopsDependencies
   /** Whether gangs make progress, by step, as far as the pass has asked. */
--- a/packages/core/src/graphs/speedFit.ts
+++ b/packages/core/src/graphs/speedFit.ts
@@ -149,7 +149,7 @@
     const { graph } = step.job
     const runMs = Math.max(1, runTimes.estimateRunTime(step))
     if (step.spec.isLongRunning) return { leftMs: Infinity, runMs, isObjective: true }
-    const { chainMs, tailsMs } = this._occurrenceTimes.get(step, this._now)
+    const { chainMs, tailsMs } = this._occurrenceTimes.getChains(step, this._now)
     const objectiveMs = computeObjectiveMs(graph.queue, chainMs)
     const usedMs = getWallTime() - getDueTime(graph, step.occurrence) + (tailsMs[step.index] ?? 0)
     const isEnough = (leftMs: number): boolean => leftMs - START_MS >= runMs * this._fastestFactor
--- a/packages/core/src/graphs/waitingSteps.ts
+++ b/packages/core/src/graphs/waitingSteps.ts
@@ -2,6 +2,7 @@
  * Selects the waiting steps that a scheduler pass considers. A job contributes a limited number of steps, and a step a limited number of tasks; those of a
  * larger job take turns. What a job waits for is listed anew only after the job has changed, so that waiting costs little.
  */
+import { listInTurn } from '../listInTurn.js'
 import type { JobState, StepState } from './jobState.js'
 import { listWaitingSteps } from './waitingStep.js'
 import type { WaitingStep } from './waitingStep.js'
@@ -51,7 +52,7 @@
     this._isIncomplete = true
     const first = next % steps.length
     entry.next = first + MAX_STEPS_PER_JOB
-    return [...steps.slice(first, first + MAX_STEPS_PER_JOB), ...steps.slice(0, Math.max(0, first + MAX_STEPS_PER_JOB - steps.length))]
+    return listInTurn(steps, first, MAX_STEPS_PER_JOB)
   }
 
   private _getEntry (job: JobState, now: number): JobEntry {
@@ -68,6 +69,6 @@
     this._isIncomplete = true
     const first = (this._nextTasks.get(step) ?? 0) % tasks.length
     this._nextTasks.set(step, first + MAX_TASKS_PER_STEP)
-    return { ...waiting, tasks: [...tasks.slice(first, first + MAX_TASKS_PER_STEP), ...tasks.slice(0, Math.max(0, first + MAX_TASKS_PER_STEP - tasks.length))] }
+    return { ...waiting, tasks: listInTurn(tasks, first, MAX_TASKS_PER_STEP) }
   }
 }
--- a/packages/core/src/graphs/workerRegistry.ts
+++ b/packages/core/src/graphs/workerRegistry.ts
@@ -13,7 +13,7 @@
 import type { PlannerTimes } from './plannerTimes.js'
 import type { RunTracker } from './runTracker.js'
 import { recordProgress } from './runProgress.js'
-import { makeRunKey } from './runSet.js'
+import { getRunKey, makeRunKey } from './runSet.js'
 import { parseTaskName } from './taskName.js'
 import type { TaskName } from './taskName.js'
 import { OrderStatus } from './workerReport.js'
@@ -206,7 +206,11 @@
     for (const key of [...worker.orphanedRuns.keys()]) if (!listed.has(key) && !pending.has(key)) worker.orphanedRuns.delete(key)
     if (report.hasMoreEnds === true) return
     const accepted = new Set(report.orders.filter(({ status }) => status === OrderStatus.accepted).map(makeRunKey))
-    for (const run of [...worker.runs]) if (!accepted.has(makeRunKey({ task: run.task.name, run: run.number }))) this._stopUnlistedRun(run, listed, now)
+    for (const run of worker.runs) {
+      const key = getRunKey(run)
+      // The answer to the stop confirms that the run is gone.
+      if (run.phase === RunPhase.running && !listed.has(key) && !accepted.has(key)) this._dependencies.runTracker.stop(run, 'its worker no longer lists it', now)
+    }
   }
 
   private _acceptRunListing (worker: WorkerState, listing: RunListing, ended: ReadonlySet<string>, now: number): void {
@@ -230,12 +234,6 @@
     this._dependencies.log.note('stray run', { task, run, worker: worker.key.id, reason })
   }
 
-  /** Stops a run that the worker lists neither as running nor as ended; the answer to the stop confirms that the run is gone. */
-  private _stopUnlistedRun (run: RunState, listed: ReadonlySet<string>, now: number): void {
-    if (run.phase !== RunPhase.running || listed.has(makeRunKey({ task: run.task.name, run: run.number }))) return
-    this._dependencies.runTracker.stop(run, 'its worker no longer lists it', now)
-  }
-
   private _acceptOrderListings (worker: WorkerState, orders: readonly OrderListing[], now: number): void {
     for (const order of orders) {
       const run = worker.runs.find(makeRunKey(order))
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from './attemptTracker.js'
 export * from './fifoQueue.js'
+export * from './listInTurn.js'
 export * from './outcome.js'
 export * from './random.js'
 export * from './requestQueue.js'
--- a/packages/daemon/src/fleet/ring.ts
+++ b/packages/daemon/src/fleet/ring.ts
@@ -4,6 +4,7 @@
  */
 import { createHash } from 'node:crypto'
 
+import { listInTurn } from '@dragonflylever/core'
 import type { Member } from '@dragonflylever/protocol'
 
 const FAN_OUT = 4
@@ -14,15 +15,14 @@
   const others = members.filter(member => member.id !== id).map(member => ({ member, position: computePosition(member.id) }))
   others.sort((a, b) => a.position < b.position ? -1 : 1)
   const first = others.findIndex(({ position }) => position > own)
-  const ordered = first <= 0 ? others : [...others.slice(first), ...others.slice(0, first)]
-  return ordered.map(({ member }) => member)
+  return listInTurn(others, Math.max(0, first)).map(({ member }) => member)
 }
 
 /** Returns the members to which the member `id` forwards updates, in a tree with the registrar as its root. */
 export function listTreeChildren (members: readonly Member[], registrarId: string, id: string): Member[] {
   const sorted = [...members].sort((a, b) => a.id < b.id ? -1 : 1)
   const root = sorted.findIndex(member => member.id === registrarId)
-  const ordered = root <= 0 ? sorted : [...sorted.slice(root), ...sorted.slice(0, root)]
+  const ordered = listInTurn(sorted, Math.max(0, root))
   const index = ordered.findIndex(member => member.id === id)
   if (index < 0) return []
   return ordered.slice(index * FAN_OUT + 1, index * FAN_OUT + 1 + FAN_OUT)
--- a/packages/daemon/src/jobAgent/callQueue.ts
+++ b/packages/daemon/src/jobAgent/callQueue.ts
@@ -8,8 +8,7 @@
 
 export class CallQueue {
   private readonly _maxCalls: number
-  private _waiting: QueuedCall[] = []
-  private _next = 0
+  private readonly _waiting: QueuedCall[] = []
   private _active = 0
   private readonly _timers = new Set<NodeJS.Timeout>()
   private _isClosed = false
@@ -19,11 +18,6 @@
     this._maxCalls = maxCalls
   }
 
-  /** Number of calls that wait, also for their repetition. */
-  get size (): number {
-    return this._waiting.length - this._next + this._timers.size
-  }
-
   add (call: QueuedCall): void {
     if (this._isClosed) return
     this._waiting.push(call)
@@ -35,17 +29,13 @@
     this._isClosed = true
     for (const timer of this._timers) clearTimeout(timer)
     this._timers.clear()
-    this._waiting = []
-    this._next = 0
+    this._waiting.length = 0
   }
 
   private _makeCalls (): void {
-    while (this._active < this._maxCalls && this._next < this._waiting.length) {
-      const call = this._waiting[this._next++] as QueuedCall
-      if (this._next === this._waiting.length) {
-        this._waiting = []
-        this._next = 0
-      }
+    while (this._active < this._maxCalls) {
+      const call = this._waiting.shift()
+      if (call === undefined) return
       void this._makeCall(call)
     }
   }
--- a/packages/daemon/src/jobAgent/orderCalls.ts
+++ b/packages/daemon/src/jobAgent/orderCalls.ts
@@ -52,7 +52,6 @@
   private readonly _starts = new CallQueue(MAX_START_CALLS)
   /** Calls that stop or throttle runs; they don't wait for starts. */
   private readonly _stops = new CallQueue(MAX_STOP_CALLS)
-  private _isClosed = false
 
   constructor (dependencies: OrderCallsDependencies) {
     this._dependencies = dependencies
@@ -67,7 +66,6 @@
   }
 
   close (): void {
-    this._isClosed = true
     this._starts.close()
     this._stops.close()
   }
@@ -81,7 +79,6 @@
   /** Makes one attempt to start a run. Resolves with the delay of the next one in milliseconds, or with undefined if none is needed. */
   private async _tryStart (start: StartOrder, epoch: number, validity: StartValidity | undefined, attempts: OrderAttempts): Promise<number | undefined> {
     const { task, run } = start
-    if (this._isClosed) return undefined
     if (!this._dependencies.orders.isStarting(task, run)) return this._dependencies.onStartEnded()
     if (validity?.isOver === true) {
       this._dependencies.logger.warn({ task, run, worker: this._dependencies.workerId, ageMs: Math.round(validity.ageMs), wasUnanswered: attempts.wasUnanswered }, 'start of a run is too old to be sent')
@@ -134,7 +131,6 @@
 
   /** Makes one attempt to stop a run; see {@link _tryStart}. */
   private async _tryStop (task: string, run: number, attempts: OrderAttempts): Promise<number | undefined> {
-    if (this._isClosed) return undefined
     const outcome = await this._dependencies.worker.stop(task, run, this._dependencies.getEpoch())
     this._dependencies.onOutcome(outcome)
     if (outcome.kind === 'otherIncarnation') {
--- a/packages/daemon/src/jobAgent/plannerLink.ts
+++ b/packages/daemon/src/jobAgent/plannerLink.ts
@@ -133,8 +133,9 @@
     this._lastReportBytes = bytes
     metrics.gauge('report_bytes', bytes)
     metrics.gauge('report_workers_left_out', leftOut)
-    if (shortened > 0) metrics.count('reports_shortened', shortened)
-    if (shortened > 0) logger.warn({ workers: reports.length, bytes, shortened }, 'the lists of a worker exceed a report; reporting a part of them')
+    if (shortened === 0) return
+    metrics.count('reports_shortened', shortened)
+    logger.warn({ workers: reports.length, bytes, shortened }, 'the lists of a worker exceed a report; reporting a part of them')
   }
 
   /** Sends less in the next calls, as the planner would refuse the same call again. */
--- a/packages/daemon/src/jobAgent/reportBatch.ts
+++ b/packages/daemon/src/jobAgent/reportBatch.ts
@@ -3,19 +3,18 @@
  * the next call. After the planner has refused a call for its contents, the next calls carry less, down to one report each, so that one report that it
  * can't take doesn't keep the others from it.
  */
+import { listInTurn } from '@dragonflylever/core'
 import type { WorkerReport } from '@dragonflylever/core/graphs/index'
-import { MAX_CALL_BYTES } from '@dragonflylever/protocol'
+import { MAX_CALL_BYTES, MAX_JSON_CHARACTER_BYTES } from '@dragonflylever/protocol'
 
 /** Maximum size of the reports of one call, in bytes; leaves room for the rest of the call. */
-export const MAX_REPORT_BYTES = MAX_CALL_BYTES * 3 / 4
+const MAX_REPORT_BYTES = MAX_CALL_BYTES * 3 / 4
 /** The limit is not halved below this size, in bytes; calls that were still refused carry one report each. */
 const MIN_REPORT_BYTES = 4_096
 /** Upper bound on the size of the names of the fields and the numbers of a listed run or order, in bytes. */
 const LISTING_BYTES = 200
 /** Upper bound on the size of the fields of a report outside its lists, in bytes: they hold a worker's announcement. */
 const HEADER_BYTES = 8_192
-/** Maximum size of a character in JSON, in bytes. */
-const MAX_CHARACTER_BYTES = 6
 
 /** Reports of one call. */
 export interface ReportSelection {
@@ -39,7 +38,7 @@
     const reports: WorkerReport[] = []
     let bytes = 0
     let shortened = 0
-    for (const report of [...all.slice(first), ...all.slice(0, first)]) {
+    for (const report of listInTurn(all, first)) {
       const fitted = cutReport(report, MAX_REPORT_BYTES)
       const size = measureReport(fitted, MAX_REPORT_BYTES - bytes)
       if (reports.length > 0 && bytes + size > this._maxBytes) {
@@ -77,7 +76,7 @@
     listings++
     characters += task.length
   }
-  const bound = HEADER_BYTES + listings * LISTING_BYTES + characters * MAX_CHARACTER_BYTES
+  const bound = HEADER_BYTES + listings * LISTING_BYTES + characters * MAX_JSON_CHARACTER_BYTES
   return bound <= limit ? bound : Buffer.byteLength(JSON.stringify(report))
 }
 
--- a/packages/daemon/src/jobAgent/workerController.ts
+++ b/packages/daemon/src/jobAgent/workerController.ts
@@ -4,6 +4,7 @@
  */
 import type { HoldResult, RunOutcome, RunWorker } from '@dragonflylever/adapters'
 import type { CrashListing, EndListing, RunListing, RunName, WorkerOrders, WorkerReport } from '@dragonflylever/core/graphs/index'
+import { MAX_JSON_CHARACTER_BYTES } from '@dragonflylever/protocol'
 import type { Logger } from '@dragonflylever/runtime'
 
 import { OrderCalls } from './orderCalls.js'
@@ -53,8 +54,6 @@
 const CRASH_SUSPECT_MS = 1_000
 /** Maximum size of a checkpoint in JSON, in bytes; those of real workers have some dozen. */
 const MAX_CHECKPOINT_BYTES = 1_024
-/** Maximum size of a character in JSON, in bytes. */
-const MAX_CHARACTER_BYTES = 6
 
 export class WorkerController {
   private readonly _dependencies: WorkerControllerDependencies
@@ -324,5 +323,5 @@
 }
 
 function isTooLong (checkpoint: string): boolean {
-  return checkpoint.length * MAX_CHARACTER_BYTES > MAX_CHECKPOINT_BYTES && Buffer.byteLength(JSON.stringify(checkpoint)) > MAX_CHECKPOINT_BYTES
+  return checkpoint.length * MAX_JSON_CHARACTER_BYTES > MAX_CHECKPOINT_BYTES && Buffer.byteLength(JSON.stringify(checkpoint)) > MAX_CHECKPOINT_BYTES
 }
--- a/packages/daemon/src/jobPlanner/progressBatches.ts
+++ b/packages/daemon/src/jobPlanner/progressBatches.ts
@@ -3,6 +3,7 @@
  * job stands in front of all others. A job whose records the store refuses is written by itself, and again after delays that grow.
  */
 import { MAX_KEYS_PER_TRANSACTION } from '@dragonflylever/adapters'
+import { listInTurn } from '@dragonflylever/core'
 import { HEAD_PART } from '@dragonflylever/core/graphs/index'
 import type { ChangedJob } from '@dragonflylever/core/graphs/index'
 
@@ -94,8 +95,7 @@
 
   /** Lists the jobs beginning with the one after the last that was written. */
   private _listInTurn (jobs: readonly ChangedJob[]): readonly ChangedJob[] {
-    const next = jobs.findIndex(({ jobId }) => jobId === this._lastJobId) + 1
-    return [...jobs.slice(next), ...jobs.slice(0, next)]
+    return listInTurn(jobs, jobs.findIndex(({ jobId }) => jobId === this._lastJobId) + 1)
   }
 }
 
--- a/packages/daemon/src/jobPlanner/progressRecord.ts
+++ b/packages/daemon/src/jobPlanner/progressRecord.ts
@@ -11,12 +11,10 @@
 const tasksSchema = z.custom<StepRecord['tasks']>(value => Array.isArray(value) && value.every(isTaskRecord))
 const stepSchema = z.object({ failures: count, failedRun: count, tasks: tasksSchema })
 const occurrencesSchema = z.object({ next: count, held: z.array(count) })
-const progressSchema = z.object({ phase: z.enum(JobPhase), endedAt: z.number().optional(), occurrences: occurrencesSchema.optional(), steps: z.record(z.string().regex(/^\d{1,9}\.\d{1,9}$/), stepSchema) })
-  .refine(({ phase, endedAt }) => endedAt === undefined || isFinalPhase(phase), 'only a job that has ended has an end')
-
 const stepKey = z.string().regex(/^\d{1,9}\.\d{1,9}$/)
-const headSchema = z.object({ phase: z.enum(JobPhase), endedAt: z.number().optional(), occurrences: occurrencesSchema, partTasks: count })
-  .refine(({ phase, endedAt }) => endedAt === undefined || isFinalPhase(phase), 'only a job that has ended has an end')
+const jobFields = { phase: z.enum(JobPhase), endedAt: z.number().optional() }
+const progressSchema = z.object({ ...jobFields, occurrences: occurrencesSchema.optional(), steps: z.record(stepKey, stepSchema) }).refine(hasPossibleEnd)
+const headSchema = z.object({ ...jobFields, occurrences: occurrencesSchema, partTasks: count }).refine(hasPossibleEnd)
 const partSchema = z.object({ steps: z.record(stepKey, stepSchema.extend({ from: count })) })
 
 /**
@@ -76,14 +74,23 @@
   return occurrences.next <= countOccurrences(graph) && occurrences.held.every(number => number < occurrences.next) && Object.keys(steps).every(key => held.has(Number(key.split('.')[0])))
 }
 
+/** True unless a job has an end that has not ended. */
+function hasPossibleEnd ({ phase, endedAt }: { readonly phase: JobPhase, readonly endedAt?: number | undefined }): boolean {
+  return endedAt === undefined || isFinalPhase(phase)
+}
+
 /** True if a stored step has the place and the number of tasks that the job's spec says. */
-function isStepOf (graph: JobGraph, key: string, step: StepRecord): boolean {
-  const [occurrence = NaN, index = NaN] = key.split('.').map(Number)
-  return occurrence < countOccurrences(graph) && graph.steps[index]?.count === step.tasks.length
+function isStepOf (graph: JobGraph, key: string, { tasks }: StepRecord): boolean {
+  return findTaskCount(graph, key) === tasks.length
 }
 
 /** True if a stored slice of a step lies within the tasks that the job's spec says. */
 function isSliceOf (graph: JobGraph, key: string, { from, tasks }: StepSlice): boolean {
+  return from + tasks.length <= (findTaskCount(graph, key) ?? 0)
+}
+
+/** Returns the number of tasks of the step with a key, by the job's spec; undefined if the job has no such step. */
+function findTaskCount (graph: JobGraph, key: string): number | undefined {
   const [occurrence = NaN, index = NaN] = key.split('.').map(Number)
-  return occurrence < countOccurrences(graph) && from + tasks.length <= (graph.steps[index]?.count ?? 0)
+  return occurrence < countOccurrences(graph) ? graph.steps[index]?.count : undefined
 }
--- a/packages/daemon/test/graphs/unlistedEnds.test.ts
+++ b/packages/daemon/test/graphs/unlistedEnds.test.ts
@@ -9,6 +9,7 @@
 import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
 
+import { makeAnnouncement } from '../jobAgent/announcementFixture.js'
 import { makeStep } from './graphSimulation.js'
 import type { GraphSimulation, SimulatedJob } from './graphSimulation.js'
 import { runScenario } from './runScenario.js'
@@ -72,8 +73,7 @@
     },
     close: () => {}
   }
-  const announcement = { id: 'w', born: 1, address: 'a', service: 's', rack: 'r', labels: [], failureDomain: 'd', capacity: { cpuMillis: 1, memoryMb: 1, accelerators: 1 }, isDraining: false, drainLeftMs: undefined, clockMs: 0, sequence: 1 }
-  const controller = new WorkerController(announcement, { worker, region: 'r', logger: createLogger({ level: 'silent', processId: 't' }), runLeaseMs: 6_000, epoch: 0, listRecentCrashes: () => [], onChange: () => {}, onOtherIncarnation: () => {} })
+  const controller = new WorkerController(makeAnnouncement(), { worker, region: 'r', logger: createLogger({ level: 'silent', processId: 't' }), runLeaseMs: 6_000, epoch: 0, listRecentCrashes: () => [], onChange: () => {}, onOtherIncarnation: () => {} })
   t.teardown(() => controller.close())
   const orders: WorkerOrders = { key: { id: 'w', born: 1 }, mayExtend: true, seen: 0, starts: [], stops: [{ task: 'j.0.0.0', run: 1 }], paces: [] }
   const getStatus = (): OrderListing['status'] | undefined => controller.makeReport().orders[0]?.status
--- a/packages/daemon/test/jobAgent/foreignHeartbeats.test.ts
+++ b/packages/daemon/test/jobAgent/foreignHeartbeats.test.ts
@@ -15,6 +15,8 @@
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 
+import { makeAnnouncement } from './announcementFixture.js'
+
 const LOGGER = createLogger({ level: 'silent', processId: 't' })
 const PLANNER = { duty: 'p', holder: 'b', address: 'b:1', epoch: 1 }
 const OK: RunOutcome = { kind: 'ok', clockMs: 1 }
@@ -22,8 +24,9 @@
 /** Limit that the requirements of this file set for what hundreds of foreign writers may add to a report, in bytes. */
 const MAX_REPORT_BYTES = 512 * 1024
 
-function makeAnnouncement (id: string, address: string): WorkerAnnouncement {
-  return { id, born: 1, address, service: 's'.repeat(200), rack: 'r', labels: ['l'.repeat(200)], failureDomain: 'd', capacity: { cpuMillis: 1, memoryMb: 1, accelerators: 1 }, isDraining: false, drainLeftMs: undefined, clockMs: 0, sequence: 1 }
+/** Makes an announcement with names of the length that many writers could give. */
+function makeLongAnnouncement (id: string, address: string): WorkerAnnouncement {
+  return makeAnnouncement({ id, address, service: 's'.repeat(200), labels: ['l'.repeat(200)] })
 }
 
 /** Creates a worker that answers polls if it is sound, and can't be reached otherwise. */
@@ -84,10 +87,10 @@
 test.serial('of hundreds of announced workers that never answer few are in a report, and a sound worker announced before or after them is', async t => {
   const clock = installClock(t)
   const { table, countOpen } = createTable(t)
-  table.acceptHeartbeat(makeAnnouncement('sound-1', '10.0.0.1:1'))
+  table.acceptHeartbeat(makeLongAnnouncement('sound-1', '10.0.0.1:1'))
   await clock.tickAsync(100)
-  for (let index = 0; index < FOREIGN_COUNT; index++) table.acceptHeartbeat(makeAnnouncement(`foreign-${index}`, `10.0.1.1:${index + 1}`))
-  table.acceptHeartbeat(makeAnnouncement('sound-2', '10.0.0.2:1'))
+  for (let index = 0; index < FOREIGN_COUNT; index++) table.acceptHeartbeat(makeLongAnnouncement(`foreign-${index}`, `10.0.1.1:${index + 1}`))
+  table.acceptHeartbeat(makeLongAnnouncement('sound-2', '10.0.0.2:1'))
   await clock.tickAsync(1_000)
   const { reports } = table.collectReports()
   t.deepEqual(reports.map(({ key }) => key.id).filter(id => id.startsWith('sound')), ['sound-1', 'sound-2'])
--- a/packages/daemon/test/jobAgent/manyOrders.test.ts
+++ b/packages/daemon/test/jobAgent/manyOrders.test.ts
@@ -11,6 +11,8 @@
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 
+import { makeAnnouncement } from './announcementFixture.js'
+
 const ORDERS = 3_000
 const CALL_MS = 2
 /** Number of connections to a worker, of which its polls need one. */
@@ -56,8 +58,7 @@
 
 async function createController (t: ExecutionContext, worker: RunWorker): Promise<{ readonly controller: WorkerController, readonly clock: Clock }> {
   const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance'] })
-  const announcement = { id: 'w', born: 1, address: 'a', service: 's', rack: 'r', labels: [], failureDomain: 'd', capacity: { cpuMillis: 1, memoryMb: 1, accelerators: 1 }, isDraining: false, drainLeftMs: undefined, clockMs: 0, sequence: 1 }
-  const controller = new WorkerController(announcement, { worker, region: 'r', logger: createLogger({ level: 'silent', processId: 't' }), runLeaseMs: 6_000, epoch: 0, listRecentCrashes: () => [], onChange: () => {}, onOtherIncarnation: () => {} })
+  const controller = new WorkerController(makeAnnouncement(), { worker, region: 'r', logger: createLogger({ level: 'silent', processId: 't' }), runLeaseMs: 6_000, epoch: 0, listRecentCrashes: () => [], onChange: () => {}, onOtherIncarnation: () => {} })
   t.teardown(() => {
     controller.close()
     clock.uninstall()
--- a/packages/daemon/test/jobAgent/workerController.test.ts
+++ b/packages/daemon/test/jobAgent/workerController.test.ts
@@ -11,6 +11,8 @@
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 
+import { makeAnnouncement } from './announcementFixture.js'
+
 /** A worker whose answers are set by the test. */
 class ScriptedWorker implements RunWorker {
   starts: RunStartRequest[] = []
@@ -44,20 +46,7 @@
 }
 
 function createController (t: ExecutionContext, worker: RunWorker, onOtherIncarnation = (): void => {}): WorkerController {
-  const controller = new WorkerController({
-    id: 'w',
-    born: 1,
-    address: 'a',
-    service: 's',
-    rack: 'r',
-    labels: [],
-    failureDomain: 'd',
-    capacity: { cpuMillis: 1, memoryMb: 1, accelerators: 1 },
-    isDraining: false,
-    drainLeftMs: undefined,
-    clockMs: 0,
-    sequence: 1
-  }, { worker, region: 'r', logger: createLogger({ level: 'silent', processId: 't' }), runLeaseMs: 6_000, epoch: 0, listRecentCrashes: () => [], onChange: () => {}, onOtherIncarnation })
+  const controller = new WorkerController(makeAnnouncement(), { worker, region: 'r', logger: createLogger({ level: 'silent', processId: 't' }), runLeaseMs: 6_000, epoch: 0, listRecentCrashes: () => [], onChange: () => {}, onOtherIncarnation })
   t.teardown(() => controller.close())
   return controller
 }
--- a/packages/daemon/test/jobPlanner/progressWriter.test.ts
+++ b/packages/daemon/test/jobPlanner/progressWriter.test.ts
@@ -2,16 +2,14 @@
  * Case 2 of the review: completed jobs ran again, since a planner that did not know their progress wrote over the stored records.
  */
 import type { TransactOutcome, Transaction } from '@dragonflylever/adapters'
-import { ProgressWriter } from '@dragonflylever/daemon/jobPlanner/progressWriter'
-import { NoMetrics, createLogger } from '@dragonflylever/runtime'
 import { MemoryStore } from '@dragonflylever/standins'
-import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 
 import { KEYS } from '../graphs/graphNode.js'
+import { createWriterFixture } from './progressWriterFixture.js'
+import type { WriterFixture } from './progressWriterFixture.js'
 
-const LEADER_KEY = 'leader'
 const JOB = 'a'
 
 /** A store that carries each write out at its first attempt, loses the answer, and answers a second attempt of the same call, as calls through an agent do. */
@@ -24,49 +22,21 @@
   }
 }
 
-interface Fixture {
-  readonly clock: FakeTimers.Clock
+interface Fixture extends WriterFixture {
   readonly store: RepeatingStore
-  readonly writer: ProgressWriter
-  /** Why the writer gave up leadership, in turn. */
-  readonly fences: string[]
-  /** Records that were reported as stored. */
-  readonly durable: string[]
   /** Changes the job and lets the writer store it. */
   readonly write: (record: string) => Promise<void>
 }
 
 function createFixture (t: ExecutionContext): Fixture {
-  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] })
-  t.teardown(() => clock.uninstall())
   const store = new RepeatingStore()
-  const put = store.engine.put({ key: LEADER_KEY, value: '', expect: { kind: 'absent' } })
-  const fences: string[] = []
-  const durable: string[] = []
-  const changed: string[] = []
-  const writer = new ProgressWriter({
-    store,
-    keys: KEYS,
-    leaderKey: LEADER_KEY,
-    epoch: put.kind === 'ok' ? put.modRevision : 0,
-    logger: createLogger({ level: 'silent', processId: 't' }),
-    listChangedJobs: () => changed.map((_, version) => ({ jobId: JOB, version, phase: 'running' as const, queue: 'q', organisation: 'o', parts: [''], droppedParts: [] })),
-    encodePart: () => changed[0],
-    metrics: new NoMetrics(),
-    makeState: () => undefined,
-    onDurable: entries => {
-      durable.push(...entries.map(({ records }) => records.get('') ?? ''))
-      changed.length = 0
-    },
-    onLeadershipConfirmed: () => {},
-    onFenced: reason => { fences.push(reason) }
-  })
+  const fixture = createWriterFixture(t, store)
   const write = async (record: string): Promise<void> => {
-    changed[0] = record
-    writer.flush()
-    await clock.tickAsync(500)
+    fixture.changed.set(JOB, record)
+    fixture.writer.flush()
+    await fixture.clock.tickAsync(500)
   }
-  return { clock, store, writer, fences, durable, write }
+  return { ...fixture, store, write }
 }
 
 function putProgress (store: MemoryStore, value: string): void {
--- a/packages/daemon/test/jobPlanner/refusedRecords.test.ts
+++ b/packages/daemon/test/jobPlanner/refusedRecords.test.ts
@@ -3,24 +3,18 @@
  */
 import { MAX_KEYS_PER_TRANSACTION } from '@dragonflylever/adapters'
 import type { TransactOutcome, Transaction } from '@dragonflylever/adapters'
-import { JobPhase } from '@dragonflylever/core/graphs/index'
-import type { ChangedJob } from '@dragonflylever/core/graphs/index'
 import { decodeJobSpec, encodeJobSpec } from '@dragonflylever/daemon/jobPlanner/jobSpecRecord'
 import { ProgressBatches } from '@dragonflylever/daemon/jobPlanner/progressBatches'
-import { ProgressWriter } from '@dragonflylever/daemon/jobPlanner/progressWriter'
-import { NoMetrics, createLogger } from '@dragonflylever/runtime'
 import { MemoryStore } from '@dragonflylever/standins'
-import FakeTimers from '@sinonjs/fake-timers'
 import test from 'ava'
-import type { ExecutionContext } from 'ava'
 
 import { KEYS } from '../graphs/graphNode.js'
 import { makeQueue, makeStep } from '../graphs/graphSimulation.js'
+import { createWriterFixture, makeChangedJob } from './progressWriterFixture.js'
 
 const MAX_VALUE_BYTES = 1_048_576
 /** Size above which the store of these tests refuses a value, in bytes; so small that several jobs share a transaction with one that it refuses. */
 const MAX_STORED_BYTES = 64 * 1024
-const LEADER_KEY = 'leader'
 
 /** A store that refuses transactions with a value that is too large, and counts them. */
 class LimitedStore extends MemoryStore {
@@ -33,46 +27,9 @@
   }
 }
 
-interface Fixture {
-  readonly clock: FakeTimers.Clock
-  readonly store: LimitedStore
-  /** Records of the jobs that are still to be stored, by job id. */
-  readonly changed: Map<string, string>
-  readonly writer: ProgressWriter
-}
-
-function createFixture (t: ExecutionContext): Fixture {
-  const clock = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date'] })
-  const store = new LimitedStore()
-  const put = store.engine.put({ key: LEADER_KEY, value: '', expect: { kind: 'absent' } })
-  const changed = new Map<string, string>()
-  const writer = new ProgressWriter({
-    store,
-    keys: KEYS,
-    leaderKey: LEADER_KEY,
-    epoch: put.kind === 'ok' ? put.modRevision : 0,
-    logger: createLogger({ level: 'silent', processId: 't' }),
-    metrics: new NoMetrics(),
-    listChangedJobs: () => [...changed.keys()].map(jobId => makeChangedJob(jobId, [''])),
-    encodePart: jobId => changed.get(jobId),
-    makeState: () => undefined,
-    onDurable: entries => { for (const { job } of entries) changed.delete(job.jobId) },
-    onLeadershipConfirmed: () => {},
-    onFenced: reason => t.fail(reason)
-  })
-  t.teardown(() => {
-    writer.close()
-    clock.uninstall()
-  })
-  return { clock, store, changed, writer }
-}
-
-function makeChangedJob (jobId: string, parts: readonly string[]): ChangedJob {
-  return { jobId, version: 1, phase: JobPhase.running, queue: 'q', organisation: 'o', parts, droppedParts: [] }
-}
-
 test.serial('a record that the store refuses holds up no other job, is tried again ever more rarely, and is stored once it is smaller', async t => {
-  const { clock, store, changed, writer } = createFixture(t)
+  const store = new LimitedStore()
+  const { clock, changed, fences, writer } = createWriterFixture(t, store)
   changed.set('large', 'x'.repeat(MAX_STORED_BYTES + 1))
   for (let job = 0; job < 5; job++) changed.set(`job-${job}`, 'progress')
   writer.flush()
@@ -83,6 +40,7 @@
   changed.set('large', 'progress')
   await clock.tickAsync(70_000)
   t.is(store.engine.get(KEYS.getProgressKey('large'))?.value, 'progress')
+  t.deepEqual(fences, [])
 })
 
 test('jobs take turns when they don\'t fit into one transaction, and a job with many changed parts leaves room for others', t => {
--- a/packages/protocol/src/boundedJson.ts
+++ b/packages/protocol/src/boundedJson.ts
@@ -4,6 +4,8 @@
 
 /** Maximum number of values, names included, in one text: a report of 2 MB that lists only runs has some 260,000. */
 export const MAX_JSON_VALUES = 400_000
+/** Maximum size of a character of a string in JSON, encoded as UTF-8, in bytes: that of an escaped one. */
+export const MAX_JSON_CHARACTER_BYTES = 6
 /** Maximum depth of arrays and objects within each other; the messages of the system use fewer than ten levels. */
 export const MAX_JSON_DEPTH = 64
 /** Texts up to this size, in bytes, are not counted: however they are nested, their values take a few megabytes. */
--- a/packages/runtime/src/rpcClient.ts
+++ b/packages/runtime/src/rpcClient.ts
@@ -3,10 +3,9 @@
  */
 import { DispatchHeader, RPC_PATH, RpcMethods, parseJson } from '@dragonflylever/protocol'
 import type { PeerRpc, RpcMethodName, RpcOutcome, RpcParams, RpcResultValue } from '@dragonflylever/protocol'
-import { createJSONRPCRequest, isJSONRPCResponse } from 'json-rpc-2.0'
+import { JSONRPCErrorCode, createJSONRPCRequest, isJSONRPCResponse } from 'json-rpc-2.0'
 
 import { HttpClient } from './httpClient.js'
-import { INVALID_PARAMS } from './rpcServer.js'
 
 /** Maximum size of a peer's response. The largest response, the member list of a failure domain, is well below it. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -48,7 +47,7 @@
 function parseAnswer<M extends RpcMethodName> (method: M, body: string): RpcOutcome<RpcResultValue<M>> {
   const answer = parseJson(body)
   if (!isJSONRPCResponse(answer)) return { kind: 'failed', message: `${method}: the answer is not JSON-RPC 2.0` }
-  if (answer.error !== undefined) return { kind: 'failed', message: `${method}: ${answer.error.message}`, isRefused: answer.error.code === INVALID_PARAMS }
+  if (answer.error !== undefined) return { kind: 'failed', message: `${method}: ${answer.error.message}`, isRefused: answer.error.code === JSONRPCErrorCode.InvalidParams }
   const checked = RpcMethods[method].result.safeParse(answer.result)
   if (!checked.success) return { kind: 'failed', message: `${method}: bad result: ${checked.error.issues[0]?.message}` }
   return { kind: 'ok', value: checked.data as RpcResultValue<M> }
--- a/packages/runtime/src/rpcServer.ts
+++ b/packages/runtime/src/rpcServer.ts
@@ -5,14 +5,11 @@
 
 import { MAX_CALL_BYTES, RpcMethods, DispatchHeader, isBoundedJson, parseJson } from '@dragonflylever/protocol'
 import type { RpcHandler, RpcMethodName, RpcParams, RpcRegistry } from '@dragonflylever/protocol'
-import { JSONRPCErrorException, JSONRPCServer, isJSONRPCRequest } from 'json-rpc-2.0'
+import { JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer, isJSONRPCRequest } from 'json-rpc-2.0'
 
 import { isSameKey } from './compareKeys.js'
 import { readBody } from './readBody.js'
 
-/** Error code of JSON-RPC for parameters that are not as the method declares them. */
-export const INVALID_PARAMS = -32602
-
 export class RpcServer implements RpcRegistry {
   private readonly _server = new JSONRPCServer({ errorListener: () => {} })
   private readonly _clusterKey: string
@@ -24,7 +21,7 @@
   add<M extends RpcMethodName> (method: M, handler: RpcHandler<M>): void {
     this._server.addMethod(method, async (params: unknown) => {
       const checked = RpcMethods[method].params.safeParse(params)
-      if (!checked.success) throw new JSONRPCErrorException(`bad parameters of ${method}: ${checked.error.issues[0]?.message}`, INVALID_PARAMS)
+      if (!checked.success) throw new JSONRPCErrorException(`bad parameters of ${method}: ${checked.error.issues[0]?.message}`, JSONRPCErrorCode.InvalidParams)
       return handler(checked.data as RpcParams<M>)
     })
   }
--- a/packages/runtime/src/slicedTasks.ts
+++ b/packages/runtime/src/slicedTasks.ts
@@ -6,18 +6,18 @@
 const SLICE_MS = 20
 
 export class SlicedTasks {
-  private _tasks: Array<() => void> = []
-  private _next = 0
+  private readonly _tasks: Array<() => void> = []
   private _timer: NodeJS.Timeout | undefined
   private _isClosed = false
 
   /** Number of tasks that have not run yet. */
   get size (): number {
-    return this._tasks.length - this._next
+    return this._tasks.length
   }
 
   /** Adds tasks. They run at once, as far as no earlier ones wait and time allows. */
   add (tasks: ReadonlyArray<() => void>): void {
+    if (this._isClosed) return
     for (const task of tasks) this._tasks.push(task)
     if (this._timer === undefined) this._runSlice()
   }
@@ -26,13 +26,12 @@
   close (): void {
     this._isClosed = true
     clearTimeout(this._timer)
-    this._tasks = []
-    this._next = 0
+    this._tasks.length = 0
   }
 
   private _runSlice (): void {
     const startedAt = performance.now()
-    while (!this._isClosed && this._next < this._tasks.length) {
+    while (this._tasks.length > 0) {
       if (performance.now() - startedAt > SLICE_MS) {
         this._timer = setTimeout(() => {
           this._timer = undefined
@@ -40,9 +39,7 @@
         }, 0)
         return
       }
-      this._tasks[this._next++]?.()
+      this._tasks.shift()?.()
     }
-    this._tasks = []
-    this._next = 0
   }
 }
