Expect no end of tasks that last

Guaranteed urgent work on a full fleet waited 2.6 s for slots of tasks that last.

Cause: predictEnd took the declared time of a task that lasts for its run time. Once it was over, the end was expected now, in every pass. The planner kept all slots that the gang needs free, and chose them anew each 250 ms. The same prediction made guaranteed work wait for such tasks rather than stop others, had a worker kept empty that is never empty, and told callers that a fleet full of lasting work is free at once.

Change: the end of a running task that lasts is unknown (Infinity) until it is stopped. So it frees no slots in forecasts, and on a draining worker it is stopped at once, as other runs are that can't end there. For callers, such work never ends as expected, but may be cancelled at any time, so that no job is refused because of it.

--- a/packages/core/src/graphs/runProgress.ts
+++ b/packages/core/src/graphs/runProgress.ts
@@ -25,8 +25,8 @@
 }
 
 /**
- * Predicts when a run ends, on the planner's clock. `estimateRunTime` returns the expected run time of a whole task at the worker of a run. The members of
- * a gang end together with the last of them.
+ * Predicts when a run ends, on the planner's clock; Infinity when that is unknown, as for a run that lasts until it is stopped. `estimateRunTime` returns the
+ * expected run time of a whole task at the worker of a run. The members of a gang end together with the last of them.
  */
 export function predictEnd (run: RunState, now: number, estimateRunTime: (run: RunState) => number, stopGraceMs: number): number {
   const { step } = run.task
@@ -36,7 +36,7 @@
 
 function predictRunEnd (run: RunState, now: number, expectedMs: number, stopGraceMs: number): number {
   if (run.phase === RunPhase.stopping) return (run.stoppingSince ?? now) + stopGraceMs
-  if (run.runningSince === undefined) return Infinity
+  if (run.runningSince === undefined || run.task.step.spec.isLongRunning) return Infinity
   const msPerPercent = run.msPerPercent ?? measureMsPerPercent(run)
   if (msPerPercent !== undefined && run.percent < WHOLE_PERCENT) return run.percentChangedAt + msPerPercent * (WHOLE_PERCENT - run.percent)
   return now + Math.max(0, expectedMs - estimateWorkedMs(run, now, expectedMs))
--- a/packages/core/src/graphs/startForecast.ts
+++ b/packages/core/src/graphs/startForecast.ts
@@ -48,8 +48,12 @@
 
 /** When a run ends, in milliseconds from now, and what it frees. */
 interface RunEndTime {
+  /** Infinity for a run that lasts. */
   readonly inMs: number
-  /** The earliest end by the speed of the run and by the usual run time; the first observations of a run may show a speed that is far too low. */
+  /**
+   * The earliest end by the speed of the run and by the usual run time; the first observations of a run may show a speed that is far too low. 0 for a run that lasts, which may be
+   * cancelled at any time.
+   */
   readonly earliestInMs: number
   readonly priority: number
   readonly spec: StepSpec
@@ -175,16 +179,18 @@
     return [...worker.runs].map(run => {
       const { step } = run.task
       const inMs = this._predictRemaining(run)
-      const usualMs = step.spec.isLongRunning ? Infinity : this._options.runTimes.estimateRunTime(step) * (1 - run.percent / WHOLE_PERCENT)
+      const usualMs = step.spec.isLongRunning ? 0 : this._options.runTimes.estimateRunTime(step) * (1 - run.percent / WHOLE_PERCENT)
       return { inMs, earliestInMs: Math.min(inMs, usualMs), priority: getPriority(step.job), spec: step.spec }
     })
   }
 
   private _predictRemaining (run: RunState): number {
     const { predictEnd, runTimes, now } = this._options
+    const { step } = run.task
     const endsAt = predictEnd(run)
+    if (endsAt !== Infinity) return Math.max(0, endsAt - now)
     // The start of a run that is not confirmed yet says nothing about its end.
-    return endsAt === Infinity ? runTimes.estimateRunTime(run.task.step) : Math.max(0, endsAt - now)
+    return step.spec.isLongRunning ? Infinity : runTimes.estimateRunTime(step)
   }
 
   /** Returns after how long the tasks of a step fit, if the step is the next to be placed. `isRackBound`: they have to fit into one rack. */
--- a/packages/core/test/graphs/capacityReclaim.test.ts
+++ b/packages/core/test/graphs/capacityReclaim.test.ts
@@ -50,6 +50,20 @@
   t.is(harness.listNotes('capacity taken back').length, 0)
 })
 
+// A task that lasts was expected to end once it had run for its declared time, so that guaranteed work waited 2.6 s for it.
+test('guaranteed work does not wait for tasks that last', t => {
+  const harness = new PlannerHarness([2])
+  harness.planner.setPolicy({ queues: [URGENT, makeQueue()], guarantees: [{ organisation: 'o', accelerators: 8 }] })
+  harness.addJob('lasting', [makeStep({ count: 2, maxPerWorker: 1, estimatedMs: 1_000, isLongRunning: true })])
+  harness.run(500)
+  harness.addJob('others', [makeStep({ count: 14, estimatedMs: 20_000 })])
+  harness.run(10_000)
+  harness.addJob('urgent', [makeStep({ count: 2, estimatedMs: 2_000 })], { queue: URGENT })
+  harness.run(700)
+  t.truthy(harness.findWorker('urgent.0.0.0'))
+  t.truthy(harness.findWorker('urgent.0.0.1'))
+})
+
 test('a new planner predicts the end of runs that an earlier planner started by their observed speed', t => {
   const harness = new PlannerHarness([1])
   harness.planner.setPolicy({ queues: [], guarantees: [{ organisation: 'o', accelerators: 8 }] })
--- a/packages/core/test/graphs/plannerHarness.ts
+++ b/packages/core/test/graphs/plannerHarness.ts
@@ -42,6 +42,8 @@
   crashes: CrashListing[]
   /** True when the worker refuses starts as an unhealthy worker does. */
   refusesStarts: boolean
+  /** True when the worker takes stops and does not carry them out. */
+  ignoresStops?: boolean
   /** Version of the worker's software. */
   version?: string
   /** Service that the worker belongs to; that of the queues of {@link makeQueue} if absent. */
@@ -185,7 +187,7 @@
       address,
       service: worker.service ?? 's',
       rack,
-      labels: ['a', rack],
+      labels: ['a', rack, id],
       ...(version === undefined ? {} : { version }),
       failureDomain: worker.failureDomain,
       region: 'r',
@@ -224,6 +226,7 @@
       else worker.running.push({ task, run, checkpoint, percent: 0, usage: 0 })
     }
     for (const { task, run } of orders.stops) {
+      if (worker.ignoresStops === true) continue
       if (worker.running.some(candidate => candidate.task === task && candidate.run === run)) this.endRun(task, 'stopped')
       else worker.orders.push({ task, run, status: 'barred', reason: '' })
     }
--- a/packages/core/test/graphs/startForecast.test.ts
+++ b/packages/core/test/graphs/startForecast.test.ts
@@ -36,6 +36,13 @@
   t.is(optimisticMs, expectedMs / 2)
 })
 
+// A task that lasts was forecast to end once it had run for its declared time.
+test('on a fleet full of lasting work a job is not expected to start, but it is not refused either, since that work may be cancelled', t => {
+  const harness = createBusyFleet([2], { accelerators: 8, isLongRunning: true })
+  harness.run(2 * RUN_MS)
+  t.deepEqual(predict(harness, { accelerators: 1 }), { optimisticMs: 0, expectedMs: Infinity })
+})
+
 test('capacity is counted by shape: a free accelerator is no use without memory, and a gang needs room for all its tasks', t => {
   const harness = createBusyFleet([2], { accelerators: 4, memoryMb: 500_000 })
   t.is(predict(harness, { accelerators: 4 }).expectedMs, 0)
