Predict the end of an overdue run again

Cause: predictEnd repeated "now" for a run whose prediction had passed, whatever the reason: a low estimate, progress that stands still, a stop that its worker does not carry out. Each reader takes "now" for "free in a moment", in every pass.

Change: an end that has not come when it was expected is as far ahead as it is overdue. A gang's forecast, which looks 20 s ahead, leaves such a run out once it is 20 s late. The overdue time of a gang counts from its slowest member, since the others wait for it; a run that has stalled has all of the rest to do.

Evidence: four new tests (keptRoom, startForecast).

--- a/packages/core/src/graphs/runProgress.ts
+++ b/packages/core/src/graphs/runProgress.ts
@@ -31,15 +31,22 @@
 export function predictEnd (run: RunState, now: number, estimateRunTime: (run: RunState) => number, stopGraceMs: number): number {
   const { step } = run.task
   const runs = step.spec.isGang ? step.tasks.flatMap(task => task.runs) : [run]
-  return Math.max(...runs.map(member => predictRunEnd(member, now, estimateRunTime(member), stopGraceMs)))
+  return extendPassedEnd(Math.max(...runs.map(member => predictRunEnd(member, now, estimateRunTime(member), stopGraceMs))), now)
+}
+
+/** Predicts an end again that has not come when it was expected: the run is expected to take as long again as it is overdue. */
+function extendPassedEnd (endsAt: number, now: number): number {
+  return endsAt < now ? now + (now - endsAt) : endsAt
 }
 
 function predictRunEnd (run: RunState, now: number, expectedMs: number, stopGraceMs: number): number {
   if (run.phase === RunPhase.stopping) return (run.stoppingSince ?? now) + stopGraceMs
   if (run.runningSince === undefined || run.task.step.spec.isLongRunning) return Infinity
   const msPerPercent = run.msPerPercent ?? measureMsPerPercent(run)
-  if (msPerPercent !== undefined && run.percent < WHOLE_PERCENT) return run.percentChangedAt + msPerPercent * (WHOLE_PERCENT - run.percent)
-  return now + Math.max(0, expectedMs - estimateWorkedMs(run, now, expectedMs))
+  if (msPerPercent === undefined || run.percent >= WHOLE_PERCENT) return now + expectedMs - estimateWorkedMs(run, now, expectedMs)
+  // A stalled run still has all of the rest to do.
+  const workedUntil = measureStall(run, now) === undefined ? run.percentChangedAt : now
+  return workedUntil + msPerPercent * (WHOLE_PERCENT - run.percent)
 }
 
 /** Estimates how long a run has worked, in milliseconds, including the time before this planner first observed the run. */
--- a/packages/core/test/graphs/keptRoom.test.ts
+++ b/packages/core/test/graphs/keptRoom.test.ts
@@ -27,7 +27,8 @@
 }
 
 const HOLDERS: readonly Holder[] = [
-  { name: 'a task that lasts', step: { isLongRunning: true }, hold: () => {} }
+  { name: 'a task that lasts', step: { isLongRunning: true }, hold: () => {} },
+  { name: 'a run that has outlived its estimate', step: {}, hold: () => {} }
 ]
 
 function createHeldFleet ({ step, hold }: Holder, estimatedMs: number): PlannerHarness {
@@ -48,3 +49,18 @@
   harness.run(500)
   t.is(countStarted(harness, 'small'), SMALL_TASKS)
 })
+
+// A prediction that had passed was repeated as "now", so that a worker was kept for a gang for as long as a run there went on.
+test('a worker is no longer kept for a gang once its run is long overdue', t => {
+  const harness = createHeldFleet(HOLDERS[1] as Holder, 1_000)
+  const other = harness.workers.find(worker => worker !== harness.findWorker('holder.0.0.0'))
+  harness.addJob('lasting', [makeStep({ accelerators: 2, isLongRunning: true, requiredLabel: other?.id ?? '' })], { queue: SMALL_QUEUE })
+  harness.run(500)
+  harness.addJob('gang', [makeStep({ ...WIDE_GANG, count: 1 })], { queue: GANG_QUEUE })
+  harness.run(1_000)
+  harness.addJob('small', [makeStep({ ...SMALL, count: 8 })], { queue: SMALL_QUEUE })
+  harness.run(1_000)
+  t.is(countStarted(harness, 'small'), 6)
+  harness.run(20_000)
+  t.is(countStarted(harness, 'small'), 8)
+})
--- a/packages/core/test/graphs/startForecast.test.ts
+++ b/packages/core/test/graphs/startForecast.test.ts
@@ -43,6 +43,46 @@
   t.deepEqual(predict(harness, { accelerators: 1 }), { optimisticMs: 0, expectedMs: Infinity })
 })
 
+// A prediction that had passed was repeated as "now" for as long as the run went on.
+test('a run that is overdue is expected to take as long again', t => {
+  const harness = createBusyFleet([1])
+  harness.run(RUN_MS + 1_000)
+  const { expectedMs } = predict(harness, {})
+  t.true(expectedMs > 1_500 && expectedMs <= 2_000, String(expectedMs))
+})
+
+// The end that the speed of a run promised stayed the same while the run stood still, and then was "now".
+test('a gang of which a member has stalled still has all of the rest to do', t => {
+  const harness = createBusyFleet([2], { accelerators: 8, isGang: true })
+  for (let percent = 20; percent <= 60; percent += 2) {
+    for (const member of ['busy.0.0.0', 'busy.0.0.1']) harness.setPercent(member, percent)
+    harness.run(100)
+  }
+  for (let percent = 62; percent <= 99; percent += 2) {
+    harness.setPercent('busy.0.0.0', percent)
+    harness.run(100)
+  }
+  harness.run(500)
+  const { expectedMs } = predict(harness, {})
+  t.true(expectedMs > 1_500 && expectedMs <= 2_500, String(expectedMs))
+})
+
+// Members that wait for the others at their end don't count as overdue.
+test('a gang is expected to end with its slowest member, however long the others have waited', t => {
+  const harness = createBusyFleet([2], { accelerators: 8, isGang: true, estimatedMs: 30_000 })
+  for (let percent = 3; percent <= 99; percent += 3) {
+    harness.setPercent('busy.0.0.0', percent)
+    harness.setPercent('busy.0.0.1', percent / 3)
+    harness.run(100)
+  }
+  for (let percent = 33; percent <= 90; percent++) {
+    harness.setPercent('busy.0.0.1', percent)
+    harness.run(300)
+  }
+  const { expectedMs } = predict(harness, {})
+  t.true(expectedMs > 1_500 && expectedMs < 3_000, String(expectedMs))
+})
+
 test('capacity is counted by shape: a free accelerator is no use without memory, and a gang needs room for all its tasks', t => {
   const harness = createBusyFleet([2], { accelerators: 4, memoryMb: 500_000 })
   t.is(predict(harness, { accelerators: 4 }).expectedMs, 0)
