Let starved jobs start in room that is kept for gangs

Cause: nothing limited how long slots are kept for a gang. A step that had waited 1.5 s while most of its service was free counted as starved, but that concerned only slots that others avoid: the step kept its place in the order, behind the gang, and found its slots taken.

Change: after urgent work and before all other, one task of each starved job is placed, or all of a gang or of work that lasts. A gang that has starved for 10 s gets a turn in front of other work, for which only jobs accepted in the last 10 s wait. A job is starved only 1.5 s after its last run has ended; before, a step that had long been ready was starved in the moment in which its job had no run, and would now take a gang's slots in the very pass in which the gang fits (two tests showed it). StarvedSteps is split from GraphPass.

--- a/packages/core/src/graphs/capacityForecast.ts
+++ b/packages/core/src/graphs/capacityForecast.ts
@@ -16,6 +16,12 @@
   readonly speedFit: SpeedFit
 }
 
+/** Slots with the time by which they are expected to be free, on the planner's clock. */
+export interface ExpectedSlots {
+  readonly slots: ReservedSlots
+  readonly startsAt: number
+}
+
 /** Maximum number of ends of runs that are tried in one search for slots; each costs a placement. */
 const MAX_TRIED_ENDS = 12
 
@@ -56,17 +62,18 @@
   }
 
   /** Returns the slots that become free for all waiting tasks of a step the soonest; undefined when there are none before `until`. */
-  findEarliestSlots (waiting: WaitingStep, snapshot: CapacitySnapshot, until: number): ReservedSlots | undefined {
+  findEarliestSlots (waiting: WaitingStep, snapshot: CapacitySnapshot, until: number): ExpectedSlots | undefined {
     const latest = this.findSlots(waiting, snapshot, until)
     if (latest === undefined) return undefined
     const ends = this._listEnds(snapshot, until)
-    let best = latest
+    let best = { slots: latest, startsAt: until }
     for (let low = 0, high = ends.length; low < high;) {
       const middle = Math.floor((low + high) / 2)
-      const slots = this.findSlots(waiting, snapshot, (ends[middle] ?? until) + 1)
+      const startsAt = (ends[middle] ?? until) + 1
+      const slots = this.findSlots(waiting, snapshot, startsAt)
       if (slots === undefined) low = middle + 1
       else {
-        best = slots
+        best = { slots, startsAt }
         high = middle
       }
     }
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -1,6 +1,6 @@
 /**
- * One scheduler pass over all jobs: stops runs that should not go on, places waiting steps in order, reclaims capacity for work of
- * priority 0, and reserves slots for other gangs.
+ * One scheduler pass over all jobs: stops runs that should not go on, places waiting steps in order, with starved work after that of priority 0 and before all
+ * other, reclaims capacity for work of priority 0, and reserves slots for other gangs.
  */
 import { CapacityForecast } from './capacityForecast.js'
 import { CapacityReclaim } from './capacityReclaim.js'
@@ -26,10 +26,10 @@
 import { predictEnd } from './runProgress.js'
 import { RunStops } from './runStops.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
-import { ServiceUse } from './serviceUse.js'
 import { SpeedFit } from './speedFit.js'
 import type { SpeedSource } from './speedSource.js'
 import type { FleetView } from './startForecast.js'
+import { StarvedSteps, isNewJob } from './starvedSteps.js'
 import { isSteadyRun } from './steadyRun.js'
 import type { WaitingOrder, WaitingStep } from './waitingStep.js'
 import { WaitingSteps } from './waitingSteps.js'
@@ -53,11 +53,6 @@
   readonly getWallTime: () => number
 }
 
-/**
- * Wait in milliseconds after which a step counts as starved, if its job has no run and half of its service is free. A starved step may use
- * any eligible slot. The requirements allow a wait of 3 s.
- */
-const STARVATION_MS = 1_500
 /**
  * Wait in milliseconds after which a step that should run in one rack starts there in parts. Until then a rack may become free for the whole step, or be reclaimed for it, and the first part binds the step to its rack.
  */
@@ -71,8 +66,6 @@
 const MAX_SMALL_GANG = 64
 /** Work of making room for a step, in checks for each worker and each run. */
 const FORECAST_CHECKS = 2
-/** Wait in milliseconds after which a step that lasts counts as starved, whatever else its job and its service run. The requirements allow 9 s after a run has ended. */
-const LASTING_STARVATION_MS = 5_000
 
 export class GraphPass {
   private readonly _dependencies: GraphPassDependencies
@@ -88,9 +81,11 @@
   private _queues: PlannerPolicy['queues'] = []
   private _priorities: ReadonlyMap<string, number> = new Map()
   private _now = 0
-  private readonly _starvedSteps = new Set<StepState>()
+  private readonly _starvedSteps = new StarvedSteps()
   /** When wide gangs end, and for which time of the planner's clock that was predicted: each of their runs asks. */
   private readonly _gangEnds = new WeakMap<StepState, { readonly at: number, readonly end: number }>()
+  /** The gang whose slots are reserved before other work of the pass is placed. */
+  private _gangInTurn: StepState | undefined
   /** Number of runs whose start is not confirmed, by worker, as far as the pass has asked. */
   private readonly _unconfirmedRuns = new Map<WorkerState, number>()
   /** Steps with a waiting task that has one attempt left. */
@@ -149,7 +144,7 @@
     if (waiting.length === 0) return this._budget.clear()
     const workers = this._listUsableWorkers()
     const snapshot = new CapacitySnapshot(workers)
-    this._markStarvedSteps(waiting, workers)
+    this._starvedSteps.beginPass(waiting, workers, now)
     this._markLastAttempts(waiting)
     const guaranteed = findGuaranteedJobs(jobs, policy, job => this._getPriority(job))
     this._releaseAvoidance.beginPass(waiting, workers, now)
@@ -163,10 +158,18 @@
     this._placeSteps(this._budget.beginPass([...first, ...others]), snapshot)
   }
 
-  /** Places waiting steps in their order, as far as the work of a pass allows. */
+  /** Places waiting steps in their order, as far as the work of a pass allows. Starved work comes after urgent work and before all other. */
   private _placeSteps (waiting: readonly WaitingStep[], snapshot: CapacitySnapshot): void {
     const runCount = snapshot.workers.reduce((sum, { runs }) => sum + runs.size, 0)
-    for (const [index, waitingStep] of waiting.entries()) {
+    this._gangInTurn = undefined
+    let isStarvedPlaced = false
+    for (const [index, listed] of waiting.entries()) {
+      if (!isStarvedPlaced && this._getPriority(listed.step.job) > 0) {
+        isStarvedPlaced = true
+        this._placeStarvedSteps(snapshot)
+      }
+      const waitingStep = selectUnstarted(listed)
+      if (waitingStep.tasks.length === 0 || waitingStep.step === this._gangInTurn) continue
       if (this._budget.isOver(waiting, index)) {
         this._dependencies.log.note('pass ended early', { steps: waiting.length, placed: index, nextJob: waitingStep.step.job.graph.id })
         return
@@ -181,6 +184,29 @@
     for (const [job, step] of this._budget.skipped) this._waitingSteps.resumeAt(job, step)
   }
 
+  /**
+   * Lets one task of each starved job start, also in the room that the pass would keep for gangs. A gang that has starved for long gets the next turn: jobs that have just arrived
+   * wait for it, older jobs and work that lasts don't.
+   */
+  private _placeStarvedSteps (snapshot: CapacitySnapshot): void {
+    const starved = this._starvedSteps.listByJob().filter(({ step }) => this._getPriority(step.job) > 0)
+    if (starved.length === 0) return
+    const wallTime = this._dependencies.getWallTime()
+    const newcomers = new Set(starved.filter(({ step }) => !step.spec.isLongRunning && isNewJob(step.job, wallTime)))
+    for (const waiting of starved) if (!newcomers.has(waiting)) this._startStarved(waiting, snapshot)
+    const gangs = starved.filter(({ step, tasks }) => step.spec.isGang && !tasks.some(isIsolated)).map(selectUnstarted).filter(({ tasks }) => tasks.length > 0)
+    this._gangInTurn = this._gangReservations.reserveTurn(gangs, snapshot)
+    for (const waiting of newcomers) this._startStarved(waiting, snapshot)
+  }
+
+  /** Starts one task of a starved step, or all of a gang or of a step that lasts, as far as there is room. */
+  private _startStarved (waiting: WaitingStep, snapshot: CapacitySnapshot): void {
+    const { step } = waiting
+    const placed = this._placement.place(waiting, snapshot)
+    this._startPlaced(step.spec.isGang || step.spec.isLongRunning ? placed : placed.slice(0, 1), snapshot)
+    this._budget.recordChecks(snapshot.workers.length + waiting.tasks.length)
+  }
+
   /** True if the last pass has left steps or tasks out that might have room, so that the next one should come soon. */
   get isIncomplete (): boolean {
     return this._waitingSteps.isIncomplete || this._budget.isIncomplete
@@ -257,19 +283,6 @@
     return this._dependencies.runTimes.estimateRunTime(run.task.step) * this._speedFit.getSpeed(run.worker.id).factor
   }
 
-  /**
-   * Marks as starved the steps that have waited longer than {@link STARVATION_MS} while their job has no run and more than half of their
-   * service is free, and the steps that last and have waited longer than {@link LASTING_STARVATION_MS}.
-   */
-  private _markStarvedSteps (waiting: readonly WaitingStep[], workers: readonly WorkerState[]): void {
-    this._starvedSteps.clear()
-    const use = new ServiceUse(workers)
-    const longWaiting = waiting.filter(({ step, since }) => this._now - since > STARVATION_MS && use.isMostlyFree(step.job.graph.queue.service))
-    const running = new Set([...new Set(longWaiting.map(({ step }) => step.job))].filter(job => job.runCount > 0))
-    for (const { step } of longWaiting) if (!running.has(step.job)) this._starvedSteps.add(step)
-    for (const { step, since } of waiting) if (step.spec.isLongRunning && this._now - since > LASTING_STARVATION_MS) this._starvedSteps.add(step)
-  }
-
   /** Marks the steps of which a waiting task has one attempt left. */
   private _markLastAttempts (waiting: readonly WaitingStep[]): void {
     this._lastAttemptSteps.clear()
@@ -344,3 +357,8 @@
     return this._now - waiting.since > extraRunMs || this._starvedSteps.has(waiting.step)
   }
 }
+
+/** Returns a waiting step without the tasks that the pass has started already. */
+function selectUnstarted (waiting: WaitingStep): WaitingStep {
+  return waiting.tasks.some(task => task.runs.length > 0) ? { ...waiting, tasks: waiting.tasks.filter(task => task.runs.length === 0) } : waiting
+}
--- a/packages/core/src/graphs/jobState.ts
+++ b/packages/core/src/graphs/jobState.ts
@@ -123,6 +123,8 @@
   endedAt: number | undefined
   /** Number of runs of all tasks. */
   runCount: number
+  /** When the job last had a run, or was added to this planner, on the planner's clock. */
+  idleSince: number
   /** Parts of the stored progress, by name; see `recordPart.ts`. */
   readonly parts: Map<string, RecordPart<TaskState>>
   /** Names of parts that were dropped with their occurrences, and that the store may hold. */
@@ -134,7 +136,7 @@
 /** Creates the state of a job without any occurrence. */
 export function createJobState (graph: JobGraph, now: number): JobState {
   const parts = new Map([[HEAD_PART, new RecordPart<TaskState>(HEAD_PART)]])
-  return { graph, phase: JobPhase.queued, version: 0, durableVersion: 0, hasNewCheckpoint: false, occurrences: new Map(), nextOccurrence: 0, endedAt: undefined, runCount: 0, parts, droppedParts: new Set(), addedAt: now }
+  return { graph, phase: JobPhase.queued, version: 0, durableVersion: 0, hasNewCheckpoint: false, occurrences: new Map(), nextOccurrence: 0, endedAt: undefined, runCount: 0, idleSince: now, parts, droppedParts: new Set(), addedAt: now }
 }
 
 /** Creates the steps of an occurrence and adds them to the job. */
--- a/packages/core/src/graphs/runTracker.ts
+++ b/packages/core/src/graphs/runTracker.ts
@@ -109,7 +109,7 @@
   /** Records how a run ended at its worker. */
   recordEnd (run: RunState, how: RunEnd, checkpoint: string, now: number): void {
     const { task } = run
-    this._removeRun(run)
+    this._removeRun(run, now)
     saveCheckpoint(task, checkpoint)
     this._dependencies.log.note('run ended', { task: task.name, run: run.number, worker: run.worker.id, how, forMs: run.runningSince === undefined ? 0 : now - run.runningSince, reason: run.stopReason })
     // A task that lasts runs until its job is cancelled, however its runs end.
@@ -120,7 +120,7 @@
 
   /** Declares a run lost, although its end was not reported, because its start had no effect or its worker can no longer execute it. */
   markLost (run: RunState, reason: string, now: number): void {
-    this._removeRun(run)
+    this._removeRun(run, now)
     this._dependencies.log.note('run lost', { task: run.task.name, run: run.number, worker: run.worker.id, reason })
     this._interruptRun(run, now)
   }
@@ -172,12 +172,13 @@
     for (const task of listTasks(job)) for (const run of task.runs) this.stop(run, `job ${phase}`, now)
   }
 
-  private _removeRun (run: RunState): void {
+  private _removeRun (run: RunState, now: number): void {
     const { runs } = run.task
     const index = runs.indexOf(run)
     if (index >= 0) {
       runs.splice(index, 1)
       run.task.step.job.runCount--
+      run.task.step.job.idleSince = now
     }
     this._dependencies.getWorker(run)?.runs.delete(run)
     markTaskChanged(run.task)
