Reclaim elsewhere when a worker does not stop its run

What callers saw (test): a job under a guarantee waited forever for the slots of a run that its worker did not stop, while runs of another worker could have been stopped for it.

Cause: a run that was to stop counted as soon free without a limit, both in the plan and in the reservation that waits for it, which was made anew each time it ran out.

Change: a stop later than the maximum reclaim time is not expected any more; its reservation is dropped and the plan takes other victims.

--- a/packages/core/src/graphs/capacityReclaim.ts
+++ b/packages/core/src/graphs/capacityReclaim.ts
@@ -8,11 +8,12 @@
 import { computeCoreSeconds, computeValueFactor } from './coreSeconds.js'
 import type { CapacityForecast } from './capacityForecast.js'
 import type { CapacitySnapshot, ReservedSlots } from './capacitySnapshot.js'
+import { RunPhase } from './jobState.js'
 import type { JobState, RunState, StepState } from './jobState.js'
 import type { PlannerLog } from './plannerLog.js'
 import type { PlannerTimes } from './plannerTimes.js'
 import { chooseReclaimPlan } from './reclaimPlan.js'
-import type { ReclaimPlan } from './reclaimPlan.js'
+import type { ReclaimDependencies, ReclaimPlan } from './reclaimPlan.js'
 import type { RunTracker } from './runTracker.js'
 import { estimateWorkedMs } from './runProgress.js'
 import type { RunTimeEstimator } from './runTimeEstimator.js'
@@ -37,6 +38,8 @@
 
 interface SlotReservation {
   readonly slots: ReservedSlots
+  /** The runs that were stopped for the slots. */
+  readonly victims: readonly RunState[]
   readonly until: number
 }
 
@@ -58,15 +61,17 @@
   private readonly _reservations = new Map<StepState, SlotReservation>()
   /** Runs that may be stopped for urgent work of a queue; for work that a guarantee covers, the key is undefined. */
   private readonly _victims = new Map<string | undefined, VictimCatalogue>()
+  private readonly _planDependencies: Pick<ReclaimDependencies, 'getTaskLimit' | 'isStopOverdue'>
   private _guaranteed: ReadonlySet<JobState> = new Set()
   private _now = 0
 
   constructor (dependencies: CapacityReclaimDependencies) {
     this._dependencies = dependencies
+    this._planDependencies = { getTaskLimit: dependencies.getTaskLimit, isStopOverdue: run => this._isStopOverdue(run) }
   }
 
   /**
-   * Begins a scheduler pass: drops reservations that have expired, whose step no longer waits or whose workers are not eligible any more,
+   * Begins a scheduler pass: drops reservations that have expired, whose step no longer waits, whose workers are not eligible any more or do not stop their runs,
    * and applies the others to the snapshot.
    */
   beginPass (snapshot: CapacitySnapshot, waiting: readonly WaitingStep[], guaranteed: ReadonlySet<JobState>, now: number): void {
@@ -75,7 +80,7 @@
     this._forgetRuns()
     const steps = new Set(waiting.map(entry => entry.step))
     for (const [step, reservation] of this._reservations) {
-      const isUsable = [...reservation.slots.keys()].every(worker => this._dependencies.isEligible(worker, step))
+      const isUsable = [...reservation.slots.keys()].every(worker => this._dependencies.isEligible(worker, step)) && !reservation.victims.some(run => this._isStopOverdue(run))
       if (!steps.has(step) || now > reservation.until || !isUsable) this._reservations.delete(step)
       else snapshot.reserve(step, reservation.slots)
     }
@@ -126,7 +131,7 @@
     this._noteReclaim(waiting, plan)
     for (const run of plan.victims) this._dependencies.runTracker.stop(run, `capacity taken back for ${step.name}`, this._now)
     this._forgetRuns()
-    this._reservations.set(step, { slots: plan.slots, until: this._now + RESERVATION_LIFETIME_FACTOR * this._dependencies.times.reclaimMs })
+    this._reservations.set(step, { slots: plan.slots, victims: plan.victims, until: this._now + RESERVATION_LIFETIME_FACTOR * this._dependencies.times.reclaimMs })
     snapshot.reserve(step, plan.slots)
   }
 
@@ -149,21 +154,26 @@
    * faster ones cost more than ending in time is worth.
    */
   private _chooseReclaimPlan (waiting: WaitingStep, snapshot: CapacitySnapshot, maxLoss: number): ReclaimPlan | undefined {
-    const { isEligible, getTaskLimit, speedFit } = this._dependencies
+    const { isEligible, speedFit } = this._dependencies
     const { job } = waiting.step
     const fitPlan = speedFit.isActive ? this._chooseFitPlan(waiting, snapshot, maxLoss) : undefined
     const inTimeValue = this._computeUrgentValue(job)
     if (speedFit.isActive && (!this._guaranteed.has(job) || (fitPlan !== undefined && fitPlan.loss <= inTimeValue))) return fitPlan
-    const plan = chooseReclaimPlan(waiting, snapshot, { isEligible, getTaskLimit, victims: this._getVictimCatalogue(job) }, maxLoss)
+    const plan = chooseReclaimPlan(waiting, snapshot, { ...this._planDependencies, isEligible, victims: this._getVictimCatalogue(job) }, maxLoss)
     return fitPlan !== undefined && plan !== undefined && fitPlan.loss <= plan.loss + inTimeValue ? fitPlan : plan
   }
 
   private _chooseFitPlan (waiting: WaitingStep, snapshot: CapacitySnapshot, maxLoss: number): ReclaimPlan | undefined {
-    const { isEligible, getTaskLimit, speedFit, times } = this._dependencies
+    const { isEligible, speedFit, times } = this._dependencies
     const startsAt = this._now + times.stopGraceMs + STOP_ORDER_MS
     if (!speedFit.hasObjectiveInReach(waiting.step, startsAt)) return undefined
     const isFit = (worker: WorkerState, step: StepState): boolean => isEligible(worker, step) && speedFit.isFit(worker, step, startsAt)
-    return chooseReclaimPlan(waiting, snapshot, { isEligible: isFit, getTaskLimit, victims: this._getVictimCatalogue(waiting.step.job) }, maxLoss)
+    return chooseReclaimPlan(waiting, snapshot, { ...this._planDependencies, isEligible: isFit, victims: this._getVictimCatalogue(waiting.step.job) }, maxLoss)
+  }
+
+  /** True for a run that should have stopped within the maximum reclaim time, and has not been reported as ended. */
+  private _isStopOverdue (run: RunState): boolean {
+    return run.phase === RunPhase.stopping && run.task.runs.includes(run) && this._now - (run.stoppingSince ?? this._now) > this._dependencies.times.reclaimMs
   }
 
   private _getVictimCatalogue (job: JobState): VictimCatalogue {
--- a/packages/core/src/graphs/reclaimPlan.ts
+++ b/packages/core/src/graphs/reclaimPlan.ts
@@ -25,6 +25,8 @@
   readonly isEligible: (worker: WorkerState, step: StepState) => boolean
   readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
   readonly victims: VictimCatalogue
+  /** True for a run that was to stop so long ago that its end is not to be expected soon. */
+  readonly isStopOverdue: (run: RunState) => boolean
 }
 
 /** A group of runs that stop together, as a candidate for a stop at the considered workers. */
@@ -102,7 +104,7 @@
 function makeWorkerSlots (worker: WorkerState, step: StepState, snapshot: CapacitySnapshot, dependencies: ReclaimDependencies): WorkerSlots {
   const free = { ...snapshot.getFree(worker) }
   // The capacity of runs that are already stopping will be free soon.
-  for (const run of worker.runs) if (run.phase === RunPhase.stopping) returnNeeds(free, run.task.step.spec)
+  for (const run of worker.runs) if (run.phase === RunPhase.stopping && !dependencies.isStopOverdue(run)) returnNeeds(free, run.task.step.spec)
   const limit = dependencies.getTaskLimit(worker, step)
   return { worker, free, limit, count: Math.min(countFits(free, step.spec), limit), groups: [] }
 }
--- a/packages/core/test/graphs/capacityReclaim.test.ts
+++ b/packages/core/test/graphs/capacityReclaim.test.ts
@@ -64,6 +64,23 @@
   t.truthy(harness.findWorker('urgent.0.0.1'))
 })
 
+// A run that was to stop counted as soon ended for as long as its worker did not stop it, so that guaranteed work waited for its slots forever.
+test('guaranteed work reclaims capacity elsewhere when a worker does not stop its run', t => {
+  const harness = new PlannerHarness([2])
+  harness.planner.setPolicy({ queues: [URGENT, makeQueue()], guarantees: [{ organisation: 'o', accelerators: 8 }] })
+  harness.addJob('old', [makeStep({ accelerators: 8, estimatedMs: 60_000 })])
+  harness.run(5_000)
+  harness.addJob('young', [makeStep({ accelerators: 8, estimatedMs: 60_000 })])
+  harness.run(500)
+  const stuck = harness.findWorker('young.0.0.0')
+  if (stuck !== undefined) stuck.ignoresStops = true
+  const other = harness.findWorker('old.0.0.0')
+  harness.addJob('urgent', [makeStep({ accelerators: 8, estimatedMs: 2_000 })], { queue: URGENT })
+  harness.run(4_000)
+  t.is(harness.findWorker('young.0.0.0'), stuck)
+  t.is(harness.findWorker('urgent.0.0.0'), other)
+})
+
 test('a new planner predicts the end of runs that an earlier planner started by their observed speed', t => {
   const harness = new PlannerHarness([1])
   harness.planner.setPolicy({ queues: [], guarantees: [{ organisation: 'o', accelerators: 8 }] })
--- a/packages/core/test/graphs/randomFleet.ts
+++ b/packages/core/test/graphs/randomFleet.ts
@@ -18,6 +18,7 @@
   readonly getTaskLimit: (worker: WorkerState) => number
   readonly getStopCost: (run: RunState) => number
   readonly estimateWorkedMs: (run: RunState) => number
+  readonly isStopOverdue: (run: RunState) => boolean
   readonly countFailures: (worker: WorkerState) => number
   readonly isUsableForLastAttempt: () => boolean
   readonly isCold: () => boolean
@@ -29,6 +30,8 @@
 }
 
 const NOW = 1_000
+/** Index of the tasks of which a run that is to stop does not count as soon ended. */
+const OVERDUE_INDEX = 2
 const PHASES = [RunPhase.assigned, RunPhase.running, RunPhase.running, RunPhase.stopping] as const
 
 class FleetBuilder {
@@ -67,6 +70,7 @@
       getTaskLimit: worker => limits.get(worker) ?? 0,
       getStopCost: run => stopCosts.get(run) ?? 0,
       estimateWorkedMs: run => workedMs.get(run) ?? 0,
+      isStopOverdue: run => run.task.index === OVERDUE_INDEX,
       countFailures: worker => failures.get(worker) ?? 0,
       isUsableForLastAttempt: () => true,
       isCold: () => false,
--- a/packages/core/test/graphs/reference/referenceReclaimPlan.ts
+++ b/packages/core/test/graphs/reference/referenceReclaimPlan.ts
@@ -28,6 +28,7 @@
   readonly getTaskLimit: (worker: WorkerState, step: StepState) => number
   /** Returns the cost of stopping a run in core-seconds, without the work that the run loses; Infinity when the run must not be stopped. */
   readonly getStopCost: (run: RunState) => number
+  readonly isStopOverdue: (run: RunState) => boolean
   /** Estimates how long a run has worked, in milliseconds. */
   readonly estimateWorkedMs: (run: RunState) => number
   /** Run time between two checkpoints, in milliseconds. */
@@ -69,8 +70,8 @@
   for (const worker of workers) free.set(worker, { ...snapshot.getFree(worker) })
   const count = (worker: WorkerState): number => Math.min(countFits(free.get(worker) as FreeCapacity, step.spec), dependencies.getTaskLimit(worker, step))
   const countTotal = (): number => workers.reduce((sum, worker) => sum + count(worker), 0)
-  // The capacity of runs that are already stopping will be free soon.
-  for (const worker of workers) for (const run of worker.runs) if (run.phase === RunPhase.stopping) returnNeeds(free.get(worker) as FreeCapacity, run.task.step.spec)
+  // The capacity of runs that are already stopping will be free soon, unless their stop is overdue.
+  for (const worker of workers) for (const run of worker.runs) if (run.phase === RunPhase.stopping && !dependencies.isStopOverdue(run)) returnNeeds(free.get(worker) as FreeCapacity, run.task.step.spec)
   const groups = listVictimGroups(free, dependencies)
   const chosen: VictimGroup[] = []
   while (countTotal() < tasks.length) {
