Keep a worker empty no longer than predicted

What callers saw (tests): a task that must run alone waited for one worker whose run went on, while others became free and were filled again. A job without a run could not use the kept worker, with most of the fleet free.

Cause: the worker that is kept empty was chosen once, by the predicted end of its runs, and kept without a limit and from all work that no guarantee covers.

A starved step may start at a kept worker.

--- a/packages/core/src/graphs/crashIsolation.ts
+++ b/packages/core/src/graphs/crashIsolation.ts
@@ -17,6 +17,8 @@
   readonly isEligible: (worker: WorkerState, step: StepState) => boolean
   /** Predicts when a run ends, on the planner's clock; Infinity when that is unknown. */
   readonly predictEnd: (run: RunState) => number
+  /** True when a step waits although most of its service is free. */
+  readonly isStarved: (step: StepState) => boolean
 }
 
 export class CrashIsolation {
@@ -38,7 +40,7 @@
     this._guaranteed = guaranteed
     this._suspects.clear()
     for (const worker of workers) for (const run of worker.runs) this.recordPlaced(worker, run.task)
-    this._emptyWorker.beginPass(waiting, workers)
+    this._emptyWorker.beginPass(waiting, workers, now)
   }
 
   /** Records that a task has been placed at a worker in this pass. */
@@ -55,8 +57,9 @@
 
   /** True when a worker runs a task that must run alone, or is kept empty for one, so that no other step may start there. */
   isReserved (worker: WorkerState, step: StepState): boolean {
-    // Work that a guarantee covers has to start in time, whatever else waits.
-    if (!this._guaranteed.has(step.job) && this._emptyWorker.isKeptForOther(worker, step)) return true
+    // Work that a guarantee covers has to start in time, whatever else waits, and so has starved work.
+    const canWait = !this._guaranteed.has(step.job) && !this._dependencies.isStarved(step)
+    if (canWait && this._emptyWorker.isKeptForOther(worker, step)) return true
     const suspect = this._suspects.get(worker)
     return suspect !== undefined && isIsolated(suspect) && !isGangMember(suspect, step)
   }
--- a/packages/core/src/graphs/emptyWorker.ts
+++ b/packages/core/src/graphs/emptyWorker.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps a worker from getting new runs so that a task that must run alone can start there. On a busy fleet no worker is ever empty, since each slot that
- * becomes free is taken at once. One worker at a time is kept, for the first such task in the order. Gangs are left out, since one worker does not help
- * them.
+ * becomes free is taken at once. One worker at a time is kept, for the first such task in the order, and no longer than it was expected to take to become empty.
+ * Gangs are left out, since one worker does not help them.
  */
 import { isIsolated } from './crashBlame.js'
 import type { RunState, StepState } from './jobState.js'
@@ -18,18 +18,19 @@
 
 export class EmptyWorker {
   private readonly _dependencies: EmptyWorkerDependencies
-  private _kept: { readonly step: StepState, readonly worker: WorkerState } | undefined
+  private _kept: { readonly step: StepState, readonly worker: WorkerState, readonly emptyAt: number } | undefined
 
   constructor (dependencies: EmptyWorkerDependencies) {
     this._dependencies = dependencies
   }
 
-  /** Begins a scheduler pass: keeps the worker that was chosen before while its step waits, or else chooses the one that will be empty the soonest. */
-  beginPass (waiting: readonly WaitingStep[], workers: readonly WorkerState[]): void {
+  /** Begins a scheduler pass: keeps the worker that was chosen before while its step waits and its runs are not overdue, or else chooses the one that will be empty the soonest. */
+  beginPass (waiting: readonly WaitingStep[], workers: readonly WorkerState[], now: number): void {
     const steps = waiting.filter(({ step, tasks }) => !step.spec.isGang && tasks.some(isIsolated)).map(({ step }) => step)
     const kept = this._kept
     this._kept = undefined
-    if (kept !== undefined && steps.includes(kept.step) && workers.includes(kept.worker) && this._dependencies.isUsable(kept.worker, kept.step)) this._kept = kept
+    const isOverdue = kept !== undefined && now > kept.emptyAt && kept.worker.runs.size > 0
+    if (kept !== undefined && !isOverdue && steps.includes(kept.step) && workers.includes(kept.worker) && this._dependencies.isUsable(kept.worker, kept.step)) this._kept = kept
     else for (const step of steps) if (this._kept === undefined) this._choose(step, workers)
   }
 
@@ -50,7 +51,7 @@
       const emptyAt = Math.max(0, ...[...worker.runs].map(run => this._dependencies.predictEnd(run)))
       if (emptyAt >= earliest) continue
       earliest = emptyAt
-      this._kept = { step, worker }
+      this._kept = { step, worker, emptyAt }
     }
   }
 }
--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -98,7 +98,8 @@
     this._crashIsolation = new CrashIsolation({
       workerHealth: dependencies.workerHealth,
       isEligible: (worker, step) => this._isEligibleForAll(worker, step),
-      predictEnd: run => this._predictEnd(run)
+      predictEnd: run => this._predictEnd(run),
+      isStarved: step => this._starvedSteps.has(step)
     })
     const { times, runTimes, runTracker, classShares, log, speeds, getWallTime } = dependencies
     this._speedFit = new SpeedFit({ speeds, runTimes, getWallTime, remoteFactor: times.remoteFactor })
--- a/packages/core/test/graphs/crashBlame.test.ts
+++ b/packages/core/test/graphs/crashBlame.test.ts
@@ -1,6 +1,7 @@
 /**
  * Tests which tasks the planner blames for crashes of workers, where it starts suspected tasks, and when it gives a task up.
  */
+import type { StepSpec } from '@dragonflylever/core/graphs/index'
 import test from 'ava'
 
 import { PlannerHarness, makeQueue, makeStep } from './plannerHarness.js'
@@ -130,3 +131,42 @@
   const worker = harness.findWorker('a.0.0.0')
   t.deepEqual(worker?.running.map(({ task }) => task), ['a.0.0.0'])
 })
+
+/** Creates a rack of two workers of which neither is empty, and a task that must run alone there. A worker elsewhere runs another task of its job, so that the job is not idle. */
+function createFleetWithIsolatedTask (holders: ReadonlyArray<Partial<StepSpec>>): PlannerHarness {
+  const harness = new PlannerHarness([2, 1])
+  harness.addJob('a', [makeStep({ requiredLabel: 'r0' }), makeStep({ accelerators: 8, estimatedMs: 600_000, requiredLabel: 'r1' })])
+  crashRepeatedly(harness, 'a.0.0.0', 2)
+  for (const [index, worker] of harness.workers.slice(0, 2).entries()) harness.addJob(`holder${index}`, [makeStep({ ...holders[index], requiredLabel: worker.id })])
+  // The workers count as steady again after this time.
+  harness.run(11_000)
+  return harness
+}
+
+// The worker that was expected to become empty first was kept for as long as its run went on, which need not end.
+test('a worker is not kept empty for long after the time at which it should have been empty', t => {
+  const harness = createFleetWithIsolatedTask([{ accelerators: 4, estimatedMs: 12_000 }, { accelerators: 4, estimatedMs: 24_000 }])
+  const runSmallTasks = (ms: number): void => {
+    for (const end = harness.now + ms; harness.now < end && harness.findWorker('a.0.0.0') === undefined;) {
+      harness.addJob(`small${harness.now}`, [makeStep({ count: 2, estimatedMs: 1_000, requiredLabel: 'r0' })], { queue: makeQueue({ name: 'small', priority: 2 }) })
+      harness.run(1_000)
+      for (const { task } of harness.workers.flatMap(({ running }) => running)) if (task.startsWith('small')) harness.endRun(task, 'done')
+    }
+  }
+  runSmallTasks(13_000)
+  t.is(harness.findWorker('a.0.0.0'), undefined)
+  harness.endRun('holder1.0.0.0', 'done')
+  runSmallTasks(10_000)
+  t.deepEqual(harness.findWorker('a.0.0.0')?.running.map(({ task }) => task), ['a.0.0.0'])
+})
+
+// A job without a run waited for a task of another job to find an empty worker, with most of the fleet free.
+test('a starved job starts at a worker that is kept empty', t => {
+  const harness = createFleetWithIsolatedTask([{ estimatedMs: 40_000 }, { estimatedMs: 80_000 }])
+  const kept = harness.findWorker('holder0.0.0.0')
+  harness.addJob('small', [makeStep({ requiredLabel: kept?.id ?? '' })])
+  harness.run(1_000)
+  t.is(harness.findWorker('small.0.0.0'), undefined)
+  harness.run(2_000)
+  t.is(harness.findWorker('small.0.0.0'), kept)
+})
