Let starved jobs start beyond the limit of unconfirmed starts

Cause: a worker may have 256 runs whose start is not confirmed, and tasks in front of the small job used this number up in each pass. Starved jobs come before other work since, which mended it for work that isn't urgent; urgent work still filled the limit before them.

Change: a start that a starved job gets before its turn may exceed the limit, by up to 32 a worker.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -62,6 +62,8 @@
  * limited, so that more would not be confirmed in time.
  */
 const MAX_UNCONFIRMED_RUNS = 256
+/** Number of such runs that a worker may have beyond that for tasks that start because their jobs are starved. Urgent work may fill the limit in each pass. */
+const MAX_STARVED_UNCONFIRMED_RUNS = 32
 /** Number of members up to which the end of a gang is predicted anew for each of its runs. */
 const MAX_SMALL_GANG = 64
 /** Work of making room for a step, in checks for each worker and each run. */
@@ -84,6 +86,8 @@
   private readonly _starvedSteps = new StarvedSteps()
   /** When wide gangs end, and for which time of the planner's clock that was predicted: each of their runs asks. */
   private readonly _gangEnds = new WeakMap<StepState, { readonly at: number, readonly end: number }>()
+  /** The starved step that is being placed before its turn. */
+  private _stepOutOfOrder: StepState | undefined
   /** The gang whose slots are reserved before other work of the pass is placed. */
   private _gangInTurn: StepState | undefined
   /** Number of runs whose start is not confirmed, by worker, as far as the pass has asked. */
@@ -203,7 +207,9 @@
   /** Starts one task of a starved step, or all of a gang or of a step that lasts, as far as there is room. */
   private _startStarved (waiting: WaitingStep, snapshot: CapacitySnapshot): void {
     const { step } = waiting
+    this._stepOutOfOrder = step
     const placed = this._placement.place(waiting, snapshot)
+    this._stepOutOfOrder = undefined
     this._startPlaced(step.spec.isGang || step.spec.isLongRunning ? placed : placed.slice(0, 1), snapshot)
     this._budget.recordChecks(snapshot.workers.length + waiting.tasks.length)
   }
@@ -324,7 +330,9 @@
   }
 
   private _getTaskLimit (worker: WorkerState, step: StepState): number {
-    return Math.min(this._getHealthLimit(worker, step), step.spec.isGang ? Infinity : MAX_UNCONFIRMED_RUNS - this._countUnconfirmedRuns(worker))
+    if (step.spec.isGang) return this._getHealthLimit(worker, step)
+    const maxUnconfirmed = MAX_UNCONFIRMED_RUNS + (step === this._stepOutOfOrder ? MAX_STARVED_UNCONFIRMED_RUNS : 0)
+    return Math.min(this._getHealthLimit(worker, step), maxUnconfirmed - this._countUnconfirmedRuns(worker))
   }
 
   /** Counts the runs of a worker whose start is not confirmed. */
