--- a/packages/standins/src/runs/graphInvariantChecker.ts
+++ b/packages/standins/src/runs/graphInvariantChecker.ts
@@ -97,6 +97,11 @@
     return count
   }
 
+  /** True while a task has a run. */
+  isRunning (task: string): boolean {
+    return (this._running.get(task)?.size ?? 0) > 0
+  }
+
   private _checkPredecessors (jobId: string, occurrence: number, index: number, task: string): void {
     const steps = this._steps.get(jobId) ?? []
     for (const before of steps[index]?.after ?? []) {
--- a/packages/standins/src/runs/runWorkerEngine.ts
+++ b/packages/standins/src/runs/runWorkerEngine.ts
@@ -140,6 +140,22 @@
     return { kind: 'ok', clockMs: this.clockMs, born: this.born, running: [...this._runs.values()].map(run => this._describeRun(run)), ended: this._unacknowledgedEnds.slice(0, maxListedEnds), hasMoreEnds: this._unacknowledgedEnds.length >= maxListedEnds }
   }
 
+  /** Computes the capacity that no run uses. */
+  computeFree (): RunBehaviour['needs'] {
+    const free = { ...this._options.capacity }
+    for (const { behaviour: { needs } } of this._runs.values()) {
+      free.cpuMillis -= needs.cpuMillis
+      free.memoryMb -= needs.memoryMb
+      free.accelerators -= needs.accelerators
+    }
+    return free
+  }
+
+  private _hasCapacityFor ({ needs }: RunBehaviour): boolean {
+    const free = this.computeFree()
+    return needs.cpuMillis <= free.cpuMillis && needs.memoryMb <= free.memoryMb && needs.accelerators <= free.accelerators
+  }
+
   private _crashUnderRun (start: RunStartRequest): void {
     if (this._runs.get(start.task)?.number !== start.run) return
     this._options.observer.onCrash?.(this._options.id, start.task, start.run)
@@ -156,13 +172,6 @@
     return { kind: 'refused', reason, clockMs: this.clockMs }
   }
 
-  private _hasCapacityFor (behaviour: RunBehaviour): boolean {
-    const { capacity } = this._options
-    const held = [...this._runs.values()].map(run => run.behaviour.needs)
-    const sum = (pick: (needs: RunBehaviour['needs']) => number): number => held.reduce((total, needs) => total + pick(needs), pick(behaviour.needs))
-    return sum(one => one.cpuMillis) <= capacity.cpuMillis && sum(one => one.memoryMb) <= capacity.memoryMb && sum(one => one.accelerators) <= capacity.accelerators
-  }
-
   private _beginRun (start: RunStartRequest, behaviour: RunBehaviour): void {
     const savedMs = start.checkpoint === '' ? 0 : Number(start.checkpoint.slice(CHECKPOINT_PREFIX.length))
     const name = parseTaskName(start.task)
