Log starts of starved steps and turns of gangs

Why: no line of the log told that a step had started before its turn, or for which gang newcomers wait, so that a late job could not be told from one that was kept out.

--- a/packages/core/src/graphs/graphPass.ts
+++ b/packages/core/src/graphs/graphPass.ts
@@ -90,6 +90,8 @@
   private _stepOutOfOrder: StepState | undefined
   /** The gang whose slots are reserved before other work of the pass is placed. */
   private _gangInTurn: StepState | undefined
+  /** The gang in turn of the last pass that had starved steps. */
+  private _lastGangInTurn: StepState | undefined
   /** Number of runs whose start is not confirmed, by worker, as far as the pass has asked. */
   private readonly _unconfirmedRuns = new Map<WorkerState, number>()
   /** Steps with a waiting task that has one attempt left. */
@@ -201,6 +203,8 @@
     for (const waiting of starved) if (!newcomers.has(waiting)) this._startStarved(waiting, snapshot)
     const gangs = starved.filter(({ step, tasks }) => step.spec.isGang && !tasks.some(isIsolated)).map(selectUnstarted).filter(({ tasks }) => tasks.length > 0)
     this._gangInTurn = this._gangReservations.reserveTurn(gangs, snapshot)
+    if (this._gangInTurn !== undefined && this._gangInTurn !== this._lastGangInTurn) this._dependencies.log.note('gang in turn', { step: this._gangInTurn.name, newcomers: newcomers.size })
+    this._lastGangInTurn = this._gangInTurn
     for (const waiting of newcomers) this._startStarved(waiting, snapshot)
   }
 
@@ -210,7 +214,9 @@
     this._stepOutOfOrder = step
     const placed = this._placement.place(waiting, snapshot)
     this._stepOutOfOrder = undefined
-    this._startPlaced(step.spec.isGang || step.spec.isLongRunning ? placed : placed.slice(0, 1), snapshot)
+    const started = step.spec.isGang || step.spec.isLongRunning ? placed : placed.slice(0, 1)
+    if (started.length > 0) this._dependencies.log.note('starved step started', { step: step.name, tasks: started.length, waitedMs: this._now - waiting.since })
+    this._startPlaced(started, snapshot)
     this._budget.recordChecks(snapshot.workers.length + waiting.tasks.length)
   }
 
--- a/packages/core/test/graphs/keptRoom.test.ts
+++ b/packages/core/test/graphs/keptRoom.test.ts
@@ -107,6 +107,7 @@
   harness.addJob('small', [makeStep({ ...SMALL, estimatedMs: 8_000, count: 12 })], { queue: SMALL_QUEUE })
   harness.run(MAX_WAIT_MS)
   t.is(countStarted(harness, 'small'), 1)
+  t.deepEqual(harness.listNotes('starved step started').map(({ step, tasks }) => ({ step, tasks })), [{ step: 'small.0.0', tasks: 1 }])
 })
 
 // A prediction that had passed was repeated as "now", so that a worker was kept for a gang for as long as a run there went on.
@@ -164,6 +165,7 @@
   harness.addJob('gang', [makeStep(WIDE_GANG)], { queue: GANG_QUEUE })
   const longestMs = runWithArrivals(harness, 20_000, arrivals)
   t.is(countStarted(harness, 'gang'), 2)
+  t.deepEqual(harness.listNotes('gang in turn').map(({ step }) => step), ['gang.0.0'])
   t.true(longestMs <= MAX_TURN_WAIT_MS)
 })
 
