Run one process at a node in simulations

Cause: the simulation, not the product. A planner that was stopped and killed at the same time was started again twice, 677 and 5,924 ms later, and the first of its new processes stayed. Two agents then served one worker, each with its own list of runs. A host has one agent.

Change: a new process ends the one that it replaces.

Evidence: the log has "worker added after its first heartbeat" for w0 twice, without a removal in between.

--- a/packages/daemon/test/graphs/graphSimulation.ts
+++ b/packages/daemon/test/graphs/graphSimulation.ts
@@ -155,20 +155,14 @@
   restartNode (index: number, afterMs: number): void {
     const slot = this._getSlot(index)
     slot.node.kill()
-    setTimeout(() => {
-      slot.incarnation++
-      slot.node = this._makeNode(index % this._slots.length, slot)
-    }, afterMs)
+    setTimeout(() => this._replaceNode(index, slot), afterMs)
   }
 
   /** Shuts the process of a node down gracefully; a new one starts in its place after `afterMs` milliseconds. */
   async stopNode (index: number, afterMs: number): Promise<void> {
     const slot = this._getSlot(index)
     await slot.node.close()
-    setTimeout(() => {
-      slot.incarnation++
-      slot.node = this._makeNode(index % this._slots.length, slot)
-    }, afterMs)
+    setTimeout(() => this._replaceNode(index, slot), afterMs)
   }
 
   getWorker (index: number): RunWorkerEngine {
@@ -278,6 +272,13 @@
     })
   }
 
+  /** Starts a new process at a node. A node has one process at a time, also when several faults restart it. */
+  private _replaceNode (index: number, slot: NodeSlot): void {
+    slot.node.kill()
+    slot.incarnation++
+    slot.node = this._makeNode(index % this._slots.length, slot)
+  }
+
   private _announce (index: number, slot: NodeSlot): WorkerAnnouncement {
     return {
       id: `w${index}`,
