--- a/packages/daemon/test/graphs/idleJobs.test.ts
+++ b/packages/daemon/test/graphs/idleJobs.test.ts
@@ -22,7 +22,7 @@
 const FOREVER_MS = 3_600_000
 
 /** A job of the simulation and when it arrives, in milliseconds from the first possible arrival. */
-interface DrawnJob extends Omit<SimulatedJob, 'id' | 'failures'> {
+interface DrawnJob extends Omit<SimulatedJob, 'id'> {
   readonly at: number
 }
 
@@ -33,20 +33,20 @@
 
 /** Makes an arbitrary of jobs with tasks that last. */
 function makeLastingJob (): fc.Arbitrary<DrawnJob> {
-  return fc.record({ at: fc.nat(ARRIVALS_MS / 3), priority: fc.integer({ min: 1, max: 2 }), count: fc.integer({ min: 1, max: 3 }), accelerators: fc.integer({ min: 1, max: 2 }), estimatedMs: fc.integer({ min: 100, max: 10_000 }) })
-    .map(({ at, priority, ...step }) => ({ at, priority, durationMs: FOREVER_MS, steps: [makeStep({ ...step, isLongRunning: true })] }))
+  return fc.record({ at: fc.nat(ARRIVALS_MS / 3), priority: fc.integer({ min: 0, max: 2 }), count: fc.integer({ min: 1, max: 3 }), accelerators: fc.integer({ min: 1, max: 2 }), estimatedMs: fc.integer({ min: 100, max: 10_000 }) })
+    .map(({ at, priority, ...step }) => ({ at, priority, durationMs: FOREVER_MS, failures: 0, steps: [makeStep({ ...step, isLongRunning: true })] }))
 }
 
 /** Makes an arbitrary of jobs of small tasks. */
 function makeSmallJob (): fc.Arbitrary<DrawnJob> {
-  return fc.record({ at: fc.nat(ARRIVALS_MS), priority: fc.integer({ min: 1, max: 2 }), count: fc.integer({ min: 1, max: 3 }), durationMs: fc.integer({ min: 500, max: 30_000 }), factor: makeEstimateFactor() })
-    .map(({ at, priority, count, durationMs, factor }) => ({ at, priority, durationMs, steps: [makeStep({ count, estimatedMs: durationMs * factor })] }))
+  return fc.record({ at: fc.nat(ARRIVALS_MS), priority: fc.integer({ min: 0, max: 2 }), failures: fc.nat(1), count: fc.integer({ min: 1, max: 3 }), durationMs: fc.integer({ min: 500, max: 30_000 }), factor: makeEstimateFactor() })
+    .map(({ factor, count, ...job }) => ({ ...job, steps: [makeStep({ count, estimatedMs: job.durationMs * factor })] }))
 }
 
 /** Makes an arbitrary of gangs of whole and half workers. */
 function makeGang (): fc.Arbitrary<DrawnJob> {
-  return fc.record({ at: fc.nat(ARRIVALS_MS / 2), priority: fc.integer({ min: 1, max: 2 }), count: fc.constantFrom(2, WORKERS, WORKERS), accelerators: fc.constantFrom(4, 8, 8), durationMs: fc.integer({ min: 200, max: 6_000 }), factor: makeEstimateFactor() })
-    .map(({ at, priority, count, accelerators, durationMs, factor }) => ({ at, priority, durationMs, steps: [makeStep({ count, accelerators, isGang: true, estimatedMs: durationMs * factor })] }))
+  return fc.record({ at: fc.nat(ARRIVALS_MS / 2), priority: fc.integer({ min: 0, max: 2 }), failures: fc.nat(1), count: fc.constantFrom(2, WORKERS, WORKERS), accelerators: fc.constantFrom(4, 8, 8), durationMs: fc.integer({ min: 200, max: 6_000 }), factor: makeEstimateFactor() })
+    .map(({ factor, count, accelerators, ...job }) => ({ ...job, steps: [makeStep({ count, accelerators, isGang: true, estimatedMs: job.durationMs * factor })] }))
 }
 
 function makeJobs (): fc.Arbitrary<DrawnJob[]> {
@@ -63,7 +63,7 @@
 async function runSimulation ({ jobs: drawn, faults }: Scenario, isRecordingLog = false): Promise<{ readonly violations: string[], readonly lines: readonly string[] }> {
   const clock = FakeTimers.install({ now: 1_700_000_000_000, toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance', 'Date'] })
   const simulation = new GraphSimulation(WORKERS, { isRecordingLog })
-  const jobs = drawn.map((job, index): DrawnJob & SimulatedJob => ({ ...job, id: (index + 1).toString(16).padStart(16, '0'), failures: 0 }))
+  const jobs = drawn.map((job, index): DrawnJob & SimulatedJob => ({ ...job, id: (index + 1).toString(16).padStart(16, '0') }))
   const watch = new IdleWatch(simulation, jobs, { isCalm: faults.length === 0 })
   try {
     for (const { at, kind, who, forMs } of faults) setTimeout(() => { setTimeout(FAULTS[kind](simulation, who % 3 === 0 ? simulation.findPlanner() : who, forMs), forMs) }, START_MS + at)
