Show that a task that must run alone waits for work that lasts

What callers see (test): after two crashes a task never starts where each worker has work that lasts and more than half of the service is in use.

Cause: only a worker that is expected to become empty is kept for it, and no worker is; before one was kept that never became empty. The task isn't starved, so that it may not start beside other work.

Not fixed: where it should start instead, it may crash the work beside it, which needs a bound of its own.

--- a/packages/core/test/graphs/crashBlame.test.ts
+++ b/packages/core/test/graphs/crashBlame.test.ts
@@ -170,3 +170,10 @@
   harness.run(2_000)
   t.is(harness.findWorker('small.0.0.0'), kept)
 })
+
+// No worker is expected to become empty, so that none is kept, and the task starts beside other work only if most of the service is free.
+test('a task that must run alone starts although each worker has work that lasts', t => {
+  const harness = createFleetWithIsolatedTask([{ accelerators: 5, isLongRunning: true }, { accelerators: 5, isLongRunning: true }])
+  harness.run(60_000)
+  t.truthy(harness.findWorker('a.0.0.0'))
+})
